--- /dev/null
+++ b/src/catkinspread/clock/tests/test_clock.py
@@ -0,0 +1,21 @@
+"""Tests of the clocks."""
+
+import pytest
+
+from catkinspread.clock import ManualClock, SystemClock
+
+
+def test_manual_clock_refuses_to_go_back():
+    """Guards against timeouts that fire twice because time went backwards."""
+    clock = ManualClock(start_ms=10)
+    assert clock.advance(5) == 15
+    with pytest.raises(ValueError, match="cannot move back by 1 ms"):
+        clock.advance(-1)
+    assert clock.now_ms() == 15
+
+
+def test_system_clock_never_decreases():
+    """Guards against a reading below an earlier one."""
+    clock = SystemClock()
+    readings = [clock.now_ms() for _ in range(1000)]
+    assert readings == sorted(readings)
--- /dev/null
+++ b/src/catkinspread/configuration/tests/test_effects.py
@@ -0,0 +1,91 @@
+"""Tests of applying log entries."""
+
+import pytest
+
+from catkinspread.configuration import (
+    ChangeEntry,
+    EntryError,
+    ServiceSet,
+    SlotMove,
+    SlotsListed,
+    SlotsMoved,
+    UpstreamRemoved,
+    UpstreamSet,
+    apply_entry,
+    decode_entry,
+    encode_entry,
+)
+from catkinspread.model import (
+    SLOT_COUNT,
+    Configuration,
+    Endpoint,
+    OwnerGroup,
+    OwnerMember,
+    Service,
+    Upstream,
+)
+
+GROUP = OwnerGroup((OwnerMember("i1", 1), OwnerMember("i2", 1)))
+
+
+def change(*effects):
+    return ChangeEntry("id", "op", "", "", 10, 0, effects)
+
+
+def build():
+    service = Service("recipe-desk", Endpoint("127.0.0.1", 9000))
+    upstreams = [
+        UpstreamSet(Upstream(name, "recipe-desk", "khomas-1", Endpoint("127.0.0.1", port)))
+        for name, port in (("rd-1", 1), ("rd-2", 2))
+    ]
+    first = SlotsMoved("recipe-desk", (SlotMove("rd-1", tuple(range(SLOT_COUNT))),), GROUP)
+    return apply_entry(Configuration(), 1, change(ServiceSet(service), *upstreams, first))
+
+
+def test_entries_apply_only_in_order():
+    """Guards against a replica that skips or repeats an entry."""
+    configuration = build()
+    with pytest.raises(EntryError, match="entry 1 does not follow version 1"):
+        apply_entry(configuration, 1, change())
+    with pytest.raises(EntryError, match="entry 3 does not follow version 1"):
+        apply_entry(configuration, 3, change())
+
+
+def test_empty_slots_take_their_first_upstream_without_a_transition():
+    """Guards against a new service that waits for flows that cannot exist."""
+    table = build().slot_tables["recipe-desk"]
+    assert table.transitions == {}
+    assert {base.default for base in table.bases} == {"rd-1"}
+
+
+def test_listing_replaces_the_base_and_keeps_exceptions_of_listed_slots():
+    """Guards against flows that lose their upstream when a transition ends."""
+    moved = SlotsMoved("recipe-desk", (SlotMove("rd-2", (5, 6)),), GROUP)
+    configuration = apply_entry(build(), 2, change(moved))
+    listed = SlotsListed("recipe-desk", 2, (5,), {"rd-1": (SLOT_COUNT + 5, SLOT_COUNT + 6)})
+    configuration = apply_entry(configuration, 3, change(listed))
+    table = configuration.slot_tables["recipe-desk"]
+    assert table.bases[5].find_upstream(SLOT_COUNT + 5) == "rd-1"
+    assert table.bases[5].find_upstream(5) == "rd-2"
+    assert set(table.transitions) == {6}
+    configuration = apply_entry(configuration, 4, change(UpstreamRemoved("rd-1")))
+    assert configuration.slot_tables["recipe-desk"].bases[5].exceptions == {}
+
+
+def test_list_made_before_a_later_move_is_ignored():
+    """Guards against an owner's old list that ends a newer transition."""
+    configuration = build()
+    for index, target in ((2, "rd-2"), (3, "rd-1")):
+        moved = SlotsMoved("recipe-desk", (SlotMove(target, (5,)),), GROUP)
+        configuration = apply_entry(configuration, index, change(moved))
+    old_list = SlotsListed("recipe-desk", 2, (5,), {})
+    configuration = apply_entry(configuration, 4, change(old_list))
+    assert configuration.slot_tables["recipe-desk"].transitions[5].target == "rd-1"
+
+
+def test_entries_survive_encoding():
+    """Guards against an effect that decodes as another one."""
+    entry = change(SlotsListed("s", 2, (5,), {"rd-1": (7,)}), UpstreamRemoved("x"))
+    assert decode_entry(encode_entry(entry)) == entry
+    with pytest.raises(EntryError, match="malformed"):
+        decode_entry(b"\x93\x01")
--- /dev/null
+++ b/src/catkinspread/model/__init__.py
@@ -0,0 +1,33 @@
+"""The configuration as values: services, upstreams, data centres and slot tables."""
+
+from catkinspread.model.configuration import (
+    SLOT_COUNT,
+    Configuration,
+    DataCentre,
+    DataCentreState,
+    Endpoint,
+    OwnerGroup,
+    OwnerMember,
+    Service,
+    SlotBase,
+    SlotTable,
+    SlotTransition,
+    Upstream,
+    UpstreamState,
+)
+
+__all__ = [
+    "SLOT_COUNT",
+    "Configuration",
+    "DataCentre",
+    "DataCentreState",
+    "Endpoint",
+    "OwnerGroup",
+    "OwnerMember",
+    "Service",
+    "SlotBase",
+    "SlotTable",
+    "SlotTransition",
+    "Upstream",
+    "UpstreamState",
+]
