Add the thin whole path: settings, instance, fabric, upstreams, callers

Cause: no process could carry a request from a caller to an upstream yet. Change: validated INI settings with every problem reported at once, an instance that applies the configuration log and relays packets by the slot base, stand-ins of fabric, upstream and callers, and a UDP port owned by one task. The whole-path test carries 20 flows through 3 instances with duplicated and reordered packets: 20 opened, 0 broken, 0 wrong answers. Conclusion: the path stands; routing during changes, requests, limits and membership come next.

--- /dev/null
+++ b/src/catkinspread/instance/tests/test_whole_path.py
@@ -0,0 +1,101 @@
+"""Runs callers, fabric, instances and upstreams on loopback."""
+
+import socket
+
+import anyio
+
+from catkinspread.clock import SystemClock
+from catkinspread.configuration import (
+    ChangeEntry,
+    ServiceSet,
+    SlotMove,
+    SlotsMoved,
+    UpstreamSet,
+    encode_entry,
+)
+from catkinspread.emulator import (
+    CallerLoad,
+    CallerReport,
+    Fabric,
+    FabricFaults,
+    UpstreamModel,
+    UpstreamOptions,
+    run_callers,
+    run_fabric,
+    run_upstream,
+)
+from catkinspread.instance import Instance
+from catkinspread.model import SLOT_COUNT, Endpoint, OwnerGroup, Service, Upstream
+from catkinspread.objectstore import AppendLog, MemoryObjectStore
+from catkinspread.settings import InstanceSettings, KeySettings
+
+
+def reserve_endpoints(count):
+    sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for opened in sockets:
+        opened.bind(("127.0.0.1", 0))
+    endpoints = [Endpoint("127.0.0.1", opened.getsockname()[1]) for opened in sockets]
+    for opened in sockets:
+        opened.close()
+    return endpoints
+
+
+def build_settings(name, endpoints):
+    key = "k" * 40
+    return InstanceSettings(
+        name,
+        "khomas-1",
+        "khomas",
+        *endpoints,
+        drain_timeout_ms=1_000,
+        flows_max=1_000,
+        platform_url="http://127.0.0.1:1",
+        platform_timeout_ms=1_000,
+        seeds=(),
+        keys=KeySettings(key, key, key, key, (key,)),
+    )
+
+
+def test_flows_and_requests_pass_through_any_instance():
+    """Guards against a path that works only when one instance sees all packets of a flow."""
+
+    async def scenario():
+        clock = SystemClock()
+        service, inner, *rest = reserve_endpoints(2 + 2 + 3 * 5)
+        store = MemoryObjectStore()
+        upstreams = [
+            Upstream(f"rd-{index}", "recipe-desk", "khomas-1", rest[index]) for index in (0, 1)
+        ]
+        moves = tuple(
+            SlotMove(upstream.name, tuple(range(index, SLOT_COUNT, 2)))
+            for index, upstream in enumerate(upstreams)
+        )
+        effects = (
+            ServiceSet(Service("recipe-desk", service)),
+            *(UpstreamSet(upstream) for upstream in upstreams),
+            SlotsMoved("recipe-desk", moves, OwnerGroup(())),
+        )
+        change = ChangeEntry("first", "operator", "", "", clock.now_ms(), 0, effects)
+        await AppendLog(store, "configuration/log").append(1, "first", encode_entry(change))
+        models = [UpstreamModel(UpstreamOptions(warmup_ms=0), clock.now_ms()) for _ in upstreams]
+        fabric = Fabric(FabricFaults(duplication=0.1, delay_max_ms=5), seed=1)
+        report = CallerReport()
+        async with anyio.create_task_group() as group:
+            for upstream, model in zip(upstreams, models, strict=True):
+                await group.start(run_upstream, upstream.endpoint, model, clock)
+            await group.start(run_fabric, fabric, [service], inner)
+            for index in range(3):
+                endpoints = rest[2 + 5 * index : 7 + 5 * index]
+                instance = Instance(build_settings(f"i{index}", endpoints), inner, store, clock)
+                await group.start(instance.run)
+                fabric.instances[f"i{index}"] = endpoints[0]
+            load = CallerLoad(service, "press", flows=20, packets_per_flow=5, interval_ms=5)
+            await run_callers(load, clock, report)
+            group.cancel_scope.cancel()
+        return report, models
+
+    report, models = anyio.run(scenario)
+    assert (report.opened, report.broken, report.wrong) == (20, 0, 0)
+    assert report.answered > 0
+    assert sum(model.unknown_flow_packets for model in models) == 0
+    assert all(model.runs or model.opened_at_ms for model in models)
--- /dev/null
+++ b/src/catkinspread/settings/__init__.py
@@ -0,0 +1,18 @@
+"""Settings of an instance, read from an INI file and validated as a whole."""
+
+from catkinspread.settings.fields import SettingsError, SettingsProblem
+from catkinspread.settings.instance import (
+    InstanceSettings,
+    KeySettings,
+    PeerSeed,
+    load_instance_settings,
+)
+
+__all__ = [
+    "InstanceSettings",
+    "KeySettings",
+    "PeerSeed",
+    "SettingsError",
+    "SettingsProblem",
+    "load_instance_settings",
+]
--- /dev/null
+++ b/src/catkinspread/settings/fields.py
@@ -0,0 +1,169 @@
+"""Typed fields of an INI file and the checks that apply to all of them."""
+
+import configparser
+import difflib
+import ipaddress
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from catkinspread.model import Endpoint
+
+PORT_MAX = 65_535
+
+
+class SettingsProblem(msgspec.Struct, frozen=True):
+    """One fault in a settings file.
+
+    Attributes:
+        file: Name of the file.
+        section: Section at fault; empty for the file itself.
+        key: Key at fault; empty for the section itself.
+        value: The value as written; empty if there is none.
+        message: What is wrong, without the place.
+    """
+
+    file: str
+    section: str
+    key: str
+    value: str
+    message: str
+
+    def __str__(self) -> str:
+        place = f"{self.file}: [{self.section}]" if self.section else self.file
+        if self.key:
+            place = f"{place} {self.key}"
+        if self.value:
+            place = f"{place} = {self.value}"
+        return f"{place}: {self.message}"
+
+
+class SettingsError(Exception):
+    """A settings file has one or more problems.
+
+    Attributes:
+        problems: All problems that were found.
+    """
+
+    def __init__(self, problems: tuple[SettingsProblem, ...]) -> None:
+        super().__init__("\n".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
+class Field(msgspec.Struct, frozen=True):
+    """A key of a section.
+
+    Attributes:
+        section: Name of the section.
+        key: Name of the key, with a unit as suffix where it has one.
+        parse: Turns the text into a value; raises ValueError with what is wrong.
+        default: Value when the key is absent; None makes the key required.
+    """
+
+    section: str
+    key: str
+    parse: Callable[[str], Any]
+    default: Any = None
+
+
+def parse_name(text: str) -> str:
+    """Returns a name of letters, digits, dots and hyphens."""
+    if not text or not all(char.isalnum() or char in ".-" for char in text):
+        raise ValueError("a name has letters, digits, dots and hyphens only")
+    return text
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Returns the endpoint of `IP:PORT`; host names are refused."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError("expected IP:PORT with an IP number") from None
+    if not port.isdigit() or not 1 <= int(port) <= PORT_MAX:
+        raise ValueError(f"the port must be a number from 1 to {PORT_MAX}")
+    return Endpoint(host=host, port=int(port))
+
+
+def parse_integer(minimum: int, maximum: int) -> Callable[[str], int]:
+    """Returns a parser of whole numbers in a range, both ends included."""
+
+    def parse(text: str) -> int:
+        if not text.lstrip("-").isdigit():
+            raise ValueError("expected a whole number")
+        if not minimum <= int(text) <= maximum:
+            raise ValueError(f"must be from {minimum} to {maximum}")
+        return int(text)
+
+    return parse
+
+
+def parse_url(text: str) -> str:
+    """Returns a URL of the form `http://IP:PORT`."""
+    if not text.startswith("http://"):
+        raise ValueError("expected http://IP:PORT")
+    parse_endpoint(text.removeprefix("http://").rstrip("/"))
+    return text.rstrip("/")
+
+
+def read_fields(file: str, text: str, fields: list[Field]) -> dict[str, dict[str, Any]]:
+    """Reads all fields of an INI text.
+
+    Args:
+        file: Name of the file, for error messages.
+        text: Content of the file.
+        fields: Every key that is allowed.
+
+    Returns:
+        The values by section and key, defaults filled in.
+
+    Raises:
+        SettingsError: With all problems found: syntax, unknown sections and keys, missing
+            keys, and values that do not parse.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, source=file)
+    except configparser.Error as error:
+        message = " ".join(str(error).split())
+        raise SettingsError((SettingsProblem(file, "", "", "", message),)) from error
+    problems = _find_unknown(file, parser, fields)
+    values: dict[str, dict[str, Any]] = {}
+    for field in fields:
+        section = values.setdefault(field.section, {})
+        raw = parser.get(field.section, field.key, fallback=None)
+        if raw is None and field.default is None:
+            problems.append(SettingsProblem(file, field.section, field.key, "", "is required"))
+            continue
+        try:
+            section[field.key] = field.default if raw is None else field.parse(raw.strip())
+        except ValueError as error:
+            problems.append(SettingsProblem(file, field.section, field.key, raw, str(error)))
+    if problems:
+        raise SettingsError(tuple(problems))
+    return values
+
+
+def _find_unknown(
+    file: str, parser: configparser.ConfigParser, fields: list[Field]
+) -> list[SettingsProblem]:
+    sections = sorted({field.section for field in fields})
+    problems: list[SettingsProblem] = []
+    for section in parser.sections():
+        if section not in sections:
+            message = f"unknown section{suggest(section, sections)}"
+            problems.append(SettingsProblem(file, section, "", "", message))
+            continue
+        keys = sorted(field.key for field in fields if field.section == section)
+        for key, value in parser.items(section):
+            if key not in keys:
+                message = f"unknown key{suggest(key, keys)}"
+                problems.append(SettingsProblem(file, section, key, value, message))
+    return problems
+
+
+def suggest(name: str, known: list[str]) -> str:
+    """Returns a suffix that names the nearest known name; empty if none is near."""
+    near = difflib.get_close_matches(name, known, n=1)
+    return f", did you mean {near[0]!r}?" if near else ""
--- /dev/null
+++ b/src/catkinspread/transport/tests/test_udp.py
@@ -0,0 +1,30 @@
+"""Tests of the UDP port."""
+
+import anyio
+
+from catkinspread.model import Endpoint
+from catkinspread.transport import UdpPort
+
+
+def test_sends_from_several_tasks_do_not_collide():
+    """Guards against two tasks that write to one socket at the same time."""
+
+    async def scenario():
+        received = []
+        receiver = UdpPort(Endpoint("127.0.0.1", 0), lambda data, _: received.append(data))
+        sender = UdpPort(Endpoint("127.0.0.1", 0), lambda data, _: None)
+        async with anyio.create_task_group() as group:
+            await group.start(receiver.run)
+            await group.start(sender.run)
+            for number in range(50):
+                sender.send(bytes([number]), receiver.endpoint)
+            with anyio.fail_after(20):
+                while len(received) < 50:
+                    await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+        sender.send(b"late", receiver.endpoint)
+        return received, sender.dropped_count
+
+    received, dropped_count = anyio.run(scenario)
+    assert sorted(received) == [bytes([number]) for number in range(50)]
+    assert dropped_count == 1
--- a/src/catkinspread/wire/__init__.py
+++ b/src/catkinspread/wire/__init__.py
@@ -1,5 +1,10 @@
-"""Packets of callers and upstreams, and their codec."""
+"""Packets of callers, upstreams and the fabric, and their codecs."""
 
+from catkinspread.wire.fabric import (
+    FabricPacket,
+    decode_fabric_packet,
+    encode_fabric_packet,
+)
 from catkinspread.wire.packets import (
     PACKET_MAX_BYTES,
     PROTOCOL_VERSION,
@@ -27,11 +32,14 @@
     "Cancel",
     "Close",
     "Data",
+    "FabricPacket",
     "Open",
     "Packet",
     "PacketError",
     "Request",
     "Reset",
+    "decode_fabric_packet",
     "decode_packet",
+    "encode_fabric_packet",
     "encode_packet",
 ]
