Add the object API over HTTP and a stand-in server for it

Instances and tests need the platform's object API over a real connection. HttpObjectStore sends it with httpx and tells a write that was not sent or was refused (StoreUnavailable) from one whose answer was lost (OutcomeUnknown). run_platform serves the same mapping from a MemoryObjectStore with rate limits, counts, faults over /control/faults and the lagging list of instances, for which HttpInstanceList is the client.

--- /dev/null
+++ b/src/catkinspread/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around catkinspread, for tests, benches and the demo."""
--- a/src/catkinspread/objectstore/__init__.py
+++ b/src/catkinspread/objectstore/__init__.py
@@ -1,4 +1,4 @@
-"""The object API of the platform: client interface, errors, append log and an in-memory store."""
+"""The object API of the platform: interface, errors, append log, in-memory store, HTTP client."""
 
 from catkinspread.objectstore.append_log import AppendLog, AppendOutcome, LogEntry
 from catkinspread.objectstore.errors import (
@@ -10,6 +10,13 @@
     ValueTooLarge,
     VersionConflict,
 )
+from catkinspread.objectstore.http import (
+    HttpInstanceList,
+    HttpObjectStore,
+    InstanceList,
+    InstanceRecord,
+    InstanceState,
+)
 from catkinspread.objectstore.memory import MemoryObjectStore, StoreFaults
 from catkinspread.objectstore.store import VALUE_MAX_BYTES, ObjectStore, StoredObject
 
@@ -17,6 +24,11 @@
     "VALUE_MAX_BYTES",
     "AppendLog",
     "AppendOutcome",
+    "HttpInstanceList",
+    "HttpObjectStore",
+    "InstanceList",
+    "InstanceRecord",
+    "InstanceState",
     "LogEntry",
     "MemoryObjectStore",
     "ObjectExists",
