Share the HTTP server between the platform stand-in and other APIs

Cause: the administration API needs the same bounded h11 server that the platform stand-in had for itself. Change: moved connection handling to transport.HttpServer with a handler function; the stand-in keeps only its calls. Malformed connections are still counted, by a callback.

--- a/src/catkinspread/emulator/platform_api.py
+++ b/src/catkinspread/emulator/platform_api.py
@@ -20,6 +20,7 @@
     VersionConflict,
 )
 from catkinspread.objectstore.http import ErrorBody, ValueBody, VersionBody
+from catkinspread.transport import HttpAnswer, HttpRequest
 
 _WINDOW_MS = 1_000
 # Longer waits are cut, so that a watch whose caller is gone ends.
@@ -73,23 +74,6 @@
     waiting_watches: int = 0
 
 
-class ApiRequest(msgspec.Struct, frozen=True):
-    """A request as read from a connection; header names are in lower case."""
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-
-
-class ApiAnswer(msgspec.Struct, frozen=True):
-    """An answer to send; `is_lost` closes the connection without sending it."""
-
-    status: int
-    body: bytes = b""
-    is_lost: bool = False
-
-
 class BadRequest(Exception):
     """A request is not a call of this API."""
 
@@ -182,18 +166,18 @@
         self._reads = RateLimit(settings.reads_per_s, clock)
         self._writes = RateLimit(settings.writes_per_s, clock)
 
-    async def answer(self, request: ApiRequest) -> ApiAnswer:
+    async def answer(self, request: HttpRequest) -> HttpAnswer:
         """Returns the answer to a request; never raises for what the request contains."""
         try:
             return await self._dispatch(request)
         except OutcomeUnknown:
-            return ApiAnswer(status=500, is_lost=True)
+            return HttpAnswer(status=500, is_lost=True)
         except tuple(_STATUS_BY_ERROR) as error:
             if isinstance(error, BadRequest):
                 self.counters.malformed_count += 1
             return encode_error(_STATUS_BY_ERROR[type(error)], str(error))
 
-    async def _dispatch(self, request: ApiRequest) -> ApiAnswer:
+    async def _dispatch(self, request: HttpRequest) -> HttpAnswer:
         path, _, query_text = request.target.partition("?")
         if path.startswith("/control/"):
             return self._control(request, path)
@@ -211,8 +195,8 @@
         return self._writes.try_take()
 
     def _select_call(
-        self, request: ApiRequest, path: str, query_text: str
-    ) -> Callable[[], Awaitable[ApiAnswer]]:
+        self, request: HttpRequest, path: str, query_text: str
+    ) -> Callable[[], Awaitable[HttpAnswer]]:
         method = request.method
         if path == "/objects" and method == "GET":
             query = _parse_query(query_text)
@@ -237,24 +221,24 @@
                 return lambda: self._record_instance(name, None)
         raise BadRequest(f"there is no call {method} {path[:100]}")
 
-    async def _get(self, key: str) -> ApiAnswer:
+    async def _get(self, key: str) -> HttpAnswer:
         return _encode(await self.store.get(key))
 
-    def _select_put(self, request: ApiRequest, key: str) -> Callable[[], Awaitable[ApiAnswer]]:
+    def _select_put(self, request: HttpRequest, key: str) -> Callable[[], Awaitable[HttpAnswer]]:
         value = _decode(request.body, ValueBody).value
         if request.headers.get("if-none-match") == "*":
             return lambda: self._put(self.store.create(key, value))
         version = _parse_version(request.headers)
         return lambda: self._put(self.store.update(key, value, version))
 
-    async def _put(self, write: Awaitable[int]) -> ApiAnswer:
+    async def _put(self, write: Awaitable[int]) -> HttpAnswer:
         return _encode(VersionBody(await write))
 
-    async def _delete(self, key: str, version: int) -> ApiAnswer:
+    async def _delete(self, key: str, version: int) -> HttpAnswer:
         await self.store.delete(key, version)
-        return ApiAnswer(status=204)
+        return HttpAnswer(status=204)
 
-    async def _scan(self, query: dict[str, str]) -> ApiAnswer:
+    async def _scan(self, query: dict[str, str]) -> HttpAnswer:
         prefix = query.get("prefix", "")
         after = query.get("after", "")
         if "wait_ms" not in query:
@@ -270,16 +254,16 @@
         finally:
             self.counters.waiting_watches -= 1
 
-    async def _list_instances(self) -> ApiAnswer:
+    async def _list_instances(self) -> HttpAnswer:
         await self._fail_if_down()
         return _encode(self._directory.list_instances())
 
-    async def _record_instance(self, name: str, record: InstanceRecord | None) -> ApiAnswer:
+    async def _record_instance(self, name: str, record: InstanceRecord | None) -> HttpAnswer:
         await self._fail_if_down()
         if record is not None and record.instance != name:
             raise BadRequest(f"record of {record.instance[:100]!r} was put at {name!r}")
         self._directory.record(name, record)
-        return ApiAnswer(status=204)
+        return HttpAnswer(status=204)
 
     async def _fail_if_down(self) -> None:
         if self.store.faults.delay_ms:
@@ -287,10 +271,10 @@
         if self.store.faults.is_down:
             raise StoreUnavailable("store does not answer")
 
-    def _control(self, request: ApiRequest, path: str) -> ApiAnswer:
+    def _control(self, request: HttpRequest, path: str) -> HttpAnswer:
         if path == "/control/faults" and request.method == "PUT":
             self.store.faults = _decode(request.body, PlatformFaults)
-            return ApiAnswer(status=204)
+            return HttpAnswer(status=204)
         if path == "/control/faults" and request.method == "GET":
             return _encode(self.store.faults)
         if path == "/control/counters" and request.method == "GET":
@@ -298,13 +282,13 @@
         raise BadRequest(f"there is no call {request.method} {path[:100]}")
 
 
-def encode_error(status: int, message: str) -> ApiAnswer:
+def encode_error(status: int, message: str) -> HttpAnswer:
     """Returns the answer to a call that failed."""
-    return ApiAnswer(status=status, body=msgspec.msgpack.encode(ErrorBody(message)))
+    return HttpAnswer(status=status, body=msgspec.msgpack.encode(ErrorBody(message)))
 
 
-def _encode(body: object) -> ApiAnswer:
-    return ApiAnswer(status=200, body=msgspec.msgpack.encode(body))
+def _encode(body: object) -> HttpAnswer:
+    return HttpAnswer(status=200, body=msgspec.msgpack.encode(body))
 
 
 def _decode(body: bytes, body_type: type):
