--- a/src/catkinspread/bench/__init__.py
+++ b/src/catkinspread/bench/__init__.py
@@ -6,6 +6,7 @@
     Bound,
     find_bench,
     list_benches,
+    load_benches,
     register_bench,
 )
 
@@ -15,5 +16,6 @@
     "EventQueue",
     "find_bench",
     "list_benches",
+    "load_benches",
     "register_bench",
 ]
--- a/src/catkinspread/bench/registry.py
+++ b/src/catkinspread/bench/registry.py
@@ -1,5 +1,7 @@
 """The registry of benches and the form of their reports."""
 
+import importlib
+import pkgutil
 from collections.abc import Callable
 
 import msgspec
@@ -79,3 +81,11 @@
 def list_benches() -> list[str]:
     """Returns the names of all benches in order."""
     return sorted(_BENCHES)
+
+
+def load_benches() -> None:
+    """Imports every module of the bench package, so that all benches are registered."""
+    package = importlib.import_module("catkinspread.bench")
+    for module in pkgutil.iter_modules(package.__path__):
+        if module.name != "tests":
+            importlib.import_module(f"catkinspread.bench.{module.name}")
--- a/src/catkinspread/settings/__init__.py
+++ b/src/catkinspread/settings/__init__.py
@@ -1,6 +1,6 @@
 """Settings of an instance, read from an INI file and validated as a whole."""
 
-from catkinspread.settings.fields import SettingsError, SettingsProblem
+from catkinspread.settings.fields import SettingsError, SettingsProblem, suggest
 from catkinspread.settings.instance import (
     InstanceSettings,
     KeySettings,
@@ -15,4 +15,5 @@
     "SettingsError",
     "SettingsProblem",
     "load_instance_settings",
+    "suggest",
 ]
--- a/src/catkinspread/transport/__init__.py
+++ b/src/catkinspread/transport/__init__.py
@@ -6,6 +6,7 @@
     HttpRequest,
     HttpServer,
 )
+from catkinspread.transport.peers import PeerPort
 from catkinspread.transport.udp import UdpPort
 
-__all__ = ["BODY_DRAIN_FACTOR", "HttpAnswer", "HttpRequest", "HttpServer", "UdpPort"]
+__all__ = ["BODY_DRAIN_FACTOR", "HttpAnswer", "HttpRequest", "HttpServer", "PeerPort", "UdpPort"]
