Add subcommands for the stand-ins and a writer of example deployments

Cause: operators could not start the stand-ins as separate processes, and example settings would have needed committed secret keys. Change: `platform`, `upstream`, `fabric`, `callers` and `write-example`; the last makes new keys in each run. The address to which instances return packets for callers became a setting.

--- /dev/null
+++ b/src/catkinspread/console/tests/test_main.py
@@ -0,0 +1,33 @@
+"""Tests of the command line."""
+
+import pytest
+
+from catkinspread.console import main
+
+
+def test_written_examples_are_valid_settings(tmp_path, capsys):
+    """Guards against example files that the program itself refuses."""
+    for deployment in ("kalahari", "consortium"):
+        directory = tmp_path / deployment
+        assert main(["write-example", deployment, str(directory)]) == 0
+        files = [str(file) for file in sorted(directory.glob("*.ini"))]
+        assert len(files) == 9
+        assert main(["check", *files]) == 0
+    assert "are valid" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ("arguments", "status", "message"),
+    [
+        (["frob"], 2, "invalid choice: 'frob'"),
+        (["upstream", "--address", "localhost:1"], 2, "expected IP:PORT with an IP number"),
+        (["check", "absent.ini"], 1, "absent.ini: cannot be read"),
+        (["bench", "brokn-flows"], 2, "no bench named 'brokn-flows'"),
+    ],
+)
+def test_errors_go_to_standard_error_with_their_status(capsys, arguments, status, message):
+    """Guards against a wrong exit status or an error that names nothing."""
+    assert main(arguments) == status
+    captured = capsys.readouterr()
+    assert message in captured.err
+    assert captured.out == ""
--- a/src/catkinspread/instance/daemon.py
+++ b/src/catkinspread/instance/daemon.py
@@ -33,7 +33,6 @@
 
     __slots__ = (
         "_clock",
-        "_fabric_inner",
         "_fabric_port",
         "_settings",
         "_store",
@@ -44,12 +43,10 @@
     def __init__(
         self,
         settings: InstanceSettings,
-        fabric_inner: Endpoint,
         store: ObjectStore,
         clock: Clock,
     ) -> None:
         self._settings = settings
-        self._fabric_inner = fabric_inner
         self._store = store
         self._clock = clock
         self.core = InstanceCore(settings.flows_max)
@@ -100,4 +97,4 @@
                     self._upstream_port.send(encode_packet(packet), endpoint)
                 case SendToCaller(service_address, caller, packet):
                     data = encode_fabric_packet(service_address, caller, encode_packet(packet))
-                    self._fabric_port.send(data, self._fabric_inner)
+                    self._fabric_port.send(data, self._settings.fabric_return_address)
--- a/src/catkinspread/instance/tests/test_whole_path.py
+++ b/src/catkinspread/instance/tests/test_whole_path.py
@@ -40,13 +40,15 @@
     return endpoints
 
 
-def build_settings(name, endpoints):
+def build_settings(name, inner, endpoints):
     key = "k" * 40
     return InstanceSettings(
         name,
         "khomas-1",
         "khomas",
-        *endpoints,
+        endpoints[0],
+        inner,
+        *endpoints[1:],
         drain_timeout_ms=1_000,
         flows_max=1_000,
         platform_url="http://127.0.0.1:1",
@@ -86,7 +88,7 @@
             await group.start(run_fabric, fabric, [service], inner)
             for index in range(3):
                 endpoints = rest[2 + 5 * index : 7 + 5 * index]
-                instance = Instance(build_settings(f"i{index}", endpoints), inner, store, clock)
+                instance = Instance(build_settings(f"i{index}", inner, endpoints), store, clock)
                 await group.start(instance.run)
                 fabric.instances[f"i{index}"] = endpoints[0]
             load = CallerLoad(service, "press", flows=20, packets_per_flow=5, interval_ms=5)
--- a/src/catkinspread/settings/__init__.py
+++ b/src/catkinspread/settings/__init__.py
@@ -1,6 +1,6 @@
 """Settings of an instance, read from an INI file and validated as a whole."""
 
-from catkinspread.settings.fields import SettingsError, SettingsProblem, suggest
+from catkinspread.settings.fields import SettingsError, SettingsProblem, parse_endpoint, suggest
 from catkinspread.settings.instance import (
     InstanceSettings,
     KeySettings,
@@ -15,5 +15,6 @@
     "SettingsError",
     "SettingsProblem",
     "load_instance_settings",
+    "parse_endpoint",
     "suggest",
 ]
--- a/src/catkinspread/settings/instance.py
+++ b/src/catkinspread/settings/instance.py
@@ -55,6 +55,7 @@
         data_centre: Data centre it runs in.
         region: Region of the data centre.
         fabric_address: Where the fabric hands packets of callers.
+        fabric_return_address: Where it sends packets for callers.
         upstream_address: Where it talks to upstreams.
         peer_address: Where other instances reach it.
         admin_address: Where the administration API listens.
@@ -71,6 +72,7 @@
     data_centre: str
     region: str
     fabric_address: Endpoint
+    fabric_return_address: Endpoint
     upstream_address: Endpoint
     peer_address: Endpoint
     admin_address: Endpoint
@@ -113,6 +115,7 @@
     Field("instance", "data_centre", parse_name),
     Field("instance", "region", parse_name),
     Field("instance", "fabric_address", parse_endpoint),
+    Field("instance", "fabric_return_address", parse_endpoint),
     Field("instance", "upstream_address", parse_endpoint),
     Field("instance", "peer_address", parse_endpoint),
     Field("instance", "admin_address", parse_endpoint),
--- a/src/catkinspread/settings/tests/test_instance_settings.py
+++ b/src/catkinspread/settings/tests/test_instance_settings.py
@@ -13,6 +13,7 @@
 data_centre = khomas-1
 region = khomas
 fabric_address = 127.0.0.1:20000
+fabric_return_address = 127.0.0.1:19999
 upstream_address = 127.0.0.1:20001
 peer_address = 127.0.0.1:20002
 admin_address = 127.0.0.1:20003
