Add the slot router and the transition owner

Cause: moved slots need members that decide for their flows until every instance uses the new base. Change: SlotRouter routes packets by slot table, forwards moved slots to the acting member and refuses packets after a pause, before the first exchange and without contact. TransitionOwner keeps pins, replicates the pins of opens before they are released, moves transitions through HOLD, SPLIT and LISTING, takes over with UNCERTAIN after an announced list, and replaces members that die or leave. Log entries carry the version they were decided on. Conclusion: interfaces are ready for the daemon.

--- a/src/catkinspread/routing/__init__.py
+++ b/src/catkinspread/routing/__init__.py
@@ -1,5 +1,73 @@
 """Flow routing: which upstream carries each flow, and how slots move without breaking flows."""
 
+from catkinspread.routing.actions import (
+    AppendEntry,
+    AwaitPins,
+    DropPacket,
+    DropReason,
+    ForwardTo,
+    OwnerAction,
+    ReleasePackets,
+    ResetFlow,
+    ResetReason,
+    RouteAction,
+    SendMessage,
+    SendToUpstream,
+)
+from catkinspread.routing.groups import GROUP_SIZE, LiveMembers, MemberView, choose_group
+from catkinspread.routing.limits import RoutingLimits
+from catkinspread.routing.listing import can_carry, count_exceptions
+from catkinspread.routing.messages import (
+    AnnounceListing,
+    FlowsOnUpstream,
+    ForgetPins,
+    ForwardedPacket,
+    ForwardHeader,
+    ListingNoted,
+    PacketKind,
+    PinsStored,
+    ReplicatePins,
+    RoutingMessage,
+)
+from catkinspread.routing.owner import OwnerFigures, TransitionOwner
 from catkinspread.routing.planner import count_shares, current_upstream, plan_slots, plan_step
+from catkinspread.routing.router import SlotRouter
 
-__all__ = ["count_shares", "current_upstream", "plan_slots", "plan_step"]
+__all__ = [
+    "GROUP_SIZE",
+    "AnnounceListing",
+    "AppendEntry",
+    "AwaitPins",
+    "DropPacket",
+    "DropReason",
+    "FlowsOnUpstream",
+    "ForgetPins",
+    "ForwardHeader",
+    "ForwardTo",
+    "ForwardedPacket",
+    "ListingNoted",
+    "LiveMembers",
+    "MemberView",
+    "OwnerAction",
+    "OwnerFigures",
+    "PacketKind",
+    "PinsStored",
+    "ReleasePackets",
+    "ReplicatePins",
+    "ResetFlow",
+    "ResetReason",
+    "RouteAction",
+    "RoutingLimits",
+    "RoutingMessage",
+    "SendMessage",
+    "SendToUpstream",
+    "SlotRouter",
+    "TransitionOwner",
+    "can_carry",
+    "choose_group",
+    "count_exceptions",
+    "count_shares",
+    "current_upstream",
+    "plan_slots",
+    "plan_step",
+]
--- /dev/null
+++ b/src/catkinspread/routing/actions.py
@@ -0,0 +1,126 @@
+"""What the flow routing asks the daemon to do.
+
+The routing has no sockets. It receives events and times and returns these values.
+"""
+
+import enum
+
+import msgspec
+
+from catkinspread.configuration import Effect
+from catkinspread.model import OwnerMember, Upstream
+from catkinspread.routing.messages import ForwardHeader, PacketKind, RoutingMessage
+
+__all__ = [
+    "AppendEntry",
+    "AwaitPins",
+    "DropPacket",
+    "DropReason",
+    "ForwardTo",
+    "OwnerAction",
+    "PacketKind",
+    "ReleasePackets",
+    "ResetFlow",
+    "ResetReason",
+    "RouteAction",
+    "SendMessage",
+    "SendToUpstream",
+]
+
+
+class DropReason(enum.Enum):
+    """Why a packet was dropped; the caller is expected to send it again."""
+
+    NOT_READY = "not-ready"
+    NO_CONTACT = "no-contact"
+    UNKNOWN_SERVICE = "unknown-service"
+    GROUP_UNREACHABLE = "group-unreachable"
+    LISTING_UNCERTAIN = "listing-uncertain"
+    FORWARD_LIMIT = "forward-limit"
+    PIN_LIMIT = "pin-limit"
+    PIN_TIMEOUT = "pin-timeout"
+    FLOW_CLOSING = "flow-closing"
+    DATA_CENTRE_OUT = "data-centre-out"
+    OTHER_SERVICE = "other-service"
+
+
+class ResetReason(enum.Enum):
+    """Why a flow was given up."""
+
+    NO_UPSTREAM = "no-upstream"
+    UPSTREAM_REMOVED = "upstream-removed"
+    UPSTREAM_DRAINING = "upstream-draining"
+    DATA_CENTRE_OUT = "data-centre-out"
+
+
+class SendToUpstream(msgspec.Struct, frozen=True):
+    """Sends the packet to an upstream."""
+
+    upstream: Upstream
+
+
+class ForwardTo(msgspec.Struct, frozen=True):
+    """Sends the packet with a header to the member of the owner group that decides."""
+
+    member: OwnerMember
+    header: ForwardHeader
+
+
+class AwaitPins(msgspec.Struct, frozen=True):
+    """Keeps the packet until a `ReleasePackets` for its service and flow."""
+
+
+class DropPacket(msgspec.Struct, frozen=True):
+    """Drops the packet and counts it."""
+
+    reason: DropReason
+
+
+class ResetFlow(msgspec.Struct, frozen=True):
+    """Drops the packet, resets the flow at the caller and records it.
+
+    Attributes:
+        reason: Why the flow is given up.
+        upstream: Name of the upstream that the flow was on; empty if none.
+    """
+
+    reason: ResetReason
+    upstream: str = ""
+
+
+RouteAction = SendToUpstream | ForwardTo | AwaitPins | DropPacket | ResetFlow
+
+
+class SendMessage(msgspec.Struct, frozen=True):
+    """Sends a message to an instance; it may be lost."""
+
+    instance: str
+    message: RoutingMessage
+
+
+class ReleasePackets(msgspec.Struct, frozen=True):
+    """Does `action` with every packet that waits for a flow."""
+
+    service: str
+    flow: int
+    action: RouteAction
+
+
+class AppendEntry(msgspec.Struct, frozen=True):
+    """Appends an entry to the configuration log.
+
+    The entry must get index `if_version` + 1. If another entry has that index, nothing is
+    appended; the owner decides again after that entry is applied.
+
+    Attributes:
+        if_version: Version of the configuration that the effects were decided on.
+        effects: Effects of the entry.
+        reason: Why, for the audit trail.
+    """
+
+    if_version: int
+    effects: tuple[Effect, ...]
+    reason: str
+
+
+OwnerAction = SendMessage | ReleasePackets | AppendEntry
--- /dev/null
+++ b/src/catkinspread/routing/answers.py
@@ -0,0 +1,44 @@
+"""Turns the name of an upstream into an action, with the checks that always apply."""
+
+from catkinspread.model import Configuration, DataCentreState, UpstreamState
+from catkinspread.routing.actions import (
+    DropPacket,
+    DropReason,
+    PacketKind,
+    ResetFlow,
+    ResetReason,
+    SendToUpstream,
+)
+
+
+def resolve_upstream(
+    configuration: Configuration, service: str, name: str, kind: PacketKind
+) -> SendToUpstream | DropPacket | ResetFlow:
+    """Returns what to do with a packet whose flow is on an upstream.
+
+    Args:
+        configuration: The configuration in force.
+        service: Service whose address the packet was sent to.
+        name: Name of the upstream; empty if the service has none.
+        kind: Kind of the packet. An open for a data centre that is out is dropped, because
+            the caller repeats it and reaches the new upstream; other packets reset the flow.
+    """
+    if not name:
+        return ResetFlow(ResetReason.NO_UPSTREAM)
+    upstream = configuration.upstreams.get(name)
+    if upstream is None:
+        return ResetFlow(ResetReason.UPSTREAM_REMOVED, name)
+    if upstream.service != service:
+        return DropPacket(DropReason.OTHER_SERVICE)
+    data_centre = configuration.data_centres.get(upstream.data_centre)
+    if data_centre is not None and data_centre.state is DataCentreState.OUT:
+        if kind is PacketKind.OPEN:
+            return DropPacket(DropReason.DATA_CENTRE_OUT)
+        return ResetFlow(ResetReason.DATA_CENTRE_OUT, name)
+    return SendToUpstream(upstream)
+
+
+def is_draining(configuration: Configuration, name: str) -> bool:
+    """Returns whether an upstream must get no new flows."""
+    upstream = configuration.upstreams.get(name)
+    return upstream is not None and upstream.state is not UpstreamState.ACTIVE
--- /dev/null
+++ b/src/catkinspread/routing/batches.py
@@ -0,0 +1,206 @@
+"""Slots in transition, grouped by what happens to them at the same time."""
+
+import enum
+from collections.abc import Iterator
+
+from catkinspread.model import Configuration, OwnerGroup, SlotTable, SlotTransition
+from catkinspread.routing.limits import RoutingLimits
+
+
+class Phase(enum.Enum):
+    """Phase of a transition at one member of the owner group.
+
+    HOLD: every flow gets the base.
+    SPLIT: opens get the target, unknown flows the base.
+    LISTING: all live flows are known and the list is being written; unknown flows were opened
+        by instances that have the list already, so they get the target.
+    UNCERTAIN: a predecessor may have written the list; unknown flows are dropped.
+    """
+
+    HOLD = "hold"
+    SPLIT = "split"
+    LISTING = "listing"
+    UNCERTAIN = "uncertain"
+
+
+class Batch:
+    """Slots of one service with the same group, version and history.
+
+    Attributes:
+        service: Name of the service.
+        slots: Indexes of the slots, ascending.
+        version: Version of the latest move.
+        group: Instances that decide.
+        phase: Phase at this member.
+        hold_version: Version that all instances must have before HOLD ends.
+        hold_from_ms: Earliest end of HOLD.
+        hold_until_ms: Latest end of HOLD.
+        clock_ms: Start of the idle time that must pass before the list is made.
+        generation_ms: Start of the current generation of the pins.
+        uncertain_until_ms: End of UNCERTAIN.
+        decided_ms: When this member last decided for one of the slots; None if never.
+        is_acting: Whether this member was the acting owner at the last tick.
+        is_announced: Whether the acting owner has announced the list.
+        missing_since_ms: Since when a member is missing; None if none is.
+        joining: Members that get the pins before they enter the group.
+        copy_requests: Requests of the copy to joining members.
+        quiet_members: Members that have acknowledged the announcement of the list.
+        announced_ms: When the list was last announced; None if not yet.
+        listing_from_ms: Earliest time of the next attempt to list.
+        append_version: Version on which the last entry was decided.
+        appended_ms: When the last entry was asked for.
+    """
+
+    __slots__ = (
+        "announced_ms",
+        "append_version",
+        "appended_ms",
+        "clock_ms",
+        "copy_requests",
+        "decided_ms",
+        "generation_ms",
+        "group",
+        "hold_from_ms",
+        "hold_until_ms",
+        "hold_version",
+        "is_acting",
+        "is_announced",
+        "joining",
+        "listing_from_ms",
+        "missing_since_ms",
+        "phase",
+        "quiet_members",
+        "service",
+        "slots",
+        "uncertain_until_ms",
+        "version",
+    )
+
+    def __init__(
+        self, service: str, transition: SlotTransition, limits: RoutingLimits, now_ms: int
+    ) -> None:
+        self.service = service
+        self.slots: list[int] = []
+        self.version = transition.version
+        self.group: OwnerGroup = transition.group
+        self.phase = Phase.HOLD
+        self.hold_version = transition.version
+        self.hold_from_ms = transition.started_at_ms + limits.hold_min_ms
+        self.hold_until_ms = transition.started_at_ms + limits.hold_max_ms
+        self.clock_ms = now_ms
+        self.generation_ms = now_ms
+        self.uncertain_until_ms = 0
+        self.decided_ms: int | None = None
+        self.is_acting = False
+        self._reset_steps()
+
+    def _reset_steps(self) -> None:
+        self.is_announced = False
+        self.missing_since_ms: int | None = None
+        self.joining: tuple[str, ...] = ()
+        self.copy_requests: list[int] = []
+        self.quiet_members: set[str] = set()
+        self.announced_ms: int | None = None
+        self.listing_from_ms = 0
+        self.append_version = -1
+        self.appended_ms = 0
+
+    def continue_with(
+        self, transition: SlotTransition, limits: RoutingLimits, now_ms: int
+    ) -> "Batch":
+        """Returns an empty batch for slots of this one that have a new target or group."""
+        batch = Batch(self.service, transition, limits, now_ms)
+        batch.phase = self.phase
+        batch.hold_version = self.hold_version
+        batch.hold_from_ms = self.hold_from_ms
+        batch.hold_until_ms = self.hold_until_ms
+        batch.clock_ms = self.clock_ms
+        batch.generation_ms = self.generation_ms
+        batch.uncertain_until_ms = self.uncertain_until_ms
+        batch.decided_ms = self.decided_ms
+        batch.is_acting = self.is_acting
+        batch.missing_since_ms = self.missing_since_ms
+        if transition.version == self.version:
+            batch.is_announced = self.is_announced
+        elif self.phase is not Phase.HOLD:
+            # Flows of the old target were opened less than an idle time ago.
+            batch.phase = Phase.SPLIT
+            batch.clock_ms = now_ms
+        return batch
+
+
+class BatchChanges:
+    """What a new configuration changed.
+
+    Attributes:
+        ended: Slots whose transition has ended, by service.
+        retargeted: Batches that have a new target and restart their idle clock.
+    """
+
+    __slots__ = ("ended", "retargeted")
+
+    def __init__(self) -> None:
+        self.ended: dict[str, list[int]] = {}
+        self.retargeted: list[Batch] = []
+
+
+class BatchTable:
+    """All batches of the applied configuration."""
+
+    __slots__ = ("_batches", "_by_slot", "_limits", "_tables")
+
+    def __init__(self, limits: RoutingLimits) -> None:
+        self._limits = limits
+        self._tables: dict[str, SlotTable] = {}
+        self._by_slot: dict[str, dict[int, Batch]] = {}
+        self._batches: dict[str, list[Batch]] = {}
+
+    def __iter__(self) -> Iterator[Batch]:
+        for batches in self._batches.values():
+            yield from batches
+
+    def find(self, service: str, slot: int) -> Batch | None:
+        """Returns the batch of a slot, or None if the slot is not in transition."""
+        by_slot = self._by_slot.get(service)
+        return None if by_slot is None else by_slot.get(slot)
+
+    def apply(self, configuration: Configuration, now_ms: int) -> BatchChanges:
+        """Rebuilds the batches of the services whose table has changed."""
+        changes = BatchChanges()
+        for service, table in configuration.slot_tables.items():
+            if self._tables.get(service) is not table:
+                self._rebuild(service, table, changes, now_ms)
+        return changes
+
+    def _rebuild(self, service: str, table: SlotTable, changes: BatchChanges, now_ms: int) -> None:
+        before = self._by_slot.get(service, {})
+        old_table = self._tables.get(service)
+        by_slot: dict[int, Batch] = {}
+        created: dict[tuple[int, OwnerGroup, int], Batch] = {}
+        ended = [slot for slot in before if slot not in table.transitions]
+        for slot, transition in sorted(table.transitions.items()):
+            old = before.get(slot)
+            if old is not None and old_table.bases[slot].default != table.bases[slot].default:
+                # The old transition was listed in an entry between the two configurations.
+                ended.append(slot)
+                old = None
+            key = (transition.version, transition.group, id(old))
+            batch = created.get(key)
+            if batch is None:
+                batch = created[key] = self._create(service, transition, old, now_ms)
+                if old is not None and old.version != batch.version:
+                    changes.retargeted.append(batch)
+            batch.slots.append(slot)
+            by_slot[slot] = batch
+        if ended:
+            changes.ended[service] = ended
+        self._tables[service] = table
+        self._by_slot[service] = by_slot
+        self._batches[service] = list(created.values())
+
+    def _create(
+        self, service: str, transition: SlotTransition, old: Batch | None, now_ms: int
+    ) -> Batch:
+        if old is None:
+            return Batch(service, transition, self._limits, now_ms)
+        return old.continue_with(transition, self._limits, now_ms)
--- /dev/null
+++ b/src/catkinspread/routing/groups.py
@@ -0,0 +1,102 @@
+"""The view of live instances and the choice of owner groups."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from catkinspread.hashing import rank_by_rendezvous
+from catkinspread.model import OwnerGroup, OwnerMember
+
+# An owner and two successors survive the loss of two instances at once.
+GROUP_SIZE = 3
+
+
+class MemberView(msgspec.Struct, frozen=True):
+    """A live instance as this instance sees it.
+
+    Attributes:
+        name: Name of the instance.
+        incarnation: Number that the instance chose at its start.
+        data_centre: Where it runs.
+        version: Version of the configuration that it has reported.
+        is_leaving: Whether it has announced that it stops.
+    """
+
+    name: str
+    incarnation: int
+    data_centre: str
+    version: int = 0
+    is_leaving: bool = False
+
+    @property
+    def member(self) -> OwnerMember:
+        """Its name in an owner group."""
+        return OwnerMember(self.name, self.incarnation)
+
+
+class LiveMembers:
+    """The set of live instances, replaced as a whole when the membership changes."""
+
+    __slots__ = ("_by_name",)
+
+    def __init__(self, members: Iterable[MemberView] = ()) -> None:
+        self._by_name = {member.name: member for member in members}
+
+    def __iter__(self):
+        return iter(self._by_name.values())
+
+    def is_alive(self, member: OwnerMember) -> bool:
+        """Returns whether this run of the instance is alive."""
+        view = self._by_name.get(member.instance)
+        return view is not None and view.incarnation == member.incarnation
+
+    def is_leaving(self, member: OwnerMember) -> bool:
+        """Returns whether a live member has announced that it stops."""
+        return self.is_alive(member) and self._by_name[member.instance].is_leaving
+
+    def find_acting(self, group: OwnerGroup) -> OwnerMember | None:
+        """Returns the first live member of a group, or None if none is alive."""
+        for member in group.members:
+            if self.is_alive(member):
+                return member
+        return None
+
+    def have_all_reported(self, version: int) -> bool:
+        """Returns whether every live instance has at least a version."""
+        return all(member.version >= version for member in self._by_name.values())
+
+
+def choose_group(
+    key: str,
+    members: Iterable[MemberView],
+    kept: tuple[OwnerMember, ...] = (),
+    avoided_data_centres: frozenset[str] = frozenset(),
+) -> OwnerGroup:
+    """Chooses an owner group, in at least two data centres where possible.
+
+    Args:
+        key: What the group decides for, such as a service; spreads the work over instances.
+        members: Live instances.
+        kept: Members that stay in the group, in this order.
+        avoided_data_centres: Data centres that are taken out. Their instances are chosen only
+            if there are no others.
+
+    Returns:
+        The kept members, then chosen ones, at most GROUP_SIZE unless more are kept. Leaving
+        instances are not chosen.
+    """
+    by_name = {member.name: member for member in members}
+    chosen = list(kept)
+    kept_names = {member.instance for member in kept}
+    used = {by_name[name].data_centre for name in kept_names if name in by_name}
+    ranked = [by_name[name] for name in rank_by_rendezvous(key, by_name)]
+    candidates = [view for view in ranked if view.name not in kept_names and not view.is_leaving]
+    while candidates and len(chosen) < GROUP_SIZE:
+        # The sort is stable: among equal candidates the rendezvous order decides.
+        candidates.sort(
+            key=lambda view: (view.data_centre in avoided_data_centres, view.data_centre in used)
+        )
+        view = candidates.pop(0)
+        chosen.append(view.member)
+        used.add(view.data_centre)
+    return OwnerGroup(tuple(chosen))
--- /dev/null
+++ b/src/catkinspread/routing/listing.py
@@ -0,0 +1,145 @@
+"""The steps that end a transition with a list of exceptions."""
+
+from typing import TYPE_CHECKING
+
+from catkinspread.configuration import SlotsListed
+from catkinspread.model import SLOT_COUNT, Configuration, DataCentreState
+from catkinspread.routing.actions import AppendEntry, OwnerAction, SendMessage
+from catkinspread.routing.batches import Batch, Phase
+from catkinspread.routing.messages import AnnounceListing, ListingNoted
+
+if TYPE_CHECKING:
+    from catkinspread.routing.owner import TransitionOwner
+
+# A list that cannot be made yet is tried again after this time.
+_LISTING_RETRY_MS = 1_000
+
+
+def count_exceptions(configuration: Configuration, service: str) -> int:
+    """Returns the number of exceptions of a service."""
+    table = configuration.slot_tables.get(service)
+    return 0 if table is None else sum(len(base.exceptions) for base in table.bases)
+
+
+def can_carry(configuration: Configuration, name: str) -> bool:
+    """Returns whether flows on an upstream can go on."""
+    upstream = configuration.upstreams.get(name)
+    if upstream is None:
+        return False
+    data_centre = configuration.data_centres.get(upstream.data_centre)
+    return data_centre is None or data_centre.state is DataCentreState.IN
+
+
+class ListingSteps:
+    """Decides when all live flows of a batch are known, and asks for the entry."""
+
+    __slots__ = ("_owner",)
+
+    def __init__(self, owner: "TransitionOwner") -> None:
+        self._owner = owner
+
+    def advance(self, batch: Batch, now_ms: int, actions: list[OwnerAction]) -> None:
+        """Moves a batch of the acting owner towards its list."""
+        limits = self._owner.limits
+        if batch.phase is Phase.LISTING:
+            self._append(batch, now_ms, actions)
+            return
+        if batch.phase is not Phase.SPLIT or now_ms < batch.listing_from_ms:
+            return
+        if now_ms - batch.generation_ms >= limits.flow_idle_timeout_ms:
+            batch.generation_ms = now_ms
+            expired = self._owner.pins.expire(batch.service, batch.slots)
+            self._owner.forget_at_replicas(batch.service, expired, actions)
+        if now_ms - batch.clock_ms < limits.flow_idle_timeout_ms or batch.joining:
+            return
+        if not self._has_room(batch):
+            self._owner.figures.listings_blocked += 1
+            batch.listing_from_ms = now_ms + _LISTING_RETRY_MS
+            return
+        missing = set(self._owner.list_replicas(batch)) - batch.quiet_members
+        if not missing:
+            batch.phase = Phase.LISTING
+            self._append(batch, now_ms, actions)
+        elif batch.announced_ms is None or now_ms - batch.announced_ms >= limits.replicate_retry_ms:
+            batch.announced_ms = now_ms
+            message = AnnounceListing(batch.service, batch.version, tuple(batch.slots))
+            actions.extend(SendMessage(name, message) for name in sorted(missing))
+
+    def note(self, message: AnnounceListing, now_ms: int) -> ListingNoted:
+        """Notes at a successor that the acting owner is about to list slots."""
+        quiet_ms = self._owner.limits.flow_idle_timeout_ms
+        for slot in message.slots:
+            batch = self._owner.batches.find(message.service, slot)
+            if batch is None or batch.version != message.version:
+                continue
+            batch.is_announced = True
+            if batch.decided_ms is not None:
+                quiet_ms = min(quiet_ms, now_ms - batch.decided_ms)
+        return ListingNoted(message.service, message.version, quiet_ms)
+
+    def note_quiet(self, sender: str, message: ListingNoted, now_ms: int) -> None:
+        """Notes the answer of a successor.
+
+        A successor that decided recently has seen flows that this owner may not know. They
+        are known after another idle time without decisions there.
+        """
+        idle_ms = self._owner.limits.flow_idle_timeout_ms
+        for batch in self._owner.batches:
+            if (batch.service, batch.version) != (message.service, message.version):
+                continue
+            if message.quiet_ms >= idle_ms:
+                batch.quiet_members.add(sender)
+            else:
+                batch.listing_from_ms = now_ms + idle_ms - message.quiet_ms
+                batch.quiet_members.clear()
+
+    def _append(self, batch: Batch, now_ms: int, actions: list[OwnerAction]) -> None:
+        version = self._owner.configuration.version
+        waited_ms = now_ms - batch.appended_ms
+        if batch.append_version == version and waited_ms < self._owner.limits.append_retry_ms:
+            return
+        batch.append_version = version
+        batch.appended_ms = now_ms
+        effect = self._list(batch)
+        actions.append(AppendEntry(version, (effect,), f"transition {batch.version} has ended"))
+
+    def _list(self, batch: Batch) -> SlotsListed:
+        """Returns the list of as many slots as fit in one entry."""
+        slots: list[int] = []
+        exceptions: dict[str, list[int]] = {}
+        count = 0
+        for slot in batch.slots:
+            listed = self._list_slot(batch.service, slot)
+            if slots and count + len(listed) > self._owner.limits.listed_flows_max:
+                break
+            slots.append(slot)
+            count += len(listed)
+            for flow, upstream in listed:
+                exceptions.setdefault(upstream, []).append(flow)
+        listed_flows = {name: tuple(sorted(exceptions[name])) for name in sorted(exceptions)}
+        return SlotsListed(batch.service, batch.version, tuple(slots), listed_flows)
+
+    def _list_slot(self, service: str, slot: int) -> list[tuple[int, str]]:
+        configuration = self._owner.configuration
+        pins = self._owner.pins.find_slot(service, slot)
+        if pins is None:
+            return []
+        target = configuration.slot_tables[service].transitions[slot].target
+        return [
+            (flow, upstream)
+            for flow, upstream in pins.items()
+            if upstream != target
+            and can_carry(configuration, upstream)
+            and not self._owner.pins.is_closing(service, flow)
+        ]
+
+    def _has_room(self, batch: Batch) -> bool:
+        configuration = self._owner.configuration
+        replaced = set(batch.slots)
+        kept = sum(
+            len(base.exceptions)
+            for slot, base in enumerate(configuration.slot_tables[batch.service].bases)
+            if slot % SLOT_COUNT not in replaced
+        )
+        added = sum(len(self._list_slot(batch.service, slot)) for slot in batch.slots)
+        return kept + added <= self._owner.limits.exceptions_max
--- /dev/null
+++ b/src/catkinspread/routing/owner.py
@@ -0,0 +1,355 @@
+"""The part of an instance as a member of owner groups."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from catkinspread.model import SLOT_COUNT, Configuration, OwnerMember
+from catkinspread.routing.actions import (
+    AwaitPins,
+    DropPacket,
+    DropReason,
+    OwnerAction,
+    PacketKind,
+    ReleasePackets,
+    RouteAction,
+    SendMessage,
+    SendToUpstream,
+)
+from catkinspread.routing.answers import is_draining, resolve_upstream
+from catkinspread.routing.batches import Batch, BatchTable, Phase
+from catkinspread.routing.groups import LiveMembers
+from catkinspread.routing.limits import RoutingLimits
+from catkinspread.routing.listing import ListingSteps
+from catkinspread.routing.messages import (
+    AnnounceListing,
+    FlowsOnUpstream,
+    ForgetPins,
+    ListingNoted,
+    PinsStored,
+    ReplicatePins,
+    RoutingMessage,
+)
+from catkinspread.routing.pins import PinTable
+from catkinspread.routing.regroup import GroupSteps
+from catkinspread.routing.replication import FlowKey, PinReplicator, group_flows
+
+
+class OwnerFigures(msgspec.Struct):
+    """Counters of a transition owner since its start."""
+
+    takeovers: int = 0
+    orphaned_groups: int = 0
+    listings_blocked: int = 0
+    pins_adopted: int = 0
+
+
+class TransitionOwner:
+    """Decides for flows of slots in transition and moves transitions through their phases.
+
+    Every instance has one, because any instance may have to replace a group that has died. It
+    receives events with times and returns actions.
+    """
+
+    __slots__ = (
+        "_self",
+        "batches",
+        "configuration",
+        "figures",
+        "group_steps",
+        "limits",
+        "listing_steps",
+        "members",
+        "pins",
+        "replicator",
+    )
+
+    def __init__(self, member: OwnerMember, limits: RoutingLimits) -> None:
+        self._self = member
+        self.limits = limits
+        self.configuration = Configuration()
+        self.members = LiveMembers()
+        self.batches = BatchTable(limits)
+        self.pins = PinTable()
+        self.replicator = PinReplicator(limits)
+        self.figures = OwnerFigures()
+        self.group_steps = GroupSteps(self)
+        self.listing_steps = ListingSteps(self)
+
+    @property
+    def member(self) -> OwnerMember:
+        """This run of this instance."""
+        return self._self
+
+    @property
+    def is_handover_complete(self) -> bool:
+        """Whether this instance is in no owner group and may stop."""
+        return all(self._self not in batch.group.members for batch in self.batches)
+
+    def apply(self, configuration: Configuration, now_ms: int) -> None:
+        """Takes a new configuration; configurations must be given in order of version."""
+        self.configuration = configuration
+        changes = self.batches.apply(configuration, now_ms)
+        for batch in changes.retargeted:
+            self.restart_clock(batch, now_ms)
+        for service, slots in changes.ended.items():
+            for slot in slots:
+                self.pins.forget_slot(service, slot, configuration.version)
+
+    def set_members(self, members: LiveMembers) -> list[OwnerAction]:
+        """Takes a new view of the live instances."""
+        self.members = members
+        alive = frozenset(member.name for member in members)
+        return self._release(self.replicator.keep_members(alive))
+
+    def find_base(self, service: str, flow: int) -> str:
+        """Returns the upstream of a flow by the base of its slot."""
+        table = self.configuration.slot_tables[service]
+        return table.bases[flow % SLOT_COUNT].find_upstream(flow)
+
+    def list_replicas(self, batch: Batch) -> list[str]:
+        """Returns the live members that must store a pin before an open is released."""
+        names = [
+            member.instance
+            for member in batch.group.members
+            if member != self._self and self.members.is_alive(member)
+        ]
+        return names + [name for name in batch.joining if name not in names]
+
+    def restart_clock(self, batch: Batch, now_ms: int) -> None:
+        """Restarts the idle time of a batch; no pin expires earlier than after a whole one."""
+        batch.clock_ms = now_ms
+        batch.generation_ms = now_ms
+        self.pins.restart_idle_clock(batch.service, batch.slots)
+
+    def decide(self, kind: PacketKind, service: str, flow: int, now_ms: int) -> RouteAction:
+        """Returns what to do with a packet of a slot in transition.
+
+        The slot must be in transition in the applied configuration.
+        """
+        batch = self.batches.find(service, flow % SLOT_COUNT)
+        batch.decided_ms = now_ms
+        if self.replicator.is_pending(service, flow):
+            self.replicator.wait_again(service, flow, now_ms)
+            return AwaitPins()
+        pinned = self.pins.touch(service, flow)
+        if pinned is not None:
+            action = self._decide_pinned(kind, service, flow, pinned, now_ms)
+            if action is not None:
+                return action
+        if kind is PacketKind.OPEN:
+            return self._decide_open(batch, flow, now_ms)
+        return self._decide_unknown(kind, batch, flow, now_ms)
+
+    def _decide_pinned(
+        self, kind: PacketKind, service: str, flow: int, pinned: str, now_ms: int
+    ) -> RouteAction | None:
+        action = resolve_upstream(self.configuration, service, pinned, kind)
+        if not isinstance(action, SendToUpstream):
+            self.pins.forget(service, flow)
+            return None if kind is PacketKind.OPEN else action
+        if kind is PacketKind.CLOSE:
+            self.pins.close(service, flow, now_ms + self.limits.close_linger_ms)
+        elif kind is PacketKind.OPEN and self.pins.is_closing(service, flow):
+            if is_draining(self.configuration, pinned):
+                return DropPacket(DropReason.FLOW_CLOSING)
+            self.pins.reopen(service, flow)
+        return action
+
+    def _decide_open(self, batch: Batch, flow: int, now_ms: int) -> RouteAction:
+        service = batch.service
+        base = self.find_base(service, flow)
+        upstream = base
+        is_full = len(self.pins) >= self.limits.pins_max or self.replicator.is_full
+        if batch.phase is not Phase.HOLD:
+            upstream = self._find_target(service, flow)
+            if is_full and upstream != base:
+                # Without a pin the next packet gets the base, so the open must get it too.
+                if is_draining(self.configuration, base):
+                    return DropPacket(DropReason.PIN_LIMIT)
+                upstream = base
+        action = resolve_upstream(self.configuration, service, upstream, PacketKind.OPEN)
+        if not isinstance(action, SendToUpstream):
+            return action
+        if is_full:
+            self.restart_clock(batch, now_ms)
+            return action
+        self.pins.set(service, flow, upstream, self.configuration.version)
+        replicas = self.list_replicas(batch) if upstream != base else []
+        if not replicas:
+            return action
+        self.replicator.add(service, flow, upstream, replicas, now_ms)
+        return AwaitPins()
+
+    def _decide_unknown(
+        self, kind: PacketKind, batch: Batch, flow: int, now_ms: int
+    ) -> RouteAction:
+        service = batch.service
+        if batch.phase is Phase.UNCERTAIN:
+            return DropPacket(DropReason.LISTING_UNCERTAIN)
+        is_listing = batch.phase is Phase.LISTING
+        upstream = self._find_target(service, flow) if is_listing else self.find_base(service, flow)
+        action = resolve_upstream(self.configuration, service, upstream, kind)
+        is_pinned = kind is PacketKind.DATA and batch.phase is not Phase.HOLD
+        if is_pinned and isinstance(action, SendToUpstream):
+            if len(self.pins) >= self.limits.pins_max:
+                self.restart_clock(batch, now_ms)
+            else:
+                self.pins.set(service, flow, upstream, self.configuration.version)
+        return action
+
+    def _find_target(self, service: str, flow: int) -> str:
+        table = self.configuration.slot_tables[service]
+        return table.transitions[flow % SLOT_COUNT].target
+
+    def handle(self, sender: str, message: RoutingMessage, now_ms: int) -> list[OwnerAction]:
+        """Takes a message of another instance.
+
+        Args:
+            sender: Name of the instance that sent it.
+            message: The message.
+            now_ms: Current time in ms.
+        """
+        match message:
+            case ReplicatePins():
+                return [SendMessage(sender, self._store_pins(sender, message))]
+            case PinsStored():
+                return self._note_stored(sender, message, now_ms)
+            case ForgetPins(service, flows):
+                for flow in flows:
+                    self.pins.forget(service, flow)
+                return []
+            case AnnounceListing():
+                return [SendMessage(sender, self.listing_steps.note(message, now_ms))]
+            case ListingNoted():
+                self.listing_steps.note_quiet(sender, message, now_ms)
+                return []
+
+    def _store_pins(self, sender: str, message: ReplicatePins) -> PinsStored:
+        conflicts: list[tuple[int, str]] = []
+        for pins in message.pins:
+            for flow in pins.flows:
+                kept = self._store_pin(sender, message, flow, pins.upstream)
+                if kept != pins.upstream:
+                    conflicts.append((flow, kept))
+        return PinsStored(message.request, group_flows(conflicts))
+
+    def _store_pin(self, sender: str, message: ReplicatePins, flow: int, upstream: str) -> str:
+        service = message.service
+        batch = self.batches.find(service, flow % SLOT_COUNT)
+        if batch is None and message.version <= self.configuration.version:
+            # The transition has ended here, so the base has the answer already.
+            return upstream
+        own = self.pins.find(service, flow)
+        if own is None or own == upstream or self._yields_to(sender, batch, service, flow):
+            self.pins.set(service, flow, upstream, message.version)
+            return upstream
+        return own
+
+    def _yields_to(self, sender: str, batch: Batch | None, service: str, flow: int) -> bool:
+        """Returns whether a different pin of the sender replaces the own one.
+
+        Two members may act at once while their views differ. Before a pin is released, the
+        member that comes first in the group decides; a member that does not act takes what
+        the acting one sends.
+        """
+        if batch is None:
+            return True
+        names = [member.instance for member in batch.group.members]
+        if sender not in names or self._self.instance not in names:
+            return True
+        if self.replicator.is_pending(service, flow):
+            return names.index(sender) < names.index(self._self.instance)
+        acting = self.members.find_acting(batch.group)
+        return acting is not None and acting.instance == sender
+
+    def _note_stored(self, sender: str, message: PinsStored, now_ms: int) -> list[OwnerAction]:
+        service = self.replicator.find_service(message.request)
+        if service is not None:
+            for pins in message.conflicts:
+                self._adopt(sender, service, pins, now_ms)
+        return self._release(self.replicator.acknowledge(sender, message.request))
+
+    def _adopt(self, sender: str, service: str, pins: FlowsOnUpstream, now_ms: int) -> None:
+        for flow in pins.flows:
+            batch = self.batches.find(service, flow % SLOT_COUNT)
+            if batch is None or not self.replicator.is_pending(service, flow):
+                continue
+            self.figures.pins_adopted += 1
+            self.pins.set(service, flow, pins.upstream, self.configuration.version)
+            others = [name for name in self.list_replicas(batch) if name != sender]
+            # The sender of the conflict stays in the set until its acknowledgement is noted.
+            self.replicator.add(service, flow, pins.upstream, [*others, sender], now_ms)
+
+    def _release(self, keys: Iterable[FlowKey]) -> list[OwnerAction]:
+        actions: list[OwnerAction] = []
+        for service, flow in keys:
+            upstream = self.pins.find(service, flow)
+            action: RouteAction = DropPacket(DropReason.PIN_TIMEOUT)
+            if upstream is not None:
+                action = resolve_upstream(self.configuration, service, upstream, PacketKind.OPEN)
+            actions.append(ReleasePackets(service, flow, action))
+        return actions
+
+    def tick(self, now_ms: int) -> list[OwnerAction]:
+        """Moves transitions on and returns due messages; call it every few milliseconds."""
+        actions: list[OwnerAction] = []
+        self._end_closing(now_ms, actions)
+        for batch in self.batches:
+            self._advance(batch, now_ms, actions)
+        for service, flow in self.replicator.find_overdue(now_ms):
+            drop = DropPacket(DropReason.PIN_TIMEOUT)
+            actions.append(ReleasePackets(service, flow, drop))
+        actions.extend(self.replicator.flush(self.configuration.version, now_ms))
+        return actions
+
+    def _advance(self, batch: Batch, now_ms: int, actions: list[OwnerAction]) -> None:
+        acting = self.members.find_acting(batch.group)
+        is_acting = acting == self._self
+        if batch.phase is Phase.HOLD and now_ms >= batch.hold_from_ms:
+            has_all = self.members.have_all_reported(batch.hold_version)
+            if has_all or now_ms >= batch.hold_until_ms:
+                batch.phase = Phase.SPLIT
+                self.restart_clock(batch, now_ms)
+        if is_acting and not batch.is_acting:
+            self._take_over(batch, now_ms)
+        batch.is_acting = is_acting
+        if batch.phase is Phase.UNCERTAIN and now_ms >= batch.uncertain_until_ms:
+            batch.phase = Phase.SPLIT
+            self.restart_clock(batch, now_ms)
+        if is_acting:
+            self.group_steps.advance(batch, now_ms, actions)
+            self.listing_steps.advance(batch, now_ms, actions)
+        elif acting is None:
+            self.group_steps.advance_orphan(batch, now_ms, actions)
+
+    def _take_over(self, batch: Batch, now_ms: int) -> None:
+        if batch.phase is Phase.HOLD:
+            return
+        self.figures.takeovers += 1
+        self.restart_clock(batch, now_ms)
+        if batch.is_announced:
+            batch.phase = Phase.UNCERTAIN
+            batch.uncertain_until_ms = now_ms + self.limits.uncertain_max_ms
+
+    def _end_closing(self, now_ms: int, actions: list[OwnerAction]) -> None:
+        by_service: dict[str, list[int]] = {}
+        for service, flow in self.pins.end_closing(now_ms):
+            by_service.setdefault(service, []).append(flow)
+        for service, flows in by_service.items():
+            self.forget_at_replicas(service, flows, actions)
+
+    def forget_at_replicas(
+        self, service: str, flows: Iterable[int], actions: list[OwnerAction]
+    ) -> None:
+        """Adds messages that remove the pins of flows at the other members."""
+        by_member: dict[str, list[int]] = {}
+        for flow in flows:
+            batch = self.batches.find(service, flow % SLOT_COUNT)
+            if batch is not None:
+                for name in self.list_replicas(batch):
+                    by_member.setdefault(name, []).append(flow)
+        for name, member_flows in sorted(by_member.items()):
+            for start in range(0, len(member_flows), self.limits.copy_flows_max):
+                chunk = member_flows[start : start + self.limits.copy_flows_max]
+                actions.append(SendMessage(name, ForgetPins(service, tuple(chunk))))
--- /dev/null
+++ b/src/catkinspread/routing/regroup.py
@@ -0,0 +1,126 @@
+"""The steps that replace members of owner groups."""
+
+from typing import TYPE_CHECKING
+
+from catkinspread.configuration import GroupChanged
+from catkinspread.hashing import rank_by_rendezvous
+from catkinspread.model import DataCentreState, OwnerGroup, OwnerMember
+from catkinspread.routing.actions import AppendEntry, OwnerAction
+from catkinspread.routing.batches import Batch
+from catkinspread.routing.groups import choose_group
+
+if TYPE_CHECKING:
+    from catkinspread.routing.owner import TransitionOwner
+
+
+class GroupSteps:
+    """Copies pins to new members and asks for the entry that changes a group."""
+
+    __slots__ = ("_owner",)
+
+    def __init__(self, owner: "TransitionOwner") -> None:
+        self._owner = owner
+
+    def advance(self, batch: Batch, now_ms: int, actions: list[OwnerAction]) -> None:
+        """Replaces members that have died or are leaving, at the acting owner."""
+        group = self._plan_group(batch, now_ms)
+        if group is None:
+            batch.joining = ()
+            batch.copy_requests = []
+            return
+        old_names = {member.instance for member in batch.group.members}
+        joining = tuple(
+            member.instance
+            for member in group.members
+            if member not in batch.group.members or member.instance not in old_names
+        )
+        if joining != batch.joining:
+            self._start_copy(batch, joining, now_ms, actions)
+        if any(map(self._owner.replicator.is_outstanding, batch.copy_requests)):
+            return
+        self._append(batch, group, "a member of the owner group was replaced", now_ms, actions)
+
+    def advance_orphan(self, batch: Batch, now_ms: int, actions: list[OwnerAction]) -> None:
+        """Makes a new group for slots whose whole group has died.
+
+        The first live instance in rendezvous order does it, so that normally one entry is
+        tried. Pins of the old group are lost.
+        """
+        if batch.missing_since_ms is None:
+            batch.missing_since_ms = now_ms
+        if now_ms - batch.missing_since_ms < self._owner.limits.regroup_after_ms:
+            return
+        names = [view.name for view in self._owner.members if not view.is_leaving]
+        own = self._owner.member
+        if not names or rank_by_rendezvous(batch.service, names)[0] != own.instance:
+            return
+        group = self._choose(batch, (own,))
+        reason = "all members of the owner group have died"
+        if self._append(batch, group, reason, now_ms, actions):
+            self._owner.figures.orphaned_groups += 1
+
+    def _plan_group(self, batch: Batch, now_ms: int) -> OwnerGroup | None:
+        """Returns the group that should replace the group of a batch; None if it is whole."""
+        members = self._owner.members
+        kept = [member for member in batch.group.members if members.is_alive(member)]
+        if len(kept) == len(batch.group.members):
+            batch.missing_since_ms = None
+        elif batch.missing_since_ms is None:
+            batch.missing_since_ms = now_ms
+        staying = [member for member in kept if not members.is_leaving(member)]
+        missing_ms = 0 if batch.missing_since_ms is None else now_ms - batch.missing_since_ms
+        is_due = batch.missing_since_ms is not None and (
+            missing_ms >= self._owner.limits.regroup_after_ms
+        )
+        if not is_due and len(staying) == len(kept):
+            return None
+        group = self._choose(batch, tuple(staying))
+        return group if group.members and group != batch.group else None
+
+    def _choose(self, batch: Batch, kept: tuple[OwnerMember, ...]) -> OwnerGroup:
+        data_centres = self._owner.configuration.data_centres.values()
+        avoided = frozenset(
+            data_centre.name
+            for data_centre in data_centres
+            if data_centre.state is DataCentreState.OUT
+        )
+        return choose_group(batch.service, self._owner.members, kept, avoided)
+
+    def _start_copy(
+        self, batch: Batch, joining: tuple[str, ...], now_ms: int, actions: list[OwnerAction]
+    ) -> None:
+        owner = self._owner
+        batch.joining = joining
+        batch.copy_requests = []
+        pins = [
+            (flow, upstream)
+            for slot in batch.slots
+            if (slot_pins := owner.pins.find_slot(batch.service, slot)) is not None
+            for flow, upstream in slot_pins.items()
+            # A new member computes the base itself.
+            if upstream != owner.find_base(batch.service, flow)
+        ]
+        for name in joining:
+            numbers, messages = owner.replicator.copy(
+                batch.service, owner.configuration.version, pins, name, now_ms
+            )
+            batch.copy_requests.extend(numbers)
+            actions.extend(messages)
+
+    def _append(
+        self,
+        batch: Batch,
+        group: OwnerGroup,
+        reason: str,
+        now_ms: int,
+        actions: list[OwnerAction],
+    ) -> bool:
+        version = self._owner.configuration.version
+        waited_ms = now_ms - batch.appended_ms
+        if batch.append_version == version and waited_ms < self._owner.limits.append_retry_ms:
+            return False
+        batch.append_version = version
+        batch.appended_ms = now_ms
+        effect = GroupChanged(batch.service, tuple(batch.slots), group)
+        actions.append(AppendEntry(version, (effect,), reason))
+        return True
--- /dev/null
+++ b/src/catkinspread/routing/replication.py
@@ -0,0 +1,181 @@
+"""Sends pins to the other members of an owner group and waits for their acknowledgement."""
+
+import itertools
+from collections.abc import Iterable
+
+from catkinspread.routing.actions import SendMessage
+from catkinspread.routing.limits import RoutingLimits
+from catkinspread.routing.messages import FlowsOnUpstream, ReplicatePins
+
+FlowKey = tuple[str, int]
+
+
+class _Request:
+    __slots__ = ("member", "message", "sent_ms")
+
+    def __init__(self, member: str, message: ReplicatePins, sent_ms: int) -> None:
+        self.member = member
+        self.message = message
+        self.sent_ms = sent_ms
+
+
+class _Pending:
+    __slots__ = ("members", "since_ms")
+
+    def __init__(self, members: set[str], since_ms: int) -> None:
+        self.members = members
+        self.since_ms = since_ms
+
+
+def group_flows(pins: Iterable[tuple[int, str]]) -> tuple[FlowsOnUpstream, ...]:
+    """Groups (flow, upstream) pairs by upstream."""
+    flows: dict[str, list[int]] = {}
+    for flow, upstream in pins:
+        flows.setdefault(upstream, []).append(flow)
+    return tuple(FlowsOnUpstream(name, tuple(flows[name])) for name in sorted(flows))
+
+
+class PinReplicator:
+    """Keeps the pins that are not acknowledged yet.
+
+    Pins of the same round go to a member in one message, so that a new flow costs about 10
+    bytes for each successor.
+    """
+
+    __slots__ = ("_limits", "_numbers", "_outbox", "_pending", "_requests")
+
+    def __init__(self, limits: RoutingLimits) -> None:
+        self._limits = limits
+        self._numbers = itertools.count(1)
+        self._outbox: dict[tuple[str, str], dict[int, str]] = {}
+        self._pending: dict[FlowKey, _Pending] = {}
+        self._requests: dict[int, _Request] = {}
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further pin may wait."""
+        return len(self._pending) >= self._limits.pending_max
+
+    def add(
+        self, service: str, flow: int, upstream: str, members: Iterable[str], now_ms: int
+    ) -> None:
+        """Lets a flow wait until members have stored its pin."""
+        names = set(members)
+        self._pending[service, flow] = _Pending(names, now_ms)
+        for name in names:
+            self._outbox.setdefault((name, service), {})[flow] = upstream
+
+    def is_pending(self, service: str, flow: int) -> bool:
+        """Returns whether the pin of a flow waits for a member."""
+        return (service, flow) in self._pending
+
+    def wait_again(self, service: str, flow: int, now_ms: int) -> None:
+        """Restarts the waiting time of a flow whose packet was repeated."""
+        self._pending[service, flow].since_ms = now_ms
+
+    def copy(
+        self,
+        service: str,
+        version: int,
+        pins: Iterable[tuple[int, str]],
+        member: str,
+        now_ms: int,
+    ) -> tuple[list[int], list[SendMessage]]:
+        """Starts copying pins to a member, in messages of limited size.
+
+        Returns:
+            The numbers of the requests and the messages to send.
+        """
+        pairs = list(pins)
+        numbers: list[int] = []
+        messages: list[SendMessage] = []
+        for start in range(0, len(pairs), self._limits.copy_flows_max):
+            chunk = pairs[start : start + self._limits.copy_flows_max]
+            messages.append(self._send(service, version, chunk, member, now_ms))
+            numbers.append(messages[-1].message.request)
+        return numbers, messages
+
+    def is_outstanding(self, number: int) -> bool:
+        """Returns whether a request is not acknowledged yet."""
+        return number in self._requests
+
+    def flush(self, version: int, now_ms: int) -> list[SendMessage]:
+        """Returns the messages that are due: new pins and repeated requests."""
+        messages: list[SendMessage] = []
+        for request in self._requests.values():
+            if now_ms - request.sent_ms >= self._limits.replicate_retry_ms:
+                request.sent_ms = now_ms
+                messages.append(SendMessage(request.member, request.message))
+        outbox, self._outbox = self._outbox, {}
+        for (member, service), flows in sorted(outbox.items()):
+            pairs = list(flows.items())
+            for start in range(0, len(pairs), self._limits.copy_flows_max):
+                chunk = pairs[start : start + self._limits.copy_flows_max]
+                messages.append(self._send(service, version, chunk, member, now_ms))
+        return messages
+
+    def find_service(self, number: int) -> str | None:
+        """Returns the service of an outstanding request, or None if there is none."""
+        request = self._requests.get(number)
+        return None if request is None else request.message.service
+
+    def acknowledge(self, sender: str, number: int) -> list[FlowKey]:
+        """Notes an acknowledgement and returns the flows that wait for no member any more."""
+        request = self._requests.get(number)
+        if request is None or request.member != sender:
+            return []
+        del self._requests[number]
+        flows = [flow for pins in request.message.pins for flow in pins.flows]
+        service = request.message.service
+        return self._finish([(service, flow) for flow in flows], sender)
+
+    def keep_members(self, alive: frozenset[str]) -> list[FlowKey]:
+        """Stops waiting for members that are not alive and returns the flows set free."""
+        for number, request in list(self._requests.items()):
+            if request.member not in alive:
+                del self._requests[number]
+        self._outbox = {key: value for key, value in self._outbox.items() if key[0] in alive}
+        released: list[FlowKey] = []
+        for key, pending in list(self._pending.items()):
+            pending.members &= alive
+            if not pending.members:
+                del self._pending[key]
+                released.append(key)
+        return released
+
+    def find_overdue(self, now_ms: int) -> list[FlowKey]:
+        """Returns the flows whose packets have waited too long, and restarts their time.
+
+        The pins stay and are still sent, so a repeated open finds the same upstream.
+        """
+        overdue: list[FlowKey] = []
+        for key, pending in self._pending.items():
+            if now_ms - pending.since_ms >= self._limits.pin_wait_max_ms:
+                pending.since_ms = now_ms
+                overdue.append(key)
+        return overdue
+
+    def _send(
+        self,
+        service: str,
+        version: int,
+        pins: list[tuple[int, str]],
+        member: str,
+        now_ms: int,
+    ) -> SendMessage:
+        number = next(self._numbers)
+        message = ReplicatePins(number, service, version, group_flows(pins))
+        self._requests[number] = _Request(member, message, now_ms)
+        return SendMessage(member, message)
+
+    def _finish(self, keys: list[FlowKey], member: str) -> list[FlowKey]:
+        released: list[FlowKey] = []
+        for key in keys:
+            pending = self._pending.get(key)
+            if pending is None:
+                continue
+            pending.members.discard(member)
+            if not pending.members:
+                del self._pending[key]
+                released.append(key)
+        return released
