Add the claimer, which runs non-idempotent requests at most once

Change: Claimer decides only from records that it has seen in the claim bucket. A request is sent only under an own claim that was seen, and NOT_RUN is answered only under a tombstone or an own claim that was never sent. The shard pipeline has one store call in flight, reads after every unknown outcome and conflict, and writes again conditionally. Attempts after a shed carry their number towards the upstream. Old buckets are deleted.

--- /dev/null
+++ b/src/catkinspread/requests/bucket.py
@@ -0,0 +1,98 @@
+"""The content of a claim bucket.
+
+A bucket has at most one record for each claim hash, and a record is never changed or removed.
+The conditional update of the object therefore decides once and for all who may run a request.
+"""
+
+import enum
+
+import msgspec
+
+_FORMAT_VERSION = 1
+# A record is a msgpack array of a 64-bit hash (9 bytes), a writer index and a kind.
+RECORD_BYTES = 13
+
+
+class BucketError(Exception):
+    """The value of a bucket object cannot be decoded."""
+
+
+class RecordKind(enum.IntEnum):
+    """What a record says.
+
+    CLAIMED: Only its writer may run the request.
+    REFUSED: Nobody may run the request (tombstone).
+    """
+
+    CLAIMED = 1
+    REFUSED = 2
+
+
+class ClaimRecord(msgspec.Struct, array_like=True, frozen=True):
+    """Who decided about a request and how.
+
+    Attributes:
+        writer: One run of an instance, as text from `format_member`.
+        kind: What was decided.
+    """
+
+    writer: str
+    kind: RecordKind
+
+
+class _StoredRecord(msgspec.Struct, array_like=True, frozen=True):
+    claim_hash: int
+    writer_index: int
+    kind: RecordKind
+
+
+class _StoredBucket(msgspec.Struct, array_like=True, frozen=True):
+    format_version: int
+    writers: list[str]
+    records: list[_StoredRecord]
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(_StoredBucket)
+
+ClaimRecords = dict[int, ClaimRecord]
+
+
+def encode_bucket(records: ClaimRecords) -> bytes:
+    """Returns the value of a bucket object.
+
+    Args:
+        records: Record by claim hash.
+    """
+    indexes: dict[str, int] = {}
+    stored: list[_StoredRecord] = []
+    for claim_hash, record in records.items():
+        index = indexes.setdefault(record.writer, len(indexes))
+        stored.append(_StoredRecord(claim_hash, index, record.kind))
+    return _ENCODER.encode(_StoredBucket(_FORMAT_VERSION, list(indexes), stored))
+
+
+def decode_bucket(value: bytes) -> ClaimRecords:
+    """Returns the records of a bucket object by claim hash.
+
+    Raises:
+        BucketError: If the value has another format. Such a bucket must not be overwritten.
+    """
+    try:
+        bucket = _DECODER.decode(value)
+    except msgspec.DecodeError as error:
+        raise BucketError(f"claim bucket is malformed: {error}") from error
+    if bucket.format_version != _FORMAT_VERSION:
+        raise BucketError(f"claim bucket has format {bucket.format_version}")
+    try:
+        return {
+            record.claim_hash: ClaimRecord(bucket.writers[record.writer_index], record.kind)
+            for record in bucket.records
+        }
+    except IndexError as error:
+        raise BucketError("claim bucket names a writer that it does not list") from error
+
+
+def estimate_size(records: ClaimRecords) -> int:
+    """Returns an upper bound of the size of the value in bytes, without the writers' names."""
+    return 32 + RECORD_BYTES * len(records)
--- /dev/null
+++ b/src/catkinspread/requests/claimer.py
@@ -0,0 +1,398 @@
+"""The state machine that runs non-idempotent requests at most once.
+
+Two rules carry the guarantees (G6, G7):
+
+* A request is sent only while its bucket is known to hold a claim of this instance that this
+  entry asked for, and only before its deadline. A second send needs an upstream that shed the
+  first one.
+* NOT_RUN is answered only while the bucket is known to hold a tombstone, or a claim of this
+  instance that was never sent, or whose every send was shed, and that is never sent again.
+
+A missing record proves nothing: another instance may have a claim in flight, and a write of
+this instance may take effect late. The deadline alone proves nothing either, because another
+instance may have received a copy of the request and run it. See
+docs/decisions/0002-at-most-once.md.
+"""
+
+from catkinspread.model import OwnerMember
+from catkinspread.requests.actions import (
+    ClaimerAction,
+    ClaimerEvent,
+    GiveAnswer,
+    LiveInstancesChanged,
+    PeerAnswered,
+    RequestArrived,
+    SendRefused,
+    SendToPeer,
+    SendToUpstream,
+    StoreEvent,
+    Tick,
+    UpstreamAnswered,
+    UpstreamShed,
+)
+from catkinspread.requests.bucket import ClaimRecord, RecordKind
+from catkinspread.requests.entries import (
+    Entry,
+    EntryState,
+    EntryTable,
+    Waiter,
+    compute_due,
+    compute_fingerprint,
+)
+from catkinspread.requests.identity import (
+    SHARD_COUNT,
+    RequestIdentity,
+    find_bucket,
+    format_member,
+    identify_request,
+)
+from catkinspread.requests.matching import make_attempt
+from catkinspread.requests.messages import ForwardedRequest, WholeAnswer
+from catkinspread.requests.parameters import RequestParameters
+from catkinspread.requests.reasons import (
+    REASON_CROWD,
+    REASON_DEADLINE,
+    REASON_EARLIER,
+    REASON_FUTURE,
+    REASON_LOST,
+    REASON_QUEUE_FULL,
+    REASON_REUSED,
+    REASON_SHED,
+    REASON_STORE,
+    REASON_UPSTREAM,
+    REASON_WINDOW,
+    REASON_WRITER_GONE,
+    REASON_WRITER_SILENT,
+)
+from catkinspread.requests.retries import RetryPolicy
+from catkinspread.requests.shard_pipeline import ClaimWish, ShardPipeline
+from catkinspread.wire import AnswerStatus
+
+
+class Claimer:
+    """Handles the non-idempotent requests that reach one instance as claimer or writer."""
+
+    __slots__ = (
+        "_actions",
+        "_live",
+        "_member",
+        "_now_ms",
+        "_parameters",
+        "_pipelines",
+        "_retry_policy",
+        "_table",
+        "_writer",
+    )
+
+    def __init__(
+        self, member: OwnerMember, parameters: RequestParameters, retry_policy: RetryPolicy
+    ) -> None:
+        self._member = member
+        self._writer = format_member(member)
+        self._parameters = parameters
+        self._retry_policy = retry_policy
+        self._table = EntryTable(parameters)
+        self._pipelines = [ShardPipeline(self._writer, parameters) for _ in range(SHARD_COUNT)]
+        self._live: dict[str, OwnerMember] = {}
+        self._now_ms = 0
+        self._actions: list[ClaimerAction] = []
+
+    @property
+    def active_count(self) -> int:
+        """Number of requests without an answer."""
+        return self._table.active_count
+
+    @property
+    def answered_count(self) -> int:
+        """Number of answers kept for repeats."""
+        return self._table.answered_count
+
+    def handle(self, event: ClaimerEvent, now_ms: int) -> list[ClaimerAction]:
+        """Takes an event and returns what to do.
+
+        Args:
+            event: What happened.
+            now_ms: The time, read after the event happened. A result that waited in a queue
+                must not be handled with the time at which it was queued.
+        """
+        self._now_ms = now_ms
+        self._actions = []
+        match event:
+            case RequestArrived():
+                self._handle_request(event)
+            case UpstreamAnswered():
+                self._handle_upstream_answer(event)
+            case UpstreamShed():
+                self._handle_shed(event)
+            case SendRefused():
+                self._handle_send_refused(event)
+            case PeerAnswered():
+                self._handle_peer_answer(event)
+            case LiveInstancesChanged():
+                self._handle_live(event)
+            case Tick():
+                self._handle_tick()
+            case _:
+                self._handle_store(event)
+        return self._actions
+
+    # Requests and repeats.
+
+    def _handle_request(self, event: RequestArrived) -> None:
+        identity = identify_request(event.request)
+        fingerprint = compute_fingerprint(event.service, event.request)
+        entry = self._table.find(identity)
+        if entry is None:
+            refusal = self._check_new(event, identity)
+            if refusal:
+                self._give_unknown(event, identity, refusal)
+                return
+            self._begin(event, identity, fingerprint)
+        elif entry.fingerprint != fingerprint:
+            self._give_unknown(event, identity, REASON_REUSED)
+        elif entry.state is not EntryState.ANSWERED:
+            self._add_waiter(entry, event, identity)
+        elif entry.is_unresolved and not self._is_too_old(identity):
+            self._revive(entry, event)
+        else:
+            self._give(Waiter(event.origin, event.request.flow), identity, entry.answer)
+
+    def _check_new(self, event: RequestArrived, identity: RequestIdentity) -> str:
+        if event.request.issued_at_ms > self._now_ms + self._parameters.clock_skew_max_ms:
+            return REASON_FUTURE
+        if self._is_too_old(identity):
+            return REASON_WINDOW
+        bucket = find_bucket(identity)
+        if self._pipelines[bucket.shard].has_wish(bucket, identity.claim_hash):
+            return REASON_REUSED
+        entries_max = self._parameters.active_max + self._parameters.refused_max
+        return REASON_QUEUE_FULL if self._table.active_count >= entries_max else ""
+
+    def _begin(self, event: RequestArrived, identity: RequestIdentity, fingerprint: int) -> None:
+        refuse_reason = event.refuse_reason
+        if not refuse_reason and self._table.active_count >= self._parameters.active_max:
+            refuse_reason = REASON_QUEUE_FULL
+        window_end_ms = identity.issued_at_ms + self._parameters.claim_window_ms
+        entry = Entry(
+            identity=identity,
+            fingerprint=fingerprint,
+            service=event.service,
+            request=event.request,
+            deadline_ms=min(event.request.deadline_ms, window_end_ms),
+            give_up_ms=0,
+            wish=ClaimWish(identity, find_bucket(identity), identity.claim_hash),
+            refuse_reason=refuse_reason,
+        )
+        self._start_claiming(entry, event)
+
+    def _revive(self, entry: Entry, event: RequestArrived) -> None:
+        entry.request = event.request
+        entry.is_unresolved = False
+        self._start_claiming(entry, event)
+
+    def _start_claiming(self, entry: Entry, event: RequestArrived) -> None:
+        self._table.activate(entry)
+        entry.state = EntryState.CLAIMING
+        entry.waiters = [Waiter(event.origin, event.request.flow)]
+        if not entry.refuse_reason and self._now_ms >= entry.deadline_ms:
+            entry.refuse_reason = REASON_DEADLINE
+        if entry.refuse_reason:
+            entry.wish.kind = RecordKind.REFUSED
+        wait_ms = self._parameters.clock_skew_max_ms + self._parameters.settle_grace_ms
+        entry.give_up_ms = max(entry.deadline_ms, self._now_ms) + wait_ms
+        self._set_due(entry)
+        record = self._pipelines[entry.wish.bucket.shard].add_wish(entry.wish)
+        if record is not None:
+            self._decide(entry, record)
+        self._pump(entry.wish.bucket.shard)
+
+    def _add_waiter(self, entry: Entry, event: RequestArrived, identity: RequestIdentity) -> None:
+        waiter = Waiter(event.origin, event.request.flow)
+        if waiter in entry.waiters:
+            return
+        if len(entry.waiters) >= self._parameters.waiters_max:
+            self._give_unknown(event, identity, REASON_CROWD)
+            return
+        entry.waiters.append(waiter)
+
+    # The store.
+
+    def _handle_store(self, event: StoreEvent) -> None:
+        shard = event.bucket.shard
+        for item in self._pipelines[shard].handle(event, self._now_ms):
+            entry = self._table.find(item.wish.identity)
+            if entry is not None:
+                self._decide(entry, item.record)
+        self._pump(shard)
+
+    def _pump(self, shard: int) -> None:
+        self._actions += self._pipelines[shard].start_call(self._now_ms)
+
+    def _decide(self, entry: Entry, record: ClaimRecord) -> None:
+        """Concludes from a record that was seen in the bucket."""
+        if self._is_too_old(entry.identity):
+            # The bucket may have been deleted, so that the record could be a new one.
+            self._finish_unknown(entry, REASON_WINDOW)
+        elif record.kind is RecordKind.REFUSED:
+            self._finish_not_run(entry, entry.refuse_reason or REASON_EARLIER)
+        elif record.writer != self._writer:
+            self._forward(entry, record.writer)
+        elif not entry.wish.is_attempted:
+            self._finish_unknown(entry, REASON_LOST)
+        elif entry.refuse_reason:
+            self._finish_not_run(entry, entry.refuse_reason)
+        else:
+            self._send(entry)
+
+    # Sending and the answers of upstreams.
+
+    def _send(self, entry: Entry) -> None:
+        if self._now_ms >= entry.deadline_ms:
+            self._finish_not_run(entry, REASON_DEADLINE)
+            return
+        if entry.attempt == 0:
+            self._retry_policy.budget.record_request(entry.service, self._now_ms)
+        entry.attempt += 1
+        entry.state = EntryState.SENT
+        self._set_due(entry)
+        self._actions.append(
+            SendToUpstream(
+                identity=entry.identity,
+                attempt=entry.attempt,
+                service=entry.service,
+                request=make_attempt(entry.request, entry.attempt),
+                not_after_ms=entry.deadline_ms,
+            )
+        )
+
+    def _handle_upstream_answer(self, event: UpstreamAnswered) -> None:
+        entry = self._find_attempt(event.identity, event.attempt)
+        if entry is None:
+            return
+        if entry.state is EntryState.SENT:
+            self._finish(entry, event.answer)
+        elif entry.is_unknown:
+            self._table.replace_answer(entry, event.answer)
+
+    def _handle_shed(self, event: UpstreamShed) -> None:
+        entry = self._find_attempt(event.identity, event.attempt)
+        if entry is None:
+            return
+        if entry.is_unknown:
+            answer = WholeAnswer(AnswerStatus.NOT_RUN, reason=REASON_SHED)
+            self._table.replace_answer(entry, answer)
+        if entry.state is not EntryState.SENT:
+            return
+        retry_at_ms = self._retry_policy.plan_retry(
+            entry.service, entry.attempt, entry.deadline_ms, self._now_ms
+        )
+        if retry_at_ms is None:
+            self._finish_not_run(entry, REASON_SHED)
+            return
+        entry.state = EntryState.BACKOFF
+        entry.retry_at_ms = retry_at_ms
+        self._set_due(entry)
+
+    def _handle_send_refused(self, event: SendRefused) -> None:
+        entry = self._find_attempt(event.identity, event.attempt)
+        if entry is not None and entry.state is EntryState.SENT:
+            self._finish_not_run(entry, event.reason)
+
+    def _find_attempt(self, identity: RequestIdentity, attempt: int) -> Entry | None:
+        """Returns the entry whose last attempt is meant; earlier ones were shed and are over."""
+        entry = self._table.find(identity)
+        return entry if entry is not None and entry.attempt == attempt else None
+
+    # Claims of other instances.
+
+    def _forward(self, entry: Entry, writer: str) -> None:
+        member = self._live.get(writer)
+        if member is None:
+            self._finish_unknown(entry, REASON_WRITER_GONE, is_unresolved=True)
+            return
+        entry.state = EntryState.FORWARDED
+        entry.writer = member
+        self._send_to_writer(entry)
+
+    def _send_to_writer(self, entry: Entry) -> None:
+        message = ForwardedRequest(
+            origin=self._member, service=entry.service, request=entry.request
+        )
+        self._actions.append(SendToPeer(entry.writer, message))
+        entry.retry_at_ms = self._now_ms + self._parameters.forward_retry_ms
+        self._set_due(entry)
+
+    def _handle_peer_answer(self, event: PeerAnswered) -> None:
+        entry = self._table.find(event.identity)
+        if entry is None:
+            return
+        is_unknown = event.answer.status is AnswerStatus.OUTCOME_UNKNOWN
+        if entry.state is EntryState.FORWARDED:
+            self._finish(entry, event.answer, is_unresolved=is_unknown)
+        elif entry.is_unresolved and not is_unknown:
+            self._table.replace_answer(entry, event.answer)
+
+    def _handle_live(self, event: LiveInstancesChanged) -> None:
+        self._live = {format_member(member): member for member in event.live}
+        for entry in self._table.list_active():
+            if entry.state is not EntryState.FORWARDED:
+                continue
+            if format_member(entry.writer) not in self._live:
+                self._finish_unknown(entry, REASON_WRITER_GONE, is_unresolved=True)
+
+    # Time.
+
+    def _handle_tick(self) -> None:
+        for entry in self._table.pop_due(self._now_ms):
+            self._handle_due(entry)
+        for shard in range(SHARD_COUNT):
+            self._pump(shard)
+
+    def _handle_due(self, entry: Entry) -> None:
+        if entry.state is EntryState.BACKOFF:
+            self._send(entry)
+        elif self._now_ms >= entry.give_up_ms:
+            self._give_up(entry)
+        elif entry.state is EntryState.CLAIMING:
+            entry.refuse_reason = entry.refuse_reason or REASON_DEADLINE
+            entry.wish.kind = RecordKind.REFUSED
+            self._set_due(entry)
+        elif entry.state is EntryState.FORWARDED:
+            self._send_to_writer(entry)
+
+    def _give_up(self, entry: Entry) -> None:
+        if entry.state is EntryState.SENT:
+            self._finish_unknown(entry, REASON_UPSTREAM)
+        elif entry.state is EntryState.FORWARDED:
+            self._finish_unknown(entry, REASON_WRITER_SILENT, is_unresolved=True)
+        else:
+            self._pipelines[entry.wish.bucket.shard].drop_wish(entry.wish)
+            self._finish_unknown(entry, REASON_STORE, is_unresolved=True)
+
+    def _set_due(self, entry: Entry) -> None:
+        self._table.set_due(entry, compute_due(entry))
+
+    def _is_too_old(self, identity: RequestIdentity) -> bool:
+        return self._now_ms >= identity.issued_at_ms + self._parameters.claim_window_ms
+
+    # Answers.
+
+    def _finish_not_run(self, entry: Entry, reason: str) -> None:
+        self._finish(entry, WholeAnswer(AnswerStatus.NOT_RUN, reason=reason))
+
+    def _finish_unknown(self, entry: Entry, reason: str, is_unresolved: bool = False) -> None:
+        answer = WholeAnswer(AnswerStatus.OUTCOME_UNKNOWN, reason=reason)
+        self._finish(entry, answer, is_unresolved=is_unresolved)
+
+    def _finish(self, entry: Entry, answer: WholeAnswer, is_unresolved: bool = False) -> None:
+        for waiter in entry.waiters:
+            self._give(waiter, entry.identity, answer)
+        entry.is_unresolved = is_unresolved
+        self._table.settle(entry, answer)
+
+    def _give_unknown(self, event: RequestArrived, identity: RequestIdentity, reason: str) -> None:
+        waiter = Waiter(event.origin, event.request.flow)
+        self._give(waiter, identity, WholeAnswer(AnswerStatus.OUTCOME_UNKNOWN, reason=reason))
+
+    def _give(self, waiter: Waiter, identity: RequestIdentity, answer: WholeAnswer) -> None:
+        self._actions.append(GiveAnswer(waiter.origin, identity, waiter.flow, answer))
--- /dev/null
+++ b/src/catkinspread/requests/driver.py
@@ -0,0 +1,90 @@
+"""Executes the store actions of a claimer against an object store."""
+
+from absl import logging
+
+from catkinspread.objectstore import (
+    ObjectExists,
+    ObjectNotFound,
+    ObjectStore,
+    ObjectStoreError,
+    StoreUnavailable,
+    ValueTooLarge,
+    VersionConflict,
+)
+from catkinspread.requests.actions import (
+    BucketConflicted,
+    BucketRead,
+    BucketReadFailed,
+    BucketWriteUnavailable,
+    BucketWriteUnknown,
+    BucketWritten,
+    DeleteBucket,
+    ReadBucket,
+    StoreAction,
+    StoreEvent,
+    WriteBucket,
+)
+
+
+class ClaimStoreDriver:
+    """Turns store actions into store calls and their outcomes into events.
+
+    Errors that the store does not document count as an unknown outcome for a write, because
+    the write may have been sent.
+    """
+
+    __slots__ = ("_store",)
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+
+    async def execute(self, action: StoreAction) -> StoreEvent | None:
+        """Executes an action and returns its outcome; None for a deletion."""
+        match action:
+            case ReadBucket():
+                return await self._read(action)
+            case WriteBucket():
+                return await self._write(action)
+            case DeleteBucket():
+                await self._delete(action)
+        return None
+
+    async def _read(self, action: ReadBucket) -> StoreEvent:
+        bucket, operation = action.bucket, action.operation
+        try:
+            stored = await self._store.get(bucket.key)
+        except ObjectNotFound:
+            return BucketRead(bucket, operation, 0, b"")
+        except (ObjectStoreError, OSError) as error:
+            logging.warning("requests: bucket %s could not be read: %s", bucket.key, error)
+            return BucketReadFailed(bucket, operation)
+        return BucketRead(bucket, operation, stored.version, stored.value)
+
+    async def _write(self, action: WriteBucket) -> StoreEvent:
+        bucket, operation = action.bucket, action.operation
+        try:
+            version = await self._call_write(action)
+        except (ObjectExists, ObjectNotFound, VersionConflict):
+            return BucketConflicted(bucket, operation)
+        except (StoreUnavailable, ValueTooLarge) as error:
+            logging.warning("requests: bucket %s was not written: %s", bucket.key, error)
+            return BucketWriteUnavailable(bucket, operation)
+        except (ObjectStoreError, OSError) as error:
+            logging.warning("requests: write of bucket %s is unknown: %s", bucket.key, error)
+            return BucketWriteUnknown(bucket, operation)
+        return BucketWritten(bucket, operation, version)
+
+    async def _call_write(self, action: WriteBucket) -> int:
+        if action.expected_version == 0:
+            return await self._store.create(action.bucket.key, action.value)
+        return await self._store.update(action.bucket.key, action.value, action.expected_version)
+
+    async def _delete(self, action: DeleteBucket) -> None:
+        key = action.bucket.key
+        try:
+            stored = await self._store.get(key)
+            await self._store.delete(key, stored.version)
+        except ObjectNotFound:
+            return
+        except (ObjectStoreError, OSError) as error:
+            logging.warning("requests: old bucket %s was not deleted: %s", key, error)
--- /dev/null
+++ b/src/catkinspread/requests/entries.py
@@ -0,0 +1,194 @@
+"""The bounded table of requests that a claimer handles or has answered."""
+
+import enum
+import heapq
+import itertools
+from collections.abc import Iterator
+
+import msgspec
+from xxhash import xxh3_64_intdigest
+
+from catkinspread.model import OwnerMember
+from catkinspread.requests.identity import RequestIdentity
+from catkinspread.requests.messages import WholeAnswer
+from catkinspread.requests.parameters import RequestParameters
+from catkinspread.requests.shard_pipeline import ClaimWish
+from catkinspread.wire import AnswerStatus, Request
+
+
+class EntryState(enum.Enum):
+    """What an entry waits for.
+
+    CLAIMING: a record in its bucket.
+    SENT: the answer of the upstream.
+    BACKOFF: the time of a retry after a shed.
+    FORWARDED: the answer of the instance that wrote the claim.
+    ANSWERED: nothing; the answer is kept for repeats.
+    """
+
+    CLAIMING = "claiming"
+    SENT = "sent"
+    BACKOFF = "backoff"
+    FORWARDED = "forwarded"
+    ANSWERED = "answered"
+
+
+class Waiter(msgspec.Struct, frozen=True):
+    """A flow that asked, and the instance that it asked through."""
+
+    origin: OwnerMember
+    flow: int
+
+
+class Entry(msgspec.Struct, eq=False):
+    """A request in the table of a claimer.
+
+    Attributes:
+        identity: Identity of the request.
+        fingerprint: Hash of service and body; a repeat must have the same.
+        service: Service of the flow.
+        request: The latest copy of the request; None once it was answered.
+        deadline_ms: The request must be sent before this time.
+        give_up_ms: At this time the answer is OUTCOME_UNKNOWN.
+        wish: The record wanted in the bucket.
+        state: What the entry waits for.
+        waiters: Who gets the answer.
+        refuse_reason: Why it must not run; empty if it may.
+        attempt: Number of the last attempt; 0 if none was decided.
+        due_ms: When the entry needs a tick.
+        retry_at_ms: When a forwarded or shed request is sent again.
+        writer: Who wrote the claim, if it is another instance.
+        answer: The answer, once there is one.
+        is_unresolved: Whether the answer is OUTCOME_UNKNOWN without this instance having sent
+            the request. A repeat then looks at the bucket again.
+    """
+
+    identity: RequestIdentity
+    fingerprint: int
+    service: str
+    request: Request | None
+    deadline_ms: int
+    give_up_ms: int
+    wish: ClaimWish
+    state: EntryState = EntryState.CLAIMING
+    waiters: list[Waiter] = []
+    refuse_reason: str = ""
+    attempt: int = 0
+    due_ms: int = 0
+    retry_at_ms: int = 0
+    writer: OwnerMember | None = None
+    answer: WholeAnswer | None = None
+    is_unresolved: bool = False
+
+    @property
+    def is_unknown(self) -> bool:
+        """Whether the answer so far is OUTCOME_UNKNOWN."""
+        return self.answer is not None and self.answer.status is AnswerStatus.OUTCOME_UNKNOWN
+
+
+def compute_fingerprint(service: str, request: Request) -> int:
+    """Returns a hash of what must be equal in all copies of a request."""
+    return xxh3_64_intdigest(service.encode() + b"\x00" + request.body)
+
+
+def compute_due(entry: Entry) -> int:
+    """Returns when an active entry needs a tick, in ms."""
+    if entry.state is EntryState.BACKOFF:
+        return entry.retry_at_ms
+    if entry.state is EntryState.FORWARDED:
+        return min(entry.give_up_ms, entry.retry_at_ms)
+    if entry.state is EntryState.CLAIMING and not entry.refuse_reason:
+        return min(entry.give_up_ms, entry.deadline_ms)
+    return entry.give_up_ms
+
+
+class EntryTable:
+    """Holds active entries, the latest answered ones and the timers of the active ones."""
+
+    __slots__ = (
+        "_active",
+        "_answered",
+        "_answered_bytes",
+        "_counter",
+        "_parameters",
+        "_timers",
+    )
+
+    def __init__(self, parameters: RequestParameters) -> None:
+        self._parameters = parameters
+        self._active: dict[RequestIdentity, Entry] = {}
+        # In order of the time of the answer, oldest first.
+        self._answered: dict[RequestIdentity, Entry] = {}
+        self._answered_bytes = 0
+        self._timers: list[tuple[int, int, Entry]] = []
+        self._counter = itertools.count()
+
+    @property
+    def active_count(self) -> int:
+        """Number of entries without an answer."""
+        return len(self._active)
+
+    @property
+    def answered_count(self) -> int:
+        """Number of answers that are kept."""
+        return len(self._answered)
+
+    def find(self, identity: RequestIdentity) -> Entry | None:
+        """Returns the entry of a request, or None."""
+        return self._active.get(identity) or self._answered.get(identity)
+
+    def list_active(self) -> list[Entry]:
+        """Returns the entries without an answer."""
+        return list(self._active.values())
+
+    def activate(self, entry: Entry) -> None:
+        """Adds an entry, or takes it back from the answered ones."""
+        if self._answered.pop(entry.identity, None) is not None:
+            self._answered_bytes -= _measure(entry)
+        entry.answer = None
+        self._active[entry.identity] = entry
+
+    def set_due(self, entry: Entry, due_ms: int) -> None:
+        """Sets when an active entry needs a tick, replacing an earlier time."""
+        entry.due_ms = due_ms
+        heapq.heappush(self._timers, (due_ms, next(self._counter), entry))
+
+    def pop_due(self, now_ms: int) -> Iterator[Entry]:
+        """Returns the active entries whose time has come."""
+        while self._timers and self._timers[0][0] <= now_ms:
+            due_ms, _, entry = heapq.heappop(self._timers)
+            if entry.state is not EntryState.ANSWERED and entry.due_ms == due_ms:
+                yield entry
+
+    def settle(self, entry: Entry, answer: WholeAnswer) -> None:
+        """Moves an entry to the answered ones and evicts the oldest beyond the bounds."""
+        del self._active[entry.identity]
+        entry.state = EntryState.ANSWERED
+        entry.request = None
+        entry.waiters = []
+        entry.answer = answer
+        self._answered[entry.identity] = entry
+        self._answered_bytes += _measure(entry)
+        self._evict()
+
+    def replace_answer(self, entry: Entry, answer: WholeAnswer) -> None:
+        """Replaces the answer of an answered entry."""
+        if entry.identity not in self._answered:
+            return
+        self._answered_bytes -= _measure(entry)
+        entry.answer = answer
+        entry.is_unresolved = False
+        self._answered_bytes += _measure(entry)
+        self._evict()
+
+    def _evict(self) -> None:
+        while self._answered and (
+            len(self._answered) > self._parameters.answered_max
+            or self._answered_bytes > self._parameters.answered_bytes_max
+        ):
+            oldest = self._answered.pop(next(iter(self._answered)))
+            self._answered_bytes -= _measure(oldest)
+
+
+def _measure(entry: Entry) -> int:
+    return entry.answer.size_bytes if entry.answer is not None else 0
--- /dev/null
+++ b/src/catkinspread/requests/identity.py
@@ -0,0 +1,67 @@
+"""The identity of a request, its claim shard and its claim bucket."""
+
+import msgspec
+
+from catkinspread.hashing import hash_request
+from catkinspread.model import OwnerMember
+from catkinspread.wire import Request
+
+SHARD_COUNT = 16
+BUCKET_MS = 60_000
+_MINUTE_DIGITS = 10
+
+
+class RequestIdentity(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """What two copies of the same request have in common.
+
+    Attributes:
+        caller_id: From the request.
+        request_id: From the request.
+        issued_at_ms: From the request.
+    """
+
+    caller_id: str
+    request_id: str
+    issued_at_ms: int
+
+    @property
+    def claim_hash(self) -> int:
+        """The 64-bit hash under which the request is claimed."""
+        return hash_request(self.caller_id, self.request_id, self.issued_at_ms)
+
+
+class BucketId(msgspec.Struct, frozen=True, order=True):
+    """Names a claim bucket.
+
+    Attributes:
+        shard: Claim shard, from 0 to SHARD_COUNT - 1.
+        minute: `issued_at_ms` of its requests in whole minutes.
+    """
+
+    shard: int
+    minute: int
+
+    @property
+    def key(self) -> str:
+        """The key of the bucket object in the object store."""
+        return f"claims/{self.shard:02d}/{self.minute:0{_MINUTE_DIGITS}d}"
+
+
+def identify_request(request: Request) -> RequestIdentity:
+    """Returns the identity of a request."""
+    return RequestIdentity(request.caller_id, request.request_id, request.issued_at_ms)
+
+
+def find_shard(identity: RequestIdentity) -> int:
+    """Returns the claim shard of a request."""
+    return identity.claim_hash % SHARD_COUNT
+
+
+def find_bucket(identity: RequestIdentity) -> BucketId:
+    """Returns the bucket that holds the claim of a request."""
+    return BucketId(find_shard(identity), identity.issued_at_ms // BUCKET_MS)
+
+
+def format_member(member: OwnerMember) -> str:
+    """Returns the text that names one run of an instance in claims and in rendezvous order."""
+    return f"{member.instance}#{member.incarnation}"
--- /dev/null
+++ b/src/catkinspread/requests/messages.py
@@ -0,0 +1,64 @@
+"""Messages about requests between instances."""
+
+import msgspec
+
+from catkinspread.model import OwnerMember
+from catkinspread.requests.identity import RequestIdentity
+from catkinspread.wire import AnswerStatus, Request
+
+
+class WholeAnswer(msgspec.Struct, array_like=True, frozen=True):
+    """A complete answer to a request.
+
+    Attributes:
+        status: OK, NOT_RUN or OUTCOME_UNKNOWN.
+        parts: Bodies of the parts in order; at least one.
+        reason: Why the request was refused; empty for OK.
+    """
+
+    status: AnswerStatus
+    parts: tuple[bytes, ...] = (b"",)
+    reason: str = ""
+
+    @property
+    def size_bytes(self) -> int:
+        """Size of all bodies in bytes."""
+        return sum(len(part) for part in self.parts)
+
+
+class ForwardedRequest(
+    msgspec.Struct, array_like=True, frozen=True, tag="forwarded-request", kw_only=True
+):
+    """Hands a non-idempotent request to the claimer of its shard or the writer of its claim.
+
+    Attributes:
+        origin: The instance that wants the answer.
+        service: Service of the flow.
+        request: The request, with its flow filled in.
+        is_for_writer: Whether the receiver is named as the writer of the claim. It must not
+            be forwarded again.
+    """
+
+    origin: OwnerMember
+    service: str
+    request: Request
+    is_for_writer: bool = False
+
+
+class ForwardedAnswer(
+    msgspec.Struct, array_like=True, frozen=True, tag="forwarded-answer", kw_only=True
+):
+    """Returns the answer to a forwarded request.
+
+    Attributes:
+        identity: Identity of the request.
+        flow: Flow that asked.
+        answer: The whole answer.
+    """
+
+    identity: RequestIdentity
+    flow: int
+    answer: WholeAnswer
+
+
+PeerMessage = ForwardedRequest | ForwardedAnswer
--- /dev/null
+++ b/src/catkinspread/requests/shard_pipeline.py
@@ -0,0 +1,240 @@
+"""Reads and conditional writes of the claim buckets of one shard.
+
+The pipeline never concludes anything from the outcome of a call that failed. A wish is settled
+only by a record that is seen in the bucket: in the answer to a read, or in the content of a
+conditional write that succeeded. A write with unknown outcome is followed by a read and, if
+the record is still missing, by a further write that is conditional on the version read. When
+that one succeeds, the earlier write can no longer take effect, because its expected version
+has passed.
+"""
+
+import msgspec
+
+from catkinspread.requests.actions import (
+    BucketConflicted,
+    BucketRead,
+    BucketReadFailed,
+    BucketWriteUnavailable,
+    BucketWriteUnknown,
+    BucketWritten,
+    ReadBucket,
+    StoreAction,
+    StoreEvent,
+    WriteBucket,
+)
+from catkinspread.requests.bucket import (
+    RECORD_BYTES,
+    BucketError,
+    ClaimRecord,
+    ClaimRecords,
+    RecordKind,
+    decode_bucket,
+    encode_bucket,
+    estimate_size,
+)
+from catkinspread.requests.identity import BucketId, RequestIdentity
+from catkinspread.requests.parameters import RequestParameters
+
+
+class ClaimWish(msgspec.Struct, eq=False):
+    """A record that this instance wants in a bucket.
+
+    Attributes:
+        identity: Identity of the request.
+        bucket: The bucket of the request.
+        claim_hash: The hash of the request.
+        kind: Which record is wanted; a claim becomes a tombstone at the deadline.
+        is_attempted: Whether a write with a record of this wish was started. If it was not,
+            a record of this instance is older than the wish, and its history is lost.
+    """
+
+    identity: RequestIdentity
+    bucket: BucketId
+    claim_hash: int
+    kind: RecordKind = RecordKind.CLAIMED
+    is_attempted: bool = False
+
+
+class SettledWish(msgspec.Struct, frozen=True):
+    """A wish and the record that decides about it."""
+
+    wish: ClaimWish
+    record: ClaimRecord
+
+
+class _Bucket(msgspec.Struct, eq=False):
+    version: int = 0
+    records: ClaimRecords = {}
+    is_known: bool = False
+    wishes: dict[int, ClaimWish] = {}
+
+
+class _Operation(msgspec.Struct, eq=False):
+    number: int
+    bucket: BucketId
+    started_at_ms: int
+    records: ClaimRecords | None
+
+
+class ShardPipeline:
+    """Has at most one store call in flight for its shard."""
+
+    __slots__ = (
+        "_buckets",
+        "_next_number",
+        "_next_write_ms",
+        "_operation",
+        "_parameters",
+        "_pause_ms",
+        "_resume_ms",
+        "_writer",
+    )
+
+    def __init__(self, writer: str, parameters: RequestParameters) -> None:
+        self._writer = writer
+        self._parameters = parameters
+        # In order of use: the first one is served next.
+        self._buckets: dict[BucketId, _Bucket] = {}
+        self._operation: _Operation | None = None
+        self._next_number = 1
+        self._next_write_ms = 0
+        self._pause_ms = 0
+        self._resume_ms = 0
+
+    def add_wish(self, wish: ClaimWish) -> ClaimRecord | None:
+        """Adds a wish, or returns the record that decides about it if one is known.
+
+        Raises:
+            ValueError: If another wish with the same hash is open.
+        """
+        bucket = self._buckets.setdefault(wish.bucket, _Bucket())
+        record = bucket.records.get(wish.claim_hash) if bucket.is_known else None
+        if record is not None:
+            return record
+        if wish.claim_hash in bucket.wishes:
+            raise ValueError(f"claim hash {wish.claim_hash} has a wish already")
+        bucket.wishes[wish.claim_hash] = wish
+        return None
+
+    def has_wish(self, bucket_id: BucketId, claim_hash: int) -> bool:
+        """Returns whether a wish with this hash is open."""
+        bucket = self._buckets.get(bucket_id)
+        return bucket is not None and claim_hash in bucket.wishes
+
+    def drop_wish(self, wish: ClaimWish) -> None:
+        """Forgets a wish; a write in flight may still take effect."""
+        bucket = self._buckets.get(wish.bucket)
+        if bucket is not None:
+            bucket.wishes.pop(wish.claim_hash, None)
+
+    def handle(self, event: StoreEvent, now_ms: int) -> list[SettledWish]:
+        """Takes the result of a store call and returns the wishes that it settles."""
+        operation = self._operation
+        if operation is None or event.operation != operation.number:
+            return []
+        self._operation = None
+        bucket = self._buckets[operation.bucket]
+        match event:
+            case BucketRead():
+                return self._learn(bucket, event, now_ms)
+            case BucketWritten():
+                self._pause_ms = 0
+                bucket.version = event.version
+                bucket.records = operation.records or {}
+                return self._settle(bucket)
+            case BucketConflicted() | BucketWriteUnknown():
+                bucket.is_known = False
+            case BucketReadFailed() | BucketWriteUnavailable():
+                self._pause(now_ms)
+        return []
+
+    def start_call(self, now_ms: int) -> list[StoreAction]:
+        """Returns the next store call, if one is due and none is in flight."""
+        self._abandon_late_call(now_ms)
+        if self._operation is not None or now_ms < self._resume_ms:
+            return []
+        for bucket_id, bucket in self._buckets.items():
+            if not bucket.wishes:
+                continue
+            action = self._start(bucket_id, bucket, now_ms)
+            if action is not None:
+                self._buckets[bucket_id] = self._buckets.pop(bucket_id)
+                self._evict_idle()
+                return [action]
+        return []
+
+    def _start(self, bucket_id: BucketId, bucket: _Bucket, now_ms: int) -> StoreAction | None:
+        if not bucket.is_known:
+            operation = self._begin(bucket_id, None, now_ms)
+            return ReadBucket(bucket_id, operation.number)
+        if now_ms < self._next_write_ms:
+            return None
+        wishes = self._select_wishes(bucket)
+        if not wishes:
+            return None
+        records = dict(bucket.records)
+        for wish in wishes:
+            wish.is_attempted = True
+            records[wish.claim_hash] = ClaimRecord(self._writer, wish.kind)
+        self._next_write_ms = now_ms + self._parameters.claim_batch_ms
+        operation = self._begin(bucket_id, records, now_ms)
+        return WriteBucket(bucket_id, operation.number, encode_bucket(records), bucket.version)
+
+    def _select_wishes(self, bucket: _Bucket) -> list[ClaimWish]:
+        free_bytes = self._parameters.bucket_bytes_max - estimate_size(bucket.records)
+        return list(bucket.wishes.values())[: max(0, free_bytes // RECORD_BYTES)]
+
+    def _begin(self, bucket_id: BucketId, records: ClaimRecords | None, now_ms: int) -> _Operation:
+        operation = _Operation(self._next_number, bucket_id, now_ms, records)
+        self._operation = operation
+        self._next_number += 1
+        return operation
+
+    def _learn(self, bucket: _Bucket, event: BucketRead, now_ms: int) -> list[SettledWish]:
+        try:
+            records = decode_bucket(event.value) if event.version else {}
+        except BucketError:
+            self._pause(now_ms)
+            return []
+        self._pause_ms = 0
+        bucket.version = event.version
+        bucket.records = records
+        bucket.is_known = True
+        return self._settle(bucket)
+
+    def _settle(self, bucket: _Bucket) -> list[SettledWish]:
+        settled = [
+            SettledWish(wish, bucket.records[claim_hash])
+            for claim_hash, wish in bucket.wishes.items()
+            if claim_hash in bucket.records
+        ]
+        for item in settled:
+            del bucket.wishes[item.wish.claim_hash]
+        return settled
+
+    def _abandon_late_call(self, now_ms: int) -> None:
+        operation = self._operation
+        if operation is None:
+            return
+        if now_ms < operation.started_at_ms + self._parameters.store_timeout_ms:
+            return
+        self._operation = None
+        self._buckets[operation.bucket].is_known = False
+
+    def _pause(self, now_ms: int) -> None:
+        doubled_ms = max(self._parameters.store_retry_min_ms, 2 * self._pause_ms)
+        self._pause_ms = min(doubled_ms, self._parameters.store_retry_max_ms)
+        self._resume_ms = now_ms + self._pause_ms
+
+    def _evict_idle(self) -> None:
+        excess = len(self._buckets) - self._parameters.buckets_max
+        if excess <= 0:
+            return
+        busy = self._operation.bucket if self._operation is not None else None
+        idle = [
+            bucket_id
+            for bucket_id, bucket in self._buckets.items()
+            if not bucket.wishes and bucket_id != busy
+        ]
+        for bucket_id in idle[:excess]:
+            del self._buckets[bucket_id]
--- /dev/null
+++ b/src/catkinspread/requests/sweeper.py
@@ -0,0 +1,41 @@
+"""Finds the claim buckets that are older than the claim window."""
+
+from catkinspread.requests.actions import DeleteBucket
+from catkinspread.requests.identity import BUCKET_MS, SHARD_COUNT, BucketId
+from catkinspread.requests.parameters import RequestParameters
+
+# A bucket stays this much longer than its requests may run. It is far above the clock skew,
+# and a call that the store delays cannot bring back a bucket that still matters.
+_MARGIN_MS = 2 * BUCKET_MS
+# An instance that becomes the claimer of a shard looks this far back for buckets that nobody
+# deleted. Older ones stay until an operator removes them.
+_CATCH_UP_MINUTES = 60
+
+
+class BucketSweeper:
+    """Walks over the minutes of each shard, at most one bucket for each shard and call."""
+
+    __slots__ = ("_next_minute", "_parameters")
+
+    def __init__(self, parameters: RequestParameters) -> None:
+        self._parameters = parameters
+        self._next_minute = [-1] * SHARD_COUNT
+
+    def sweep(self, shards: frozenset[int], now_ms: int) -> list[DeleteBucket]:
+        """Returns the next buckets to delete in the shards that this instance serves.
+
+        A bucket whose deletion fails is left to the next claimer's catch-up.
+        """
+        age_ms = self._parameters.claim_window_ms + BUCKET_MS + _MARGIN_MS
+        last = (now_ms - age_ms) // BUCKET_MS
+        actions: list[DeleteBucket] = []
+        for shard in range(SHARD_COUNT):
+            if shard not in shards:
+                self._next_minute[shard] = -1
+                continue
+            if self._next_minute[shard] < 0:
+                self._next_minute[shard] = max(0, last - _CATCH_UP_MINUTES)
+            if self._next_minute[shard] <= last:
+                actions.append(DeleteBucket(BucketId(shard, self._next_minute[shard])))
+                self._next_minute[shard] += 1
+        return actions
