Add the request handler with matching, forwarding and retries

Cause: the claimer needs an instance around it that hands requests to the claimer of their shard, matches answers and retries idempotent requests. Change: RequestHandler ties AnswerMatcher, RetryBudget, Claimer, the table of forwarded requests and the idempotent requests together; it has no sockets and reads no clock.

--- a/src/catkinspread/requests/__init__.py
+++ b/src/catkinspread/requests/__init__.py
@@ -1,1 +1,111 @@
-"""Request handling: at-most-once claims, matching of answers, and retries."""
+"""Request handling: at-most-once claims, matching of answers, and retries.
+
+The logic takes events and times and returns typed actions; `ClaimStoreDriver` executes the
+store actions. See docs/requests.md.
+"""
+
+from catkinspread.requests.actions import (
+    AnswerCaller,
+    BucketConflicted,
+    BucketRead,
+    BucketReadFailed,
+    BucketWriteUnavailable,
+    BucketWriteUnknown,
+    BucketWritten,
+    DeleteBucket,
+    GiveAnswer,
+    HandlerAction,
+    LiveInstancesChanged,
+    PeerAnswered,
+    ReadBucket,
+    RequestArrived,
+    SendRefused,
+    SendToPeer,
+    SendToUpstream,
+    StoreAction,
+    StoreEvent,
+    Tick,
+    UpstreamAnswered,
+    UpstreamShed,
+    WriteBucket,
+)
+from catkinspread.requests.bucket import (
+    BucketError,
+    ClaimRecord,
+    RecordKind,
+    decode_bucket,
+    encode_bucket,
+)
+from catkinspread.requests.claimer import Claimer
+from catkinspread.requests.driver import ClaimStoreDriver
+from catkinspread.requests.handler import RequestHandler, split_answer
+from catkinspread.requests.identity import (
+    BUCKET_MS,
+    SHARD_COUNT,
+    BucketId,
+    RequestIdentity,
+    find_bucket,
+    find_shard,
+    identify_request,
+)
+from catkinspread.requests.matching import AnswerMatcher, Attempt, MatchedAnswer
+from catkinspread.requests.messages import (
+    ForwardedAnswer,
+    ForwardedRequest,
+    PeerMessage,
+    WholeAnswer,
+)
+from catkinspread.requests.parameters import RequestParameters
+from catkinspread.requests.retries import RetryBudget, RetryPolicy
+
+__all__ = [
+    "BUCKET_MS",
+    "SHARD_COUNT",
+    "AnswerCaller",
+    "AnswerMatcher",
+    "Attempt",
+    "BucketConflicted",
+    "BucketError",
+    "BucketId",
+    "BucketRead",
+    "BucketReadFailed",
+    "BucketWriteUnavailable",
+    "BucketWriteUnknown",
+    "BucketWritten",
+    "ClaimRecord",
+    "ClaimStoreDriver",
+    "Claimer",
+    "DeleteBucket",
+    "ForwardedAnswer",
+    "ForwardedRequest",
+    "GiveAnswer",
+    "HandlerAction",
+    "LiveInstancesChanged",
+    "MatchedAnswer",
+    "PeerAnswered",
+    "PeerMessage",
+    "ReadBucket",
+    "RecordKind",
+    "RequestArrived",
+    "RequestHandler",
+    "RequestIdentity",
+    "RequestParameters",
+    "RetryBudget",
+    "RetryPolicy",
+    "SendRefused",
+    "SendToPeer",
+    "SendToUpstream",
+    "StoreAction",
+    "StoreEvent",
+    "Tick",
+    "UpstreamAnswered",
+    "UpstreamShed",
+    "WholeAnswer",
+    "WriteBucket",
+    "decode_bucket",
+    "encode_bucket",
+    "find_bucket",
+    "find_shard",
+    "identify_request",
+    "split_answer",
+]
--- /dev/null
+++ b/src/catkinspread/requests/forwarding.py
@@ -0,0 +1,116 @@
+"""Requests that an instance forwarded to the claimer of their shard."""
+
+import heapq
+import itertools
+
+import msgspec
+
+from catkinspread.hashing import rank_by_rendezvous
+from catkinspread.model import OwnerMember
+from catkinspread.requests.idempotent import FlowRequest
+from catkinspread.requests.identity import SHARD_COUNT, find_shard
+from catkinspread.requests.parameters import RequestParameters
+from catkinspread.wire import Request
+
+
+class ForwardedEntry(msgspec.Struct, eq=False):
+    """A request that waits for the answer of its claimer.
+
+    Attributes:
+        key: Identity and flow.
+        service: Service of the flow.
+        request: The request.
+        give_up_ms: At this time the caller is told that the outcome is unknown.
+        due_ms: When the request is forwarded again.
+    """
+
+    key: FlowRequest
+    service: str
+    request: Request
+    give_up_ms: int
+    due_ms: int = 0
+
+
+def rank_claimers(live: frozenset[OwnerMember]) -> list[OwnerMember]:
+    """Returns the claimer of each shard: the first live member in rendezvous order.
+
+    Of two incarnations of an instance, the later one counts.
+    """
+    latest: dict[str, OwnerMember] = {}
+    for member in sorted(live, key=lambda item: item.incarnation):
+        latest[member.instance] = member
+    return [
+        latest[rank_by_rendezvous(f"claims/{shard}", latest)[0]] for shard in range(SHARD_COUNT)
+    ]
+
+
+class ForwardTable:
+    """Remembers forwarded requests until they are answered; each is repeated until then."""
+
+    __slots__ = ("_claimers", "_counter", "_entries", "_parameters", "_timers")
+
+    def __init__(self, member: OwnerMember, parameters: RequestParameters) -> None:
+        self._parameters = parameters
+        self._claimers = rank_claimers(frozenset([member]))
+        self._entries: dict[FlowRequest, ForwardedEntry] = {}
+        self._timers: list[tuple[int, int, ForwardedEntry]] = []
+        self._counter = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def find_claimer(self, entry: ForwardedEntry) -> OwnerMember:
+        """Returns the claimer of a request in the current view."""
+        return self._claimers[find_shard(entry.key.identity)]
+
+    def list_served(self, member: OwnerMember) -> frozenset[int]:
+        """Returns the shards whose claimer an instance is."""
+        return frozenset(shard for shard, claimer in enumerate(self._claimers) if claimer == member)
+
+    def set_live(self, live: frozenset[OwnerMember]) -> list[ForwardedEntry]:
+        """Takes the live instances and returns the requests whose claimer changed."""
+        earlier = self._claimers
+        self._claimers = rank_claimers(live)
+        return [
+            entry
+            for entry in self._entries.values()
+            if self.find_claimer(entry) != earlier[find_shard(entry.key.identity)]
+        ]
+
+    def add(
+        self, key: FlowRequest, service: str, request: Request, now_ms: int
+    ) -> ForwardedEntry | None:
+        """Adds a request; returns None if the table is full.
+
+        A repeat of a pending request returns the pending entry.
+        """
+        entry = self._entries.get(key)
+        if entry is not None:
+            return entry
+        if len(self._entries) >= self._parameters.pending_max:
+            return None
+        # The claimer may use one grace period itself; its answer needs time to arrive.
+        wait_ms = self._parameters.clock_skew_max_ms + 2 * self._parameters.settle_grace_ms
+        give_up_ms = max(request.deadline_ms, now_ms) + wait_ms
+        entry = ForwardedEntry(key, service, request, give_up_ms)
+        self._entries[key] = entry
+        return entry
+
+    def remove(self, key: FlowRequest) -> bool:
+        """Removes a request and returns whether it was pending."""
+        return self._entries.pop(key, None) is not None
+
+    def schedule(self, entry: ForwardedEntry, now_ms: int) -> None:
+        """Sets the time of the next repetition, counted from now."""
+        due_ms = min(now_ms + self._parameters.forward_retry_ms, entry.give_up_ms)
+        entry.due_ms = due_ms
+        heapq.heappush(self._timers, (due_ms, next(self._counter), entry))
+
+    def pop_due(self, now_ms: int) -> list[ForwardedEntry]:
+        """Returns the pending requests whose time has come."""
+        due: list[ForwardedEntry] = []
+        while self._timers and self._timers[0][0] <= now_ms:
+            due_ms, _, entry = heapq.heappop(self._timers)
+            if self._entries.get(entry.key) is entry and entry.due_ms == due_ms:
+                due.append(entry)
+        return due
--- /dev/null
+++ b/src/catkinspread/requests/handler.py
@@ -0,0 +1,278 @@
+"""The request handling of one instance, free of sockets."""
+
+import random
+
+from catkinspread.model import OwnerMember
+from catkinspread.requests.actions import (
+    AnswerCaller,
+    ClaimerAction,
+    ClaimerEvent,
+    GiveAnswer,
+    HandlerAction,
+    LiveInstancesChanged,
+    PeerAnswered,
+    RequestArrived,
+    SendRefused,
+    SendToPeer,
+    SendToUpstream,
+    StoreEvent,
+    Tick,
+    UpstreamAnswered,
+    UpstreamShed,
+)
+from catkinspread.requests.claimer import Claimer
+from catkinspread.requests.forwarding import ForwardedEntry, ForwardTable
+from catkinspread.requests.idempotent import FlowRequest, IdempotentRequests
+from catkinspread.requests.identity import RequestIdentity, identify_request
+from catkinspread.requests.matching import (
+    ATTEMPT_SEPARATOR,
+    AnswerMatcher,
+    Attempt,
+    MatchedAnswer,
+)
+from catkinspread.requests.messages import (
+    ForwardedAnswer,
+    ForwardedRequest,
+    PeerMessage,
+    WholeAnswer,
+)
+from catkinspread.requests.parameters import RequestParameters
+from catkinspread.requests.reasons import (
+    REASON_NO_ANSWER,
+    REASON_QUEUE_FULL,
+    REASON_REQUEST_ID,
+)
+from catkinspread.requests.retries import RetryBudget, RetryPolicy
+from catkinspread.requests.sweeper import BucketSweeper
+from catkinspread.wire import Answer, AnswerStatus, Request
+
+# The first separates the texts of a hash, the second the number of an attempt.
+_RESERVED = ("\x00", ATTEMPT_SEPARATOR)
+_SWEEP_INTERVAL_MS = 1_000
+
+
+def split_answer(identity: RequestIdentity, flow: int, answer: WholeAnswer) -> AnswerCaller:
+    """Returns the packets of a whole answer for the caller."""
+    part_count = len(answer.parts)
+    return AnswerCaller(
+        flow,
+        tuple(
+            Answer(
+                flow=flow,
+                caller_id=identity.caller_id,
+                request_id=identity.request_id,
+                status=answer.status,
+                part=part,
+                part_count=part_count,
+                body=body,
+                reason=answer.reason,
+            )
+            for part, body in enumerate(answer.parts)
+        ),
+    )
+
+
+class RequestHandler:
+    """Ties the matcher, the retry budget and the claimer of one instance together.
+
+    Every method takes the current time in ms and returns the actions to execute, in order.
+
+    Attributes:
+        matcher: Matches the answers of upstreams; its counters are metrics.
+        budget: The retry budget.
+        claimer: The claimer.
+        late_answer_count: Answers of other instances that no caller waits for any more.
+    """
+
+    __slots__ = (
+        "_forwards",
+        "_idempotent",
+        "_member",
+        "_next_sweep_ms",
+        "_parameters",
+        "_sweeper",
+        "budget",
+        "claimer",
+        "late_answer_count",
+        "matcher",
+    )
+
+    def __init__(
+        self,
+        member: OwnerMember,
+        random_source: random.Random,
+        parameters: RequestParameters | None = None,
+    ) -> None:
+        self._member = member
+        self._parameters = parameters or RequestParameters()
+        self.budget = RetryBudget()
+        policy = RetryPolicy(self._parameters, self.budget, random_source)
+        self.matcher = AnswerMatcher(self._parameters)
+        self.claimer = Claimer(member, self._parameters, policy)
+        self.late_answer_count = 0
+        self._idempotent = IdempotentRequests(member, self._parameters, policy)
+        self._forwards = ForwardTable(member, self._parameters)
+        self._sweeper = BucketSweeper(self._parameters)
+        self._next_sweep_ms = 0
+
+    def handle_request(
+        self, service: str, request: Request, now_ms: int, refuse_reason: str = ""
+    ) -> list[HandlerAction]:
+        """Takes a request from a caller.
+
+        Args:
+            service: Service of the flow.
+            request: The request with its flow filled in.
+            now_ms: The time.
+            refuse_reason: Why the request must not run, if limits refuse it; else empty.
+        """
+        key = FlowRequest(identify_request(request), request.flow)
+        if _has_reserved_character(request):
+            return [self._make_unknown(key, REASON_REQUEST_ID)]
+        if request.idempotent:
+            actions = self._idempotent.handle_request(service, request, now_ms, refuse_reason)
+            return self._translate(actions, now_ms)
+        entry = self._forwards.add(key, service, request, now_ms)
+        if entry is None:
+            return [self._make_unknown(key, REASON_QUEUE_FULL)]
+        return self._hand_over(entry, now_ms, refuse_reason)
+
+    def handle_peer_message(self, message: PeerMessage, now_ms: int) -> list[HandlerAction]:
+        """Takes a message from another instance.
+
+        A forwarded request is claimed here even if another instance is the claimer in the
+        view of this one. Forwarding it on could make it circle between different views.
+        """
+        match message:
+            case ForwardedRequest():
+                event = RequestArrived(message.origin, message.service, message.request)
+                return self._claim(event, now_ms)
+            case ForwardedAnswer():
+                return self._handle_peer_answer(message, now_ms)
+
+    def handle_upstream_answer(self, answer: Answer, now_ms: int) -> list[HandlerAction]:
+        """Takes a part of an answer from an upstream."""
+        matched = self.matcher.accept(answer)
+        if matched is None:
+            return []
+        attempt = matched.attempt
+        if attempt.is_idempotent:
+            actions = self._idempotent.handle_answer(attempt, matched.answer, now_ms)
+            return self._translate(actions, now_ms)
+        return self._claim(_make_upstream_event(matched), now_ms)
+
+    def handle_store_event(self, event: StoreEvent, now_ms: int) -> list[HandlerAction]:
+        """Takes the outcome of a store action."""
+        return self._claim(event, now_ms)
+
+    def handle_send_refused(
+        self, action: SendToUpstream, reason: str, now_ms: int
+    ) -> list[HandlerAction]:
+        """Takes the report that a request was not sent and will not be."""
+        self.matcher.forget(_make_attempt_name(action))
+        if not action.is_idempotent:
+            event = SendRefused(action.identity, action.attempt, reason)
+            return self._claim(event, now_ms)
+        flow = action.request.flow
+        actions = self._idempotent.handle_send_refused(action.identity, flow, reason)
+        return self._translate(actions, now_ms)
+
+    def set_live_instances(self, live: frozenset[OwnerMember], now_ms: int) -> list[HandlerAction]:
+        """Takes the live instances as membership sees them."""
+        live = live | {self._member}
+        moved = self._forwards.set_live(live)
+        actions = self._claim(LiveInstancesChanged(live), now_ms)
+        for entry in moved:
+            actions += self._hand_over(entry, now_ms)
+        return actions
+
+    def tick(self, now_ms: int) -> list[HandlerAction]:
+        """Does what is due; called every 10 to 50 ms."""
+        self.matcher.tick(now_ms)
+        actions = self._claim(Tick(), now_ms)
+        actions += self._translate(self._idempotent.tick(now_ms), now_ms)
+        for entry in self._forwards.pop_due(now_ms):
+            actions += self._repeat(entry, now_ms)
+        if now_ms >= self._next_sweep_ms:
+            self._next_sweep_ms = now_ms + _SWEEP_INTERVAL_MS
+            actions += self._sweeper.sweep(self._forwards.list_served(self._member), now_ms)
+        return actions
+
+    def _claim(self, event: ClaimerEvent, now_ms: int) -> list[HandlerAction]:
+        return self._translate(self.claimer.handle(event, now_ms), now_ms)
+
+    def _hand_over(
+        self, entry: ForwardedEntry, now_ms: int, refuse_reason: str = ""
+    ) -> list[HandlerAction]:
+        self._forwards.schedule(entry, now_ms)
+        claimer = self._forwards.find_claimer(entry)
+        # A refusal is claimed here: the claimer does not know the limits of this instance.
+        if claimer == self._member or refuse_reason:
+            event = RequestArrived(self._member, entry.service, entry.request, refuse_reason)
+            return self._claim(event, now_ms)
+        message = ForwardedRequest(
+            origin=self._member, service=entry.service, request=entry.request
+        )
+        return [SendToPeer(claimer, message)]
+
+    def _repeat(self, entry: ForwardedEntry, now_ms: int) -> list[HandlerAction]:
+        if now_ms < entry.give_up_ms:
+            return self._hand_over(entry, now_ms)
+        self._forwards.remove(entry.key)
+        return [self._make_unknown(entry.key, REASON_NO_ANSWER)]
+
+    def _handle_peer_answer(self, message: ForwardedAnswer, now_ms: int) -> list[HandlerAction]:
+        # The answer may be for a caller of this instance, for the claimer of this instance
+        # that asked the writer of the claim, or for both.
+        actions = self._claim(PeerAnswered(message.identity, message.answer), now_ms)
+        if self._forwards.remove(FlowRequest(message.identity, message.flow)):
+            actions.append(split_answer(message.identity, message.flow, message.answer))
+        elif not actions:
+            self.late_answer_count += 1
+        return actions
+
+    def _translate(self, actions: list[ClaimerAction], now_ms: int) -> list[HandlerAction]:
+        translated: list[HandlerAction] = []
+        for action in actions:
+            match action:
+                case GiveAnswer():
+                    translated += self._give(action)
+                case SendToUpstream():
+                    translated += self._send(action, now_ms)
+                case _:
+                    translated.append(action)
+        return translated
+
+    def _give(self, action: GiveAnswer) -> list[HandlerAction]:
+        if action.origin == self._member:
+            self._forwards.remove(FlowRequest(action.identity, action.flow))
+            return [split_answer(action.identity, action.flow, action.answer)]
+        message = ForwardedAnswer(identity=action.identity, flow=action.flow, answer=action.answer)
+        return [SendToPeer(action.origin, message)]
+
+    def _send(self, action: SendToUpstream, now_ms: int) -> list[HandlerAction]:
+        expires_at_ms = action.not_after_ms + self._parameters.late_answer_ms
+        if self.matcher.expect(_make_attempt_name(action), expires_at_ms):
+            return [action]
+        return self.handle_send_refused(action, REASON_QUEUE_FULL, now_ms)
+
+    def _make_unknown(self, key: FlowRequest, reason: str) -> AnswerCaller:
+        answer = WholeAnswer(AnswerStatus.OUTCOME_UNKNOWN, reason=reason)
+        return split_answer(key.identity, key.flow, answer)
+
+
+def _has_reserved_character(request: Request) -> bool:
+    texts = (request.request_id, request.caller_id)
+    return any(character in text for text in texts for character in _RESERVED)
+
+
+def _make_attempt_name(action: SendToUpstream) -> Attempt:
+    return Attempt(action.identity, action.request.flow, action.attempt, action.is_idempotent)
+
+
+def _make_upstream_event(matched: MatchedAnswer) -> UpstreamAnswered | UpstreamShed:
+    attempt = matched.attempt
+    # An upstream that says NOT_RUN did not start the attempt either.
+    if matched.answer.status in (AnswerStatus.SHED, AnswerStatus.NOT_RUN):
+        return UpstreamShed(attempt.identity, attempt.number)
+    return UpstreamAnswered(attempt.identity, attempt.number, matched.answer)
--- /dev/null
+++ b/src/catkinspread/requests/idempotent.py
@@ -0,0 +1,163 @@
+"""Requests that may run more than once: sent at once, retried within the budget.
+
+They have no claim, so nothing proves that no copy ran. They are never answered NOT_RUN.
+"""
+
+import heapq
+import itertools
+
+import msgspec
+
+from catkinspread.model import OwnerMember
+from catkinspread.requests.actions import GiveAnswer, SendToUpstream
+from catkinspread.requests.identity import RequestIdentity, identify_request
+from catkinspread.requests.matching import Attempt, make_attempt
+from catkinspread.requests.messages import WholeAnswer
+from catkinspread.requests.parameters import RequestParameters
+from catkinspread.requests.reasons import (
+    REASON_DEADLINE,
+    REASON_QUEUE_FULL,
+    REASON_SHED,
+    REASON_UPSTREAM,
+)
+from catkinspread.requests.retries import RetryPolicy
+from catkinspread.wire import AnswerStatus, Request
+
+
+class FlowRequest(msgspec.Struct, frozen=True):
+    """Names a request of one flow; a copy on another flow is another one."""
+
+    identity: RequestIdentity
+    flow: int
+
+
+class _Pending(msgspec.Struct, eq=False):
+    key: FlowRequest
+    service: str
+    request: Request
+    attempt: int = 0
+    is_sent: bool = False
+    due_ms: int = 0
+
+
+IdempotentAction = SendToUpstream | GiveAnswer
+
+
+class IdempotentRequests:
+    """Handles the idempotent requests that callers hand to one instance."""
+
+    __slots__ = ("_counter", "_member", "_parameters", "_pending", "_retry_policy", "_timers")
+
+    def __init__(
+        self, member: OwnerMember, parameters: RequestParameters, retry_policy: RetryPolicy
+    ) -> None:
+        self._member = member
+        self._parameters = parameters
+        self._retry_policy = retry_policy
+        self._pending: dict[FlowRequest, _Pending] = {}
+        self._timers: list[tuple[int, int, _Pending]] = []
+        self._counter = itertools.count()
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def handle_request(
+        self, service: str, request: Request, now_ms: int, refuse_reason: str = ""
+    ) -> list[IdempotentAction]:
+        """Sends a request, unless a copy of the same flow is pending."""
+        key = FlowRequest(identify_request(request), request.flow)
+        if key in self._pending:
+            return []
+        if not refuse_reason and now_ms >= request.deadline_ms:
+            refuse_reason = REASON_DEADLINE
+        if not refuse_reason and len(self._pending) >= self._parameters.pending_max:
+            refuse_reason = REASON_QUEUE_FULL
+        if refuse_reason:
+            return [self._give_unknown(key, refuse_reason)]
+        pending = _Pending(key, service, request)
+        self._pending[key] = pending
+        self._retry_policy.budget.record_request(service, now_ms)
+        return [self._send(pending, now_ms)]
+
+    def handle_answer(
+        self, attempt: Attempt, answer: WholeAnswer, now_ms: int
+    ) -> list[IdempotentAction]:
+        """Takes the whole answer of any attempt; the first one wins."""
+        key = FlowRequest(attempt.identity, attempt.flow)
+        pending = self._pending.get(key)
+        if pending is None:
+            return []
+        if answer.status in (AnswerStatus.SHED, AnswerStatus.NOT_RUN):
+            return self._handle_shed(pending, attempt, now_ms)
+        del self._pending[key]
+        return [GiveAnswer(self._member, key.identity, key.flow, answer)]
+
+    def handle_send_refused(
+        self, identity: RequestIdentity, flow: int, reason: str
+    ) -> list[IdempotentAction]:
+        """Answers a request whose attempt was not sent."""
+        key = FlowRequest(identity, flow)
+        if key not in self._pending:
+            return []
+        del self._pending[key]
+        return [self._give_unknown(key, reason)]
+
+    def tick(self, now_ms: int) -> list[IdempotentAction]:
+        """Sends retries that are due and answers requests whose deadline has passed."""
+        actions: list[IdempotentAction] = []
+        while self._timers and self._timers[0][0] <= now_ms:
+            due_ms, _, pending = heapq.heappop(self._timers)
+            if self._pending.get(pending.key) is pending and pending.due_ms == due_ms:
+                actions += self._handle_due(pending, now_ms)
+        return actions
+
+    def _handle_due(self, pending: _Pending, now_ms: int) -> list[IdempotentAction]:
+        if now_ms >= pending.request.deadline_ms:
+            del self._pending[pending.key]
+            return [self._give_unknown(pending.key, REASON_UPSTREAM)]
+        if not pending.is_sent:
+            return [self._send(pending, now_ms)]
+        retry_at_ms = self._plan_retry(pending, now_ms)
+        pending.is_sent = retry_at_ms is None
+        self._set_due(pending, retry_at_ms or pending.request.deadline_ms)
+        return []
+
+    def _handle_shed(
+        self, pending: _Pending, attempt: Attempt, now_ms: int
+    ) -> list[IdempotentAction]:
+        if attempt.number != pending.attempt or not pending.is_sent:
+            return []
+        retry_at_ms = self._plan_retry(pending, now_ms)
+        if retry_at_ms is None:
+            del self._pending[pending.key]
+            return [self._give_unknown(pending.key, REASON_SHED)]
+        pending.is_sent = False
+        self._set_due(pending, retry_at_ms)
+        return []
+
+    def _plan_retry(self, pending: _Pending, now_ms: int) -> int | None:
+        return self._retry_policy.plan_retry(
+            pending.service, pending.attempt, pending.request.deadline_ms, now_ms
+        )
+
+    def _send(self, pending: _Pending, now_ms: int) -> SendToUpstream:
+        pending.attempt += 1
+        pending.is_sent = True
+        deadline_ms = pending.request.deadline_ms
+        self._set_due(pending, min(now_ms + self._parameters.attempt_timeout_ms, deadline_ms))
+        return SendToUpstream(
+            identity=pending.key.identity,
+            attempt=pending.attempt,
+            service=pending.service,
+            request=make_attempt(pending.request, pending.attempt),
+            not_after_ms=deadline_ms,
+            is_idempotent=True,
+        )
+
+    def _set_due(self, pending: _Pending, due_ms: int) -> None:
+        pending.due_ms = due_ms
+        heapq.heappush(self._timers, (due_ms, next(self._counter), pending))
+
+    def _give_unknown(self, key: FlowRequest, reason: str) -> GiveAnswer:
+        answer = WholeAnswer(AnswerStatus.OUTCOME_UNKNOWN, reason=reason)
+        return GiveAnswer(self._member, key.identity, key.flow, answer)
