--- /dev/null
+++ b/src/catkinspread/requests/tests/rig.py
@@ -0,0 +1,215 @@
+"""Two or more claimers over one store whose calls a test completes one by one."""
+
+import random
+from collections import Counter
+
+import msgspec
+
+from catkinspread.model import OwnerMember
+from catkinspread.requests import (
+    BucketConflicted,
+    BucketRead,
+    BucketReadFailed,
+    BucketWriteUnavailable,
+    BucketWriteUnknown,
+    BucketWritten,
+    Claimer,
+    GiveAnswer,
+    LiveInstancesChanged,
+    PeerAnswered,
+    ReadBucket,
+    RequestArrived,
+    RequestParameters,
+    RetryBudget,
+    RetryPolicy,
+    SendRefused,
+    SendToPeer,
+    SendToUpstream,
+    Tick,
+    UpstreamAnswered,
+    UpstreamShed,
+    WholeAnswer,
+    WriteBucket,
+)
+from catkinspread.wire import AnswerStatus, Request
+
+START_MS = 1_800_000_000_000
+OK = AnswerStatus.OK
+NOT_RUN = AnswerStatus.NOT_RUN
+UNKNOWN = AnswerStatus.OUTCOME_UNKNOWN
+
+
+def make_request(number=1, flow=7, issued_at_ms=START_MS, timeout_ms=2_000, body=b"order"):
+    return Request(
+        flow=flow,
+        caller_id="caller",
+        request_id=str(number),
+        issued_at_ms=issued_at_ms,
+        timeout_ms=timeout_ms,
+        idempotent=False,
+        priority=0,
+        body=body,
+    )
+
+
+class Rig:
+    """Claimers by name; sends run at once, store calls and messages wait for the test."""
+
+    def __init__(self, names="ab", parameters=None):
+        self.now_ms = START_MS
+        self.parameters = parameters or RequestParameters()
+        self.members = {name: OwnerMember(name, 1) for name in names}
+        self.objects = {}
+        self.late_writes = []
+        self.calls = {name: [] for name in names}
+        self.messages = []
+        self.sends = []
+        self.answers = []
+        self.runs = Counter()
+        self.claimers = {}
+        for name in names:
+            self.start(name)
+
+    def start(self, name):
+        policy = RetryPolicy(self.parameters, RetryBudget(), random.Random(1))
+        for _ in range(1_000):
+            policy.budget.record_request("desk", self.now_ms)
+        self.calls[name] = []
+        self.claimers[name] = Claimer(self.members[name], self.parameters, policy)
+        self.set_live(name)
+
+    def restart(self, name):
+        member = self.members[name]
+        self.members[name] = msgspec.structs.replace(member, incarnation=member.incarnation + 1)
+        self.start(name)
+        for other in self.claimers:
+            self.set_live(other)
+
+    def kill(self, name):
+        del self.claimers[name], self.members[name]
+        for other in self.claimers:
+            self.set_live(other)
+
+    def set_live(self, name):
+        self.handle(name, LiveInstancesChanged(frozenset(self.members.values())))
+
+    def arrive(self, name, request, origin=None, refuse_reason=""):
+        origin = origin or OwnerMember("edge", 1)
+        self.handle(name, RequestArrived(origin, "desk", request, refuse_reason))
+
+    def handle(self, name, event):
+        for action in self.claimers[name].handle(event, self.now_ms):
+            match action:
+                case SendToUpstream():
+                    self.sends.append((name, action))
+                    self.runs[action.identity] += 1
+                case GiveAnswer():
+                    self.answers.append(action)
+                case SendToPeer():
+                    self.messages.append((name, action))
+                case _:
+                    self.calls[name].append(action)
+
+    def advance(self, duration_ms):
+        self.now_ms += duration_ms
+        for name in list(self.claimers):
+            self.handle(name, Tick())
+
+    def complete(self, name, outcome="done"):
+        """Completes the oldest store call of a claimer."""
+        action = self.calls[name].pop(0)
+        self.handle(name, self.execute(action, outcome))
+
+    def execute(self, action, outcome):
+        arguments = (action.bucket, action.operation)
+        if isinstance(action, ReadBucket):
+            if outcome == "down":
+                return BucketReadFailed(*arguments)
+            version, value = self.objects.get(action.bucket, (0, b""))
+            return BucketRead(*arguments, version, value)
+        if outcome == "down":
+            return BucketWriteUnavailable(*arguments)
+        if outcome == "late":
+            self.late_writes.append(action)
+        if outcome in ("late", "lost"):
+            return BucketWriteUnknown(*arguments)
+        is_applied = self.apply(action)
+        if outcome == "answer-lost":
+            return BucketWriteUnknown(*arguments)
+        if not is_applied:
+            return BucketConflicted(*arguments)
+        return BucketWritten(*arguments, action.expected_version + 1)
+
+    def apply(self, action: WriteBucket):
+        version, _ = self.objects.get(action.bucket, (0, b""))
+        if version != action.expected_version:
+            return False
+        self.objects[action.bucket] = (version + 1, action.value)
+        return True
+
+    def apply_late_writes(self):
+        for action in self.late_writes:
+            self.apply(action)
+        self.late_writes = []
+
+    def settle(self):
+        """Completes all store calls and messages, in order of the names."""
+        while any(self.calls.values()) or self.messages:
+            for name in self.calls:
+                while self.calls[name] and name in self.claimers:
+                    self.complete(name)
+                if name not in self.claimers:
+                    self.calls[name] = []
+            self.pass_messages()
+            self.advance(self.parameters.claim_batch_ms)
+
+    def pass_messages(self):
+        messages, self.messages = self.messages, []
+        for sender, action in messages:
+            target = action.target.instance
+            if self.members.get(target) == action.target:
+                self.arrive(target, action.message.request, self.members[sender])
+
+    def pass_answers(self):
+        """Hands answers for claimers to them."""
+        for action in list(self.answers):
+            name = action.origin.instance
+            if self.members.get(name) == action.origin:
+                self.answers.remove(action)
+                self.handle(name, PeerAnswered(action.identity, action.answer))
+
+    def answer(self, index=-1, status=OK, body=b"done"):
+        """Lets the upstream answer a send with one part."""
+        name, action = self.sends[index]
+        self.handle(name, UpstreamAnswered(action.identity, action.attempt, whole(status, body)))
+
+    def shed(self, index=-1):
+        """Lets the upstream refuse a send."""
+        name, action = self.sends[index]
+        self.runs[action.identity] -= 1
+        self.repeat_shed(index)
+
+    def repeat_shed(self, index):
+        """Delivers another copy of a shed answer."""
+        name, action = self.sends[index]
+        self.handle(name, UpstreamShed(action.identity, action.attempt))
+
+    def refuse_send(self, index=-1):
+        name, action = self.sends[index]
+        self.runs[action.identity] -= 1
+        self.handle(name, SendRefused(action.identity, action.attempt, "too late"))
+
+    @property
+    def statuses(self):
+        return [action.answer.status for action in self.answers]
+
+    def check_truth(self):
+        """At most one run, and none for a request that was answered NOT_RUN."""
+        assert all(count <= 1 for count in self.runs.values()), self.runs
+        for action in self.answers:
+            if action.answer.status is NOT_RUN:
+                assert self.runs[action.identity] == 0, action
+
+
+def whole(status, body=b""):
+    return WholeAnswer(status, (body,))
