Add the limits: cold start ramp, shares, queue, concurrency limit, admission

Cause: nothing bounded the work that instances give to an upstream (guarantee G3), and no order of shedding existed. Change: src/catkinspread/limits/. ColdStartRamp and ColdStartNotice merge in any order by sequence; a notice with a lower sequence is stale and is answered with the known one. RateShare lets an instance start floor(cap / n) requests in any second, n counting the instances known in the last hour. Below one per second the fleet shares one bucket whose tokens belong to turns of 100 ms, each owned by the known instance with the highest rendezvous rank; one bucket per instance would let nine requests through at once under a cap of 5/s. The cap is read 1,600 ms late, which covers the window of 1 s, clocks that differ by 500 ms and one turn. UpstreamLimiter uses additive increase and multiplicative decrease. ColdTurnDetector uses shed answers and latency; endpoints only lower the number of answers needed, a hold-off that doubles guards against flapping. AdmissionController turns events and times into typed actions.

--- /dev/null
+++ b/src/catkinspread/limits/__init__.py
@@ -0,0 +1,74 @@
+"""Limits on the work that an instance gives to an upstream: rate, concurrency and queue."""
+
+from catkinspread.limits.actions import (
+    Action,
+    CancelRun,
+    Expire,
+    LimitsInForce,
+    Queued,
+    RefusalAnswer,
+    RefusalReason,
+    Refuse,
+    ReplyNotice,
+    RunOutcome,
+    SpreadNotice,
+    Start,
+    WakeAt,
+)
+from catkinspread.limits.admission import AdmissionController, AdmissionSettings
+from catkinspread.limits.cold_start import ColdStartRamp, NoticeVerdict, RampRates
+from catkinspread.limits.detector import (
+    AnswerKind,
+    ColdTurnDetector,
+    ColdTurnEvidence,
+    DetectorSettings,
+)
+from catkinspread.limits.fleet import KnownInstances
+from catkinspread.limits.limiter import LimiterSettings, UpstreamLimiter
+from catkinspread.limits.messages import (
+    ColdStartNotice,
+    MessageError,
+    decode_notice,
+    encode_notice,
+)
+from catkinspread.limits.queue import PriorityQueue, PushResult, PushVerdict, Work
+from catkinspread.limits.rate_share import RateShare, TokenBucket, TurnSchedule
+
+__all__ = [
+    "Action",
+    "AdmissionController",
+    "AdmissionSettings",
+    "AnswerKind",
+    "CancelRun",
+    "ColdStartNotice",
+    "ColdStartRamp",
+    "ColdTurnDetector",
+    "ColdTurnEvidence",
+    "DetectorSettings",
+    "Expire",
+    "KnownInstances",
+    "LimiterSettings",
+    "LimitsInForce",
+    "MessageError",
+    "NoticeVerdict",
+    "PriorityQueue",
+    "PushResult",
+    "PushVerdict",
+    "Queued",
+    "RampRates",
+    "RateShare",
+    "RefusalAnswer",
+    "RefusalReason",
+    "Refuse",
+    "ReplyNotice",
+    "RunOutcome",
+    "SpreadNotice",
+    "Start",
+    "TokenBucket",
+    "TurnSchedule",
+    "UpstreamLimiter",
+    "WakeAt",
+    "Work",
+    "decode_notice",
+    "encode_notice",
+]
--- /dev/null
+++ b/src/catkinspread/limits/admission.py
@@ -0,0 +1,241 @@
+"""Ties rate share, concurrency limit, queue and detector of one upstream together."""
+
+import msgspec
+
+from catkinspread.limits.actions import (
+    Action,
+    CancelRun,
+    Expire,
+    LimitsInForce,
+    Queued,
+    RefusalAnswer,
+    RefusalReason,
+    Refuse,
+    ReplyNotice,
+    RunOutcome,
+    SpreadNotice,
+    Start,
+    WakeAt,
+    choose_answer,
+)
+from catkinspread.limits.cold_start import ColdStartRamp, NoticeVerdict, RampRates
+from catkinspread.limits.detector import AnswerKind, ColdTurnDetector, DetectorSettings
+from catkinspread.limits.fleet import KnownInstances
+from catkinspread.limits.limiter import LimiterSettings, UpstreamLimiter
+from catkinspread.limits.messages import ColdStartNotice
+from catkinspread.limits.queue import QUEUE_CAPACITY, PriorityQueue, PushVerdict, Work
+from catkinspread.limits.rate_share import RateShare
+
+
+class AdmissionSettings(msgspec.Struct, frozen=True):
+    """Settings of the admission to one upstream.
+
+    Attributes:
+        limiter: Bounds of the concurrency limit.
+        detector: Thresholds of the cold turn detector.
+        queue_capacity: Requests that may wait.
+        answer_grace_ms: Time after the deadline for which a missing answer still occupies a
+            slot; an answer that was lost must not occupy it for ever.
+    """
+
+    limiter: LimiterSettings = LimiterSettings()
+    detector: DetectorSettings = DetectorSettings()
+    queue_capacity: int = QUEUE_CAPACITY
+    answer_grace_ms: int = 500
+
+
+class _Run(msgspec.Struct, frozen=True):
+    work: Work
+    started_at_ms: int
+
+
+class AdmissionController:
+    """Decides for one upstream which requests start, wait, or are refused.
+
+    Every method takes the time and returns the actions to carry out, in order.
+    """
+
+    __slots__ = (
+        "_detector",
+        "_fleet",
+        "_limiter",
+        "_queue",
+        "_ramp",
+        "_runs",
+        "_settings",
+        "_share",
+    )
+
+    def __init__(
+        self,
+        upstream: str,
+        rates: RampRates,
+        fleet: KnownInstances,
+        now_ms: int,
+        settings: AdmissionSettings | None = None,
+    ) -> None:
+        self._settings = settings or AdmissionSettings()
+        self._fleet = fleet
+        self._ramp = ColdStartRamp(upstream, rates, cold_at_ms=now_ms)
+        self._share = RateShare(self._ramp, fleet, now_ms)
+        self._limiter = UpstreamLimiter(self._settings.limiter)
+        self._detector = ColdTurnDetector(self._settings.detector)
+        self._queue = PriorityQueue(self._settings.queue_capacity)
+        self._runs: dict[int, _Run] = {}
+
+    def submit(self, work: Work, now_ms: int) -> list[Action]:
+        """Takes a new request; one that already waits or runs here is ignored."""
+        if work.work_id in self._runs:
+            return []
+        if work.deadline_ms <= now_ms:
+            return [self._expire(work, RefusalReason.EXPIRED_ON_ARRIVAL)]
+        actions = self._fill(now_ms)
+        result = self._queue.push(work, now_ms)
+        actions += [self._expire(old, self._name_wait(now_ms)) for old in result.expired]
+        if result.displaced is not None:
+            actions.append(self._refuse(result.displaced, RefusalReason.DISPLACED))
+        if result.verdict is PushVerdict.REFUSED:
+            return [*actions, self._refuse(work, RefusalReason.QUEUE_FULL)]
+        if result.verdict is PushVerdict.DUPLICATE:
+            return actions
+        started = self._fill(now_ms)
+        if work.work_id not in self._runs:
+            actions.append(Queued(work))
+        return actions + started + self._plan_wake(now_ms)
+
+    def complete(self, work_id: int, outcome: RunOutcome, now_ms: int) -> list[Action]:
+        """Takes the end of a started request; an unknown one is ignored."""
+        run = self._runs.pop(work_id, None)
+        if run is None:
+            return []
+        actions: list[Action] = []
+        match outcome:
+            case RunOutcome.GOOD:
+                self._limiter.end_good()
+                actions += self._judge(AnswerKind.GOOD, run, now_ms)
+            case RunOutcome.SHED:
+                self._limiter.end_shed(run.started_at_ms, now_ms)
+                reason = RefusalReason.UPSTREAM_SHED
+                actions.append(Refuse(run.work, reason, RefusalAnswer.REQUEST_LAYER))
+                actions += self._judge(AnswerKind.SHED, run, now_ms)
+            case RunOutcome.FAILED:
+                self._limiter.end_unknown()
+                actions.append(self._refuse(run.work, RefusalReason.NO_ANSWER, was_sent=True))
+        return actions + self._fill(now_ms) + self._plan_wake(now_ms)
+
+    def cancel(self, work_id: int, now_ms: int) -> list[Action]:
+        """Takes the cancellation of a request by its caller.
+
+        A started request keeps its slot until the upstream answers or the deadline passes,
+        because the upstream may still be at work on it.
+        """
+        work = self._queue.cancel(work_id)
+        if work is not None:
+            return [self._refuse(work, RefusalReason.CANCELLED), *self._plan_wake(now_ms)]
+        run = self._runs.get(work_id)
+        return [CancelRun(run.work, RefusalReason.CANCELLED)] if run is not None else []
+
+    def tick(self, now_ms: int) -> list[Action]:
+        """Starts what may start now, and drops what has expired."""
+        self._fleet.forget_old(now_ms)
+        actions: list[Action] = []
+        limit_ms = now_ms - self._settings.answer_grace_ms
+        for work_id, run in list(self._runs.items()):
+            if run.work.deadline_ms <= limit_ms:
+                del self._runs[work_id]
+                self._limiter.end_unknown()
+                actions.append(CancelRun(run.work, RefusalReason.NO_ANSWER))
+                actions.append(self._refuse(run.work, RefusalReason.NO_ANSWER, was_sent=True))
+        return actions + self._fill(now_ms) + self._plan_wake(now_ms)
+
+    def announce_cold_start(self, cold_at_ms: int, now_ms: int) -> list[Action]:
+        """Takes a cold start that the configuration announces."""
+        notice = self._ramp.announce(cold_at_ms, self._fleet.instance)
+        if notice is None:
+            return []
+        self._detector.observe_restart(now_ms)
+        return [SpreadNotice(notice)]
+
+    def handle_notice(self, notice: ColdStartNotice, now_ms: int) -> list[Action]:
+        """Takes a notice of another instance."""
+        verdict = self._ramp.apply_notice(notice, now_ms)
+        own = self._ramp.build_notice(self._fleet.instance)
+        match verdict:
+            case NoticeVerdict.RESTARTED:
+                self._detector.observe_restart(now_ms)
+                return [SpreadNotice(notice)]
+            case NoticeVerdict.RAISED:
+                return [SpreadNotice(own)]
+            case NoticeVerdict.STALE:
+                return [ReplyNotice(own)]
+        return []
+
+    def handle_hint(self, is_healthy: bool, now_ms: int) -> None:
+        """Takes a report of the health or load endpoint; this never decides alone."""
+        self._detector.observe_hint(is_healthy, now_ms)
+
+    def update_rates(self, rates: RampRates) -> None:
+        """Takes the rates of a new configuration."""
+        self._ramp.rates = rates
+
+    def close(self) -> list[Action]:
+        """Refuses all that waits, because the upstream was removed."""
+        return [self._refuse(w, RefusalReason.UPSTREAM_REMOVED) for w in self._queue.drain()]
+
+    def build_notice(self) -> ColdStartNotice:
+        """Returns the latest known cold start, for an instance that has just joined."""
+        return self._ramp.build_notice(self._fleet.instance)
+
+    def describe_limits(self, now_ms: int) -> LimitsInForce:
+        """Returns the limits in force, for records and queries."""
+        return LimitsInForce(
+            cap_per_s=self._ramp.compute_cap(now_ms),
+            share_per_s=self._share.compute_share(now_ms),
+            instances_known=self._fleet.count(),
+            concurrent_max=self._limiter.limit,
+            concurrent=self._limiter.in_flight,
+            queued=len(self._queue),
+            is_warming=not self._ramp.is_warm(now_ms),
+        )
+
+    def _fill(self, now_ms: int) -> list[Action]:
+        reason = self._name_wait(now_ms)
+        actions: list[Action] = [
+            self._expire(work, reason) for work in self._queue.drop_expired(now_ms)
+        ]
+        while len(self._queue) and self._limiter.has_room() and self._share.try_take(now_ms):
+            work = self._queue.pop()
+            self._runs[work.work_id] = _Run(work, now_ms)
+            self._limiter.begin()
+            self._detector.observe_start(now_ms)
+            actions.append(Start(work))
+        return actions
+
+    def _plan_wake(self, now_ms: int) -> list[Action]:
+        times: list[int] = [
+            run.work.deadline_ms + self._settings.answer_grace_ms for run in self._runs.values()
+        ]
+        deadline_ms = self._queue.find_next_deadline_ms()
+        if deadline_ms is not None:
+            times.append(deadline_ms)
+            if self._limiter.has_room():
+                times.append(self._share.compute_retry_ms(now_ms))
+        return [WakeAt(max(now_ms + 1, min(times)))] if times else []
+
+    def _judge(self, kind: AnswerKind, run: _Run, now_ms: int) -> list[Action]:
+        evidence = self._detector.observe_answer(kind, run.started_at_ms, now_ms)
+        if evidence is None:
+            return []
+        notice = self._ramp.restart(now_ms, self._fleet.instance)
+        self._detector.observe_restart(now_ms)
+        return [SpreadNotice(notice)]
+
+    def _name_wait(self, now_ms: int) -> RefusalReason:
+        is_cold = not self._ramp.is_warm(now_ms) and self._limiter.has_room()
+        return RefusalReason.EXPIRED_IN_COLD_START if is_cold else RefusalReason.EXPIRED_IN_QUEUE
+
+    def _expire(self, work: Work, reason: RefusalReason) -> Expire:
+        return Expire(work, reason, choose_answer(work, was_sent=False))
+
+    def _refuse(self, work: Work, reason: RefusalReason, was_sent: bool = False) -> Refuse:
+        return Refuse(work, reason, choose_answer(work, was_sent))
--- /dev/null
+++ b/src/catkinspread/limits/tests/test_admission.py
@@ -0,0 +1,212 @@
+"""Tests of the admission to one upstream, the limiter and the detector."""
+
+import itertools
+
+from catkinspread.limits import (
+    AdmissionController,
+    AdmissionSettings,
+    AnswerKind,
+    CancelRun,
+    ColdStartNotice,
+    ColdTurnDetector,
+    ColdTurnEvidence,
+    Expire,
+    KnownInstances,
+    LimiterSettings,
+    Queued,
+    RampRates,
+    RefusalAnswer,
+    RefusalReason,
+    Refuse,
+    ReplyNotice,
+    RunOutcome,
+    SpreadNotice,
+    Start,
+    UpstreamLimiter,
+    WakeAt,
+    Work,
+)
+
+RATES = RampRates(cold_rate_per_s=5.0, warm_rate_per_s=500.0, warmup_ms=30_000)
+WARM_MS = 100_000
+
+
+def build_work(work_id, priority=1, deadline_ms=WARM_MS + 1_000, idempotent=True):
+    return Work(work_id, priority, deadline_ms, idempotent, arrived_at_ms=WARM_MS)
+
+
+def build_controller(concurrent=1, queue_capacity=2):
+    limits = LimiterSettings(initial=concurrent)
+    settings = AdmissionSettings(limiter=limits, queue_capacity=queue_capacity)
+    return AdmissionController("u", RATES, KnownInstances("a", 0), 0, settings)
+
+
+def select(actions, kind):
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def test_expired_work_is_never_started():
+    """Guards against work that runs after its caller has given up (no start after deadline)."""
+    controller = build_controller()
+    controller.submit(build_work(1, deadline_ms=WARM_MS + 500), WARM_MS)
+    waiting = controller.submit(build_work(2, deadline_ms=WARM_MS + 50), WARM_MS)
+    assert select(waiting, Queued)
+    ended = controller.complete(1, RunOutcome.GOOD, WARM_MS + 50)
+    assert not select(ended, Start)
+    [expired] = select(ended, Expire)
+    assert expired.reason is RefusalReason.EXPIRED_IN_QUEUE
+    late = controller.submit(build_work(3, deadline_ms=WARM_MS), WARM_MS)
+    assert [action.reason for action in late] == [RefusalReason.EXPIRED_ON_ARRIVAL]
+
+
+def test_waiting_work_wakes_the_owner_at_its_deadline():
+    """Guards against expired work that is noticed only with the next request."""
+    controller = build_controller()
+    controller.submit(build_work(1, deadline_ms=WARM_MS + 5_000), WARM_MS)
+    [wake] = select(controller.submit(build_work(2), WARM_MS), WakeAt)
+    assert wake.at_ms == WARM_MS + 1_000
+    assert select(controller.tick(wake.at_ms), Expire)
+
+
+def test_order_is_never_told_not_run_by_the_queue():
+    """Guards G6: an order that was refused here may still have been claimed elsewhere."""
+    controller = build_controller(queue_capacity=1)
+    for work_id, priority in ((1, 0), (2, 0)):
+        controller.submit(build_work(work_id, priority, idempotent=False), WARM_MS)
+    [order] = controller.submit(build_work(3, 0, idempotent=False), WARM_MS)
+    assert (order.reason, order.answer) == (RefusalReason.QUEUE_FULL, RefusalAnswer.REQUEST_LAYER)
+    [page] = controller.submit(build_work(4, 1), WARM_MS)
+    assert page.answer is RefusalAnswer.NOT_RUN
+
+
+def test_sent_work_is_never_told_not_run():
+    """Guards G6: an answer that is missing says nothing about the run."""
+    controller = build_controller()
+    controller.submit(build_work(1), WARM_MS)
+    actions = controller.tick(WARM_MS + 1_500)
+    assert select(actions, CancelRun)
+    [refused] = select(actions, Refuse)
+    assert refused.answer is RefusalAnswer.OUTCOME_UNKNOWN
+    assert controller.describe_limits(WARM_MS + 1_500).concurrent == 0
+
+
+def test_order_displaces_a_plate():
+    """Guards against an order that is shed while a plate waits."""
+    controller = build_controller(queue_capacity=1)
+    controller.submit(build_work(1), WARM_MS)
+    controller.submit(build_work(2, priority=2), WARM_MS)
+    actions = controller.submit(build_work(3, priority=0), WARM_MS)
+    assert [(a.work.work_id, a.reason) for a in select(actions, Refuse)] == [
+        (2, RefusalReason.DISPLACED)
+    ]
+    started = select(controller.complete(1, RunOutcome.GOOD, WARM_MS + 10), Start)
+    assert [action.work.work_id for action in started] == [3]
+
+
+def test_cancelled_work_leaves_the_queue_or_is_cancelled_upstream():
+    """Guards against work for a caller that has gone."""
+    controller = build_controller()
+    controller.submit(build_work(1), WARM_MS)
+    controller.submit(build_work(2), WARM_MS)
+    assert select(controller.cancel(1, WARM_MS), CancelRun)
+    assert select(controller.cancel(2, WARM_MS), Refuse)
+    assert not select(controller.complete(1, RunOutcome.GOOD, WARM_MS + 10), Start)
+    assert controller.cancel(3, WARM_MS) == []
+
+
+def test_repeat_of_a_running_request_is_not_started_again():
+    """Guards against a duplicated packet that runs a request twice."""
+    controller = build_controller(concurrent=4)
+    assert select(controller.submit(build_work(1), WARM_MS), Start)
+    assert controller.submit(build_work(1), WARM_MS) == []
+
+
+def test_cold_turn_restarts_the_ramp_and_is_spread():
+    """Guards G3: an upstream that became cold unannounced must not get its warm share."""
+    controller = build_controller(concurrent=4, queue_capacity=200)
+    now_ms = WARM_MS
+    for work_id in range(60):
+        controller.submit(build_work(work_id, deadline_ms=now_ms + 900), now_ms)
+        controller.complete(work_id, RunOutcome.GOOD, now_ms + 10)
+        now_ms += 50
+    notices = []
+    for work_id in range(100, 120):
+        controller.submit(build_work(work_id, deadline_ms=now_ms + 900), now_ms)
+        notices += select(controller.complete(work_id, RunOutcome.SHED, now_ms + 1), SpreadNotice)
+        now_ms += 50
+    assert [notice.notice.sequence for notice in notices] == [1]
+    assert controller.describe_limits(now_ms).is_warming
+    stale = controller.handle_notice(ColdStartNotice("u", 0, 0, "b"), now_ms)
+    assert select(stale, ReplyNotice)
+
+
+def feed(detector, kind, count, start_ms, latency_ms=10, every_ms=50):
+    found = []
+    for now_ms in range(start_ms, start_ms + count * every_ms, every_ms):
+        detector.observe_start(now_ms)
+        found.append(detector.observe_answer(kind, now_ms, now_ms + latency_ms))
+    return [evidence for evidence in found if evidence]
+
+
+def test_latency_above_three_times_the_average_is_noticed():
+    """Guards G3 against an upstream that is cold and slow but sheds nothing."""
+    detector = ColdTurnDetector()
+    assert feed(detector, AnswerKind.GOOD, 40, 0) == []
+    assert feed(detector, AnswerKind.GOOD, 40, 5_000, latency_ms=25) == []
+    assert ColdTurnEvidence.LATENCY in feed(detector, AnswerKind.GOOD, 40, 10_000, latency_ms=90)
+
+
+def test_endpoints_never_decide_alone():
+    """Guards against a health endpoint that reports a warm upstream as cold."""
+    detector = ColdTurnDetector()
+    feed(detector, AnswerKind.GOOD, 40, 0)
+    detector.observe_hint(False, 2_000)
+    assert feed(detector, AnswerKind.GOOD, 40, 2_000) == []
+    detector.observe_hint(False, 6_000)
+    assert feed(detector, AnswerKind.SHED, 5, 6_000, every_ms=75)[:1] == [ColdTurnEvidence.SHED]
+    unsupported = ColdTurnDetector()
+    feed(unsupported, AnswerKind.GOOD, 40, 0)
+    assert feed(unsupported, AnswerKind.SHED, 5, 6_000, every_ms=75) == []
+
+
+def test_overload_is_no_cold_turn():
+    """Guards against a surge of requests that throttles a warm upstream to its cold rate."""
+    detector = ColdTurnDetector()
+    feed(detector, AnswerKind.GOOD, 40, 0)
+    assert feed(detector, AnswerKind.SHED, 100, 5_000, every_ms=10) == []
+    # The same answers at the usual rate are a cold turn.
+    assert feed(detector, AnswerKind.SHED, 20, 10_000)
+
+
+def test_alternating_upstream_restarts_the_ramp_ever_more_rarely():
+    """Guards against flapping: a ramp that restarts faster than it can rise."""
+    detector = ColdTurnDetector()
+    feed(detector, AnswerKind.GOOD, 40, 0)
+    restarts_ms = []
+    for start_ms in range(10_000, 200_000, 1_000):
+        kind = AnswerKind.SHED if (start_ms // 1_000) % 2 else AnswerKind.GOOD
+        if feed(detector, kind, 20, start_ms):
+            restarts_ms.append(start_ms)
+            detector.observe_restart(start_ms + 1_000)
+    gaps_ms = [later - earlier for earlier, later in itertools.pairwise(restarts_ms)]
+    assert len(restarts_ms) <= 6
+    assert gaps_ms == sorted(gaps_ms)
+
+
+def test_limiter_never_starves_an_upstream_and_counts_one_event_once():
+    """Guards against a limit of 0, and against one burst of shed answers that costs all."""
+    limiter = UpstreamLimiter(LimiterSettings(initial=8))
+    for _ in range(8):
+        limiter.begin()
+    for _ in range(8):
+        limiter.end_shed(started_at_ms=0, now_ms=10)
+    assert (limiter.limit, limiter.in_flight) == (4, 0)
+    for now_ms in range(20, 200, 10):
+        limiter.begin()
+        limiter.end_shed(started_at_ms=now_ms, now_ms=now_ms + 5)
+    assert limiter.limit == 1
+    for _ in range(40):
+        while limiter.has_room():
+            limiter.begin()
+        limiter.end_good()
+    assert limiter.limit > 4
--- /dev/null
+++ b/src/catkinspread/limits/tests/test_rate_share.py
@@ -0,0 +1,166 @@
+"""Tests of the cap, the ramp and the shares of the instances."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from catkinspread.limits import (
+    ColdStartNotice,
+    ColdStartRamp,
+    KnownInstances,
+    MessageError,
+    NoticeVerdict,
+    RampRates,
+    RateShare,
+    TokenBucket,
+    decode_notice,
+    encode_notice,
+)
+
+RATES = RampRates(cold_rate_per_s=5.0, warm_rate_per_s=500.0, warmup_ms=30_000)
+LONG_AGO_MS = -10_000
+
+
+def build_fleet(instance, others, started_at_ms=LONG_AGO_MS):
+    fleet = KnownInstances(instance, started_at_ms)
+    for other in others:
+        fleet.observe(other, 0)
+    return fleet
+
+
+def collect_starts(rates, views, clock_offsets_ms, duration_ms, step_ms=20):
+    """Returns the times at which instances that always have work start one."""
+    shares = []
+    for view in views:
+        ramp = ColdStartRamp("u", rates, cold_at_ms=0, sequence=1)
+        shares.append(RateShare(ramp, view, 0))
+    starts = []
+    for now_ms in range(0, duration_ms, step_ms):
+        for share, offset_ms in zip(shares, clock_offsets_ms, strict=True):
+            while len(starts) < 10_000 and share.try_take(now_ms + offset_ms):
+                starts.append(now_ms)
+    return starts
+
+
+def find_excess(rates, starts):
+    """Returns the largest number of starts above the cap in any window of 1 s."""
+    excess = 0
+    for first in starts:
+        count = sum(first <= start < first + 1_000 for start in starts)
+        excess = max(excess, count - max(1, rates.compute_cap(first)))
+    return excess
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(data=st.data())
+def test_starts_of_all_instances_stay_below_the_cap(data):
+    """Guards G3: bursts, clocks that differ, and views with different dead instances."""
+    live = [f"i{number}" for number in range(data.draw(st.integers(2, 9)))]
+    dead = [f"dead{number}" for number in range(4)]
+    known_dead = st.sets(st.sampled_from(dead))
+    views = [build_fleet(name, [*live, *data.draw(known_dead)]) for name in live]
+    offsets_ms = [data.draw(st.sampled_from([0, 0, 250, 500])) for _ in live]
+    cold = len(live) * data.draw(st.floats(0.2, 2.5))
+    warm = cold * data.draw(st.sampled_from([1, 1, 3, 10]))
+    rates = RampRates(cold, warm, warmup_ms=6_000)
+    starts = collect_starts(rates, views, offsets_ms, 4_000)
+    assert find_excess(rates, starts) <= 0
+
+
+@pytest.mark.parametrize("cap", [5.0, 9.0])
+def test_nine_instances_keep_a_low_cap_for_a_minute(cap):
+    """Guards G3 on clocks that differ by 500 ms, and a share below 1/s that starves.
+
+    With 9/s, some views count 9 instances (a share of 1) and others 10 (a share of 0.9).
+    """
+    names = [f"i{number}" for number in range(9)]
+    flat = RampRates(cap, cap, warmup_ms=600_000)
+    views = [
+        build_fleet(name, [*names, "dead"][: 9 + index % 2]) for index, name in enumerate(names)
+    ]
+    starts = collect_starts(flat, views, [0, 500, 0, 500, 0, 500, 0, 500, 0], 60_000)
+    assert find_excess(flat, starts) <= 0
+    assert len(starts) > 60 * 2
+
+
+def test_new_instance_takes_no_cold_share_before_the_others_know_it():
+    """Guards against ten shares, nine of them one ninth, while a new instance is not counted."""
+    rates = RampRates(18.0, 18.0, warmup_ms=60_000)
+    names = [f"i{number}" for number in range(9)]
+    views = [build_fleet(name, names) for name in names]
+    views.append(build_fleet("new", names, started_at_ms=0))
+    assert find_excess(rates, collect_starts(rates, views, [0] * 10, 4_000)) <= 0
+
+
+def test_dead_instance_counts_for_an_hour():
+    """Guards against shares that grow while other views still count a dead instance."""
+    fleet = build_fleet("a", ["b"])
+    fleet.forget_old(3_600_000)
+    assert fleet.count() == 2
+    fleet.forget_old(3_600_001)
+    assert fleet.list_names() == ("a",)
+
+
+def test_warm_bucket_keeps_fractions():
+    """Guards against a warm share below 1/s that never fills a token."""
+    bucket = TokenBucket(0)
+    taken = sum(bucket.try_take(0.25, now_ms) for now_ms in range(0, 40_001, 100))
+    assert taken == 10
+
+
+def test_stale_notice_does_not_restart_the_ramp():
+    """Guards against a delayed or repeated notice that makes a warm upstream cold again."""
+    ramp = ColdStartRamp("u", RATES, cold_at_ms=0, sequence=3)
+    stale = ColdStartNotice("u", 2, 90_000, "b")
+    assert ramp.apply_notice(stale, 100_000) is NoticeVerdict.STALE
+    repeated = ColdStartNotice("u", 3, 0, "b")
+    assert ramp.apply_notice(repeated, 100_000) is NoticeVerdict.KNOWN
+    assert ramp.compute_cap(100_000) == 500.0
+    fresh = ColdStartNotice("u", 4, 99_000, "b")
+    assert ramp.apply_notice(fresh, 100_000) is NoticeVerdict.RESTARTED
+    assert ramp.compute_cap(99_000) == 5.0
+
+
+def test_notice_from_the_future_is_refused():
+    """Guards against one wrong clock that keeps an upstream cold for everyone."""
+    ramp = ColdStartRamp("u", RATES, cold_at_ms=0, sequence=1)
+    notice = ColdStartNotice("u", 2, 100_501, "b")
+    assert ramp.apply_notice(notice, 100_000) is NoticeVerdict.INVALID
+    assert ramp.sequence == 1
+
+
+def test_cold_start_seen_by_an_instance_with_an_old_sequence_is_not_lost():
+    """Guards against a new instance whose notice everyone ignores as stale."""
+    old = ColdStartRamp("u", RATES, cold_at_ms=0, sequence=7)
+    new = ColdStartRamp("u", RATES, cold_at_ms=0)
+    notice = new.restart(60_000, "new")
+    assert old.apply_notice(notice, 60_100) is NoticeVerdict.STALE
+    assert new.apply_notice(old.build_notice("old"), 60_200) is NoticeVerdict.RAISED
+    assert old.apply_notice(new.build_notice("new"), 60_300) is NoticeVerdict.RESTARTED
+    assert (old.sequence, old.cold_at_ms) == (new.sequence, new.cold_at_ms) == (8, 60_000)
+
+
+@settings(derandomize=True, max_examples=100)
+@given(
+    st.lists(st.tuples(st.integers(1, 4), st.integers(0, 4_000)), min_size=1, max_size=6),
+    st.randoms(use_true_random=False),
+)
+def test_notices_in_any_order_end_in_one_ramp(values, random):
+    """Guards against instances that follow different ramps for one upstream."""
+    notices = [ColdStartNotice("u", sequence, at_ms, "x") for sequence, at_ms in values]
+    ends = set()
+    for _ in range(3):
+        ramp = ColdStartRamp("u", RATES, cold_at_ms=0, sequence=1)
+        for notice in [*notices, *notices]:
+            ramp.apply_notice(notice, 10_000)
+        ends.add(ramp.sequence)
+        random.shuffle(notices)
+    assert ends == {max(notice.sequence for notice in notices)}
+
+
+def test_notice_survives_encoding():
+    """Guards against a notice that decodes as another one."""
+    notice = ColdStartNotice("u", 4, 99_000, "b")
+    assert decode_notice(encode_notice(notice)) == notice
+    with pytest.raises(MessageError, match="malformed"):
+        decode_notice(b"\x91\x01")
