Add membership by gossip with probes, suspicion and refutation

Cause: every part needs the live members and their incarnations, at a fixed cost per instance (3 KB/s, sent and received, at 640 instances). Change: MembershipView decides on messages; every heartbeat is replied to, so that a missing reply starts the probes. The death of an incarnation is final: a member that hears of its own death returns as a new one, because its roles have passed on. Reported configuration versions travel as a bit mask over the live members, valid only between views with equal digests.

--- /dev/null
+++ b/src/catkinspread/membership/__init__.py
@@ -0,0 +1,37 @@
+"""Which instances are live: heartbeats, failure detection, joining and leaving."""
+
+from catkinspread.membership.actions import (
+    MemberChanged,
+    MembershipAction,
+    SendMessage,
+    VersionSeen,
+)
+from catkinspread.membership.messages import (
+    Heartbeat,
+    MemberRecord,
+    MembershipMessage,
+    MembershipMessageError,
+    MemberState,
+    decode_membership_message,
+    encode_membership_message,
+)
+from catkinspread.membership.settings import MembershipSettings
+from catkinspread.membership.table import Member
+from catkinspread.membership.view import MembershipView
+
+__all__ = [
+    "Heartbeat",
+    "Member",
+    "MemberChanged",
+    "MemberRecord",
+    "MemberState",
+    "MembershipAction",
+    "MembershipMessage",
+    "MembershipMessageError",
+    "MembershipSettings",
+    "MembershipView",
+    "SendMessage",
+    "VersionSeen",
+    "decode_membership_message",
+    "encode_membership_message",
+]
--- /dev/null
+++ b/src/catkinspread/membership/merging.py
@@ -0,0 +1,171 @@
+"""Takes over what other members say, and refutes what they say about this instance."""
+
+from collections.abc import Iterable
+
+from catkinspread.membership.actions import MemberChanged, MembershipAction
+from catkinspread.membership.messages import MemberRecord, MemberState, MemberUpdate
+from catkinspread.membership.outbox import Outbox
+from catkinspread.membership.probes import ProbeBook
+from catkinspread.membership.settings import MembershipSettings
+from catkinspread.membership.table import MemberTable
+
+
+class RecordMerger:
+    """Changes the table by received and own findings, and queues them for others.
+
+    Attributes:
+        is_urgent: Whether news was queued that should not wait for the next heartbeat.
+    """
+
+    __slots__ = (
+        "_outbox",
+        "_own_id",
+        "_probes",
+        "_settings",
+        "_suspects",
+        "_table",
+        "is_urgent",
+    )
+
+    def __init__(
+        self,
+        own_id: str,
+        table: MemberTable,
+        outbox: Outbox,
+        probes: ProbeBook,
+        settings: MembershipSettings,
+    ) -> None:
+        self._own_id = own_id
+        self._table = table
+        self._outbox = outbox
+        self._probes = probes
+        self._settings = settings
+        self._suspects: dict[str, int] = {}
+        self.is_urgent = False
+
+    def restart_suspicions(self, now_ms: int) -> None:
+        """Starts the time of all suspicions anew, because this instance was paused."""
+        self._suspects = dict.fromkeys(self._suspects, now_ms + self._settings.suspicion_ms)
+
+    def pass_on(self, member: str) -> None:
+        """Queues the state of a member for others."""
+        count = self._table.count_live()
+        self._outbox.add(member, self._settings.compute_send_limit(count))
+
+    def suspect(self, target: str, now_ms: int, actions: list[MembershipAction]) -> None:
+        """Suspects a live member."""
+        member = self._table.find(target)
+        if member is None or member.state is not MemberState.ALIVE:
+            return
+        update = MemberUpdate(target, member.incarnation, member.refutation, MemberState.SUSPECT)
+        self.merge_update(update, now_ms, actions)
+
+    def tick(self, now_ms: int, actions: list[MembershipAction]) -> None:
+        """Declares suspects dead whose time has passed."""
+        for target in [key for key, due_ms in self._suspects.items() if due_ms <= now_ms]:
+            member = self._table.find(target)
+            update = MemberUpdate(target, member.incarnation, member.refutation, MemberState.DEAD)
+            self.merge_update(update, now_ms, actions)
+
+    def merge_records(
+        self,
+        records: Iterable[MemberRecord],
+        now_ms: int,
+        actions: list[MembershipAction],
+        is_news: bool = True,
+    ) -> None:
+        """Takes over the records that are newer than what is known.
+
+        Args:
+            records: The records.
+            now_ms: Time of receipt.
+            actions: Receives the changes.
+            is_news: Whether to pass the records on. A page of a view holds what most members
+                know already.
+        """
+        for record in records:
+            self.merge_record(record, now_ms, actions, is_news)
+
+    def merge_record(
+        self,
+        record: MemberRecord,
+        now_ms: int,
+        actions: list[MembershipAction],
+        is_news: bool = True,
+    ) -> None:
+        """Takes over a record if it is newer than what is known."""
+        if record.member == self._own_id:
+            self._refute(record, now_ms, actions)
+            return
+        known = self._table.find(record.member)
+        if known is not None and not known.is_older_than(record):
+            return
+        is_old_death = record.ended_ago_s * 1_000 >= self._settings.forget_after_ms
+        if known is None and is_old_death:
+            return
+        self._table.put(record, now_ms)
+        self._note_change(record.member, now_ms, actions, is_news)
+
+    def merge_update(
+        self, update: MemberUpdate, now_ms: int, actions: list[MembershipAction]
+    ) -> None:
+        """Takes over a state if it is newer and the member is known."""
+        if update.member == self._own_id:
+            self._refute(update, now_ms, actions)
+            return
+        known = self._table.find(update.member)
+        if known is None or not known.is_older_than(update):
+            return
+        # The endpoint of a new incarnation may differ, so a live one must come as a record.
+        if update.incarnation != known.incarnation and update.state <= MemberState.SUSPECT:
+            return
+        self._table.set_state(update, now_ms)
+        self._note_change(update.member, now_ms, actions)
+
+    def _note_change(
+        self,
+        member: str,
+        now_ms: int,
+        actions: list[MembershipAction],
+        is_news: bool = True,
+    ) -> None:
+        known = self._table.find(member)
+        self._suspects.pop(member, None)
+        if known.state is MemberState.SUSPECT:
+            self._suspects[member] = now_ms + self._settings.suspicion_ms
+        if known.state is not MemberState.SUSPECT:
+            self._probes.finish(member)
+        if is_news:
+            self.pass_on(member)
+            self.is_urgent |= known.state is not MemberState.ALIVE or known.refutation > 0
+        actions.append(MemberChanged(member, known.incarnation, known.state))
+
+    def _refute(
+        self, claim: MemberUpdate | MemberRecord, now_ms: int, actions: list[MembershipAction]
+    ) -> None:
+        own = self._table.find(self._own_id)
+        if own.state is MemberState.LEFT or not own.is_older_than(claim):
+            return
+        incarnation, refutation = claim.incarnation, claim.refutation + 1
+        # Roles of a member that was declared dead have passed to others, so it comes back as
+        # a new incarnation. The same holds if an earlier run had a later clock.
+        if claim.state is not MemberState.SUSPECT or incarnation != own.incarnation:
+            incarnation, refutation = max(now_ms, claim.incarnation + 1), 0
+        record = own.make_record(now_ms)
+        version = own.version
+        self._table.put(
+            MemberRecord(
+                own.member,
+                incarnation,
+                refutation,
+                MemberState.ALIVE,
+                record.data_centre,
+                record.host,
+                record.port,
+            ),
+            now_ms,
+        )
+        self._table.report(own.member, version)
+        self.pass_on(own.member)
+        self.is_urgent = True
+        actions.append(MemberChanged(own.member, incarnation, MemberState.ALIVE))
--- /dev/null
+++ b/src/catkinspread/membership/outbox.py
@@ -0,0 +1,73 @@
+"""Updates that wait to be passed on, newest first."""
+
+from collections import deque
+
+from catkinspread.membership.messages import (
+    MemberRecord,
+    MemberState,
+    MemberUpdate,
+    measure_encoded_bytes,
+)
+from catkinspread.membership.table import Member, MemberTable
+
+
+class Outbox:
+    """Chooses the updates of each heartbeat; every update is sent a limited number of times."""
+
+    __slots__ = ("_queue", "_remaining")
+
+    def __init__(self) -> None:
+        self._queue: deque[str] = deque()
+        self._remaining: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._remaining)
+
+    def add(self, member: str, send_limit: int) -> None:
+        """Queues the current state of a member before all others."""
+        if member in self._remaining:
+            self._queue.remove(member)
+        self._queue.appendleft(member)
+        self._remaining[member] = send_limit
+
+    def take(
+        self, table: MemberTable, first: Member | None, room_bytes: int, now_ms: int
+    ) -> tuple[tuple[MemberUpdate, ...], tuple[MemberRecord, ...]]:
+        """Returns updates and records that fit into a room.
+
+        Args:
+            table: Where the states are read.
+            first: A member whose state is sent in any case.
+            room_bytes: Room in the message.
+            now_ms: Time of sending.
+        """
+        updates: list[MemberUpdate] = []
+        records: list[MemberRecord] = []
+        if first is not None:
+            updates.append(first.make_update())
+            room_bytes -= measure_encoded_bytes(updates[0])
+        for _ in range(len(self._queue)):
+            known = table.find(self._queue[0])
+            if known is not None:
+                item = _choose_form(known, now_ms)
+                room_bytes -= measure_encoded_bytes(item)
+                if room_bytes < 0:
+                    break
+                (records if isinstance(item, MemberRecord) else updates).append(item)
+            self._advance(is_known=known is not None)
+        return tuple(updates), tuple(records)
+
+    def _advance(self, is_known: bool) -> None:
+        member = self._queue.popleft()
+        self._remaining[member] -= 1
+        if is_known and self._remaining[member] > 0:
+            self._queue.append(member)
+        else:
+            del self._remaining[member]
+
+
+def _choose_form(known: Member, now_ms: int) -> MemberUpdate | MemberRecord:
+    # Only a new incarnation may be unknown to others; all later states refer to it.
+    if known.state is MemberState.ALIVE and known.refutation == 0:
+        return known.make_record(now_ms)
+    return known.make_update()
--- /dev/null
+++ b/src/catkinspread/membership/probes.py
@@ -0,0 +1,65 @@
+"""Heartbeats that wait for a reply."""
+
+
+class _Probe:
+    __slots__ = ("deadline_ms", "is_own", "is_retried", "requesters", "sequence")
+
+    def __init__(self, sequence: int, deadline_ms: int, is_own: bool) -> None:
+        self.sequence = sequence
+        self.deadline_ms = deadline_ms
+        self.is_own = is_own
+        self.is_retried = False
+        self.requesters: list[tuple[str, int]] = []
+
+
+class ProbeBook:
+    """Keeps the probes under way, one for each target."""
+
+    __slots__ = ("_probes",)
+
+    def __init__(self) -> None:
+        self._probes: dict[str, _Probe] = {}
+
+    def start(self, target: str, sequence: int, deadline_ms: int) -> None:
+        """Starts a probe unless one is under way."""
+        known = self._probes.get(target)
+        if known is None:
+            self._probes[target] = _Probe(sequence, deadline_ms, is_own=True)
+        elif not known.is_own:
+            known.is_own = True
+            known.deadline_ms = deadline_ms
+
+    def add_requester(self, target: str, requester: str, sequence: int, deadline_ms: int) -> None:
+        """Notes that another member wants to know about a reply of a target."""
+        known = self._probes.get(target)
+        if known is None:
+            known = self._probes[target] = _Probe(sequence, deadline_ms, is_own=False)
+        known.requesters.append((requester, sequence))
+
+    def finish(self, target: str) -> list[tuple[str, int]]:
+        """Ends the probe of a target and returns the requesters with their sequence."""
+        known = self._probes.pop(target, None)
+        return [] if known is None else known.requesters
+
+    def take_due(
+        self, now_ms: int, probe_timeout_ms: int
+    ) -> tuple[list[tuple[str, int]], list[str]]:
+        """Returns targets to probe a second time, with the sequence, and failed targets."""
+        retries: list[tuple[str, int]] = []
+        failed: list[str] = []
+        for target, probe in list(self._probes.items()):
+            if probe.deadline_ms > now_ms:
+                continue
+            if probe.is_own and not probe.is_retried:
+                probe.is_retried = True
+                probe.deadline_ms = now_ms + probe_timeout_ms
+                retries.append((target, probe.sequence))
+                continue
+            if probe.is_own:
+                failed.append(target)
+            del self._probes[target]
+        return retries, failed
+
+    def clear(self) -> None:
+        """Forgets all probes."""
+        self._probes.clear()
--- /dev/null
+++ b/src/catkinspread/membership/queries.py
@@ -0,0 +1,75 @@
+"""What other parts ask the membership view."""
+
+from catkinspread.membership.messages import MemberState
+from catkinspread.membership.table import Member, MemberTable
+from catkinspread.model import OwnerMember
+
+
+class MembershipQueries:
+    """Read-only part of a view."""
+
+    __slots__ = ("_is_stale", "_own_id", "_stale_since_ms", "_table")
+
+    def __init__(self, table: MemberTable, own_id: str) -> None:
+        self._table = table
+        self._own_id = own_id
+        self._is_stale = False
+        self._stale_since_ms = 0
+
+    @property
+    def own(self) -> Member:
+        """The instance itself."""
+        return self._table.find(self._own_id)
+
+    @property
+    def is_stale(self) -> bool:
+        """Whether the instance was paused and has had no exchange with anybody since."""
+        return self._is_stale
+
+    def find_member(self, member: str) -> Member | None:
+        """Returns what is known of a member, dead ones included; do not change it."""
+        return self._table.find(member)
+
+    def list_live(self) -> list[str]:
+        """Returns the ids of live members in order, the instance itself included."""
+        return list(self._table.list_live())
+
+    def list_live_by_data_centre(self) -> dict[str, list[str]]:
+        """Returns the ids of live members in order, by data centre."""
+        found: dict[str, list[str]] = {}
+        for member in self._table.list_live():
+            found.setdefault(self._table.find(member).data_centre, []).append(member)
+        return found
+
+    def find_live(self, member: str) -> OwnerMember | None:
+        """Returns a live member with its incarnation, or None if it is not live."""
+        known = self._table.find(member)
+        if known is None or not known.is_live:
+            return None
+        return OwnerMember(member, known.incarnation)
+
+    def is_live(self, member: OwnerMember) -> bool:
+        """Whether this very incarnation is live."""
+        return self.find_live(member.instance) == member
+
+    def is_suspect(self, member: str) -> bool:
+        """Whether a member is suspected; it still counts as live."""
+        known = self._table.find(member)
+        return known is not None and known.state is MemberState.SUSPECT
+
+    def find_reported_version(self, member: str) -> int | None:
+        """Returns the version that a live member reported last, or None if it is not live."""
+        known = self._table.find(member)
+        return known.version if known is not None and known.is_live else None
+
+    def have_all_reported(self, version: int) -> bool:
+        """Whether all live members have reported a configuration version or a later one."""
+        tracked, mask = self._table.get_reports()
+        live = self._table.list_live()
+        if tracked == version:
+            return mask == (1 << len(live)) - 1
+        return all(self._table.find(member).version >= version for member in live)
+
+    def count_known(self) -> int:
+        """Returns the number of members that were live in the last hour."""
+        return len(self._table.list_members())
--- /dev/null
+++ b/src/catkinspread/membership/table.py
@@ -0,0 +1,243 @@
+"""The members that an instance knows, with digests that tell whether two views agree."""
+
+from collections import deque
+
+from catkinspread.hashing import hash_text
+from catkinspread.membership.messages import MemberRecord, MemberState, MemberUpdate
+from catkinspread.model import Endpoint
+
+# 64 buckets of 10 members at 640: one differing member costs a sync reply of about 500 bytes.
+BUCKET_COUNT = 64
+_DIGEST_MASK = 0xFFFF_FFFF
+
+
+class Member:
+    """What this instance knows of a member; see MemberRecord for the meaning."""
+
+    __slots__ = (
+        "data_centre",
+        "ended_at_ms",
+        "endpoint",
+        "incarnation",
+        "member",
+        "refutation",
+        "state",
+        "version",
+    )
+
+    def __init__(self, record: MemberRecord, now_ms: int) -> None:
+        self.member = record.member
+        self.incarnation = 0
+        self.version = 0
+        self.replace(record, now_ms)
+
+    def replace(self, record: MemberRecord, now_ms: int) -> None:
+        """Takes over a newer record."""
+        if record.incarnation != self.incarnation:
+            self.version = 0
+        self.incarnation = record.incarnation
+        self.refutation = record.refutation
+        self.state = record.state
+        self.data_centre = record.data_centre
+        self.endpoint = Endpoint(record.host, record.port)
+        self.ended_at_ms = now_ms - record.ended_ago_s * 1_000
+
+    @property
+    def is_live(self) -> bool:
+        """Whether the member counts as live; a suspect does."""
+        return self.state <= MemberState.SUSPECT
+
+    def is_older_than(self, other: MemberUpdate | MemberRecord) -> bool:
+        """Whether a received state supersedes this one."""
+        return rank_state(self) < rank_state(other)
+
+    def is_newer_than(self, other: MemberUpdate | MemberRecord) -> bool:
+        """Whether this state supersedes a received one."""
+        return rank_state(self) > rank_state(other)
+
+    def make_update(self) -> MemberUpdate:
+        """Returns the short form."""
+        return MemberUpdate(self.member, self.incarnation, self.refutation, self.state)
+
+    def make_record(self, now_ms: int) -> MemberRecord:
+        """Returns the full form."""
+        ended_ago_s = 0 if self.is_live else max(0, now_ms - self.ended_at_ms) // 1_000
+        return MemberRecord(
+            self.member,
+            self.incarnation,
+            self.refutation,
+            self.state,
+            self.data_centre,
+            self.endpoint.host,
+            self.endpoint.port,
+            self.version,
+            ended_ago_s,
+        )
+
+
+def rank_state(known: Member | MemberUpdate | MemberRecord) -> tuple[int, bool, int, int]:
+    """Returns a value that is greater for the newer of two states of a member.
+
+    The end of an incarnation is final; a refutation cannot undo it.
+    """
+    has_ended = known.state >= MemberState.DEAD
+    return known.incarnation, has_ended, known.refutation, known.state
+
+
+class MemberTable:
+    """All known members, the instance itself included.
+
+    Attributes:
+        changed_at_ms: When the set of live members changed last.
+    """
+
+    __slots__ = (
+        "_buckets",
+        "_ended",
+        "_ids_by_bucket",
+        "_live",
+        "_members",
+        "_order",
+        "_reported_mask",
+        "_reported_version",
+        "changed_at_ms",
+    )
+
+    def __init__(self) -> None:
+        self._members: dict[str, Member] = {}
+        self._live: dict[str, int] = {}
+        self._buckets = [0] * BUCKET_COUNT
+        self._ids_by_bucket: list[set[str]] = [set() for _ in range(BUCKET_COUNT)]
+        self._ended: deque[tuple[int, str]] = deque()
+        self._order: list[str] | None = None
+        self._reported_version = 0
+        self._reported_mask = 0
+        self.changed_at_ms = 0
+
+    def find(self, member: str) -> Member | None:
+        """Returns a member, or None if it is unknown."""
+        return self._members.get(member)
+
+    def put(self, record: MemberRecord, now_ms: int) -> Member:
+        """Adds a member or replaces what is known of it."""
+        known = self._members.get(record.member)
+        if known is None:
+            known = self._members[record.member] = Member(record, now_ms)
+            self._ids_by_bucket[hash_text(record.member) % BUCKET_COUNT].add(record.member)
+        else:
+            known.replace(record, now_ms)
+        self._index(known, now_ms)
+        self.report(record.member, record.version)
+        return known
+
+    def set_state(self, update: MemberUpdate, now_ms: int) -> None:
+        """Changes the state of a known member."""
+        known = self._members[update.member]
+        was_live = known.is_live
+        known.incarnation = update.incarnation
+        known.refutation = update.refutation
+        known.state = update.state
+        if was_live and not known.is_live:
+            known.ended_at_ms = now_ms
+        self._index(known, now_ms)
+
+    def forget_before(self, time_ms: int) -> None:
+        """Forgets members that ended before a time."""
+        while self._ended and self._ended[0][0] < time_ms:
+            _, member = self._ended.popleft()
+            known = self._members.get(member)
+            if known is not None and not known.is_live and known.ended_at_ms < time_ms:
+                del self._members[member]
+                self._ids_by_bucket[hash_text(member) % BUCKET_COUNT].discard(member)
+
+    def list_members(self) -> list[Member]:
+        """Returns all known members in order of id."""
+        return [self._members[member] for member in sorted(self._members)]
+
+    def list_live(self) -> list[str]:
+        """Returns the ids of the live members in order; do not change the list."""
+        if self._order is None:
+            self._order = sorted(self._live)
+            self._track(self._reported_version)
+        return self._order
+
+    def count_live(self) -> int:
+        """Returns the number of live members."""
+        return len(self._live)
+
+    def digest(self) -> int:
+        """Returns a 32-bit digest of ids and incarnations of the live members."""
+        digest = 0
+        for bucket in self._buckets:
+            digest ^= bucket
+        return digest
+
+    def encode_digests(self) -> bytes:
+        """Returns the digests of all buckets, 4 bytes each."""
+        return b"".join(bucket.to_bytes(4, "little") for bucket in self._buckets)
+
+    def list_differing(self, digests: bytes) -> list[Member]:
+        """Returns the members of all buckets whose digest differs from the given ones."""
+        found: list[Member] = []
+        for bucket, own in enumerate(self._buckets):
+            if digests[4 * bucket : 4 * bucket + 4] != own.to_bytes(4, "little"):
+                found.extend(self._members[key] for key in sorted(self._ids_by_bucket[bucket]))
+        return found
+
+    def report(self, member: str, version: int) -> None:
+        """Notes that a member has reported a configuration version."""
+        known = self._members.get(member)
+        if known is None or version <= known.version:
+            return
+        known.version = version
+        if version > self._reported_version:
+            self._track(version)
+        elif version == self._reported_version and known.is_live and self._order is not None:
+            self._reported_mask |= 1 << self._find_position(member)
+
+    def get_reports(self) -> tuple[int, int]:
+        """Returns the highest reported version and the mask of live members that have it."""
+        self.list_live()
+        return self._reported_version, self._reported_mask
+
+    def merge_reports(self, version: int, mask: int) -> None:
+        """Takes over the reports of a view with the same digest."""
+        if version > self._reported_version:
+            self._track(version)
+        if version < self._reported_version:
+            return
+        order = self.list_live()
+        new = mask & ~self.get_reports()[1] & ((1 << len(order)) - 1)
+        self._reported_mask |= new
+        while new:
+            lowest = new & -new
+            self._members[order[lowest.bit_length() - 1]].version = version
+            new ^= lowest
+
+    def _track(self, version: int) -> None:
+        self._reported_version = version
+        self._reported_mask = 0
+        for position, member in enumerate(self.list_live()):
+            if self._members[member].version >= version:
+                self._reported_mask |= 1 << position
+
+    def _find_position(self, member: str) -> int:
+        # Called only on the first report of a version by a member, so a scan is cheap enough.
+        return self.list_live().index(member)
+
+    def _index(self, known: Member, now_ms: int) -> None:
+        value = 0
+        if known.is_live:
+            value = hash_text(f"{known.member}\x00{known.incarnation}") & _DIGEST_MASK
+        else:
+            self._ended.append((known.ended_at_ms, known.member))
+        old = self._live.get(known.member, 0)
+        if value == old:
+            return
+        self._buckets[hash_text(known.member) % BUCKET_COUNT] ^= old ^ value
+        if value:
+            self._live[known.member] = value
+        else:
+            del self._live[known.member]
+        self._order = None
+        self.changed_at_ms = now_ms
--- /dev/null
+++ b/src/catkinspread/membership/view.py
@@ -0,0 +1,393 @@
+"""The view that an instance has of the other instances.
+
+Failure detection follows SWIM (Das, Gupta, Motivala 2002): every heartbeat is replied to, a
+missing reply leads to a second direct probe and indirect ones, then to a suspicion that the
+suspect can refute, then to death. The load per instance does not depend on their number.
+"""
+
+import random
+from collections.abc import Iterable
+
+from catkinspread.membership.actions import (
+    MembershipAction,
+    SendMessage,
+    VersionSeen,
+)
+from catkinspread.membership.heartbeats import HeartbeatComposer
+from catkinspread.membership.joining import Joiner, make_page
+from catkinspread.membership.merging import RecordMerger
+from catkinspread.membership.messages import (
+    Heartbeat,
+    JoinRequest,
+    MemberRecord,
+    MembershipMessage,
+    MemberState,
+    MemberUpdate,
+    ProbeAnswer,
+    ProbeRequest,
+    SyncReply,
+    SyncRequest,
+    ViewPage,
+    ViewRequest,
+    measure_encoded_bytes,
+)
+from catkinspread.membership.outbox import Outbox
+from catkinspread.membership.probes import ProbeBook
+from catkinspread.membership.queries import MembershipQueries
+from catkinspread.membership.settings import MembershipSettings
+from catkinspread.membership.table import Member, MemberTable
+from catkinspread.model import Endpoint
+
+# An instance that leaves tells this many peers at once; gossip does the rest.
+_LEAVE_FAN_OUT = 5
+_WAKE_FAN_OUT = 3
+
+
+class MembershipView(MembershipQueries):
+    """Decides which messages to send and keeps the state of the members.
+
+    Args:
+        record: The instance itself; its incarnation is the start time in ms since the epoch.
+        rng: Source of all random choices.
+        now_ms: Time of the start.
+        settings: Periods and limits.
+    """
+
+    __slots__ = (
+        "_composer",
+        "_due_ms",
+        "_joiner",
+        "_last_run_ms",
+        "_merger",
+        "_peers",
+        "_peers_order",
+        "_probes",
+        "_settings",
+        "_outbox",
+        "_rng",
+        "_urgent_full_ms",
+        "_wake_sequence",
+    )
+
+    def __init__(
+        self,
+        record: MemberRecord,
+        rng: random.Random,
+        now_ms: int,
+        settings: MembershipSettings | None = None,
+    ) -> None:
+        super().__init__(MemberTable(), record.member)
+        self._table.put(record, now_ms)
+        self._settings = settings or MembershipSettings()
+        self._rng = rng
+        self._outbox = Outbox()
+        self._joiner = Joiner()
+        self._probes = ProbeBook()
+        self._composer = HeartbeatComposer(
+            record.member, self._table, self._outbox, self._settings.heartbeat_max_bytes
+        )
+        self._merger = RecordMerger(
+            record.member, self._table, self._outbox, self._probes, self._settings
+        )
+        self._merger.pass_on(record.member)
+        self._wake_sequence = 0
+        self._urgent_full_ms = now_ms
+        self._last_run_ms = now_ms
+        self._peers: tuple[list[str], list[str]] = ([], [])
+        self._peers_order: list[str] | None = None
+        jitter = rng.random()
+        self._due_ms = {
+            "local": now_ms + int(jitter * self._settings.local_period_ms),
+            "remote": now_ms + int(jitter * self._settings.remote_period_ms),
+            "dead": now_ms + self._settings.dead_probe_period_ms,
+            "sync": now_ms + self._settings.sync_period_ms,
+            "join": now_ms,
+        }
+
+    @property
+    def is_joined(self) -> bool:
+        """Whether the instance has read the view of a peer since its start."""
+        return self._joiner.is_done
+
+    def add_seeds(self, endpoints: Iterable[Endpoint]) -> None:
+        """Adds places to ask for the view, from settings or the platform's list.
+
+        The platform's list lags, so a seed is not taken for a live member.
+        """
+        self._joiner.add_seeds(endpoints, self.own.endpoint)
+
+    def load(self, records: Iterable[MemberRecord], now_ms: int) -> None:
+        """Takes over a whole view, which ends joining."""
+        self._merger.merge_records(records, now_ms, [], is_news=False)
+        self._joiner.is_done = True
+
+    def set_version(self, version: int) -> None:
+        """Sets the configuration version that this instance reports."""
+        if version > self.own.version:
+            self._table.report(self.own.member, version)
+            self._merger.is_urgent = True
+
+    def confirm_platform_exchange(self, started_at_ms: int) -> None:
+        """Notes an exchange with the platform that began at a time and succeeded."""
+        if started_at_ms >= self._stale_since_ms:
+            self._is_stale = False
+
+    def leave(self, now_ms: int) -> list[MembershipAction]:
+        """Announces that this instance leaves; call once, then stop calling `tick`."""
+        own = self.own
+        self._table.set_state(
+            MemberUpdate(own.member, own.incarnation, own.refutation, MemberState.LEFT), now_ms
+        )
+        peers = [member for member in self._table.list_live() if member != own.member]
+        chosen = self._rng.sample(peers, min(_LEAVE_FAN_OUT, len(peers)))
+        return [self._composer.make_heartbeat(self._table.find(peer), now_ms) for peer in chosen]
+
+    def tick(self, now_ms: int) -> list[MembershipAction]:
+        """Does what is due; call it about every 100 ms."""
+        actions: list[MembershipAction] = []
+        self._note_run(now_ms, actions)
+        if self._joiner.needs_request(self._table.count_live()):
+            self._tick_join(now_ms, actions)
+        self._tick_probes(now_ms, actions)
+        self._merger.tick(now_ms, actions)
+        self._tick_heartbeats(now_ms, actions)
+        self._push_urgent(now_ms, actions)
+        self._table.forget_before(now_ms - self._settings.forget_after_ms)
+        return actions
+
+    def handle(self, message: MembershipMessage, now_ms: int) -> list[MembershipAction]:
+        """Takes a message of another instance."""
+        actions: list[MembershipAction] = []
+        self._note_run(now_ms, actions)
+        match message:
+            case Heartbeat():
+                self._handle_heartbeat(message, now_ms, actions)
+            case ProbeRequest(sender, target, sequence):
+                self._handle_probe_request(sender, target, sequence, now_ms, actions)
+            case ProbeAnswer(_, target, _):
+                self._probes.finish(target)
+            case JoinRequest(record):
+                self._merger.merge_record(record, now_ms, actions)
+                self._send_page(record.member, record.endpoint, "", now_ms, actions)
+            case ViewRequest(sender, after):
+                known = self._table.find(sender)
+                if known is not None:
+                    self._send_page(sender, known.endpoint, after, now_ms, actions)
+            case ViewPage():
+                self._merger.merge_records(message.records, now_ms, actions, is_news=False)
+                self._joiner.note_page(message)
+                self._due_ms["join"] = now_ms
+                self._end_staleness(message.sender)
+                if not self._joiner.is_done:
+                    self._tick_join(now_ms, actions)
+            case SyncRequest():
+                self._handle_sync(message, now_ms, actions)
+            case SyncReply():
+                self._handle_sync_reply(message, now_ms, actions)
+        self._push_urgent(now_ms, actions)
+        return actions
+
+    # Pauses
+
+    def _note_run(self, now_ms: int, actions: list[MembershipAction]) -> None:
+        gap_ms = now_ms - self._last_run_ms
+        self._last_run_ms = now_ms
+        if gap_ms <= self._settings.stale_after_ms:
+            return
+        self._is_stale = True
+        self._stale_since_ms = now_ms
+        # Replies that arrived during the pause wait unread, so nobody is suspected for it.
+        self._probes.clear()
+        self._wake_sequence = self._composer.sequence + 1
+        self._merger.restart_suspicions(now_ms)
+        local, remote = self._list_peers()
+        peers = local + remote
+        for peer in self._rng.sample(peers, min(_WAKE_FAN_OUT, len(peers))):
+            self._send_probe(peer, now_ms, actions)
+
+    def _end_staleness(self, sender: str, sequence: int | None = None) -> None:
+        # A reply to a heartbeat from before the pause may be old itself.
+        if self._is_stale and (sequence is None or sequence >= self._wake_sequence):
+            self._is_stale = False
+
+    # Joining
+
+    def _tick_join(self, now_ms: int, actions: list[MembershipAction]) -> None:
+        if now_ms < self._due_ms["join"]:
+            return
+        self._due_ms["join"] = now_ms + self._settings.join_period_ms
+        local, remote = self._list_peers()
+        peers = [self._table.find(peer) for peer in local + remote]
+        record = self.own.make_record(now_ms)
+        actions.extend(self._joiner.make_requests(record, peers, self._rng))
+
+    def _send_page(
+        self,
+        receiver: str,
+        endpoint: Endpoint,
+        after: str,
+        now_ms: int,
+        actions: list[MembershipAction],
+    ) -> None:
+        records = (known.make_record(now_ms) for known in self._table.list_members())
+        page = make_page(self.own.member, records, after, self._settings.page_max_bytes)
+        actions.append(SendMessage(receiver, endpoint, page))
+
+    # Heartbeats and probes
+
+    def _list_peers(self) -> tuple[list[str], list[str]]:
+        order = self._table.list_live()
+        if self._peers_order is not order:
+            self._peers_order = order
+            own = self.own
+            others = [self._table.find(member) for member in order if member != own.member]
+            self._peers = (
+                [peer.member for peer in others if peer.data_centre == own.data_centre],
+                [peer.member for peer in others if peer.data_centre != own.data_centre],
+            )
+        return self._peers
+
+    def _tick_heartbeats(self, now_ms: int, actions: list[MembershipAction]) -> None:
+        local, remote = self._list_peers()
+        if self._is_due("local", self._settings.local_period_ms, now_ms) and local:
+            self._send_probe(self._rng.choice(local), now_ms, actions)
+        if self._is_due("remote", self._settings.remote_period_ms, now_ms) and remote:
+            self._send_probe(self._rng.choice(remote), now_ms, actions)
+        if self._is_due("dead", self._settings.dead_probe_period_ms, now_ms):
+            self._probe_dead(now_ms, actions)
+
+    def _push_urgent(self, now_ms: int, actions: list[MembershipAction]) -> None:
+        if not self._merger.is_urgent:
+            return
+        self._merger.is_urgent = False
+        # The time of the next refill stands for the tokens that are left.
+        refill_ms = self._settings.urgent_refill_ms
+        full_ms = max(self._urgent_full_ms, now_ms) + refill_ms
+        if full_ms > now_ms + refill_ms * self._settings.urgent_burst:
+            return
+        self._urgent_full_ms = full_ms
+        local, remote = self._list_peers()
+        peers = local + remote
+        for peer in self._rng.sample(peers, min(self._settings.urgent_fan_out, len(peers))):
+            actions.append(self._composer.make_heartbeat(self._table.find(peer), now_ms))
+
+    def _is_due(self, name: str, period_ms: int, now_ms: int) -> bool:
+        if now_ms < self._due_ms[name]:
+            return False
+        self._due_ms[name] = max(self._due_ms[name] + period_ms, now_ms - period_ms)
+        return True
+
+    def _probe_dead(self, now_ms: int, actions: list[MembershipAction]) -> None:
+        known = self._table.list_members()
+        dead = [member for member in known if member.state is MemberState.DEAD]
+        if dead:
+            actions.append(self._composer.make_heartbeat(self._rng.choice(dead), now_ms))
+
+    def _send_probe(self, target: str, now_ms: int, actions: list[MembershipAction]) -> None:
+        member = self._table.find(target)
+        actions.append(self._composer.make_heartbeat(member, now_ms))
+        self._probes.start(
+            target, self._composer.sequence, now_ms + self._settings.reply_timeout_ms
+        )
+
+    def _handle_heartbeat(
+        self, message: Heartbeat, now_ms: int, actions: list[MembershipAction]
+    ) -> None:
+        self._merger.merge_records(message.records, now_ms, actions)
+        sender_state = MemberUpdate(
+            message.sender, message.incarnation, message.refutation, message.state
+        )
+        for update in (*message.updates, sender_state):
+            self._merger.merge_update(update, now_ms, actions)
+        sender = self._table.find(message.sender)
+        if sender is None or sender.incarnation != message.incarnation:
+            return
+        self._table.report(message.sender, message.version)
+        if message.version > self.own.version:
+            actions.append(VersionSeen(message.sender, message.version))
+        self._composer.merge_reports(message)
+        if message.is_reply:
+            self._end_staleness(message.sender, message.sequence)
+            for requester, sequence in self._probes.finish(message.sender):
+                self._send_to(
+                    requester, ProbeAnswer(self.own.member, message.sender, sequence), actions
+                )
+        elif MemberState.LEFT not in (self.own.state, sender.state):
+            actions.append(self._composer.make_heartbeat(sender, now_ms, message.sequence))
+        self._request_sync(sender, message.digest, now_ms, actions)
+
+    def _handle_probe_request(
+        self,
+        sender: str,
+        target: str,
+        sequence: int,
+        now_ms: int,
+        actions: list[MembershipAction],
+    ) -> None:
+        if self._table.find(target) is None or target == self.own.member:
+            return
+        actions.append(self._composer.make_heartbeat(self._table.find(target), now_ms))
+        deadline_ms = now_ms + self._settings.probe_timeout_ms
+        self._probes.add_requester(target, sender, sequence, deadline_ms)
+
+    def _tick_probes(self, now_ms: int, actions: list[MembershipAction]) -> None:
+        retries, failed = self._probes.take_due(now_ms, self._settings.probe_timeout_ms)
+        for target, sequence in retries:
+            member = self._table.find(target)
+            if member is None or not member.is_live:
+                self._probes.finish(target)
+                continue
+            actions.append(self._composer.make_heartbeat(member, now_ms))
+            local, remote = self._list_peers()
+            helpers = [peer for peer in local + remote if peer != target]
+            count = min(self._settings.indirect_probes, len(helpers))
+            for helper in self._rng.sample(helpers, count):
+                self._send_to(helper, ProbeRequest(self.own.member, target, sequence), actions)
+        for target in failed:
+            self._merger.suspect(target, now_ms, actions)
+            # The suspect learns of it from this heartbeat and can refute at once.
+            if self._table.find(target) is not None:
+                actions.append(self._composer.make_heartbeat(self._table.find(target), now_ms))
+
+    def _send_to(
+        self, receiver: str, message: MembershipMessage, actions: list[MembershipAction]
+    ) -> None:
+        member = self._table.find(receiver)
+        if member is not None:
+            actions.append(SendMessage(receiver, member.endpoint, message))
+
+    # Synchronisation of views that still differ
+
+    def _request_sync(
+        self, sender: Member, digest: int, now_ms: int, actions: list[MembershipAction]
+    ) -> None:
+        if digest == self._table.digest() or now_ms < self._due_ms["sync"]:
+            return
+        self._due_ms["sync"] = now_ms + self._settings.sync_period_ms
+        request = SyncRequest(self.own.member, self._table.encode_digests())
+        actions.append(SendMessage(sender.member, sender.endpoint, request))
+
+    def _handle_sync(
+        self, message: SyncRequest, now_ms: int, actions: list[MembershipAction]
+    ) -> None:
+        differing = self._table.list_differing(message.digests)
+        self._rng.shuffle(differing)
+        room_bytes = self._settings.page_max_bytes
+        records: list[MemberRecord] = []
+        for member in differing:
+            record = member.make_record(now_ms)
+            room_bytes -= measure_encoded_bytes(record)
+            if room_bytes < 0:
+                break
+            records.append(record)
+        self._send_to(message.sender, SyncReply(self.own.member, tuple(records)), actions)
+
+    def _handle_sync_reply(
+        self, message: SyncReply, now_ms: int, actions: list[MembershipAction]
+    ) -> None:
+        for record in message.records:
+            known = self._table.find(record.member)
+            if known is not None and known.is_newer_than(record):
+                # The sender missed it, so others may have missed it too.
+                self._merger.pass_on(record.member)
+        self._merger.merge_records(message.records, now_ms, actions, is_news=False)
