Add the records of slow or refused requests and given-up flows

Cause: a caller who was refused demands proof of what happened, and nothing kept it. Change: src/catkinspread/records/.

--- /dev/null
+++ b/src/catkinspread/records/tests/test_reasons.py
@@ -0,0 +1,58 @@
+"""Tests of the registry of reasons."""
+
+import msgspec
+import pytest
+
+from catkinspread.limits import LimitsInForce, RefusalReason
+from catkinspread.records import (
+    RequestRecord,
+    RequestTimings,
+    describe_record,
+    find_reason,
+    list_reasons,
+    register_reason,
+)
+
+LIMITS = LimitsInForce(5.0, 0.5556, 9, 4, 4, 12, True)
+RECORD = RequestRecord(
+    instance="a",
+    version=7,
+    service="recipe-desk",
+    upstream="rd-1",
+    flow=42,
+    caller_id="printer",
+    request_id="r1",
+    priority=1,
+    limits=LIMITS,
+    timings=RequestTimings(1_000, 1_010, None, 1_510, 1_500),
+    reason="limits.expired-in-cold-start",
+)
+
+
+def test_every_refusal_reason_has_a_sentence_and_a_hint():
+    """Guards against a refusal that a record cannot explain."""
+    assert {reason.value for reason in RefusalReason} <= {r.code for r in list_reasons()}
+    bare = msgspec.structs.replace(RECORD, limits=None, upstream="")
+    for reason in list_reasons():
+        assert reason.hint.endswith(".")
+        for record in (RECORD, bare):
+            sentence = describe_record(msgspec.structs.replace(record, reason=reason.code))
+            assert sentence and not sentence.endswith(".")
+
+
+def test_sentence_names_the_figures():
+    """Guards against an explanation without the limit that was in force."""
+    assert describe_record(RECORD) == (
+        "it waited 500 ms while upstream 'rd-1' warmed up with a share of 0.56 requests per second"
+    )
+    unknown = msgspec.structs.replace(RECORD, reason="later.reason")
+    assert describe_record(unknown) == "reason 'later.reason' is not known to this release"
+
+
+def test_code_is_registered_once():
+    """Guards against two reasons with one code."""
+    with pytest.raises(ValueError, match="registered twice"):
+        register_reason("limits.cancelled", "Hint.")(describe_record)
+    with pytest.raises(ValueError, match="no operator hint"):
+        register_reason("test.without-hint", "")(describe_record)
+    assert find_reason("test.without-hint") is None
