--- a/src/catkinspread/routing/batches.py
+++ b/src/catkinspread/routing/batches.py
@@ -3,7 +3,7 @@
 import enum
 from collections.abc import Iterator
 
-from catkinspread.model import Configuration, OwnerGroup, SlotTable, SlotTransition
+from catkinspread.model import Configuration, OwnerGroup, OwnerMember, SlotTable, SlotTransition
 from catkinspread.routing.limits import RoutingLimits
 
 
@@ -39,7 +39,12 @@
         generation_ms: Start of the current generation of the pins.
         uncertain_until_ms: End of UNCERTAIN.
         decided_ms: When this member last decided for one of the slots; None if never.
-        is_acting: Whether this member was the acting owner at the last tick.
+        acting: First live member of the group; None if none is alive.
+        is_acting: Whether this member was the acting owner at the last step.
+        former: Members of earlier groups that some instances may still forward to. They store
+            pins too, because they answer these packets.
+        former_version: Version that all instances must have before former members are of no
+            use.
         is_announced: Whether the acting owner has announced the list.
         missing_since_ms: Since when a member is missing; None if none is.
         joining: Members that get the pins before they enter the group.
@@ -52,12 +57,15 @@
     """
 
     __slots__ = (
+        "acting",
         "announced_ms",
         "append_version",
         "appended_ms",
         "clock_ms",
         "copy_requests",
         "decided_ms",
+        "former",
+        "former_version",
         "generation_ms",
         "group",
         "hold_from_ms",
@@ -91,7 +99,10 @@
         self.generation_ms = now_ms
         self.uncertain_until_ms = 0
         self.decided_ms: int | None = None
+        self.acting: OwnerMember | None = None
         self.is_acting = False
+        self.former: tuple[OwnerMember, ...] = ()
+        self.former_version = 0
         self._reset_steps()
 
     def _reset_steps(self) -> None:
@@ -106,9 +117,16 @@
         self.appended_ms = 0
 
     def continue_with(
-        self, transition: SlotTransition, limits: RoutingLimits, now_ms: int
+        self, transition: SlotTransition, version: int, limits: RoutingLimits, now_ms: int
     ) -> "Batch":
-        """Returns an empty batch for slots of this one that have a new target or group."""
+        """Returns an empty batch for slots of this one that have a new target or group.
+
+        Args:
+            transition: The transition as it is now.
+            version: Version of the configuration.
+            limits: Times of the routing.
+            now_ms: Current time in ms.
+        """
         batch = Batch(self.service, transition, limits, now_ms)
         batch.phase = self.phase
         batch.hold_version = self.hold_version
@@ -120,6 +138,14 @@
         batch.decided_ms = self.decided_ms
         batch.is_acting = self.is_acting
         batch.missing_since_ms = self.missing_since_ms
+        batch.former = tuple(
+            member
+            for member in (*self.former, *self.group.members)
+            if member not in transition.group.members
+        )
+        batch.former_version = self.former_version
+        if transition.group != self.group:
+            batch.former_version = version
         if transition.version == self.version:
             batch.is_announced = self.is_announced
         elif self.phase is not Phase.HOLD:
@@ -169,10 +195,17 @@
         changes = BatchChanges()
         for service, table in configuration.slot_tables.items():
             if self._tables.get(service) is not table:
-                self._rebuild(service, table, changes, now_ms)
+                self._rebuild(service, table, configuration.version, changes, now_ms)
         return changes
 
-    def _rebuild(self, service: str, table: SlotTable, changes: BatchChanges, now_ms: int) -> None:
+    def _rebuild(
+        self,
+        service: str,
+        table: SlotTable,
+        version: int,
+        changes: BatchChanges,
+        now_ms: int,
+    ) -> None:
         before = self._by_slot.get(service, {})
         old_table = self._tables.get(service)
         by_slot: dict[int, Batch] = {}
@@ -187,7 +220,7 @@
             key = (transition.version, transition.group, id(old))
             batch = created.get(key)
             if batch is None:
-                batch = created[key] = self._create(service, transition, old, now_ms)
+                batch = created[key] = self._create(service, transition, old, version, now_ms)
                 if old is not None and old.version != batch.version:
                     changes.retargeted.append(batch)
             batch.slots.append(slot)
@@ -199,8 +232,13 @@
         self._batches[service] = list(created.values())
 
     def _create(
-        self, service: str, transition: SlotTransition, old: Batch | None, now_ms: int
+        self,
+        service: str,
+        transition: SlotTransition,
+        old: Batch | None,
+        version: int,
+        now_ms: int,
     ) -> Batch:
         if old is None:
             return Batch(service, transition, self._limits, now_ms)
-        return old.continue_with(transition, self._limits, now_ms)
+        return old.continue_with(transition, version, self._limits, now_ms)
--- a/src/catkinspread/routing/limits.py
+++ b/src/catkinspread/routing/limits.py
@@ -17,6 +17,7 @@
             exchange.
         contact_max_ms: Without contact for this long an instance stops routing, because
             endpoints may belong to other services then.
+        step_ms: Time between two looks at the transitions; new pins are sent at every tick.
         replicate_retry_ms: Unacknowledged messages are sent again after this time.
         pin_wait_max_ms: A held packet is dropped after this time.
         uncertain_max_ms: How long a successor waits for an entry that its predecessor may have
@@ -37,6 +38,7 @@
     close_linger_ms: int = 2_000
     stale_after_ms: int = 2_000
     contact_max_ms: int = 3_600_000
+    step_ms: int = 50
     replicate_retry_ms: int = 100
     pin_wait_max_ms: int = 2_000
     uncertain_max_ms: int = 5_000
--- a/src/catkinspread/routing/owner.py
+++ b/src/catkinspread/routing/owner.py
@@ -52,7 +52,9 @@
     """
 
     __slots__ = (
+        "_left_version",
         "_self",
+        "_stepped_ms",
         "batches",
         "configuration",
         "figures",
@@ -66,6 +68,8 @@
 
     def __init__(self, member: OwnerMember, limits: RoutingLimits) -> None:
         self._self = member
+        self._left_version = 0
+        self._stepped_ms = 0
         self.limits = limits
         self.configuration = Configuration()
         self.members = LiveMembers()
@@ -83,13 +87,19 @@
 
     @property
     def is_handover_complete(self) -> bool:
-        """Whether this instance is in no owner group and may stop."""
-        return all(self._self not in batch.group.members for batch in self.batches)
+        """Whether no instance forwards packets to this one any more, so that it may stop."""
+        if any(self._self in batch.group.members for batch in self.batches):
+            return False
+        return self.members.have_all_reported(self._left_version)
 
     def apply(self, configuration: Configuration, now_ms: int) -> None:
         """Takes a new configuration; configurations must be given in order of version."""
         self.configuration = configuration
+        was_member = any(self._self in batch.group.members for batch in self.batches)
         changes = self.batches.apply(configuration, now_ms)
+        if was_member:
+            self._left_version = configuration.version
+        self._find_acting()
         for batch in changes.retargeted:
             self.restart_clock(batch, now_ms)
         for service, slots in changes.ended.items():
@@ -99,9 +109,14 @@
     def set_members(self, members: LiveMembers) -> list[OwnerAction]:
         """Takes a new view of the live instances."""
         self.members = members
+        self._find_acting()
         alive = frozenset(member.name for member in members)
         return self._release(self.replicator.keep_members(alive))
 
+    def _find_acting(self) -> None:
+        for batch in self.batches:
+            batch.acting = self.members.find_acting(batch.group)
+
     def find_base(self, service: str, flow: int) -> str:
         """Returns the upstream of a flow by the base of its slot."""
         table = self.configuration.slot_tables[service]
@@ -111,7 +126,7 @@
         """Returns the live members that must store a pin before an open is released."""
         names = [
             member.instance
-            for member in batch.group.members
+            for member in (*batch.group.members, *batch.former)
             if member != self._self and self.members.is_alive(member)
         ]
         return names + [name for name in batch.joining if name not in names]
@@ -146,7 +161,6 @@
     ) -> RouteAction | None:
         action = resolve_upstream(self.configuration, service, pinned, kind)
         if not isinstance(action, SendToUpstream):
-            self.pins.forget(service, flow)
             return None if kind is PacketKind.OPEN else action
         if kind is PacketKind.CLOSE:
             self.pins.close(service, flow, now_ms + self.limits.close_linger_ms)
@@ -175,7 +189,9 @@
             self.restart_clock(batch, now_ms)
             return action
         self.pins.set(service, flow, upstream, self.configuration.version)
-        replicas = self.list_replicas(batch) if upstream != base else []
+        # An open that gets the base is replicated too, because a member may still have a pin of
+        # an earlier attempt on another upstream. In HOLD no member has one.
+        replicas = [] if batch.phase is Phase.HOLD else self.list_replicas(batch)
         if not replicas:
             return action
         self.replicator.add(service, flow, upstream, replicas, now_ms)
@@ -295,8 +311,10 @@
         """Moves transitions on and returns due messages; call it every few milliseconds."""
         actions: list[OwnerAction] = []
         self._end_closing(now_ms, actions)
-        for batch in self.batches:
-            self._advance(batch, now_ms, actions)
+        if now_ms - self._stepped_ms >= self.limits.step_ms:
+            self._stepped_ms = now_ms
+            for batch in self.batches:
+                self._advance(batch, now_ms, actions)
         for service, flow in self.replicator.find_overdue(now_ms):
             drop = DropPacket(DropReason.PIN_TIMEOUT)
             actions.append(ReleasePackets(service, flow, drop))
@@ -304,13 +322,11 @@
         return actions
 
     def _advance(self, batch: Batch, now_ms: int, actions: list[OwnerAction]) -> None:
-        acting = self.members.find_acting(batch.group)
-        is_acting = acting == self._self
-        if batch.phase is Phase.HOLD and now_ms >= batch.hold_from_ms:
-            has_all = self.members.have_all_reported(batch.hold_version)
-            if has_all or now_ms >= batch.hold_until_ms:
-                batch.phase = Phase.SPLIT
-                self.restart_clock(batch, now_ms)
+        is_acting = batch.acting == self._self
+        if batch.phase is Phase.HOLD:
+            self._end_hold(batch, now_ms)
+        if batch.former:
+            self._end_former(batch, now_ms)
         if is_acting and not batch.is_acting:
             self._take_over(batch, now_ms)
         batch.is_acting = is_acting
@@ -320,9 +336,28 @@
         if is_acting:
             self.group_steps.advance(batch, now_ms, actions)
             self.listing_steps.advance(batch, now_ms, actions)
-        elif acting is None:
+        elif batch.acting is None:
             self.group_steps.advance_orphan(batch, now_ms, actions)
 
+    def _end_hold(self, batch: Batch, now_ms: int) -> None:
+        if now_ms < batch.hold_from_ms:
+            return
+        if now_ms >= batch.hold_until_ms or self.members.have_all_reported(batch.hold_version):
+            batch.phase = Phase.SPLIT
+            self.restart_clock(batch, now_ms)
+
+    def _end_former(self, batch: Batch, now_ms: int) -> None:
+        """Forgets former members once no instance forwards to them."""
+        has_live = any(map(self.members.is_alive, batch.former))
+        if has_live and not self.members.have_all_reported(batch.former_version):
+            return
+        batch.former = ()
+        if self._self not in batch.group.members:
+            for slot in batch.slots:
+                self.pins.forget_slot(batch.service, slot, self.configuration.version)
+        # A former member has decided until now, for flows that this member may not know.
+        self.restart_clock(batch, now_ms)
+
     def _take_over(self, batch: Batch, now_ms: int) -> None:
         if batch.phase is Phase.HOLD:
             return
