Run routing, requests, limits, membership and records in the instance

Cause: the instance relayed packets by the slot base alone; the decision logic of the other parts was not connected to sockets. Change: InstanceCore ties slot router, transition owner, request handler, admission and records together without sockets; the daemon executes the actions. Requests of slots in transition are relayed to the owner group and answered back. UDP sends can carry a time limit, so that a paused process does not start a request after its deadline. Conclusion: the whole path uses the real decision logic.

--- a/src/catkinspread/emulator/upstream.py
+++ b/src/catkinspread/emulator/upstream.py
@@ -59,11 +59,13 @@
     Attributes:
         flows: Hashes of the flows it holds.
         runs: Number of executions by (caller id, request id).
-        unknown_flow_packets: Packets of flows that it does not hold.
+        closed: Hashes of flows that were closed; delayed duplicates of their packets are normal.
+        unknown_flow_packets: Packets of flows that it has never held.
         opened_at_ms: When each flow was opened last.
     """
 
     __slots__ = (
+        "closed",
         "flows",
         "opened_at_ms",
         "options",
@@ -77,6 +79,7 @@
         self.options = options
         self.started_ms = now_ms
         self.flows: set[int] = set()
+        self.closed: set[int] = set()
         self.opened_at_ms: dict[int, int] = {}
         self.runs: collections.Counter[tuple[str, str]] = collections.Counter()
         self.unknown_flow_packets = 0
@@ -91,12 +94,16 @@
         match packet:
             case Open(flow):
                 if flow not in self.flows:
+                    self.closed.discard(flow)
                     self.flows.add(flow)
                     self.opened_at_ms[flow] = now_ms
                 return [Accepted(flow)]
             case Close(flow):
                 self.flows.discard(flow)
+                self.closed.add(flow)
                 return []
+            case Data(flow) | Request(flow) if flow in self.closed:
+                return [Reset(flow, "flow is closed")]
             case Data(flow) | Request(flow) if flow not in self.flows:
                 self.unknown_flow_packets += 1
                 return [Reset(flow, "flow is unknown")]
--- a/src/catkinspread/instance/core.py
+++ b/src/catkinspread/instance/core.py
@@ -1,98 +1,169 @@
-"""The decision logic of an instance: packets and times in, typed actions out."""
+"""The decision logic of an instance: packets, messages and times in, typed actions out."""
 
-import collections
+import random
 
-import msgspec
-
-from catkinspread.hashing import hash_flow
-from catkinspread.instance.actions import Action, SendToCaller, SendToUpstream
-from catkinspread.instance.flows import Flow, FlowTable
-from catkinspread.model import SLOT_COUNT, Configuration, Endpoint
+from catkinspread.instance.actions import Action, AppendChange, SendToPeer
+from catkinspread.instance.admissions import Admissions
+from catkinspread.instance.messages import (
+    PeerBody,
+    RelayedAnswer,
+    RelayedRequest,
+    RelayRefused,
+)
+from catkinspread.instance.packet_path import PacketPath
+from catkinspread.instance.recorder import Recorder
+from catkinspread.instance.request_path import RequestPath
+from catkinspread.instance.world import World
+from catkinspread.limits import ColdStartNotice, KnownInstances
+from catkinspread.model import Configuration, Endpoint, OwnerMember
+from catkinspread.records import RecordStore
+from catkinspread.requests import ForwardedAnswer, ForwardedRequest, RequestHandler, StoreEvent
+from catkinspread.routing import (
+    AppendEntry,
+    ForwardedPacket,
+    MemberView,
+    OwnerAction,
+    ReleasePackets,
+    SendMessage,
+    SlotRouter,
+)
 from catkinspread.wire import (
     Accepted,
     Answer,
-    Close,
+    Cancel,
     Data,
     FabricPacket,
-    Packet,
     PacketError,
+    Request,
     Reset,
     decode_packet,
 )
 
+# Longer than the longest timeout between packets of a live flow.
+_FLOW_TIMEOUT_MS = 300_000
+_EXPIRE_PERIOD_MS = 1_000
+
 
 class InstanceCore:
-    """Relays packets between callers and upstreams by the applied configuration.
+    """Ties routing, requests, limits and records of one instance together.
+
+    All methods run in one task. None of them waits.
 
     Attributes:
-        configuration: The configuration in force at this instance.
-        flows: Where callers are reached.
-        drops: Number of dropped packets by reason.
+        world: Configuration, live instances, counters and records.
+        packets: The path of opens, data and closes.
+        requests: The path of requests.
     """
 
-    __slots__ = ("_services", "_upstreams", "configuration", "drops", "flows")
+    __slots__ = ("_fleet", "_next_expiry_ms", "packets", "requests", "world")
+
+    def __init__(
+        self,
+        member: OwnerMember,
+        flows_max: int,
+        records: RecordStore,
+        random_source: random.Random,
+        now_ms: int,
+    ) -> None:
+        recorder = Recorder(member.instance, records)
+        self.world = World(member, SlotRouter(member), recorder)
+        self._fleet = KnownInstances(member.instance, now_ms)
+        self.packets = PacketPath(self.world, flows_max)
+        admissions = Admissions(self.world, self._fleet)
+        recorder.set_limits_source(admissions.describe)
+        handler = RequestHandler(member, random_source)
+        self.requests = RequestPath(self.world, self.packets, handler, admissions)
+        self._next_expiry_ms = now_ms + _EXPIRE_PERIOD_MS
 
-    def __init__(self, flows_max: int) -> None:
-        self.flows = FlowTable(flows_max)
-        self.drops: collections.Counter[str] = collections.Counter()
-        self.apply(Configuration())
+    def apply(self, configuration: Configuration, now_ms: int) -> None:
+        """Puts a newer configuration in force; an older one is ignored."""
+        self.world.apply(configuration, now_ms)
 
-    def apply(self, configuration: Configuration) -> None:
-        """Puts a configuration in force."""
-        self.configuration = configuration
-        self._services = {
-            service.address: service.name for service in configuration.services.values()
-        }
-        self._upstreams = {
-            upstream.endpoint: upstream for upstream in configuration.upstreams.values()
-        }
+    def set_members(self, members: list[MemberView], now_ms: int) -> list[Action]:
+        """Takes the live instances, this one included."""
+        before = {view.member for view in self.world.members.values()}
+        self.world.members = {view.name: view for view in members}
+        for view in members:
+            self._fleet.observe(view.name, now_ms)
+        actions = self._own(self.world.router.set_members(members), now_ms)
+        if {view.member for view in members} != before:
+            actions += self.requests.update_members(now_ms)
+        return actions
 
     def handle_caller(self, fabric_packet: FabricPacket, now_ms: int) -> list[Action]:
         """Handles a packet that the fabric handed to this instance."""
-        service = self._services.get(fabric_packet.service)
-        if service is None:
-            return self._drop("unknown-service")
-        try:
-            packet = decode_packet(fabric_packet.datagram)
-        except PacketError:
-            return self._drop("malformed-caller-packet")
-        if isinstance(packet, Accepted | Answer | Reset):
-            return self._drop("unexpected-caller-packet")
-        caller = fabric_packet.caller
-        flow_hash = hash_flow(service, caller.host, caller.port)
-        packet = msgspec.structs.replace(packet, flow=flow_hash)
-        flow = Flow(flow_hash, service, fabric_packet.service, caller, now_ms)
-        return self._route(flow, packet)
+        caller_packet = self.packets.decode(fabric_packet, now_ms)
+        if caller_packet is None:
+            return []
+        match caller_packet.packet:
+            case Request():
+                return self.requests.handle_request(caller_packet, now_ms)
+            case Cancel():
+                return self.requests.handle_cancel(caller_packet, now_ms)
+        return self.packets.carry(caller_packet, now_ms)
 
     def handle_upstream(self, sender: Endpoint, datagram: bytes, now_ms: int) -> list[Action]:
         """Handles a packet from an upstream."""
-        upstream = self._upstreams.get(sender)
-        if upstream is None:
-            return self._drop("unknown-upstream")
+        if self.world.find_upstream(sender) is None:
+            self.world.drop("unknown-upstream")
+            return []
         try:
             packet = decode_packet(datagram)
         except PacketError:
-            return self._drop("malformed-upstream-packet")
-        if not isinstance(packet, Accepted | Answer | Data | Reset):
-            return self._drop("unexpected-upstream-packet")
-        flow = self.flows.find(packet.flow)
-        if flow is None or flow.service != upstream.service:
-            return self._drop("unknown-flow")
-        answer = msgspec.structs.replace(packet, flow=0)
-        return [SendToCaller(flow.service_address, flow.caller, answer)]
-
-    def _route(self, flow: Flow, packet: Packet) -> list[Action]:
-        table = self.configuration.slot_tables[flow.service]
-        name = table.bases[flow.flow_hash % SLOT_COUNT].find_upstream(flow.flow_hash)
-        upstream = self.configuration.upstreams.get(name)
-        if upstream is None:
-            return self._drop("no-upstream")
-        if isinstance(packet, Close):
-            self.flows.forget(flow.flow_hash)
-        else:
-            self.flows.remember(msgspec.structs.replace(flow, upstream=name))
-        return [SendToUpstream(upstream.endpoint, packet)]
-
-    def _drop(self, reason: str) -> list[Action]:
-        self.drops[reason] += 1
+            self.world.drop("malformed-upstream-packet")
+            return []
+        match packet:
+            case Answer():
+                return self.requests.handle_answer(packet, now_ms)
+            case Accepted() | Data() | Reset():
+                return self.packets.return_to_caller(sender, packet)
+        self.world.drop("unexpected-upstream-packet")
         return []
+
+    def handle_peer(self, sender: OwnerMember, body: PeerBody, now_ms: int) -> list[Action]:
+        """Handles a message of another instance."""
+        name = sender.instance
+        match body:
+            case ForwardedPacket():
+                caller_packet = self.packets.decode_forwarded(body, now_ms)
+                if caller_packet is None:
+                    return []
+                return self.packets.carry_forwarded(body, caller_packet, now_ms)
+            case ForwardedRequest() | ForwardedAnswer():
+                return self.requests.handle_peer(name, body, now_ms)
+            case RelayedRequest():
+                return self.requests.handle_relayed(name, body, now_ms)
+            case RelayedAnswer():
+                return self.requests.handle_relayed_answer(body, now_ms)
+            case RelayRefused():
+                return self.requests.handle_relay_refused(body, now_ms)
+            case ColdStartNotice():
+                return self.requests.handle_notice(name, body, now_ms)
+        return self._own(self.world.router.handle(name, body, now_ms), now_ms)
+
+    def handle_store_event(self, event: StoreEvent, now_ms: int) -> list[Action]:
+        """Handles the outcome of a store action."""
+        return self.requests.handle_store_event(event, now_ms)
+
+    def tick(self, now_ms: int) -> list[Action]:
+        """Does what is due; called every 20 ms."""
+        actions = self._own(self.world.router.tick(now_ms), now_ms)
+        actions += self.requests.tick(now_ms)
+        if now_ms >= self._next_expiry_ms:
+            self._next_expiry_ms = now_ms + _EXPIRE_PERIOD_MS
+            self.packets.flows.expire(now_ms, _FLOW_TIMEOUT_MS)
+        return actions
+
+    def _own(self, owner_actions: list[OwnerAction], now_ms: int) -> list[Action]:
+        """Turns the actions of the transition owner into those of the instance."""
+        actions: list[Action] = []
+        for action in owner_actions:
+            match action:
+                case SendMessage(instance, message):
+                    actions.append(SendToPeer(instance, message))
+                case ReleasePackets():
+                    actions += self.packets.release(action, now_ms)
+                    actions += self.requests.release(action, now_ms)
+                case AppendEntry():
+                    actions.append(AppendChange(action))
+        return actions
--- /dev/null
+++ b/src/catkinspread/instance/messages.py
@@ -0,0 +1,127 @@
+"""The frames that instances exchange.
+
+A frame is one byte with its kind, then either a membership datagram as it is, or a msgpack
+envelope around a message of another part.
+"""
+
+import enum
+
+import msgspec
+
+from catkinspread.limits import ColdStartNotice
+from catkinspread.model import OwnerMember
+from catkinspread.requests import ForwardedAnswer, ForwardedRequest
+from catkinspread.routing import (
+    AnnounceListing,
+    ForgetPins,
+    ForwardedPacket,
+    ForwardHeader,
+    ListingNoted,
+    PinsStored,
+    ReplicatePins,
+)
+from catkinspread.wire import Answer, Request
+
+
+class FrameError(Exception):
+    """A frame of another instance is malformed."""
+
+
+class FrameKind(enum.IntEnum):
+    """What follows the first byte of a frame."""
+
+    MEMBERSHIP = 0
+    ENVELOPE = 1
+
+
+class RelayedRequest(msgspec.Struct, array_like=True, frozen=True, tag="relayed-request"):
+    """Asks a member of an owner group to send a request to the upstream of its flow.
+
+    Attributes:
+        relay: Number that a refusal repeats.
+        header: What the routing needs.
+        request: The request as the upstream gets it.
+        not_after_ms: It must not be sent at or after this time, in ms since the epoch.
+        is_idempotent: Whether a second run does no harm.
+    """
+
+    relay: int
+    header: ForwardHeader
+    request: Request
+    not_after_ms: int
+    is_idempotent: bool
+
+
+class RelayedAnswer(msgspec.Struct, array_like=True, frozen=True, tag="relayed-answer"):
+    """Returns a part of the answer to a relayed request."""
+
+    answer: Answer
+
+
+class RelayRefused(msgspec.Struct, array_like=True, frozen=True, tag="relay-refused"):
+    """Tells that a relayed request was not sent and will not be."""
+
+    relay: int
+    reason: str
+
+
+PeerBody = (
+    AnnounceListing
+    | ColdStartNotice
+    | ForgetPins
+    | ForwardedAnswer
+    | ForwardedPacket
+    | ForwardedRequest
+    | ListingNoted
+    | PinsStored
+    | RelayRefused
+    | RelayedAnswer
+    | RelayedRequest
+    | ReplicatePins
+)
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    """A message with its sender.
+
+    Attributes:
+        sender: The run of the instance that sent it.
+        incarnation: The only run of the receiver that may handle it; 0 for any.
+        body: The message.
+    """
+
+    sender: OwnerMember
+    incarnation: int
+    body: PeerBody
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Returns the frame of an envelope."""
+    return bytes([FrameKind.ENVELOPE]) + _ENCODER.encode(envelope)
+
+
+def encode_membership_frame(datagram: bytes) -> bytes:
+    """Returns the frame of a membership datagram."""
+    return bytes([FrameKind.MEMBERSHIP]) + datagram
+
+
+def decode_frame(frame: bytes) -> Envelope | bytes:
+    """Returns the envelope of a frame, or its membership datagram.
+
+    Raises:
+        FrameError: If the frame is malformed.
+    """
+    if not frame:
+        raise FrameError("frame is empty")
+    if frame[0] == FrameKind.MEMBERSHIP:
+        return frame[1:]
+    if frame[0] != FrameKind.ENVELOPE:
+        raise FrameError(f"frame has the unknown kind {frame[0]}")
+    try:
+        return _DECODER.decode(memoryview(frame)[1:])
+    except msgspec.DecodeError as error:
+        raise FrameError(f"envelope is malformed: {error}") from error
--- a/src/catkinspread/transport/tests/test_udp.py
+++ b/src/catkinspread/transport/tests/test_udp.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from catkinspread.clock import ManualClock
 from catkinspread.model import Endpoint
 from catkinspread.transport import UdpPort
 
@@ -28,3 +29,25 @@
     received, dropped_count = anyio.run(scenario)
     assert sorted(received) == [bytes([number]) for number in range(50)]
     assert dropped_count == 1
+
+
+def test_a_datagram_is_not_sent_after_its_time_limit():
+    """Guards against a request that is sent late because the process was paused."""
+
+    async def scenario():
+        received = []
+        clock = ManualClock(1_000)
+        receiver = UdpPort(Endpoint("127.0.0.1", 0), lambda data, _: received.append(data))
+        sender = UdpPort(Endpoint("127.0.0.1", 0), lambda data, _: None, clock)
+        async with anyio.create_task_group() as group:
+            await group.start(receiver.run)
+            await group.start(sender.run)
+            sender.send(b"late", receiver.endpoint, not_after_ms=1_000)
+            sender.send(b"in time", receiver.endpoint, not_after_ms=1_001)
+            with anyio.fail_after(20):
+                while not received:
+                    await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+        return received, sender.dropped_count
+
+    assert anyio.run(scenario) == ([b"in time"], 1)
--- a/src/catkinspread/transport/udp.py
+++ b/src/catkinspread/transport/udp.py
@@ -4,12 +4,20 @@
 
 import anyio
 import anyio.abc
+import msgspec
 
+from catkinspread.clock import Clock, SystemClock
 from catkinspread.model import Endpoint
 
 _OUTBOX_LIMIT = 10_000
 
 
+class _Outgoing(msgspec.Struct, frozen=True):
+    datagram: bytes
+    target: Endpoint
+    not_after_ms: int
+
+
 class UdpPort:
     """Owns a UDP socket; other tasks send through a bounded queue.
 
@@ -18,26 +26,37 @@
         dropped_count: Datagrams dropped because the queue was full or the send failed.
     """
 
-    __slots__ = ("_handler", "_inbox", "_outbox", "dropped_count", "endpoint")
+    __slots__ = ("_clock", "_handler", "_inbox", "_outbox", "dropped_count", "endpoint")
 
-    def __init__(self, endpoint: Endpoint, handler: Callable[[bytes, Endpoint], None]) -> None:
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        handler: Callable[[bytes, Endpoint], None],
+        clock: Clock | None = None,
+    ) -> None:
         """Creates a port that is not open yet.
 
         Args:
             endpoint: Where to bind.
             handler: Called with each datagram and its sender; it must not block.
+            clock: Needed only to send with a time limit.
         """
+        self._clock = clock or SystemClock()
         self.endpoint = endpoint
         self.dropped_count = 0
         self._handler = handler
-        self._outbox, self._inbox = anyio.create_memory_object_stream[tuple[bytes, Endpoint]](
-            _OUTBOX_LIMIT
-        )
+        self._outbox, self._inbox = anyio.create_memory_object_stream[_Outgoing](_OUTBOX_LIMIT)
+
+    def send(self, datagram: bytes, target: Endpoint, not_after_ms: int = 0) -> None:
+        """Queues a datagram; it is dropped and counted when the queue is full.
 
-    def send(self, datagram: bytes, target: Endpoint) -> None:
-        """Queues a datagram; it is dropped and counted when the queue is full."""
+        Args:
+            datagram: The content.
+            target: Where to send it.
+            not_after_ms: It is dropped instead of sent at or after this time; 0 for no limit.
+        """
         try:
-            self._outbox.send_nowait((datagram, target))
+            self._outbox.send_nowait(_Outgoing(datagram, target, not_after_ms))
         except (anyio.WouldBlock, anyio.BrokenResourceError, anyio.ClosedResourceError):
             self.dropped_count += 1
 
@@ -68,8 +87,11 @@
             self._handler(datagram, Endpoint(host, port))
 
     async def _write(self, socket: anyio.abc.UDPSocket) -> None:
-        async for datagram, target in self._inbox:
+        async for item in self._inbox:
+            if item.not_after_ms and self._clock.now_ms() >= item.not_after_ms:
+                self.dropped_count += 1
+                continue
             try:
-                await socket.sendto(datagram, target.host, target.port)
+                await socket.sendto(item.datagram, item.target.host, item.target.port)
             except OSError:
                 self.dropped_count += 1
