--- a/src/catkinspread/bench/request_cluster.py
+++ b/src/catkinspread/bench/request_cluster.py
@@ -215,14 +215,17 @@
                 self._world.deliver(
                     lambda slot=slot: self._work(
                         slot, lambda instance: instance.receive_peer_message(message)
-                    )
+                    ),
+                    self._world.rates.packet_loss,
                 )
 
     def _send_upstream(self, sender: _Slot, request: Request) -> None:
         """Sends without copies: the link to upstreams must not duplicate (see docs)."""
         world = self._world
         world.ledger.sent_count += 1
-        if world.draw(world.rates.packet_loss):
+        if world.now_ms >= request.deadline_ms + 2 * CLOCK_OFFSET_MAX_MS:
+            world.ledger.late_send_count += 1
+        if world.draw(world.rates.upstream_loss):
             return
 
         def answer(packet: Answer) -> None:
@@ -230,7 +233,8 @@
             if world.draw(world.rates.answer_crossed):
                 target = world.random.choice(self._slots)
             world.deliver(
-                lambda: self._work(target, lambda instance: instance.receive_answer(packet))
+                lambda: self._work(target, lambda instance: instance.receive_answer(packet)),
+                world.rates.upstream_loss,
             )
 
         delay_ms = world.random.randint(1, 10)
@@ -241,7 +245,10 @@
     def _answer_caller(self, action: AnswerCaller) -> None:
         self._check_answer(action)
         for packet in action.answers:
-            self._world.deliver(lambda packet=packet: self.deliver_to_caller(packet))
+            self._world.deliver(
+                lambda packet=packet: self.deliver_to_caller(packet),
+                self._world.rates.packet_loss,
+            )
 
     def _check_answer(self, action: AnswerCaller) -> None:
         first = action.answers[0]
--- a/src/catkinspread/bench/request_world.py
+++ b/src/catkinspread/bench/request_world.py
@@ -41,6 +41,7 @@
         packet_copy: Such a packet, or an answer of an upstream, is delivered twice.
         packet_late: Such a packet is delayed by up to `late_max_ms`.
         late_max_ms: Largest delay of a late packet.
+        upstream_loss: A request to an upstream or a part of its answer is lost.
         answer_crossed: An answer of an upstream reaches another instance.
         shed: An upstream refuses to start a request.
         slow_run: A run takes up to `slow_run_max_ms`.
@@ -57,6 +58,7 @@
     packet_copy: float = 0.03
     packet_late: float = 0.02
     late_max_ms: int = 8_000
+    upstream_loss: float = 0.005
     answer_crossed: float = 0.005
     shed: float = 0.05
     slow_run: float = 0.02
@@ -76,6 +78,7 @@
         runs: Number of runs by request.
         not_run: Requests for which some instance answered NOT_RUN.
         wrong_answer_count: Answers that were not whole or not for the request of the flow.
+        late_send_count: Requests sent after deadline and clock skew.
         sent_count: Requests sent to upstreams, retries included.
         store_read_count: Reads of the store.
         store_write_count: Writes of the store, failed ones included.
@@ -85,6 +88,7 @@
     runs: Counter[RequestIdentity] = msgspec.field(default_factory=Counter)
     not_run: set[RequestIdentity] = msgspec.field(default_factory=set)
     wrong_answer_count: int = 0
+    late_send_count: int = 0
     sent_count: int = 0
     store_read_count: int = 0
     store_write_count: int = 0
@@ -147,9 +151,9 @@
         """Returns True with a probability."""
         return self.random.random() < probability
 
-    def deliver(self, callback: Callable[[], None], can_be_lost: bool = True) -> None:
+    def deliver(self, callback: Callable[[], None], loss: float) -> None:
         """Delivers a packet over a link with loss, copies, delay and reordering."""
-        if can_be_lost and self.draw(self.rates.packet_loss):
+        if self.draw(loss):
             return
         copies = 2 if self.draw(self.rates.packet_copy) else 1
         for _ in range(copies):
