--- /dev/null
+++ b/src/catkinspread/operations/state.py
@@ -0,0 +1,70 @@
+"""What a process knows of the configuration log."""
+
+import msgspec
+
+from catkinspread.configuration import ChangeEntry, apply_entry, decode_entry
+from catkinspread.model import Configuration, Endpoint
+from catkinspread.objectstore import LogEntry
+from catkinspread.operations.audit import Change, hash_payload, is_automatic
+from catkinspread.operations.context import RemovedEndpoint, note_removals
+
+# Enough to name who came first in a race; older changes are read from the log.
+_RECENT_MAX = 64
+
+
+class OperationsState(msgspec.Struct, frozen=True):
+    """The configuration at a version and what the next entry needs.
+
+    Attributes:
+        configuration: The state after the last entry.
+        last_hash: Hash of the last entry; 0 before the first.
+        last_written_at_ms: Time of the last entry.
+        removed_endpoints: Endpoints in quarantine.
+        recent: The latest changes without their effects, oldest first.
+    """
+
+    configuration: Configuration = Configuration()
+    last_hash: int = 0
+    last_written_at_ms: int = 0
+    removed_endpoints: dict[Endpoint, RemovedEndpoint] = {}
+    recent: tuple[Change, ...] = ()
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration."""
+        return self.configuration.version
+
+    def find_other_change(self, since: int) -> Change | None:
+        """Returns the latest change after a version, that of an operator if there is one."""
+        later = [change for change in self.recent if change.version > since] or self.recent[-1:]
+        stated = [change for change in later if not is_automatic(change.entry.actor)]
+        return next(reversed(stated or later), None)
+
+
+def advance_state(state: OperationsState, item: LogEntry) -> OperationsState:
+    """Returns the state after the next entry.
+
+    Raises:
+        EntryError: If the entry is malformed or does not fit.
+    """
+    entry = decode_entry(item.payload)
+    configuration = apply_entry(state.configuration, item.index, entry)
+    summary = Change(item.index, msgspec.structs.replace(entry, effects=()))
+    return OperationsState(
+        configuration=configuration,
+        last_hash=hash_payload(item.payload),
+        last_written_at_ms=max(state.last_written_at_ms, entry.written_at_ms),
+        removed_endpoints=note_removals(state.removed_endpoints, state.configuration, entry),
+        recent=(*state.recent, summary)[-_RECENT_MAX:],
+    )
+
+
+def build_entry(
+    state: OperationsState, change_id: str, actor: str, command: str, reason: str, now_ms: int
+) -> ChangeEntry:
+    """Returns an entry without effects that follows the last one.
+
+    Times in the log never go back, because quarantines and idle times are counted from them.
+    """
+    written_at_ms = max(now_ms, state.last_written_at_ms)
+    return ChangeEntry(change_id, actor, command, reason, written_at_ms, state.last_hash, ())
