Return slots to their base when a change is undone

Cause: the planner releases the highest slots of each upstream, so an undo moved other slots than the drain had moved. Change: moves are exchanged for slots in transition whose base is the target; source and target stay, so the shares are as planned. Figures, drain and undrain of 1 of 7 upstreams: before, 293 slots in transition, 0 of them back on their base; after, 147 and 146.

--- a/src/catkinspread/operations/moves.py
+++ b/src/catkinspread/operations/moves.py
@@ -159,11 +159,37 @@
     else:
         limits = _limit_gains(table, weights, context.step_slots, stepped)
         moves = plan_step(table, weights, limits)
+    moves = _prefer_bases(table, moves)
     if moves and sum(len(base.exceptions) for base in table.bases) >= EXCEPTIONS_MAX:
         return _keep_urgent(table, weights, moves)
     return moves
 
 
+def _prefer_bases(table: SlotTable, moves: tuple[SlotMove, ...]) -> tuple[SlotMove, ...]:
+    """Exchanges slots of moves so that slots under way return to the upstream of their base.
+
+    The planner sees only which upstream new flows get. Without the exchange, undoing a drain
+    left twice as many slots in transition: those of the drain and as many others. An exchange
+    keeps source and target, so the number of slots of each upstream stays as planned.
+    """
+    moved = {slot for move in moves for slot in move.slots}
+    returning: dict[tuple[str, str], list[int]] = {}
+    for slot, transition in sorted(table.transitions.items()):
+        if slot not in moved and table.bases[slot].default != transition.target:
+            key = transition.target, table.bases[slot].default
+            returning.setdefault(key, []).append(slot)
+    exchanged = []
+    for move in moves:
+        slots = []
+        for slot in move.slots:
+            source = current_upstream(table, slot)
+            candidates = returning.get((source, move.target))
+            is_back = table.bases[slot].default == move.target
+            slots.append(candidates.pop() if candidates and not is_back else slot)
+        exchanged.append(SlotMove(move.target, tuple(sorted(slots))))
+    return tuple(exchanged)
+
+
 def _limit_gains(
     table: SlotTable, weights: dict[str, int], step_slots: int, stepped: frozenset[str] | None
 ) -> dict[str, int]:
--- a/src/catkinspread/operations/tests/test_compiler.py
+++ b/src/catkinspread/operations/tests/test_compiler.py
@@ -121,6 +121,18 @@
     assert configuration.upstreams["c1"].state is UpstreamState.ACTIVE
 
 
+def test_undo_moves_the_slots_of_the_drain_back():
+    """Guards against an undo that leaves twice as many slots in transition as the drain."""
+    configuration = end_transitions(build_configuration(), "catalogue")
+    configuration = apply_text("drain upstream c1", configuration)
+    drained = set(configuration.slot_tables["catalogue"].transitions)
+    table = apply_text("undrain upstream c1", configuration).slot_tables["catalogue"]
+    back = {slot for slot, item in table.transitions.items() if item.target == "c1"}
+    assert len(drained) == 147
+    assert set(table.transitions) == drained
+    assert len(back) == 146
+
+
 def test_removal_completes_only_when_nothing_points_at_the_upstream():
     """Guards against flows that lose their upstream before they have ended."""
     configuration = apply_text("remove upstream c1", build_configuration())
