--- a/src/catkinspread/operations/planning.py
+++ b/src/catkinspread/operations/planning.py
@@ -27,7 +27,7 @@
     source: str
     target: str
     slots: int
-    flows: int
+    flows: float
 
 
 def summarise_moves(
@@ -61,10 +61,10 @@
             held[key] = held.get(key, 0) + 1
     planned = []
     for (service, source, target), slots in sorted(totals.items()):
-        flows = -1 if source else 0
+        flows = -1.0 if source else 0.0
         counts = flow_counts.get(service, {})
         if source in counts:
-            flows = round(counts[source] * slots / held[service, source])
+            flows = counts[source] * slots / held[service, source]
         planned.append(PlannedMove(service, source, target, slots, flows))
     return planned
 
@@ -90,15 +90,15 @@
             move.source or _NO_UPSTREAM,
             move.target or _NO_UPSTREAM,
             move.slots,
-            move.flows if move.flows >= 0 else "not known",
+            round(move.flows) if move.flows >= 0 else "not known",
         )
         for move in moves
     )
     flows = [move.flows for move in moves]
-    total = "an unknown number of" if any(count < 0 for count in flows) else str(sum(flows))
+    total = "an unknown number of" if any(count < 0 for count in flows) else str(round(sum(flows)))
     notes = (
         *notes,
-        f"{sum(move.slots for move in moves)} slots with {total} open flows get another upstream",
+        f"{sum(move.slots for move in moves)} slots move; they have {total} open flows",
         *_describe_flows(configuration, effects),
     )
     return Reply(
