Add the administration API, metrics, records, the command line of an instance and the demo

Cause: an instance could only be run from tests. Change: composition root, run, query and command subcommands, admin and metrics servers, graceful shutdown, the demo as a table of guarantees.

--- /dev/null
+++ b/src/catkinspread/composition.py
@@ -0,0 +1,66 @@
+"""The composition root: builds a running instance from its settings file."""
+
+import pathlib
+import signal
+
+import anyio
+import msgspec
+from expression import Error, Ok, Result
+
+from catkinspread.clock import SystemClock
+from catkinspread.instance import Instance
+from catkinspread.objectstore import HttpInstanceList, HttpObjectStore
+from catkinspread.operations import AccessList, read_access_list
+from catkinspread.settings import (
+    InstanceSettings,
+    SettingsError,
+    SettingsProblem,
+    load_instance_settings,
+    parse_text,
+)
+
+
+class InstanceFile(msgspec.Struct, frozen=True):
+    """A validated settings file.
+
+    Attributes:
+        settings: Settings of the instance.
+        access: Tokens of operators.
+    """
+
+    settings: InstanceSettings
+    access: AccessList
+
+
+def load_instance_file(path: str | pathlib.Path) -> Result[InstanceFile, SettingsError]:
+    """Reads and validates a settings file as a whole."""
+    loaded = load_instance_settings(path)
+    if loaded.is_error():
+        return Error(loaded.error)
+    parser = parse_text(str(path), pathlib.Path(path).read_text(encoding="utf-8"))
+    access = read_access_list(parser)
+    if access.is_error():
+        problem = SettingsProblem(str(path), "", "", "", access.error.message)
+        return Error(SettingsError((problem,)))
+    return Ok(InstanceFile(loaded.ok, access.ok))
+
+
+async def run_instance(file: InstanceFile) -> None:
+    """Runs an instance until SIGTERM or SIGINT, then shuts it down gracefully."""
+    settings = file.settings
+    timeout_ms = settings.platform_timeout_ms
+    async with (
+        HttpObjectStore(settings.platform_url, answer_timeout_ms=timeout_ms) as store,
+        HttpInstanceList(settings.platform_url, answer_timeout_ms=timeout_ms) as directory,
+        anyio.create_task_group() as group,
+    ):
+        instance = Instance(settings, store, directory, file.access, SystemClock())
+        group.start_soon(_leave_on_signal, instance)
+        await instance.run()
+        group.cancel_scope.cancel()
+
+
+async def _leave_on_signal(instance: Instance) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            instance.leave()
--- a/src/catkinspread/console/check.py
+++ b/src/catkinspread/console/check.py
@@ -4,10 +4,9 @@
 import sys
 
 import zmq
-from expression import Result
 
+from catkinspread.composition import load_instance_file
 from catkinspread.console.registry import EXIT_OK, EXIT_REFUSED, register_subcommand
-from catkinspread.settings import InstanceSettings, SettingsError, load_instance_settings
 
 
 def _configure_check(parser: argparse.ArgumentParser) -> None:
@@ -19,12 +18,12 @@
     """Checks settings files and prints every problem."""
     status = EXIT_OK
     for file in arguments.file:
-        match load_instance_settings(file):
-            case Result(tag="ok", ok=InstanceSettings(name=name)):
-                print(f"{file}: settings of instance {name} are valid")
-            case Result(tag="error", error=SettingsError() as error):
-                print(error, file=sys.stderr)
-                status = EXIT_REFUSED
+        loaded = load_instance_file(file)
+        if loaded.is_error():
+            print(loaded.error, file=sys.stderr)
+            status = EXIT_REFUSED
+        else:
+            print(f"{file}: settings of instance {loaded.ok.settings.name} are valid")
     return status
 
 
--- a/src/catkinspread/console/stand_ins.py
+++ b/src/catkinspread/console/stand_ins.py
@@ -126,7 +126,7 @@
     print(
         f"opened {report.opened}, refused {report.refused}, broken {report.broken}, "
         f"answered {report.answered}, wrong {report.wrong}, not run {len(report.not_run)}, "
-        f"unknown {report.unknown}"
+        f"unknown {report.unknown}, unanswered {report.unanswered}"
     )
     return EXIT_OK if report.broken == report.wrong == 0 else EXIT_REFUSED
 
--- /dev/null
+++ b/src/catkinspread/console/statements.py
@@ -0,0 +1,97 @@
+"""The subcommands that send queries and commands to the administration API."""
+
+import argparse
+import os
+import pathlib
+import sys
+
+import httpx
+
+from catkinspread.console.registry import EXIT_OK, EXIT_REFUSED, register_subcommand
+from catkinspread.instance import STATEMENT_PATH
+
+ADMIN_VARIABLE = "CATKINSPREAD_ADMIN"
+TOKEN_VARIABLE = "CATKINSPREAD_TOKEN"
+_TIMEOUT_S = 20.0
+
+
+def _configure(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("statement", nargs="?", help="the statement; - reads lines from input")
+    parser.add_argument(
+        "--admin",
+        default=os.environ.get(ADMIN_VARIABLE, ""),
+        help=f"admin address of an instance as IP:PORT (default: the variable {ADMIN_VARIABLE})",
+    )
+    parser.add_argument("--file", type=pathlib.Path, help="file with a statement in each line")
+    parser.add_argument(
+        "--token-file",
+        type=pathlib.Path,
+        help=f"file with the token; without it the variable {TOKEN_VARIABLE} is read",
+    )
+    parser.add_argument("--json", action="store_true", help="print JSON instead of a table")
+
+
+@register_subcommand("query", "ask an instance", _configure)
+def run_query(arguments: argparse.Namespace) -> int:
+    """Sends queries; commands are refused before they are sent."""
+    return _run(arguments, is_command=False)
+
+
+@register_subcommand("command", "state a change", _configure)
+def run_command(arguments: argparse.Namespace) -> int:
+    """Sends commands; queries are refused before they are sent."""
+    return _run(arguments, is_command=True)
+
+
+def _run(arguments: argparse.Namespace, is_command: bool) -> int:
+    try:
+        statements = _read_statements(arguments)
+        token = _read_token(arguments)
+    except OSError as error:
+        print(f"error: {error}", file=sys.stderr)
+        return EXIT_REFUSED
+    with httpx.Client(timeout=_TIMEOUT_S, trust_env=False) as client:
+        for statement in statements:
+            if _is_command(statement) != is_command:
+                kind = "command" if is_command else "query"
+                print(f"error: {statement!r} is not a {kind}", file=sys.stderr)
+                return EXIT_REFUSED
+            if not _send(client, arguments, token, statement):
+                return EXIT_REFUSED
+    return EXIT_OK
+
+
+def _send(client: httpx.Client, arguments: argparse.Namespace, token: str, statement: str) -> bool:
+    headers = {"Authorization": f"Bearer {token}"}
+    if arguments.json:
+        headers["Accept"] = "application/json"
+    url = f"http://{arguments.admin}{STATEMENT_PATH}"
+    try:
+        answer = client.post(url, content=statement.encode(), headers=headers)
+    except (httpx.HTTPError, httpx.InvalidURL) as error:
+        print(f"error: {arguments.admin} does not answer: {error}", file=sys.stderr)
+        return False
+    is_ok = answer.status_code == httpx.codes.OK
+    print(answer.text.rstrip("\n"), file=sys.stdout if is_ok else sys.stderr)
+    return is_ok
+
+
+def _read_statements(arguments: argparse.Namespace) -> list[str]:
+    if arguments.file is not None:
+        text = arguments.file.read_text(encoding="utf-8")
+    elif arguments.statement in (None, "-"):
+        text = sys.stdin.read()
+    else:
+        return [arguments.statement]
+    return [line for line in text.splitlines() if line.strip()]
+
+
+def _read_token(arguments: argparse.Namespace) -> str:
+    if arguments.token_file is not None:
+        return arguments.token_file.read_text(encoding="utf-8").strip()
+    return os.environ.get(TOKEN_VARIABLE, "")
+
+
+def _is_command(statement: str) -> bool:
+    first = statement.split(maxsplit=1)[:1]
+    return first not in (["show"], ["plan"], ["verify"])
--- a/src/catkinspread/emulator/callers.py
+++ b/src/catkinspread/emulator/callers.py
@@ -1,7 +1,9 @@
 """A load of callers that open flows, send data and requests, and check what comes back."""
 
+import collections
 import itertools
 import random
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -24,8 +26,12 @@
     encode_packet,
 )
 
+# Reason of a reset for flows whose data centre was taken out.
+GIVEN_UP_REASON = "data-centre-out"
 _RETRANSMIT_MS = 400
 _ATTEMPTS_MAX = 8
+# A refusal as not run comes after the deadline and the largest clock difference.
+_REFUSAL_WAIT_MS = 2_000
 
 
 class CallerLoad(msgspec.Struct, frozen=True):
@@ -61,27 +67,46 @@
         opened: Flows that were accepted.
         refused: Flows that were not accepted.
         broken: Flows that were reset or stayed silent after being accepted.
+        broken_reasons: Number of broken flows by the reason of their reset; "silent" for none.
+        given_up: Flows that were reset because their data centre was taken out.
         answered: Requests answered with the whole body.
         wrong: Answers with a body that belongs to another request.
+        orders: Non-idempotent requests, by (caller id, request id).
         not_run: Requests refused as not run, by (caller id, request id).
+        ports: Source ports of the flows.
         unknown: Requests with unknown outcome.
+        unanswered: Requests without any answer by their deadline and some time for a refusal.
         latencies_ms: Time to the answer of each answered request.
     """
 
     opened: int = 0
     refused: int = 0
     broken: int = 0
+    broken_reasons: collections.Counter[str] = msgspec.field(default_factory=collections.Counter)
+    given_up: int = 0
     answered: int = 0
     wrong: int = 0
+    orders: set[tuple[str, str]] = msgspec.field(default_factory=set)
     not_run: set[tuple[str, str]] = msgspec.field(default_factory=set)
+    ports: list[int] = msgspec.field(default_factory=list)
     unknown: int = 0
+    unanswered: int = 0
     latencies_ms: list[int] = msgspec.field(default_factory=list)
 
 
 class _Flow:
     """One flow on its own socket."""
 
-    __slots__ = ("_caller_id", "_clock", "_load", "_random", "_report", "_sequence", "_socket")
+    __slots__ = (
+        "_caller_id",
+        "_clock",
+        "_load",
+        "_random",
+        "_report",
+        "_reset_reason",
+        "_sequence",
+        "_socket",
+    )
 
     def __init__(
         self,
@@ -98,6 +123,7 @@
         self._random = random.Random(f"{load.seed}/{self._caller_id}")
         self._socket = socket
         self._sequence = itertools.count()
+        self._reset_reason = ""
 
     async def run(self) -> None:
         if not await self._exchange(Open(), lambda packet: isinstance(packet, Accepted)):
@@ -107,7 +133,11 @@
         for _ in range(self._load.packets_per_flow):
             await anyio.sleep(self._load.interval_ms / 1000)
             if not await self._send_one():
-                self._report.broken += 1
+                if self._reset_reason == GIVEN_UP_REASON:
+                    self._report.given_up += 1
+                else:
+                    self._report.broken += 1
+                    self._report.broken_reasons[self._reset_reason or "silent"] += 1
                 return
         await self._socket.send(encode_packet(Close()))
 
@@ -135,6 +165,8 @@
             1 if idempotent else 0,
             body,
         )
+        if not idempotent:
+            self._report.orders.add((request.caller_id, request.request_id))
         parts: dict[int, Answer] = {}
 
         def accept(packet: Packet) -> bool:
@@ -143,10 +175,14 @@
             parts[packet.part] = packet
             return len(parts) == packet.part_count
 
-        is_done = await self._exchange(request, accept)
-        if is_done:
+        attempts = (self._load.timeout_ms + _REFUSAL_WAIT_MS) // _RETRANSMIT_MS
+        if await self._exchange(request, accept, attempts):
             self._count_answer(request, parts)
-        return is_done
+            return True
+        if not self._reset_reason:
+            # The flow itself is checked by its next data packet.
+            self._report.unanswered += 1
+        return not self._reset_reason
 
     def _count_answer(self, request: Request, parts: dict[int, Answer]) -> None:
         answer = parts[0]
@@ -160,9 +196,11 @@
             self._report.answered += 1
             self._report.latencies_ms.append(self._clock.now_ms() - request.issued_at_ms)
 
-    async def _exchange(self, packet: Packet, accept) -> bool:
+    async def _exchange(
+        self, packet: Packet, accept: Callable[[Packet], bool], attempts: int = _ATTEMPTS_MAX
+    ) -> bool:
         """Sends a packet until a reply is accepted; False on a reset or no reply at all."""
-        for _ in range(_ATTEMPTS_MAX):
+        for _ in range(attempts):
             await self._socket.send(encode_packet(packet))
             with anyio.move_on_after(_RETRANSMIT_MS / 1000):
                 while True:
@@ -171,6 +209,7 @@
                     except PacketError:
                         continue
                     if isinstance(reply, Reset):
+                        self._reset_reason = reply.reason or "unknown"
                         return False
                     if accept(reply):
                         return True
@@ -184,6 +223,7 @@
         async with await anyio.create_connected_udp_socket(
             load.service.host, load.service.port
         ) as socket:
+            report.ports.append(socket.extra(anyio.abc.SocketAttribute.local_port))
             await _Flow(load, report, clock, index, socket).run()
 
     async with anyio.create_task_group() as group:
--- a/src/catkinspread/emulator/examples.py
+++ b/src/catkinspread/emulator/examples.py
@@ -1,11 +1,13 @@
 """Writes the settings files and the first commands of a deployment on loopback."""
 
 import pathlib
+import secrets
 
 import msgspec
 import zmq
 
 from catkinspread.emulator.deployments import AddressPlan, Deployment
+from catkinspread.operations import hash_token
 
 
 class KeyPair(msgspec.Struct, frozen=True):
@@ -22,7 +24,12 @@
 
 
 def format_instance_settings(
-    deployment: Deployment, plan: AddressPlan, index: int, server: KeyPair, client: KeyPair
+    deployment: Deployment,
+    plan: AddressPlan,
+    index: int,
+    server: KeyPair,
+    client: KeyPair,
+    token: str,
 ) -> str:
     """Returns the settings file of an instance.
 
@@ -32,6 +39,7 @@
         index: Index of the instance in `deployment.list_instances()`.
         server: Keys of the peer sockets, the same for all instances.
         client: Keys with which instances connect.
+        token: Token of the operator of the deployment.
     """
     instances = deployment.list_instances()
     name, data_centre = instances[index]
@@ -64,6 +72,11 @@
 client_public = {client.public}
 client_secret = {client.secret}
 accepted_public = {client.public}
+
+[token admin]
+sha256 = {hash_token(token)}
+team = {deployment.services[0].team}
+roles = operator
 """
 
 
@@ -75,14 +88,14 @@
     ]
     for service_index, service in enumerate(deployment.services):
         commands.append(
-            f"create service {service.name} address {plan.service(service_index)}"
+            f"create service {service.name} at {plan.service(service_index)}"
             f' team {service.team} priority {service.priority} because "first set-up"'
         )
         for index in range(service.upstream_count):
             data_centre = deployment.data_centres[index % len(deployment.data_centres)]
             commands.append(
                 f"add upstream {service.upstream_prefix}-{index + 1} to {service.name}"
-                f" in {data_centre} address {plan.upstream(service_index, index)}"
+                f" in {data_centre} at {plan.upstream(service_index, index)}"
                 ' because "first set-up"'
             )
     return commands
@@ -91,14 +104,16 @@
 def write_example(deployment: Deployment, plan: AddressPlan, directory: pathlib.Path) -> list[str]:
     """Writes all files of a deployment and returns their names.
 
-    The keys are new in each run, so that no secret key is shared between installations.
+    The keys and the token are new in each run, so that installations share no secret.
     """
     directory.mkdir(parents=True, exist_ok=True)
     server, client = make_key_pair(), make_key_pair()
+    token = secrets.token_urlsafe()
     files = {
-        f"{name}.ini": format_instance_settings(deployment, plan, index, server, client)
+        f"{name}.ini": format_instance_settings(deployment, plan, index, server, client, token)
         for index, (name, _) in enumerate(deployment.list_instances())
     }
+    files["token.txt"] = token + "\n"
     files["first-commands.txt"] = "\n".join(format_first_commands(deployment, plan)) + "\n"
     for name, text in files.items():
         (directory / name).write_text(text, encoding="utf-8")
--- a/src/catkinspread/emulator/upstream.py
+++ b/src/catkinspread/emulator/upstream.py
@@ -58,7 +58,9 @@
 
     Attributes:
         flows: Hashes of the flows it holds.
-        runs: Number of executions by (caller id, request id).
+        runs: Number of executions of non-idempotent requests by (caller id, request id).
+        starts_ms: When executions started, in order.
+        last_packet_ms: When the latest packet arrived; 0 if none has.
         closed: Hashes of flows that were closed; delayed duplicates of their packets are normal.
         unknown_flow_packets: Packets of flows that it has never held.
         opened_at_ms: When each flow was opened last.
@@ -67,11 +69,13 @@
     __slots__ = (
         "closed",
         "flows",
+        "last_packet_ms",
         "opened_at_ms",
         "options",
         "queue",
         "runs",
         "started_ms",
+        "starts_ms",
         "unknown_flow_packets",
     )
 
@@ -82,6 +86,8 @@
         self.closed: set[int] = set()
         self.opened_at_ms: dict[int, int] = {}
         self.runs: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.starts_ms: list[int] = []
+        self.last_packet_ms = 0
         self.unknown_flow_packets = 0
         self.queue: collections.deque[tuple[Request, Endpoint]] = collections.deque()
 
@@ -91,6 +97,7 @@
 
     def handle(self, packet: Packet, sender: Endpoint, now_ms: int) -> list[Packet]:
         """Handles a packet and returns the immediate replies to its sender."""
+        self.last_packet_ms = now_ms
         match packet:
             case Open(flow):
                 if flow not in self.flows:
@@ -125,7 +132,10 @@
             request, sender = self.queue.popleft()
             if request.deadline_ms < now_ms:
                 continue
-            self.runs[(request.caller_id, request.request_id)] += 1
+            self.starts_ms.append(now_ms)
+            if not request.idempotent:
+                # A repeat after a shed answer has the number of the attempt appended.
+                self.runs[(request.caller_id, request.request_id.partition("\x1f")[0])] += 1
             return request, sender, self._service_ms(now_ms)
         return None
 
--- a/src/catkinspread/instance/daemon.py
+++ b/src/catkinspread/instance/daemon.py
@@ -16,16 +16,22 @@
     SendToUpstream,
     SpreadToPeers,
 )
+from catkinspread.instance.admin import STATEMENT_MAX_BYTES, AdminApi
 from catkinspread.instance.control import ConfigurationTask
 from catkinspread.instance.core import InstanceCore
+from catkinspread.instance.fleet import RunningFleet
+from catkinspread.instance.lifecycle import AutomaticSteps, RecordsTask, Registration
 from catkinspread.instance.messages import (
     Envelope,
     FrameError,
     PeerBody,
+    RecordsAsked,
+    RecordsFound,
     decode_frame,
     encode_envelope,
     encode_membership_frame,
 )
+from catkinspread.instance.metrics import InstanceFigures, MetricsApi
 from catkinspread.membership import (
     MemberChanged,
     MemberRecord,
@@ -39,12 +45,13 @@
 from catkinspread.membership import SendMessage as SendMembership
 from catkinspread.membership.messages import Heartbeat
 from catkinspread.model import Endpoint, OwnerMember
-from catkinspread.objectstore import ObjectStore
+from catkinspread.objectstore import InstanceList, InstanceRecord, ObjectStore
+from catkinspread.operations import AccessList, OperationsService
 from catkinspread.records import RecordStore
 from catkinspread.requests import ClaimStoreDriver
 from catkinspread.routing import MemberView
 from catkinspread.settings import InstanceSettings
-from catkinspread.transport import PeerPort, UdpPort
+from catkinspread.transport import HttpServer, PeerPort, UdpPort
 from catkinspread.wire import (
     PacketError,
     decode_fabric_packet,
@@ -55,6 +62,8 @@
 _TICK_MS = 20
 _MEMBERSHIP_TICK_MS = 100
 _SPREAD_FAN_OUT = 3
+# Longer than the lag of the platform's list, so that the fabric has stopped sending.
+_QUIET_MS = 2_000
 # Store calls of the request handler that run at the same time; the platform answers in ms.
 _STORE_CALLS_MAX = 64
 
@@ -65,31 +74,58 @@
     Attributes:
         core: The decision logic.
         members: The view of the other instances.
+        fleet: What operators ask running instances for.
         is_leaving: Whether a graceful shutdown is under way.
+        has_left: Whether the other instances were told that this one has left.
     """
 
     __slots__ = (
+        "_admin",
         "_clock",
         "_configuration",
         "_driver",
         "_fabric_port",
         "_group",
+        "_leaving",
         "_membership_due_ms",
+        "_metrics",
+        "_operations",
         "_peer_port",
         "_random",
+        "_records",
+        "_registration",
         "_settings",
+        "_steps",
         "_store",
         "_store_calls",
         "_upstream_port",
         "core",
+        "fleet",
+        "has_left",
         "is_leaving",
         "member",
         "members",
     )
 
     def __init__(
-        self, settings: InstanceSettings, store: ObjectStore, clock: Clock, seed: int | None = None
+        self,
+        settings: InstanceSettings,
+        store: ObjectStore,
+        directory: InstanceList,
+        access: AccessList,
+        clock: Clock,
+        seed: int | None = None,
     ) -> None:
+        """Creates an instance that is not running yet.
+
+        Args:
+            settings: Its settings.
+            store: Object API of the platform.
+            directory: The platform's list of instances.
+            access: Tokens of operators.
+            clock: Source of the time.
+            seed: Seed of random choices; None for a random one.
+        """
         now_ms = clock.now_ms()
         self._settings = settings
         self._store = store
@@ -97,6 +133,8 @@
         self._random = random.Random(seed)
         self.member = OwnerMember(settings.name, now_ms)
         self.is_leaving = False
+        self.has_left = False
+        self._leaving = anyio.Event()
         self.core = InstanceCore(
             self.member,
             settings.flows_max,
@@ -123,6 +161,24 @@
         self._upstream_port = UdpPort(settings.upstream_address, self._handle_upstream, clock)
         self._peer_port = PeerPort(settings.peer_address, settings.keys, self._handle_peer)
         self._group: anyio.abc.TaskGroup | None = None
+        self.fleet = RunningFleet(
+            self.core, self.members, lambda name, body: self._send_to_peer(name, body, 0)
+        )
+        self._operations = OperationsService(store, access, self.fleet, clock)
+        self._steps = AutomaticSteps(self._operations, settings.name, self.members.list_live)
+        self._records = RecordsTask(store, self.core.world.recorder.store, clock)
+        self._registration = Registration(
+            directory,
+            InstanceRecord(
+                settings.name,
+                now_ms,
+                settings.data_centre,
+                settings.peer_address.host,
+                settings.peer_address.port,
+            ),
+        )
+        self._admin = HttpServer(AdminApi(self._operations).answer, STATEMENT_MAX_BYTES, "admin")
+        self._metrics = HttpServer(MetricsApi(self.read_figures).answer, 0, "metrics")
 
     async def run(
         self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
@@ -134,14 +190,72 @@
             await group.start(self._upstream_port.run)
             group.start_soon(self._configuration.run)
             group.start_soon(self._tick)
+            group.start_soon(self._records.run)
+            group.start_soon(self._steps.run)
+            group.start_soon(self._operations.refusals.run)
+            group.start_soon(self._registration.register)
+            await group.start(self._admin.run, self._settings.admin_address)
+            await group.start(self._metrics.run, self._settings.metrics_address)
             await group.start(self._fabric_port.run)
             logging.info("instance: %s is running", self._settings.name)
             task_status.started()
+            await self._leaving.wait()
+            await self._drain()
+            group.cancel_scope.cancel()
+
+    def leave(self) -> None:
+        """Starts a graceful shutdown; `run` returns when it is complete."""
+        self._leaving.set()
+
+    async def _drain(self) -> None:
+        """Hands over what this instance holds, then waits until no request is open."""
+        logging.info("instance: %s is leaving", self._settings.name)
+        self.is_leaving = True
+        await self._registration.announce_leaving()
+        with anyio.move_on_after(self._settings.drain_timeout_ms / 1000) as scope:
+            while not self.core.world.router.owner.is_handover_complete:
+                await anyio.sleep(_TICK_MS / 1000)
+            self._execute_membership(self.members.leave(self._clock.now_ms()))
+            self.has_left = True
+            await self._wait_until_quiet()
+        if scope.cancelled_caught:
+            open_count = self.core.requests.count_open()
+            logging.warning("instance: drain timed out with %d open requests", open_count)
+        await self._registration.remove()
+
+    async def _wait_until_quiet(self) -> None:
+        quiet_since_ms = self._clock.now_ms()
+        while self._clock.now_ms() - quiet_since_ms < _QUIET_MS:
+            if self.core.requests.count_open():
+                quiet_since_ms = self._clock.now_ms()
+            await anyio.sleep(_TICK_MS / 1000)
+
+    def read_figures(self) -> InstanceFigures:
+        """Returns the figures that metrics show."""
+        world = self.core.world
+        tables = world.configuration.slot_tables.values()
+        return InstanceFigures(
+            configuration_version=world.configuration.version,
+            live_instances=len(world.members),
+            known_flows=len(self.core.packets.flows),
+            open_requests=self.core.requests.count_open(),
+            slots_in_transition=sum(len(table.transitions) for table in tables),
+            routing_exceptions=sum(
+                base.exception_count for table in tables for base in table.bases
+            ),
+            owned_pins=len(world.router.owner.pins),
+            slow_requests=world.recorder.slow_count,
+            refused_requests=world.recorder.refused_count,
+            peer_sent_bytes=self._peer_port.sent_bytes,
+            peer_received_bytes=self._peer_port.received_bytes,
+            dropped_packets=dict(world.drops),
+            dropped_records=world.recorder.store.count().dropped,
+        )
 
     async def _tick(self) -> None:
         while True:
             now_ms = self._clock.now_ms()
-            if now_ms >= self._membership_due_ms:
+            if now_ms >= self._membership_due_ms and not self.has_left:
                 self._membership_due_ms = now_ms + _MEMBERSHIP_TICK_MS
                 self._execute_membership(self.members.tick(now_ms))
                 self._update_members(now_ms)
@@ -179,7 +293,13 @@
         if content.incarnation not in (0, self.member.incarnation):
             self.core.world.drop("other-incarnation")
             return
-        self._execute(self.core.handle_peer(content.sender, content.body, now_ms))
+        match content.body:
+            case RecordsAsked():
+                self.fleet.handle_asked(content.sender.instance, content.body)
+            case RecordsFound():
+                self.fleet.handle_found(content.sender.instance, content.body)
+            case _:
+                self._execute(self.core.handle_peer(content.sender, content.body, now_ms))
 
     def _handle_membership(self, datagram: bytes, now_ms: int) -> None:
         message = decode_membership_message(datagram)
--- a/src/catkinspread/instance/flows.py
+++ b/src/catkinspread/instance/flows.py
@@ -60,6 +60,11 @@
         """Removes a flow if it is there."""
         self._flows.pop(flow_hash, None)
 
+    def count_by_upstream(self, service: str) -> dict[str, int]:
+        """Returns the number of flows of a service by the name of their upstream."""
+        names = (flow.upstream for flow in self._flows.values() if flow.service == service)
+        return dict(collections.Counter(name for name in names if name))
+
     def expire(self, now_ms: int, idle_timeout_ms: int) -> int:
         """Removes flows that were silent for longer than a timeout and returns how many."""
         count = 0
--- a/src/catkinspread/instance/messages.py
+++ b/src/catkinspread/instance/messages.py
@@ -10,6 +10,7 @@
 
 from catkinspread.limits import ColdStartNotice
 from catkinspread.model import OwnerMember
+from catkinspread.operations import RecordLine
 from catkinspread.requests import ForwardedAnswer, ForwardedRequest
 from catkinspread.routing import (
     AnnounceListing,
@@ -65,6 +66,29 @@
     reason: str
 
 
+class RecordsAsked(msgspec.Struct, array_like=True, frozen=True, tag="records-asked"):
+    """Asks for the records of a flow or of a request.
+
+    Attributes:
+        number: Number that the answer repeats.
+        flow: Flow hash; 0 if a request is asked for.
+        service: Service of the request.
+        request_id: Id of the request; empty if a flow is asked for.
+    """
+
+    number: int
+    flow: int = 0
+    service: str = ""
+    request_id: str = ""
+
+
+class RecordsFound(msgspec.Struct, array_like=True, frozen=True, tag="records-found"):
+    """Answers RecordsAsked; empty if this instance has no such record."""
+
+    number: int
+    lines: tuple[RecordLine, ...]
+
+
 PeerBody = (
     AnnounceListing
     | ColdStartNotice
@@ -74,6 +98,8 @@
     | ForwardedRequest
     | ListingNoted
     | PinsStored
+    | RecordsAsked
+    | RecordsFound
     | RelayRefused
     | RelayedAnswer
     | RelayedRequest
--- a/src/catkinspread/instance/tests/test_whole_path.py
+++ b/src/catkinspread/instance/tests/test_whole_path.py
@@ -28,9 +28,23 @@
 from catkinspread.instance import Instance
 from catkinspread.model import SLOT_COUNT, Endpoint, OwnerGroup, Service, Upstream
 from catkinspread.objectstore import AppendLog, MemoryObjectStore
+from catkinspread.operations import AccessList
 from catkinspread.settings import InstanceSettings, KeySettings, PeerSeed
 
 
+class NoDirectory:
+    """Stands in for a platform without a list of instances."""
+
+    async def register(self, record):
+        pass
+
+    async def remove(self, instance):
+        pass
+
+    async def list_instances(self):
+        return []
+
+
 def reserve_endpoints(count):
     sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
     for opened in sockets:
@@ -95,7 +109,9 @@
             seeds = tuple(PeerSeed(f"i{index}", addresses[index][2]) for index in range(3))
             for index, endpoints in enumerate(addresses):
                 settings = build_settings(f"i{index}", inner, endpoints, seeds, keys)
-                instance = Instance(settings, store, clock, seed=index)
+                instance = Instance(
+                    settings, store, NoDirectory(), AccessList({}), clock, seed=index
+                )
                 await group.start(instance.run)
                 fabric.instances[f"i{index}"] = endpoints[0]
             load = CallerLoad(service, "press", flows=20, packets_per_flow=5, interval_ms=5)
--- a/src/catkinspread/records/store.py
+++ b/src/catkinspread/records/store.py
@@ -222,6 +222,19 @@
         """
         return list(self._by_identity.get(identity, [])) or self._explain_absence(issued_at_ms)
 
+    def find_request_id(self, service: str, request_id: str) -> list[RequestRecord]:
+        """Returns the records of a service with a request id, oldest first.
+
+        Operators know the id but rarely the exact time, so all records are looked through.
+        """
+        return [
+            record
+            for record in self._ring
+            if isinstance(record, RequestRecord)
+            and record.request_id == request_id
+            and record.service == service
+        ]
+
     def count(self) -> StoreCounts:
         """Returns how many records went which way."""
         pending = len(self._pending) + (self._batch.count if self._batch is not None else 0)
--- a/src/catkinspread/settings/__init__.py
+++ b/src/catkinspread/settings/__init__.py
@@ -1,6 +1,12 @@
 """Settings of an instance, read from an INI file and validated as a whole."""
 
-from catkinspread.settings.fields import SettingsError, SettingsProblem, parse_endpoint, suggest
+from catkinspread.settings.fields import (
+    SettingsError,
+    SettingsProblem,
+    parse_endpoint,
+    parse_text,
+    suggest,
+)
 from catkinspread.settings.instance import (
     InstanceSettings,
     KeySettings,
@@ -16,5 +22,6 @@
     "SettingsProblem",
     "load_instance_settings",
     "parse_endpoint",
+    "parse_text",
     "suggest",
 ]
--- a/src/catkinspread/settings/fields.py
+++ b/src/catkinspread/settings/fields.py
@@ -107,20 +107,15 @@
     return text.rstrip("/")
 
 
-def read_fields(file: str, text: str, fields: list[Field]) -> dict[str, dict[str, Any]]:
-    """Reads all fields of an INI text.
+def parse_text(file: str, text: str) -> configparser.ConfigParser:
+    """Parses an INI text.
 
     Args:
         file: Name of the file, for error messages.
         text: Content of the file.
-        fields: Every key that is allowed.
-
-    Returns:
-        The values by section and key, defaults filled in.
 
     Raises:
-        SettingsError: With all problems found: syntax, unknown sections and keys, missing
-            keys, and values that do not parse.
+        SettingsError: If the syntax is wrong.
     """
     parser = configparser.ConfigParser(interpolation=None)
     try:
@@ -128,7 +123,31 @@
     except configparser.Error as error:
         message = " ".join(str(error).split())
         raise SettingsError((SettingsProblem(file, "", "", "", message),)) from error
-    problems = _find_unknown(file, parser, fields)
+    return parser
+
+
+def read_fields(
+    file: str,
+    parser: configparser.ConfigParser,
+    fields: list[Field],
+    ignored_prefix: str = "",
+) -> dict[str, dict[str, Any]]:
+    """Reads all fields of an INI file.
+
+    Args:
+        file: Name of the file, for error messages.
+        parser: Content of the file.
+        fields: Every key that is allowed.
+        ignored_prefix: Sections that start with this belong to another part; empty for none.
+
+    Returns:
+        The values by section and key, defaults filled in.
+
+    Raises:
+        SettingsError: With all problems found: unknown sections and keys, missing keys, and
+            values that do not parse.
+    """
+    problems = _find_unknown(file, parser, fields, ignored_prefix)
     values: dict[str, dict[str, Any]] = {}
     for field in fields:
         section = values.setdefault(field.section, {})
@@ -146,11 +165,13 @@
 
 
 def _find_unknown(
-    file: str, parser: configparser.ConfigParser, fields: list[Field]
+    file: str, parser: configparser.ConfigParser, fields: list[Field], ignored_prefix: str
 ) -> list[SettingsProblem]:
     sections = sorted({field.section for field in fields})
     problems: list[SettingsProblem] = []
     for section in parser.sections():
+        if ignored_prefix and section.startswith(ignored_prefix):
+            continue
         if section not in sections:
             message = f"unknown section{suggest(section, sections)}"
             problems.append(SettingsProblem(file, section, "", "", message))
--- a/src/catkinspread/settings/instance.py
+++ b/src/catkinspread/settings/instance.py
@@ -13,10 +13,13 @@
     parse_endpoint,
     parse_integer,
     parse_name,
+    parse_text,
     parse_url,
     read_fields,
 )
 
+# Sections with tokens of operators are read by the operations part.
+TOKEN_SECTION_PREFIX = "token "
 _Z85_KEY_LENGTH = 40
 _MS_PER_HOUR = 3_600_000
 _FLOWS_MAX = 10_000_000
@@ -149,7 +152,7 @@
         problem = SettingsProblem(file, "", "", "", f"cannot be read: {error}")
         return Error(SettingsError((problem,)))
     try:
-        values = read_fields(file, text, _FIELDS)
+        values = read_fields(file, parse_text(file, text), _FIELDS, TOKEN_SECTION_PREFIX)
     except SettingsError as error:
         return Error(_hide_secrets(error))
     settings = _build(values)
--- a/src/catkinspread/transport/peers.py
+++ b/src/catkinspread/transport/peers.py
@@ -51,6 +51,7 @@
         "_context",
         "_endpoint",
         "_handler",
+        "_is_open",
         "_keys",
         "dropped_count",
         "received_bytes",
@@ -73,12 +74,13 @@
         self._endpoint = endpoint
         self._keys = keys
         self._handler = handler
+        self._is_open = True
         self._context = zmq.asyncio.Context()
         self._connections: collections.OrderedDict[Endpoint, zmq.Socket] = collections.OrderedDict()
 
     def send(self, message: bytes, target: Endpoint) -> None:
         """Queues a message for a peer; it is dropped and counted if the peer does not read."""
-        if self._context.closed:
+        if not self._is_open:
             self.dropped_count += 1
             return
         try:
@@ -110,12 +112,11 @@
             task_status.started()
             await self._read(router)
         finally:
-            router.close()
-            for connection in self._connections.values():
-                connection.close()
-            self._connections.clear()
+            self._is_open = False
             authenticator.stop()
-            self._context.term()
+            self._connections.clear()
+            # Closes all sockets first; a plain term() waits for queued messages of dead peers.
+            self._context.destroy(linger=0)
 
     async def _read(self, router: zmq.asyncio.Socket) -> None:
         while True:
