Keep joining and paused instances from routing with an old view

Change: after a start or a pause nothing is routed for 1 s, and for 4 s while any live instance has a later version. note_exchange notices pauses itself and does not count then. rejoin gives up groups and pins under the old incarnation. A tick looks at transitions every 50 ms. Conclusion: set_members needs the time, and the daemon must call rejoin after a pause.

--- a/src/catkinspread/bench/broken_flows.py
+++ b/src/catkinspread/bench/broken_flows.py
@@ -27,6 +27,8 @@
 _OVERLAPS_MS = (300, 2_500, 9_000, 24_000)
 _STEP_MS = 3_000
 _STEP_SLOTS = 32
+# Longer than the time after which the others take an instance for dead.
+_PAUSE_MS = 3_500
 
 
 class Change(enum.Enum):
@@ -47,6 +49,7 @@
     OWNER_DIES = "owner-dies"
     OWNER_LEAVES = "owner-leaves"
     TWO_DIE = "two-die"
+    OWNER_PAUSES = "owner-pauses"
 
 
 class Operator:
@@ -192,6 +195,9 @@
     names = members or list(cluster.instances)
     for name in names[: 2 if fault is Fault.TWO_DIE else 1]:
         instance = cluster.instances[name]
+        if fault is Fault.OWNER_PAUSES:
+            cluster.pause_instance(name, _PAUSE_MS)
+            continue
         if fault is Fault.OWNER_LEAVES:
             cluster.leave_instance(name)
         else:
--- a/src/catkinspread/bench/cluster.py
+++ b/src/catkinspread/bench/cluster.py
@@ -65,7 +65,8 @@
         "incarnation",
         "is_leaving",
         "name",
-        "pulled_ms",
+        "paused_since_ms",
+        "paused_until_ms",
         "router",
         "view",
     )
@@ -81,7 +82,12 @@
         self.held: dict[tuple[str, int], list[tuple[PacketKind, object]]] = {}
         self.died_ms: int | None = None
         self.is_leaving = False
-        self.pulled_ms = 0
+        self.paused_until_ms = 0
+
+    @property
+    def silent_since_ms(self) -> int:
+        """Since when the others hear nothing, if it is dead or paused."""
+        return self.paused_since_ms if self.died_ms is None else self.died_ms
 
     @property
     def is_alive(self) -> bool:
@@ -131,7 +137,7 @@
         views = {name: instance.describe() for name, instance in self.instances.items()}
         for instance in self.instances.values():
             instance.view = dict(views)
-            instance.router.set_members(views.values())
+            instance.router.set_members(views.values(), self.now_ms)
 
     @property
     def now_ms(self) -> int:
@@ -148,13 +154,17 @@
         self._incarnations += 1
         instance = Instance(name, data_centre, self._incarnations, self.options.limits)
         peers = [peer for peer in self.instances.values() if peer.is_alive]
-        version = self.random.choice(peers).router.version if peers else self.configuration.version
+        version = self.configuration.version
+        if peers:
+            # The peer may be behind, and its view may be old.
+            peer = self.random.choice(peers)
+            version = peer.router.version
+            instance.view = dict(peer.view)
         instance.router.apply(self.configurations[version], self.now_ms)
         self.instances[name] = instance
-        instance.view = {peer.name: peer.describe() for peer in peers}
         instance.view[name] = instance.describe()
-        self._run_actions(instance, instance.router.set_members(instance.view.values()))
         instance.router.note_exchange(version, self.now_ms)
+        instance.router.set_members(instance.view.values(), self.now_ms)
         self.fabric.append(instance)
         self._deliver(instance, self.configuration.version)
         self.queue.schedule(
@@ -172,6 +182,11 @@
         instance.died_ms = self.now_ms
         self.queue.schedule(self.random.randrange(500), lambda: self._withdraw(instance))
 
+    def pause_instance(self, name: str, duration_ms: int) -> None:
+        """Stops an instance for a while; what arrives meanwhile is handled at its end."""
+        self.instances[name].paused_since_ms = self.now_ms
+        self.instances[name].paused_until_ms = self.now_ms + duration_ms
+
     def leave_instance(self, name: str) -> None:
         """Stops an instance after it has handed over its groups."""
         self.instances[name].is_leaving = True
@@ -207,6 +222,8 @@
         self.queue.schedule(delay_ms, lambda: self._apply(instance, version))
 
     def _apply(self, instance: Instance, version: int) -> None:
+        if self._is_deferred(instance, lambda: self._apply(instance, version)):
+            return
         while instance.is_alive and instance.router.version < version:
             following = self.configurations[instance.router.version + 1]
             instance.router.apply(following, self.now_ms)
@@ -224,31 +241,49 @@
             return
         self.queue.schedule(200, lambda: self._finish_leaving(instance))
 
+    def _is_deferred(self, instance: Instance, event: Callable[[], None]) -> bool:
+        """Returns whether an instance is paused; its event is then kept for later."""
+        pause_ms = instance.paused_until_ms - self.now_ms
+        if pause_ms <= 0 or not instance.is_alive:
+            return False
+        self.queue.schedule(pause_ms, event)
+        return True
+
     def _tick(self, instance: Instance) -> None:
-        if not instance.is_alive:
+        if self._is_deferred(instance, lambda: self._tick(instance)) or not instance.is_alive:
             return
         self._run_actions(instance, instance.router.tick(self.now_ms))
+        if instance.router.needs_exchange and instance.paused_until_ms:
+            instance.paused_until_ms = 0
+            self._incarnations += 1
+            instance.incarnation = self._incarnations
+            self._run_actions(instance, instance.router.rejoin(instance.incarnation))
         self.queue.schedule(self.options.tick_ms, lambda: self._tick(instance))
 
     def _hear(self, instance: Instance) -> None:
-        if not instance.is_alive:
+        if self._is_deferred(instance, lambda: self._hear(instance)) or not instance.is_alive:
             return
         alive: list[Instance] = []
         for peer in self.instances.values():
             seen = instance.view.get(peer.name)
-            if peer.is_alive:
+            if peer.is_alive and peer.paused_until_ms <= self.now_ms:
                 alive.append(peer)
                 if peer is instance or self.random.random() < _NEWS_SHARE:
                     instance.view[peer.name] = peer.describe()
             elif seen is not None and seen.incarnation == peer.incarnation:
                 detection_ms = _DEAD_AFTER_MS + self.random.randrange(2 * _HEARTBEAT_MS)
-                if self.now_ms - peer.died_ms > detection_ms:
+                silent_ms = self.now_ms - peer.silent_since_ms
+                if silent_ms > detection_ms:
                     del instance.view[peer.name]
-        self._run_actions(instance, instance.router.set_members(instance.view.values()))
+        self._run_actions(
+            instance, instance.router.set_members(instance.view.values(), self.now_ms)
+        )
         instance.router.note_exchange(self.random.choice(alive).router.version, self.now_ms)
         self.queue.schedule(_HEARTBEAT_MS, lambda: self._hear(instance))
 
     def _arrive(self, instance: Instance, kind: PacketKind, flow: object) -> None:
+        if self._is_deferred(instance, lambda: self._arrive(instance, kind, flow)):
+            return
         if instance.is_alive:
             action = instance.router.route(kind, flow.service, flow.hash, self.now_ms)
             self._act(instance, kind, flow, action)
@@ -264,6 +299,8 @@
 
     def _arrive_forwarded(self, member: OwnerMember, header, flow: object) -> None:
         instance = self.instances[member.instance]
+        if self._is_deferred(instance, lambda: self._arrive_forwarded(member, header, flow)):
+            return
         if instance.is_alive and instance.incarnation == member.incarnation:
             action = instance.router.route_forwarded(header, self.now_ms)
             self._act(instance, header.kind, flow, action)
@@ -284,6 +321,8 @@
     def _send_message(self, sender: Instance, name: str, message) -> None:
         def arrive() -> None:
             receiver = self.instances[name]
+            if self._is_deferred(receiver, arrive):
+                return
             if receiver.is_alive:
                 actions = receiver.router.handle(sender.name, message, self.now_ms)
                 self._run_actions(receiver, actions)
--- a/src/catkinspread/routing/limits.py
+++ b/src/catkinspread/routing/limits.py
@@ -15,6 +15,12 @@
         close_linger_ms: A pin is kept for this time after the close, for delayed packets.
         stale_after_ms: A pause of the event loop after which nothing is routed before one
             exchange.
+        join_wait_ms: Time from the first exchange, also after a pause, until packets are routed.
+            It covers two heartbeats: the others learn of this instance, and this instance
+            learns whether the peer that it pulled from is behind.
+        settle_ms: Time from the first exchange in which no packet is routed while any live
+            instance has a later version. It equals the longest HOLD: for later entries the
+            owners wait until this instance has reported.
         contact_max_ms: Without contact for this long an instance stops routing, because
             endpoints may belong to other services then.
         step_ms: Time between two looks at the transitions; new pins are sent at every tick.
@@ -37,6 +43,8 @@
     flow_idle_timeout_ms: int = 300_000
     close_linger_ms: int = 2_000
     stale_after_ms: int = 2_000
+    join_wait_ms: int = 1_000
+    settle_ms: int = 4_000
     contact_max_ms: int = 3_600_000
     step_ms: int = 50
     replicate_retry_ms: int = 100
--- a/src/catkinspread/routing/owner.py
+++ b/src/catkinspread/routing/owner.py
@@ -92,6 +92,18 @@
             return False
         return self.members.have_all_reported(self._left_version)
 
+    def rejoin(self, member: OwnerMember) -> list[OwnerAction]:
+        """Gives up all groups and pins after the others may have taken this instance for dead.
+
+        Pins that successors made meanwhile did not reach this instance, so it must not decide
+        under its old name. It gets pins again when a group takes it in.
+        """
+        keys = self.replicator.clear()
+        self._self = member
+        self.pins = PinTable()
+        drop = DropPacket(DropReason.NOT_READY)
+        return [ReleasePackets(service, flow, drop) for service, flow in keys]
+
     def apply(self, configuration: Configuration, now_ms: int) -> None:
         """Takes a new configuration; configurations must be given in order of version."""
         self.configuration = configuration
--- a/src/catkinspread/routing/replication.py
+++ b/src/catkinspread/routing/replication.py
@@ -129,6 +129,14 @@
         service = request.message.service
         return self._finish([(service, flow) for flow in flows], sender)
 
+    def clear(self) -> list[FlowKey]:
+        """Forgets everything and returns the flows that were waiting."""
+        keys = list(self._pending)
+        self._pending = {}
+        self._requests = {}
+        self._outbox = {}
+        return keys
+
     def keep_members(self, alive: frozenset[str]) -> list[FlowKey]:
         """Stops waiting for members that are not alive and returns the flows set free."""
         for number, request in list(self._requests.items()):
--- a/src/catkinspread/routing/router.py
+++ b/src/catkinspread/routing/router.py
@@ -42,10 +42,12 @@
         "_is_open",
         "_limits",
         "_members",
+        "_open_from_ms",
         "_open_until_ms",
         "_owner",
         "_plain",
         "_required_version",
+        "_settled_ms",
         "_tick_ms",
     )
 
@@ -63,7 +65,9 @@
         # By service, for each slot the action of all packets, or None if it depends on more.
         self._plain: dict[str, list[SendToUpstream | None]] = {}
         self._is_open = False
+        self._open_from_ms = 0
         self._open_until_ms = _NEVER_MS
+        self._settled_ms = 0
         self._required_version = 0
         self._contact_ms = _NEVER_MS
         self._tick_ms = _NEVER_MS
@@ -94,9 +98,13 @@
                 self._plain[service] = self._prepare(service, table)
         self._update_gate()
 
-    def set_members(self, members: Iterable[MemberView]) -> list[OwnerAction]:
+    def set_members(self, members: Iterable[MemberView], now_ms: int) -> list[OwnerAction]:
         """Takes the live instances, this one included, with the versions they reported."""
         self._members = LiveMembers(members)
+        if now_ms <= self._settled_ms:
+            reported = max((member.version for member in self._members), default=0)
+            self._required_version = max(self._required_version, reported)
+            self._update_gate()
         return self._owner.set_members(self._members)
 
     def note_exchange(self, version: int, now_ms: int) -> None:
@@ -109,21 +117,48 @@
             version: Version of the configuration that the other side has.
             now_ms: Current time in ms.
         """
+        if self._note_pause(now_ms):
+            # The exchange may have been asked for before the pause.
+            return
         is_late = now_ms - self._contact_ms > self._limits.hold_max_ms
-        has_paused = now_ms - self._tick_ms > self._limits.stale_after_ms
-        if not self._is_open or self._contact_ms == _NEVER_MS or is_late or has_paused:
-            # What was missed may have ended HOLD elsewhere, so this version must be applied.
+        if not self._is_open or is_late:
+            # HOLD may have ended elsewhere without this instance, so it must catch up.
             self._required_version = max(self._required_version, version)
+            self._open_from_ms = now_ms + self._limits.join_wait_ms
+            self._settled_ms = now_ms + self._limits.settle_ms
         self._is_open = True
         self._contact_ms = now_ms
-        self._tick_ms = max(self._tick_ms, now_ms)
         self._update_gate()
 
+    def _note_pause(self, now_ms: int) -> bool:
+        """Closes the router if the event loop has paused; returns whether it had."""
+        before_ms = self._tick_ms
+        self._tick_ms = max(before_ms, now_ms)
+        if before_ms == _NEVER_MS or now_ms - before_ms <= self._limits.stale_after_ms:
+            return False
+        self._is_open = False
+        self._update_gate()
+        return True
+
+    @property
+    def needs_exchange(self) -> bool:
+        """Whether nothing is routed before the next `note_exchange`."""
+        return not self._is_open
+
+    def rejoin(self, incarnation: int) -> list[OwnerAction]:
+        """Takes a greater incarnation, and routes nothing before the next exchange.
+
+        Call it when `needs_exchange` became true after a pause, and when the membership tells
+        that others took this instance for dead.
+        """
+        member = OwnerMember(self._owner.member.instance, incarnation)
+        self._is_open = False
+        self._update_gate()
+        return self._owner.rejoin(member)
+
     def tick(self, now_ms: int) -> list[OwnerAction]:
         """Notes that the event loop runs, and advances transitions."""
-        if self._tick_ms != _NEVER_MS and now_ms - self._tick_ms > self._limits.stale_after_ms:
-            self._is_open = False
-        self._tick_ms = max(self._tick_ms, now_ms)
+        self._note_pause(now_ms)
         self._update_gate()
         if not self._is_open:
             return []
@@ -235,7 +270,8 @@
 
     def _update_gate(self) -> None:
         """Computes until when packets are routed without a further check."""
-        if not self._is_open or self.version < self._required_version:
+        is_waiting = self._tick_ms < self._open_from_ms
+        if not self._is_open or is_waiting or self.version < self._required_version:
             self._open_until_ms = _NEVER_MS
             return
         self._open_until_ms = min(
