Claim a forwarded request locally when its claimer does not confirm it

Cause: an order that was forwarded to a paused claimer waited until its deadline, because a paused instance stays in the view of the others. Change: a claimer confirms each forwarded request without an answer (ForwardAccepted). After 600 ms without a confirmation the instance claims the request itself; the conditional update decides. Reasons moved to names of their module.

--- a/src/catkinspread/bench/request_instances.py
+++ b/src/catkinspread/bench/request_instances.py
@@ -14,6 +14,7 @@
     PeerMessage,
     RequestHandler,
     RequestIdentity,
+    RequestParameters,
     SendToPeer,
     SendToUpstream,
     StoreAction,
@@ -76,11 +77,17 @@
 
     __slots__ = ("_handler", "_ports", "_world")
 
-    def __init__(self, member: OwnerMember, ports: InstancePorts, world: World) -> None:
+    def __init__(
+        self,
+        member: OwnerMember,
+        ports: InstancePorts,
+        world: World,
+        parameters: RequestParameters | None = None,
+    ) -> None:
         self._ports = ports
         self._world = world
         source = random.Random(f"{member.instance}#{member.incarnation}")
-        self._handler = RequestHandler(member, source)
+        self._handler = RequestHandler(member, source, parameters)
 
     def receive_request(self, request: Request) -> None:
         """Takes a request from a caller."""
--- a/src/catkinspread/requests/__init__.py
+++ b/src/catkinspread/requests/__init__.py
@@ -50,6 +50,7 @@
 )
 from catkinspread.requests.matching import AnswerMatcher, Attempt, MatchedAnswer
 from catkinspread.requests.messages import (
+    ForwardAccepted,
     ForwardedAnswer,
     ForwardedRequest,
     PeerMessage,
@@ -76,6 +77,7 @@
     "ClaimStoreDriver",
     "Claimer",
     "DeleteBucket",
+    "ForwardAccepted",
     "ForwardedAnswer",
     "ForwardedRequest",
     "GiveAnswer",
--- a/src/catkinspread/requests/claimer.py
+++ b/src/catkinspread/requests/claimer.py
@@ -15,6 +15,7 @@
 """
 
 from catkinspread.model import OwnerMember
+from catkinspread.requests import reasons
 from catkinspread.requests.actions import (
     ClaimerAction,
     ClaimerEvent,
@@ -49,21 +50,6 @@
 from catkinspread.requests.matching import make_attempt
 from catkinspread.requests.messages import ForwardedRequest, WholeAnswer
 from catkinspread.requests.parameters import RequestParameters
-from catkinspread.requests.reasons import (
-    REASON_CROWD,
-    REASON_DEADLINE,
-    REASON_EARLIER,
-    REASON_FUTURE,
-    REASON_LOST,
-    REASON_QUEUE_FULL,
-    REASON_REUSED,
-    REASON_SHED,
-    REASON_STORE,
-    REASON_UPSTREAM,
-    REASON_WINDOW,
-    REASON_WRITER_GONE,
-    REASON_WRITER_SILENT,
-)
 from catkinspread.requests.retries import RetryPolicy
 from catkinspread.requests.shard_pipeline import ClaimWish, ShardPipeline
 from catkinspread.wire import AnswerStatus
@@ -102,6 +88,11 @@
         """Number of requests without an answer."""
         return self._table.active_count
 
+    def is_active(self, identity: RequestIdentity) -> bool:
+        """Returns whether a request is in the table without an answer."""
+        entry = self._table.find(identity)
+        return entry is not None and entry.state is not EntryState.ANSWERED
+
     @property
     def answered_count(self) -> int:
         """Number of answers kept for repeats."""
@@ -149,7 +140,7 @@
                 return
             self._begin(event, identity, fingerprint)
         elif entry.fingerprint != fingerprint:
-            self._give_unknown(event, identity, REASON_REUSED)
+            self._give_unknown(event, identity, reasons.REUSED)
         elif entry.state is not EntryState.ANSWERED:
             self._add_waiter(entry, event, identity)
         elif entry.is_unresolved and not self._is_too_old(identity):
@@ -159,19 +150,19 @@
 
     def _check_new(self, event: RequestArrived, identity: RequestIdentity) -> str:
         if event.request.issued_at_ms > self._now_ms + self._parameters.clock_skew_max_ms:
-            return REASON_FUTURE
+            return reasons.FUTURE
         if self._is_too_old(identity):
-            return REASON_WINDOW
+            return reasons.WINDOW
         bucket = find_bucket(identity)
         if self._pipelines[bucket.shard].has_wish(bucket, identity.claim_hash):
-            return REASON_REUSED
+            return reasons.REUSED
         entries_max = self._parameters.active_max + self._parameters.refused_max
-        return REASON_QUEUE_FULL if self._table.active_count >= entries_max else ""
+        return reasons.QUEUE_FULL if self._table.active_count >= entries_max else ""
 
     def _begin(self, event: RequestArrived, identity: RequestIdentity, fingerprint: int) -> None:
         refuse_reason = event.refuse_reason
         if not refuse_reason and self._table.active_count >= self._parameters.active_max:
-            refuse_reason = REASON_QUEUE_FULL
+            refuse_reason = reasons.QUEUE_FULL
         window_end_ms = identity.issued_at_ms + self._parameters.claim_window_ms
         entry = Entry(
             identity=identity,
@@ -195,7 +186,7 @@
         entry.state = EntryState.CLAIMING
         entry.waiters = [Waiter(event.origin, event.request.flow)]
         if not entry.refuse_reason and self._now_ms >= entry.deadline_ms:
-            entry.refuse_reason = REASON_DEADLINE
+            entry.refuse_reason = reasons.DEADLINE
         if entry.refuse_reason:
             entry.wish.kind = RecordKind.REFUSED
         wait_ms = self._parameters.clock_skew_max_ms + self._parameters.settle_grace_ms
@@ -211,7 +202,7 @@
         if waiter in entry.waiters:
             return
         if len(entry.waiters) >= self._parameters.waiters_max:
-            self._give_unknown(event, identity, REASON_CROWD)
+            self._give_unknown(event, identity, reasons.CROWD)
             return
         entry.waiters.append(waiter)
 
@@ -232,13 +223,13 @@
         """Concludes from a record that was seen in the bucket."""
         if self._is_too_old(entry.identity):
             # The bucket may have been deleted, so that the record could be a new one.
-            self._finish_unknown(entry, REASON_WINDOW)
+            self._finish_unknown(entry, reasons.WINDOW)
         elif record.kind is RecordKind.REFUSED:
-            self._finish_not_run(entry, entry.refuse_reason or REASON_EARLIER)
+            self._finish_not_run(entry, entry.refuse_reason or reasons.EARLIER)
         elif record.writer != self._writer:
             self._forward(entry, record.writer)
         elif not entry.wish.is_attempted:
-            self._finish_unknown(entry, REASON_LOST)
+            self._finish_unknown(entry, reasons.LOST)
         elif entry.refuse_reason:
             self._finish_not_run(entry, entry.refuse_reason)
         else:
@@ -248,7 +239,7 @@
 
     def _send(self, entry: Entry) -> None:
         if self._now_ms >= entry.deadline_ms:
-            self._finish_not_run(entry, REASON_DEADLINE)
+            self._finish_not_run(entry, reasons.DEADLINE)
             return
         if entry.attempt == 0:
             self._retry_policy.budget.record_request(entry.service, self._now_ms)
@@ -279,7 +270,7 @@
         if entry is None:
             return
         if entry.is_unknown:
-            answer = WholeAnswer(AnswerStatus.NOT_RUN, reason=REASON_SHED)
+            answer = WholeAnswer(AnswerStatus.NOT_RUN, reason=reasons.SHED)
             self._table.replace_answer(entry, answer)
         if entry.state is not EntryState.SENT:
             return
@@ -287,7 +278,7 @@
             entry.service, entry.attempt, entry.deadline_ms, self._now_ms
         )
         if retry_at_ms is None:
-            self._finish_not_run(entry, REASON_SHED)
+            self._finish_not_run(entry, reasons.SHED)
             return
         entry.state = EntryState.BACKOFF
         entry.retry_at_ms = retry_at_ms
@@ -308,7 +299,7 @@
     def _forward(self, entry: Entry, writer: str) -> None:
         member = self._live.get(writer)
         if member is None:
-            self._finish_unknown(entry, REASON_WRITER_GONE, is_unresolved=True)
+            self._finish_unknown(entry, reasons.WRITER_GONE, is_unresolved=True)
             return
         entry.state = EntryState.FORWARDED
         entry.writer = member
@@ -338,7 +329,7 @@
             if entry.state is not EntryState.FORWARDED:
                 continue
             if format_member(entry.writer) not in self._live:
-                self._finish_unknown(entry, REASON_WRITER_GONE, is_unresolved=True)
+                self._finish_unknown(entry, reasons.WRITER_GONE, is_unresolved=True)
 
     # Time.
 
@@ -354,7 +345,7 @@
         elif self._now_ms >= entry.give_up_ms:
             self._give_up(entry)
         elif entry.state is EntryState.CLAIMING:
-            entry.refuse_reason = entry.refuse_reason or REASON_DEADLINE
+            entry.refuse_reason = entry.refuse_reason or reasons.DEADLINE
             entry.wish.kind = RecordKind.REFUSED
             self._set_due(entry)
         elif entry.state is EntryState.FORWARDED:
@@ -362,12 +353,12 @@
 
     def _give_up(self, entry: Entry) -> None:
         if entry.state is EntryState.SENT:
-            self._finish_unknown(entry, REASON_UPSTREAM)
+            self._finish_unknown(entry, reasons.UPSTREAM)
         elif entry.state is EntryState.FORWARDED:
-            self._finish_unknown(entry, REASON_WRITER_SILENT, is_unresolved=True)
+            self._finish_unknown(entry, reasons.WRITER_SILENT, is_unresolved=True)
         else:
             self._pipelines[entry.wish.bucket.shard].drop_wish(entry.wish)
-            self._finish_unknown(entry, REASON_STORE, is_unresolved=True)
+            self._finish_unknown(entry, reasons.STORE, is_unresolved=True)
 
     def _set_due(self, entry: Entry) -> None:
         self._table.set_due(entry, compute_due(entry))
--- a/src/catkinspread/requests/forwarding.py
+++ b/src/catkinspread/requests/forwarding.py
@@ -21,14 +21,18 @@
         service: Service of the flow.
         request: The request.
         give_up_ms: At this time the caller is told that the outcome is unknown.
+        confirmed_at_ms: When the claimer last confirmed it; at first the time of arrival.
         due_ms: When the request is forwarded again.
+        is_taken_over: Whether this instance claims the request itself.
     """
 
     key: FlowRequest
     service: str
     request: Request
     give_up_ms: int
+    confirmed_at_ms: int
     due_ms: int = 0
+    is_taken_over: bool = False
 
 
 def rank_claimers(live: frozenset[OwnerMember]) -> list[OwnerMember]:
@@ -74,7 +78,8 @@
         return [
             entry
             for entry in self._entries.values()
-            if self.find_claimer(entry) != earlier[find_shard(entry.key.identity)]
+            if not entry.is_taken_over
+            and self.find_claimer(entry) != earlier[find_shard(entry.key.identity)]
         ]
 
     def add(
@@ -92,10 +97,16 @@
         # The claimer may use one grace period itself; its answer needs time to arrive.
         wait_ms = self._parameters.clock_skew_max_ms + 2 * self._parameters.settle_grace_ms
         give_up_ms = max(request.deadline_ms, now_ms) + wait_ms
-        entry = ForwardedEntry(key, service, request, give_up_ms)
+        entry = ForwardedEntry(key, service, request, give_up_ms, now_ms)
         self._entries[key] = entry
         return entry
 
+    def confirm(self, key: FlowRequest, now_ms: int) -> None:
+        """Notes that the claimer works on a request."""
+        entry = self._entries.get(key)
+        if entry is not None:
+            entry.confirmed_at_ms = now_ms
+
     def remove(self, key: FlowRequest) -> bool:
         """Removes a request and returns whether it was pending."""
         return self._entries.pop(key, None) is not None
--- a/src/catkinspread/requests/handler.py
+++ b/src/catkinspread/requests/handler.py
@@ -3,6 +3,7 @@
 import random
 
 from catkinspread.model import OwnerMember
+from catkinspread.requests import reasons
 from catkinspread.requests.actions import (
     AnswerCaller,
     ClaimerAction,
@@ -31,17 +32,13 @@
     MatchedAnswer,
 )
 from catkinspread.requests.messages import (
+    ForwardAccepted,
     ForwardedAnswer,
     ForwardedRequest,
     PeerMessage,
     WholeAnswer,
 )
 from catkinspread.requests.parameters import RequestParameters
-from catkinspread.requests.reasons import (
-    REASON_NO_ANSWER,
-    REASON_QUEUE_FULL,
-    REASON_REQUEST_ID,
-)
 from catkinspread.requests.retries import RetryBudget, RetryPolicy
 from catkinspread.requests.sweeper import BucketSweeper
 from catkinspread.wire import Answer, AnswerStatus, Request
@@ -128,13 +125,13 @@
         """
         key = FlowRequest(identify_request(request), request.flow)
         if _has_reserved_character(request):
-            return [self._make_unknown(key, REASON_REQUEST_ID)]
+            return [self._make_unknown(key, reasons.REQUEST_ID)]
         if request.idempotent:
             actions = self._idempotent.handle_request(service, request, now_ms, refuse_reason)
             return self._translate(actions, now_ms)
         entry = self._forwards.add(key, service, request, now_ms)
         if entry is None:
-            return [self._make_unknown(key, REASON_QUEUE_FULL)]
+            return [self._make_unknown(key, reasons.QUEUE_FULL)]
         return self._hand_over(entry, now_ms, refuse_reason)
 
     def handle_peer_message(self, message: PeerMessage, now_ms: int) -> list[HandlerAction]:
@@ -146,9 +143,12 @@
         match message:
             case ForwardedRequest():
                 event = RequestArrived(message.origin, message.service, message.request)
-                return self._claim(event, now_ms)
+                return self._claim(event, now_ms) + self._confirm(message)
             case ForwardedAnswer():
                 return self._handle_peer_answer(message, now_ms)
+            case ForwardAccepted():
+                self._forwards.confirm(FlowRequest(message.identity, message.flow), now_ms)
+                return []
 
     def handle_upstream_answer(self, answer: Answer, now_ms: int) -> list[HandlerAction]:
         """Takes a part of an answer from an upstream."""
@@ -207,7 +207,7 @@
         self._forwards.schedule(entry, now_ms)
         claimer = self._forwards.find_claimer(entry)
         # A refusal is claimed here: the claimer does not know the limits of this instance.
-        if claimer == self._member or refuse_reason:
+        if claimer == self._member or refuse_reason or entry.is_taken_over:
             event = RequestArrived(self._member, entry.service, entry.request, refuse_reason)
             return self._claim(event, now_ms)
         message = ForwardedRequest(
@@ -217,9 +217,20 @@
 
     def _repeat(self, entry: ForwardedEntry, now_ms: int) -> list[HandlerAction]:
         if now_ms < entry.give_up_ms:
+            # A paused claimer confirms nothing. The conditional update decides who runs the
+            # request, so claiming it here as well is safe.
+            silence_ms = now_ms - entry.confirmed_at_ms
+            entry.is_taken_over |= silence_ms >= self._parameters.takeover_ms
             return self._hand_over(entry, now_ms)
         self._forwards.remove(entry.key)
-        return [self._make_unknown(entry.key, REASON_NO_ANSWER)]
+        return [self._make_unknown(entry.key, reasons.NO_ANSWER)]
+
+    def _confirm(self, message: ForwardedRequest) -> list[HandlerAction]:
+        identity = identify_request(message.request)
+        if not self.claimer.is_active(identity):
+            return []
+        accepted = ForwardAccepted(identity=identity, flow=message.request.flow)
+        return [SendToPeer(message.origin, accepted)]
 
     def _handle_peer_answer(self, message: ForwardedAnswer, now_ms: int) -> list[HandlerAction]:
         # The answer may be for a caller of this instance, for the claimer of this instance
@@ -254,7 +265,7 @@
         expires_at_ms = action.not_after_ms + self._parameters.late_answer_ms
         if self.matcher.expect(_make_attempt_name(action), expires_at_ms):
             return [action]
-        return self.handle_send_refused(action, REASON_QUEUE_FULL, now_ms)
+        return self.handle_send_refused(action, reasons.QUEUE_FULL, now_ms)
 
     def _make_unknown(self, key: FlowRequest, reason: str) -> AnswerCaller:
         answer = WholeAnswer(AnswerStatus.OUTCOME_UNKNOWN, reason=reason)
--- a/src/catkinspread/requests/idempotent.py
+++ b/src/catkinspread/requests/idempotent.py
@@ -9,17 +9,12 @@
 import msgspec
 
 from catkinspread.model import OwnerMember
+from catkinspread.requests import reasons
 from catkinspread.requests.actions import GiveAnswer, SendToUpstream
 from catkinspread.requests.identity import RequestIdentity, identify_request
 from catkinspread.requests.matching import Attempt, make_attempt
 from catkinspread.requests.messages import WholeAnswer
 from catkinspread.requests.parameters import RequestParameters
-from catkinspread.requests.reasons import (
-    REASON_DEADLINE,
-    REASON_QUEUE_FULL,
-    REASON_SHED,
-    REASON_UPSTREAM,
-)
 from catkinspread.requests.retries import RetryPolicy
 from catkinspread.wire import AnswerStatus, Request
 
@@ -69,9 +64,9 @@
         if key in self._pending:
             return []
         if not refuse_reason and now_ms >= request.deadline_ms:
-            refuse_reason = REASON_DEADLINE
+            refuse_reason = reasons.DEADLINE
         if not refuse_reason and len(self._pending) >= self._parameters.pending_max:
-            refuse_reason = REASON_QUEUE_FULL
+            refuse_reason = reasons.QUEUE_FULL
         if refuse_reason:
             return [self._give_unknown(key, refuse_reason)]
         pending = _Pending(key, service, request)
@@ -114,7 +109,7 @@
     def _handle_due(self, pending: _Pending, now_ms: int) -> list[IdempotentAction]:
         if now_ms >= pending.request.deadline_ms:
             del self._pending[pending.key]
-            return [self._give_unknown(pending.key, REASON_UPSTREAM)]
+            return [self._give_unknown(pending.key, reasons.UPSTREAM)]
         if not pending.is_sent:
             return [self._send(pending, now_ms)]
         retry_at_ms = self._plan_retry(pending, now_ms)
@@ -130,7 +125,7 @@
         retry_at_ms = self._plan_retry(pending, now_ms)
         if retry_at_ms is None:
             del self._pending[pending.key]
-            return [self._give_unknown(pending.key, REASON_SHED)]
+            return [self._give_unknown(pending.key, reasons.SHED)]
         pending.is_sent = False
         self._set_due(pending, retry_at_ms)
         return []
--- a/src/catkinspread/requests/messages.py
+++ b/src/catkinspread/requests/messages.py
@@ -35,14 +35,11 @@
         origin: The instance that wants the answer.
         service: Service of the flow.
         request: The request, with its flow filled in.
-        is_for_writer: Whether the receiver is named as the writer of the claim. It must not
-            be forwarded again.
     """
 
     origin: OwnerMember
     service: str
     request: Request
-    is_for_writer: bool = False
 
 
 class ForwardedAnswer(
@@ -61,4 +58,18 @@
     answer: WholeAnswer
 
 
-PeerMessage = ForwardedRequest | ForwardedAnswer
+class ForwardAccepted(
+    msgspec.Struct, array_like=True, frozen=True, tag="forward-accepted", kw_only=True
+):
+    """Tells that the sender works on a forwarded request and has no answer yet.
+
+    Attributes:
+        identity: Identity of the request.
+        flow: Flow that asked.
+    """
+
+    identity: RequestIdentity
+    flow: int
+
+
+PeerMessage = ForwardedRequest | ForwardedAnswer | ForwardAccepted
--- a/src/catkinspread/requests/parameters.py
+++ b/src/catkinspread/requests/parameters.py
@@ -17,6 +17,8 @@
         store_retry_min_ms: First pause after the store was unavailable; it doubles.
         store_retry_max_ms: Longest pause after the store was unavailable.
         forward_retry_ms: A forwarded request without an answer is forwarded again after this.
+        takeover_ms: An instance claims a forwarded request itself when the claimer has not
+            confirmed it for this long. Two repetitions fit into it.
         active_max: Requests without an answer that a claimer holds. Further ones are refused
             by a tombstone.
         refused_max: Requests that wait for a tombstone because of `active_max`. Further ones
@@ -45,6 +47,7 @@
     store_retry_min_ms: int = 100
     store_retry_max_ms: int = 1_000
     forward_retry_ms: int = 250
+    takeover_ms: int = 600
     active_max: int = 8_192
     refused_max: int = 8_192
     answered_max: int = 16_384
