Bound the memory of timers and skip requests that a new view has answered

Cause: answered requests with long timeouts stayed in three timer heaps until their time. A change of the view that answers a request also handed it to the new claimer. A test for each.

--- a/src/catkinspread/requests/entries.py
+++ b/src/catkinspread/requests/entries.py
@@ -1,8 +1,6 @@
 """The bounded table of requests that a claimer handles or has answered."""
 
 import enum
-import heapq
-import itertools
 from collections.abc import Iterator
 
 import msgspec
@@ -13,6 +11,7 @@
 from catkinspread.requests.messages import WholeAnswer
 from catkinspread.requests.parameters import RequestParameters
 from catkinspread.requests.shard_pipeline import ClaimWish
+from catkinspread.requests.timers import TimerQueue
 from catkinspread.wire import AnswerStatus, Request
 
 
@@ -55,7 +54,6 @@
         waiters: Who gets the answer.
         refuse_reason: Why it must not run; empty if it may.
         attempt: Number of the last attempt; 0 if none was decided.
-        due_ms: When the entry needs a tick.
         retry_at_ms: When a forwarded or shed request is sent again.
         writer: Who wrote the claim, if it is another instance.
         answer: The answer, once there is one.
@@ -74,7 +72,6 @@
     waiters: list[Waiter] = []
     refuse_reason: str = ""
     attempt: int = 0
-    due_ms: int = 0
     retry_at_ms: int = 0
     writer: OwnerMember | None = None
     answer: WholeAnswer | None = None
@@ -109,7 +106,6 @@
         "_active",
         "_answered",
         "_answered_bytes",
-        "_counter",
         "_parameters",
         "_timers",
     )
@@ -120,8 +116,7 @@
         # In order of the time of the answer, oldest first.
         self._answered: dict[RequestIdentity, Entry] = {}
         self._answered_bytes = 0
-        self._timers: list[tuple[int, int, Entry]] = []
-        self._counter = itertools.count()
+        self._timers: TimerQueue[RequestIdentity] = TimerQueue()
 
     @property
     def active_count(self) -> int:
@@ -150,19 +145,17 @@
 
     def set_due(self, entry: Entry, due_ms: int) -> None:
         """Sets when an active entry needs a tick, replacing an earlier time."""
-        entry.due_ms = due_ms
-        heapq.heappush(self._timers, (due_ms, next(self._counter), entry))
+        self._timers.set(entry.identity, due_ms)
 
     def pop_due(self, now_ms: int) -> Iterator[Entry]:
         """Returns the active entries whose time has come."""
-        while self._timers and self._timers[0][0] <= now_ms:
-            due_ms, _, entry = heapq.heappop(self._timers)
-            if entry.state is not EntryState.ANSWERED and entry.due_ms == due_ms:
-                yield entry
+        for identity in self._timers.pop_due(now_ms):
+            yield self._active[identity]
 
     def settle(self, entry: Entry, answer: WholeAnswer) -> None:
         """Moves an entry to the answered ones and evicts the oldest beyond the bounds."""
         del self._active[entry.identity]
+        self._timers.remove(entry.identity)
         entry.state = EntryState.ANSWERED
         entry.request = None
         entry.waiters = []
--- a/src/catkinspread/requests/forwarding.py
+++ b/src/catkinspread/requests/forwarding.py
@@ -1,8 +1,5 @@
 """Requests that an instance forwarded to the claimer of their shard."""
 
-import heapq
-import itertools
-
 import msgspec
 
 from catkinspread.hashing import rank_by_rendezvous
@@ -10,6 +7,7 @@
 from catkinspread.requests.idempotent import FlowRequest
 from catkinspread.requests.identity import SHARD_COUNT, find_shard
 from catkinspread.requests.parameters import RequestParameters
+from catkinspread.requests.timers import TimerQueue
 from catkinspread.wire import Request
 
 
@@ -22,7 +20,6 @@
         request: The request.
         give_up_ms: At this time the caller is told that the outcome is unknown.
         confirmed_at_ms: When the claimer last confirmed it; at first the time of arrival.
-        due_ms: When the request is forwarded again.
         is_taken_over: Whether this instance claims the request itself.
     """
 
@@ -31,7 +28,6 @@
     request: Request
     give_up_ms: int
     confirmed_at_ms: int
-    due_ms: int = 0
     is_taken_over: bool = False
 
 
@@ -51,14 +47,13 @@
 class ForwardTable:
     """Remembers forwarded requests until they are answered; each is repeated until then."""
 
-    __slots__ = ("_claimers", "_counter", "_entries", "_parameters", "_timers")
+    __slots__ = ("_claimers", "_entries", "_parameters", "_timers")
 
     def __init__(self, member: OwnerMember, parameters: RequestParameters) -> None:
         self._parameters = parameters
         self._claimers = rank_claimers(frozenset([member]))
         self._entries: dict[FlowRequest, ForwardedEntry] = {}
-        self._timers: list[tuple[int, int, ForwardedEntry]] = []
-        self._counter = itertools.count()
+        self._timers: TimerQueue[FlowRequest] = TimerQueue()
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -107,21 +102,20 @@
         if entry is not None:
             entry.confirmed_at_ms = now_ms
 
+    def is_pending(self, key: FlowRequest) -> bool:
+        """Returns whether a request waits for its answer."""
+        return key in self._entries
+
     def remove(self, key: FlowRequest) -> bool:
         """Removes a request and returns whether it was pending."""
+        self._timers.remove(key)
         return self._entries.pop(key, None) is not None
 
     def schedule(self, entry: ForwardedEntry, now_ms: int) -> None:
         """Sets the time of the next repetition, counted from now."""
         due_ms = min(now_ms + self._parameters.forward_retry_ms, entry.give_up_ms)
-        entry.due_ms = due_ms
-        heapq.heappush(self._timers, (due_ms, next(self._counter), entry))
+        self._timers.set(entry.key, due_ms)
 
     def pop_due(self, now_ms: int) -> list[ForwardedEntry]:
         """Returns the pending requests whose time has come."""
-        due: list[ForwardedEntry] = []
-        while self._timers and self._timers[0][0] <= now_ms:
-            due_ms, _, entry = heapq.heappop(self._timers)
-            if self._entries.get(entry.key) is entry and entry.due_ms == due_ms:
-                due.append(entry)
-        return due
+        return [self._entries[key] for key in self._timers.pop_due(now_ms)]
--- a/src/catkinspread/requests/handler.py
+++ b/src/catkinspread/requests/handler.py
@@ -183,7 +183,9 @@
         moved = self._forwards.set_live(live)
         actions = self._claim(LiveInstancesChanged(live), now_ms)
         for entry in moved:
-            actions += self._hand_over(entry, now_ms)
+            # The change of the view may have answered the request already.
+            if self._forwards.is_pending(entry.key):
+                actions += self._hand_over(entry, now_ms)
         return actions
 
     def tick(self, now_ms: int) -> list[HandlerAction]:
--- a/src/catkinspread/requests/idempotent.py
+++ b/src/catkinspread/requests/idempotent.py
@@ -3,9 +3,6 @@
 They have no claim, so nothing proves that no copy ran. They are never answered NOT_RUN.
 """
 
-import heapq
-import itertools
-
 import msgspec
 
 from catkinspread.model import OwnerMember
@@ -16,6 +13,7 @@
 from catkinspread.requests.messages import WholeAnswer
 from catkinspread.requests.parameters import RequestParameters
 from catkinspread.requests.retries import RetryPolicy
+from catkinspread.requests.timers import TimerQueue
 from catkinspread.wire import AnswerStatus, Request
 
 
@@ -32,7 +30,6 @@
     request: Request
     attempt: int = 0
     is_sent: bool = False
-    due_ms: int = 0
 
 
 IdempotentAction = SendToUpstream | GiveAnswer
@@ -41,7 +38,7 @@
 class IdempotentRequests:
     """Handles the idempotent requests that callers hand to one instance."""
 
-    __slots__ = ("_counter", "_member", "_parameters", "_pending", "_retry_policy", "_timers")
+    __slots__ = ("_member", "_parameters", "_pending", "_retry_policy", "_timers")
 
     def __init__(
         self, member: OwnerMember, parameters: RequestParameters, retry_policy: RetryPolicy
@@ -50,8 +47,7 @@
         self._parameters = parameters
         self._retry_policy = retry_policy
         self._pending: dict[FlowRequest, _Pending] = {}
-        self._timers: list[tuple[int, int, _Pending]] = []
-        self._counter = itertools.count()
+        self._timers: TimerQueue[FlowRequest] = TimerQueue()
 
     def __len__(self) -> int:
         return len(self._pending)
@@ -84,7 +80,7 @@
             return []
         if answer.status in (AnswerStatus.SHED, AnswerStatus.NOT_RUN):
             return self._handle_shed(pending, attempt, now_ms)
-        del self._pending[key]
+        self._remove(key)
         return [GiveAnswer(self._member, key.identity, key.flow, answer)]
 
     def handle_send_refused(
@@ -94,21 +90,19 @@
         key = FlowRequest(identity, flow)
         if key not in self._pending:
             return []
-        del self._pending[key]
+        self._remove(key)
         return [self._give_unknown(key, reason)]
 
     def tick(self, now_ms: int) -> list[IdempotentAction]:
         """Sends retries that are due and answers requests whose deadline has passed."""
         actions: list[IdempotentAction] = []
-        while self._timers and self._timers[0][0] <= now_ms:
-            due_ms, _, pending = heapq.heappop(self._timers)
-            if self._pending.get(pending.key) is pending and pending.due_ms == due_ms:
-                actions += self._handle_due(pending, now_ms)
+        for key in self._timers.pop_due(now_ms):
+            actions += self._handle_due(self._pending[key], now_ms)
         return actions
 
     def _handle_due(self, pending: _Pending, now_ms: int) -> list[IdempotentAction]:
         if now_ms >= pending.request.deadline_ms:
-            del self._pending[pending.key]
+            self._remove(pending.key)
             return [self._give_unknown(pending.key, reasons.UPSTREAM)]
         if not pending.is_sent:
             return [self._send(pending, now_ms)]
@@ -124,7 +118,7 @@
             return []
         retry_at_ms = self._plan_retry(pending, now_ms)
         if retry_at_ms is None:
-            del self._pending[pending.key]
+            self._remove(pending.key)
             return [self._give_unknown(pending.key, reasons.SHED)]
         pending.is_sent = False
         self._set_due(pending, retry_at_ms)
@@ -149,9 +143,12 @@
             is_idempotent=True,
         )
 
+    def _remove(self, key: FlowRequest) -> None:
+        del self._pending[key]
+        self._timers.remove(key)
+
     def _set_due(self, pending: _Pending, due_ms: int) -> None:
-        pending.due_ms = due_ms
-        heapq.heappush(self._timers, (due_ms, next(self._counter), pending))
+        self._timers.set(pending.key, due_ms)
 
     def _give_unknown(self, key: FlowRequest, reason: str) -> GiveAnswer:
         answer = WholeAnswer(AnswerStatus.OUTCOME_UNKNOWN, reason=reason)
--- a/src/catkinspread/requests/tests/test_handler.py
+++ b/src/catkinspread/requests/tests/test_handler.py
@@ -17,12 +17,14 @@
     BucketWriteUnavailable,
     BucketWriteUnknown,
     BucketWritten,
+    ClaimRecord,
     ClaimStoreDriver,
     DeleteBucket,
     ForwardAccepted,
     ForwardedAnswer,
     ForwardedRequest,
     ReadBucket,
+    RecordKind,
     RequestHandler,
     RequestParameters,
     RetryBudget,
@@ -30,10 +32,12 @@
     SendToPeer,
     SendToUpstream,
     WriteBucket,
+    encode_bucket,
     identify_request,
 )
 from catkinspread.requests.sweeper import BucketSweeper
 from catkinspread.requests.tests.rig import OK, START_MS, UNKNOWN, make_request, whole
+from catkinspread.requests.timers import TimerQueue
 from catkinspread.wire import Answer, AnswerStatus
 
 EDGE = OwnerMember("edge", 1)
@@ -136,6 +140,23 @@
     assert moved == [True] or select(actions, ReadBucket)
 
 
+def test_request_answered_by_a_change_of_the_view_is_not_handed_over():
+    """Guards against a timer without a request when writer and claimer change together."""
+    for number in range(100):
+        handler = make_handler(OTHER)
+        (read, *_) = handler.handle_request("desk", make_request(number), START_MS)
+        if not isinstance(read, ReadBucket):
+            continue
+        claim_hash = identify_request(make_request(number)).claim_hash
+        value = encode_bucket({claim_hash: ClaimRecord("other#1", RecordKind.CLAIMED)})
+        event = BucketRead(read.bucket, read.operation, 1, value)
+        handler.handle_store_event(event, START_MS)
+        actions = handler.set_live_instances(frozenset([THIRD]), START_MS)
+        assert len(select(actions, AnswerCaller)) == 1
+        assert select(actions, SendToPeer) == []
+        assert select(run_until(handler, START_MS + 5_000), AnswerCaller) == []
+
+
 @pytest.mark.parametrize("is_confirmed", [False, True])
 def test_request_is_claimed_here_when_its_claimer_does_not_confirm_it(is_confirmed):
     """Guards against orders that wait for a paused claimer until their deadline."""
@@ -202,6 +223,19 @@
     assert max(minutes) * 60_000 + 60_000 <= START_MS - 3_600_000 - 120_000
 
 
+def test_removed_timers_do_not_fill_the_memory():
+    """Guards against answered requests with long timeouts that stay in the timer heap."""
+    timers = TimerQueue()
+    for key in range(10_000):
+        timers.set(key, 3_600_000)
+        timers.remove(key)
+    assert timers.heap_size < 200
+    timers.set("late", 20)
+    timers.set("early", 30)
+    timers.set("early", 10)
+    assert timers.pop_due(20) == ["early", "late"]
+
+
 BUCKET = BucketId(1, 2)
 
 
