limits: Tell overload from a cold turn, and pace instances at the lowest limit

Change: shed answers count as a cold turn only while the good answers of the last 2 s are at most a quarter of their usual rate; this replaces the comparison of start rates. At the lowest limit, shed answers lengthen a pause (16 ms to 1 s), good ones shorten it by an additive gain in rate. Tests: test_overload_is_no_cold_turn gave a surge without any good answer, which nobody can tell from a cold upstream; it now gives 20 good answers per second among 80 shed ones, and demands a notice when the good ones fall to 2. The test of the cold turn completes every start and runs longer, because the pause spaces the starts. On a scratch copy: goodput check off -> overload_is_no_cold_turn fails; pause off -> shed_answers_at_the_lowest_limit fails; pause without bound -> limiter_never_starves fails; endpoint decides alone -> endpoints_never_decide_alone fails; detector off -> cold_turn_restarts fails. Hold-off off -> no test fails: the periods of alternating_upstream are now too short for any notice, so it must be replaced. Conclusion: the slower notice is the price of no false restart; the limiter bounds the load until then.

--- a/src/catkinspread/limits/actions.py
+++ b/src/catkinspread/limits/actions.py
@@ -57,6 +57,7 @@
         instances_known: Number that the cap is divided by.
         concurrent_max: Limit on concurrent requests.
         concurrent: Requests that run now.
+        pause_ms: Pause between the end of a request and the next start.
         queued: Requests that wait now.
         is_warming: Whether the cold start ramp is under way.
     """
@@ -66,6 +67,7 @@
     instances_known: int
     concurrent_max: int
     concurrent: int
+    pause_ms: int
     queued: int
     is_warming: bool
 
--- a/src/catkinspread/limits/admission.py
+++ b/src/catkinspread/limits/admission.py
@@ -111,7 +111,7 @@
         actions: list[Action] = []
         match outcome:
             case RunOutcome.GOOD:
-                self._limiter.end_good()
+                self._limiter.end_good(now_ms)
                 actions += self._judge(AnswerKind.GOOD, run, now_ms)
             case RunOutcome.SHED:
                 self._limiter.end_shed(run.started_at_ms, now_ms)
@@ -194,6 +194,7 @@
             instances_known=self._fleet.count(),
             concurrent_max=self._limiter.limit,
             concurrent=self._limiter.in_flight,
+            pause_ms=self._limiter.pause_ms,
             queued=len(self._queue),
             is_warming=not self._ramp.is_warm(now_ms),
         )
@@ -203,14 +204,16 @@
         actions: list[Action] = [
             self._expire(work, reason) for work in self._queue.drop_expired(now_ms)
         ]
-        while len(self._queue) and self._limiter.has_room() and self._share.try_take(now_ms):
+        while self._has_startable(now_ms) and self._share.try_take(now_ms):
             work = self._queue.pop()
             self._runs[work.work_id] = _Run(work, now_ms)
             self._limiter.begin()
-            self._detector.observe_start(now_ms)
             actions.append(Start(work))
         return actions
 
+    def _has_startable(self, now_ms: int) -> bool:
+        return len(self._queue) > 0 and self._limiter.has_room(now_ms)
+
     def _plan_wake(self, now_ms: int) -> list[Action]:
         times: list[int] = [
             run.work.deadline_ms + self._settings.answer_grace_ms for run in self._runs.values()
@@ -218,8 +221,9 @@
         deadline_ms = self._queue.find_next_deadline_ms()
         if deadline_ms is not None:
             times.append(deadline_ms)
-            if self._limiter.has_room():
-                times.append(self._share.compute_retry_ms(now_ms))
+            ready_ms = self._limiter.compute_ready_ms(now_ms)
+            if ready_ms is not None:
+                times.append(max(ready_ms, self._share.compute_retry_ms(now_ms)))
         return [WakeAt(max(now_ms + 1, min(times)))] if times else []
 
     def _judge(self, kind: AnswerKind, run: _Run, now_ms: int) -> list[Action]:
@@ -231,7 +235,7 @@
         return [SpreadNotice(notice)]
 
     def _name_wait(self, now_ms: int) -> RefusalReason:
-        is_cold = not self._ramp.is_warm(now_ms) and self._limiter.has_room()
+        is_cold = not self._ramp.is_warm(now_ms) and self._limiter.has_room(now_ms)
         return RefusalReason.EXPIRED_IN_COLD_START if is_cold else RefusalReason.EXPIRED_IN_QUEUE
 
     def _expire(self, work: Work, reason: RefusalReason) -> Expire:
--- a/src/catkinspread/limits/detector.py
+++ b/src/catkinspread/limits/detector.py
@@ -24,24 +24,27 @@
     """Thresholds of the detector.
 
     Attributes:
-        window_ms: Only answers this recent are evidence.
+        window_ms: Only shed answers this recent are evidence; long enough for
+            `evidence_min` tries at the longest pause of the limiter.
+        good_window_ms: Good answers this recent are compared with the usual ones.
         evidence_min: Answers needed in the window.
         supported_min: Answers needed while an endpoint reports the upstream as unhealthy.
         shed_share: Share of shed answers from which a turn is noticed.
         latency_factor: Ratio of mean latency to the moving average from which it is noticed.
         baseline_min: Good answers needed before the moving average counts.
         baseline_step: Weight of one answer in the moving average.
-        persist_ms: Time that shed answers must go on; it is also the time over which a surge
-            is measured, so that a surge shows before its shed answers count.
-        surge_factor: Shed answers at a start rate above this multiple of the highest rate
-            answered in the last minute are overload, not a cold turn.
+        persist_ms: Time that shed answers must go on.
+        goodput_factor: Shed answers count only while good answers come at most at this share
+            of their usual rate. An upstream that sheds because of overload goes on answering
+            what it bears; one that became cold does not.
         holdoff_ms: No second turn is noticed for this long after a restart.
         holdoff_max_ms: Upper bound of the hold-off, which doubles with each restart.
         calm_ms: Time without a restart after which the hold-off is short again.
         hint_ms: How long a report of an endpoint supports other evidence.
     """
 
-    window_ms: int = 2_000
+    window_ms: int = 6_000
+    good_window_ms: int = 2_000
     evidence_min: int = 6
     supported_min: int = 4
     shed_share: float = 0.5
@@ -49,7 +52,7 @@
     baseline_min: int = 20
     baseline_step: float = 0.02
     persist_ms: int = 250
-    surge_factor: float = 1.5
+    goodput_factor: float = 0.25
     holdoff_ms: int = 5_000
     holdoff_max_ms: int = 80_000
     calm_ms: int = 600_000
@@ -62,7 +65,9 @@
     latency_ms: int
 
 
-_RATE_MEMORY_S = 60
+_GOODPUT_MEMORY_S = 30
+# Bounds the cost at high rates; judging takes time in proportion to the answers of the window.
+_JUDGE_INTERVAL_MS = 50
 _MS_PER_S = 1_000
 
 
@@ -77,20 +82,21 @@
     __slots__ = (
         "_baseline_count",
         "_baseline_ms",
+        "_first_second",
         "_good_per_second",
         "_hint_until_ms",
         "_holdoff_ms",
         "_holdoff_until_ms",
+        "_judged_at_ms",
         "_restarted_at_ms",
         "_samples",
         "_settings",
-        "_starts",
     )
 
     def __init__(self, settings: DetectorSettings | None = None) -> None:
         self._settings = settings or DetectorSettings()
-        self._samples: collections.deque[_Sample] = collections.deque(maxlen=256)
-        self._starts: collections.deque[int] = collections.deque(maxlen=4_096)
+        self._samples: collections.deque[_Sample] = collections.deque()
+        self._first_second = 0
         self._good_per_second: dict[int, int] = {}
         self._baseline_ms = 0.0
         self._baseline_count = 0
@@ -98,16 +104,13 @@
         self._restarted_at_ms: int | None = None
         self._holdoff_ms = self._settings.holdoff_ms
         self._holdoff_until_ms = -1
+        self._judged_at_ms = -_JUDGE_INTERVAL_MS
 
     @property
     def baseline_ms(self) -> float:
         """Moving average of the latency of good answers in ms."""
         return self._baseline_ms
 
-    def observe_start(self, now_ms: int) -> None:
-        """Notes a started request."""
-        self._starts.append(now_ms)
-
     def observe_hint(self, is_healthy: bool, now_ms: int) -> None:
         """Notes what a health or load endpoint reports; this never decides alone."""
         self._hint_until_ms = -1 if is_healthy else now_ms + self._settings.hint_ms
@@ -143,20 +146,25 @@
         if self._restarted_at_ms is not None and started_at_ms < self._restarted_at_ms:
             return None
         self._samples.append(_Sample(now_ms, kind, latency_ms))
-        if now_ms < self._holdoff_until_ms:
+        while now_ms - self._samples[0].at_ms >= self._settings.window_ms:
+            self._samples.popleft()
+        is_due = now_ms - self._judged_at_ms >= _JUDGE_INTERVAL_MS
+        if now_ms < self._holdoff_until_ms or not is_due:
             return None
+        self._judged_at_ms = now_ms
         return self._judge(now_ms)
 
     def _note_good(self, latency_ms: int, now_ms: int) -> None:
         second = now_ms // _MS_PER_S
         if second not in self._good_per_second:
-            oldest = second - _RATE_MEMORY_S
+            oldest = second - 2 * _GOODPUT_MEMORY_S
             self._good_per_second = {
                 key: count for key, count in self._good_per_second.items() if key > oldest
             }
         self._good_per_second[second] = self._good_per_second.get(second, 0) + 1
         self._baseline_count += 1
         if self._baseline_count == 1:
+            self._first_second = second
             self._baseline_ms = float(latency_ms)
             return
         # Clipped, so that the slow answers of a cold turn do not become the normal case.
@@ -166,14 +174,14 @@
 
     def _judge(self, now_ms: int) -> ColdTurnEvidence | None:
         settings = self._settings
-        recent = [s for s in self._samples if now_ms - s.at_ms < settings.window_ms]
+        recent = list(self._samples)
         is_supported = now_ms < self._hint_until_ms
         needed = settings.supported_min if is_supported else settings.evidence_min
         if len(recent) < needed or self._baseline_count < settings.baseline_min:
             return None
         if self._is_shedding(recent, needed, now_ms):
             return ColdTurnEvidence.SHED
-        latencies = [s.latency_ms for s in recent if s.kind is AnswerKind.GOOD]
+        latencies = [sample.latency_ms for sample in self._list_good(now_ms)]
         if len(latencies) < needed:
             return None
         threshold_ms = settings.latency_factor * max(1.0, self._baseline_ms)
@@ -186,12 +194,21 @@
             return False
         since = [sample for sample in recent if sample.at_ms >= shed[0].at_ms]
         is_most = len(shed) >= self._settings.shed_share * len(since)
-        return len(since) >= needed and is_most and not self._is_surge(now_ms)
-
-    def _is_surge(self, now_ms: int) -> bool:
-        persist_ms = self._settings.persist_ms
-        while self._starts and now_ms - self._starts[0] >= persist_ms:
-            self._starts.popleft()
-        rate_per_s = len(self._starts) * _MS_PER_S / persist_ms
-        proven_per_s = max(self._good_per_second.values(), default=0)
-        return rate_per_s > self._settings.surge_factor * proven_per_s
+        return len(since) >= needed and is_most and self._is_goodput_low(now_ms)
+
+    def _is_goodput_low(self, now_ms: int) -> bool:
+        """Compares the good answers of the window with those of the seconds before it."""
+        window_ms = self._settings.good_window_ms
+        last = (now_ms - window_ms) // _MS_PER_S
+        before = sum(
+            count
+            for second, count in self._good_per_second.items()
+            if last - _GOODPUT_MEMORY_S <= second < last
+        )
+        known_s = min(_GOODPUT_MEMORY_S, last - self._first_second)
+        usual = before / max(1, known_s) * window_ms / _MS_PER_S
+        return len(self._list_good(now_ms)) <= self._settings.goodput_factor * usual
+
+    def _list_good(self, now_ms: int) -> list[_Sample]:
+        oldest_ms = now_ms - self._settings.good_window_ms
+        return [s for s in self._samples if s.kind is AnswerKind.GOOD and s.at_ms > oldest_ms]
