Use the group choice of routing and bound entries and automatic steps

Cause: routing now chooses groups and packs exceptions; one group per 16 slots would have given every instance thousands of groups when a data centre leaves; an entry of 16 KB takes 5.4 s at 3 KB/s, longer than the bound of 5 s; examining 32 services a second costs 2 % of a core although nothing changed. Change: owner groups come from routing.choose_group, their number depends on the members and the services that move, an entry moves at most 2,048 slots, and automatic steps examine only services that an entry changed.

--- a/src/catkinspread/operations/context.py
+++ b/src/catkinspread/operations/context.py
@@ -8,12 +8,10 @@
 # Packets of a removed upstream may still be under way to its endpoint this long; another
 # service there would get them (G2).
 ENDPOINT_QUARANTINE_MS = 3_600_000
-# 100,000 exceptions of 8 bytes are 0.8 MB for a service in every instance.
-EXCEPTIONS_MAX = 100_000
-# Bounds an entry to about 16 KB: it must reach every instance in 5 s at 3 KB/s.
-MOVED_SLOTS_MAX = 4_096
-# The packets of a group's slots all go to its owner, so a large move is shared among groups.
-SLOTS_PER_GROUP = 16
+# Bounds an entry to about 8 KB, which takes 3 s at 3 KB/s: it must be in force in 5 s.
+MOVED_SLOTS_MAX = 2_048
+# A group costs every instance some work, so it owns at least this many slots where it can.
+GROUP_SLOTS_MIN = 16
 
 
 class RemovedEndpoint(msgspec.Struct, frozen=True):
--- a/src/catkinspread/operations/moves.py
+++ b/src/catkinspread/operations/moves.py
@@ -20,13 +20,17 @@
     UpstreamState,
 )
 from catkinspread.operations.context import (
-    EXCEPTIONS_MAX,
+    GROUP_SLOTS_MIN,
     MOVED_SLOTS_MAX,
-    SLOTS_PER_GROUP,
     CompileContext,
 )
-from catkinspread.operations.owners import choose_owner_group
-from catkinspread.routing import current_upstream, plan_slots, plan_step
+from catkinspread.operations.owners import choose_owner_group, count_groups
+from catkinspread.routing import RoutingLimits, current_upstream, plan_slots, plan_step
+
+# Exceptions are packed hashes of 64 bits.
+_HASH_BYTES = 8
+# Owners delay their list at this limit, so moves that only add exceptions wait too.
+EXCEPTIONS_MAX = RoutingLimits().exceptions_max
 
 
 class MovePlan(msgspec.Struct, frozen=True):
@@ -71,14 +75,10 @@
         slots=len(based - transitions.keys()),
         leaving_slots=len((based & transitions.keys()) - arriving),
         arriving_slots=len(arriving),
-        exceptions=sum(_count_exceptions(base.exceptions, name) for base in table.bases),
+        exceptions=sum(len(base.exceptions.get(name, b"")) for base in table.bases) // _HASH_BYTES,
     )
 
 
-def _count_exceptions(exceptions: dict[int, str], name: str) -> int:
-    return sum(upstream == name for upstream in exceptions.values()) if exceptions else 0
-
-
 def weigh_upstreams(
     configuration: Configuration, services: Iterable[str]
 ) -> dict[str, dict[str, int]]:
@@ -116,7 +116,7 @@
 ) -> MovePlan:
     """Plans the moves that bring services closer to their weights.
 
-    Services after the one that reaches MOVED_SLOTS_MAX are left for the next step.
+    Services that would exceed MOVED_SLOTS_MAX are left for the next step.
 
     Args:
         configuration: State with the new weights.
@@ -136,10 +136,11 @@
     for service in services:
         table = configuration.slot_tables[service]
         moves = _plan_service(table, weights[service], context, stepped)
-        effects.extend(_assign_groups(configuration, service, moves, context, out))
-        planned += _count_slots(moves)
-        if planned >= MOVED_SLOTS_MAX:
+        slots = _count_slots(moves)
+        if planned and planned + slots > MOVED_SLOTS_MAX:
             break
+        planned += slots
+        effects.extend(_assign_groups(configuration, service, moves, context, out, len(services)))
     moved = sum(_count_slots(effect.moves) for effect in effects)
     return MovePlan(effects=tuple(effects), unowned_slots=planned - moved)
 
@@ -160,7 +161,7 @@
         limits = _limit_gains(table, weights, context.step_slots, stepped)
         moves = plan_step(table, weights, limits)
     moves = _prefer_bases(table, moves)
-    if moves and sum(len(base.exceptions) for base in table.bases) >= EXCEPTIONS_MAX:
+    if moves and sum(base.exception_count for base in table.bases) >= EXCEPTIONS_MAX:
         return _keep_urgent(table, weights, moves)
     return moves
 
@@ -224,6 +225,7 @@
     moves: tuple[SlotMove, ...],
     context: CompileContext,
     out: frozenset[str],
+    service_count: int,
 ) -> list[SlotsMoved]:
     table = configuration.slot_tables[service]
     targets = sorted((slot, move.target) for move in moves for slot in move.slots)
@@ -232,11 +234,13 @@
     effects: list[SlotsMoved] = []
     if free:
         effects.append(SlotsMoved(service, _group_moves(free), OwnerGroup(())))
-    for first in range(0, len(owned), SLOTS_PER_GROUP):
+    groups = count_groups(len(owned), service_count, context.live_members, GROUP_SLOTS_MIN)
+    group_slots = -(-len(owned) // groups)
+    for first in range(0, len(owned), max(1, group_slots)):
         key = f"{service}/{configuration.version}/{first}"
         group = choose_owner_group(key, context.live_members, out)
         if group.members:
-            chunk = owned[first : first + SLOTS_PER_GROUP]
+            chunk = owned[first : first + group_slots]
             effects.append(SlotsMoved(service, _group_moves(chunk), group))
     return effects
 
--- a/src/catkinspread/operations/owners.py
+++ b/src/catkinspread/operations/owners.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Mapping
 
-from catkinspread.hashing import rank_by_rendezvous
 from catkinspread.model import OwnerGroup, OwnerMember
+from catkinspread.routing import MemberView, choose_group
 
-# An owner and two successors.
-GROUP_SIZE = 3
+# Bounds the groups of one entry: each takes about 60 bytes, and choosing it among 640 members
+# takes 1 ms.
+_GROUPS_MAX = 64
 
 
 def choose_owner_group(
@@ -18,32 +19,35 @@
 
     Args:
         key: Different keys spread the groups over the instances.
-        live_members: Live instances by data centre.
+        live_members: Live instances by data centre, without those that are leaving.
         avoided_data_centres: Data centres that are used only when no other has an instance.
 
     Returns:
         The group, smaller if there are fewer instances; empty if there is none.
     """
-    preferred = {
-        name: live
-        for name, live in live_members.items()
-        if _is_usable(name, live, avoided_data_centres)
-    }
-    candidates = preferred or live_members
-    data_centre_by_member = {
-        member: name for name, members in candidates.items() for member in members
-    }
-    member_by_id = {member.instance: member for member in data_centre_by_member}
-    ranked = [member_by_id[name] for name in rank_by_rendezvous(key, member_by_id)]
-    group = ranked[:GROUP_SIZE]
-    if len({data_centre_by_member[member] for member in group}) == 1:
-        home = data_centre_by_member[group[0]]
-        elsewhere = (member for member in ranked if data_centre_by_member[member] != home)
-        other = next(elsewhere, None)
-        if other is not None:
-            group = [*group[: GROUP_SIZE - 1], other]
-    return OwnerGroup(members=tuple(group))
-
-
-def _is_usable(name: str, live: tuple[OwnerMember, ...], avoided: frozenset[str]) -> bool:
-    return bool(live) and name not in avoided
+    views = [
+        MemberView(member.instance, member.incarnation, data_centre)
+        for data_centre, members in live_members.items()
+        for member in members
+    ]
+    return choose_group(key, views, avoided_data_centres=avoided_data_centres)
+
+
+def count_groups(
+    slots: int, services: int, live_members: Mapping[str, tuple[OwnerMember, ...]], least_slots: int
+) -> int:
+    """Returns the number of groups that share the moved slots of a service.
+
+    All packets of a slot in transition go to the owner of its group, so one group for a large
+    move would load one instance with the traffic of several. With many services a group for
+    each spreads the load already, and every group costs every instance work.
+
+    Args:
+        slots: Moved slots of the service.
+        services: Services whose slots move in the same change.
+        live_members: Live instances by data centre.
+        least_slots: Fewer slots than this are not worth another group.
+    """
+    members = sum(len(live) for live in live_members.values())
+    available = min(members, _GROUPS_MAX) // max(1, services)
+    return max(1, min(slots // least_slots, available))
--- a/src/catkinspread/operations/service.py
+++ b/src/catkinspread/operations/service.py
@@ -45,6 +45,7 @@
 _COMPILE_ATTEMPTS = 8
 _APPEND_ATTEMPTS = 3
 _APPEND_RETRY_DELAY_MS = 100
+# Examining a service takes 0.5 ms.
 _STEP_SERVICES_MAX = 32
 
 
@@ -67,7 +68,6 @@
         "_fleet",
         "_log",
         "_make_id",
-        "_next_service",
         "_queries",
         "_state",
         "_step_slots",
@@ -92,7 +92,6 @@
         self._make_id = make_id
         self._step_slots = step_slots
         self._state = OperationsState()
-        self._next_service = 0
 
     async def execute(self, token: str, text: str) -> Result[Reply, OperationsError]:
         """Executes one statement.
@@ -132,10 +131,12 @@
             EntryError: If the log cannot be applied.
         """
         state = await self._refresh()
-        services = self._select_services(state)
+        services = sorted(state.due_services)[:_STEP_SERVICES_MAX]
         context = self._build_context(state, "")
         effects = compile_next_step(state.configuration, services, context)
         if not effects:
+            left = state.due_services.difference(services)
+            self._state = msgspec.structs.replace(state, due_services=left)
             return False
         entry = build_entry(state, self._make_id(), actor, "", "", self._clock.now_ms())
         payload = encode_entry(msgspec.structs.replace(entry, effects=effects))
@@ -174,13 +175,6 @@
             step_slots=self._step_slots,
         )
 
-    def _select_services(self, state: OperationsState) -> list[str]:
-        """Returns the services that the next automatic step examines, in turn."""
-        names = sorted(state.configuration.services)
-        first = self._next_service if self._next_service < len(names) else 0
-        self._next_service = first + _STEP_SERVICES_MAX
-        return names[first : self._next_service]
-
     async def _change(
         self, grant: Grant, statement: CommandStatement, text: str
     ) -> Result[Reply, OperationsError]:
--- a/src/catkinspread/operations/state.py
+++ b/src/catkinspread/operations/state.py
@@ -5,7 +5,7 @@
 from catkinspread.configuration import ChangeEntry, apply_entry, decode_entry
 from catkinspread.model import Configuration, Endpoint
 from catkinspread.objectstore import LogEntry
-from catkinspread.operations.audit import Change, hash_payload, is_automatic
+from catkinspread.operations.audit import Change, hash_payload, is_automatic, list_objects
 from catkinspread.operations.context import RemovedEndpoint, note_removals
 
 # Enough to name who came first in a race; older changes are read from the log.
@@ -21,6 +21,7 @@
         last_written_at_ms: Time of the last entry.
         removed_endpoints: Endpoints in quarantine.
         recent: The latest changes without their effects, oldest first.
+        due_services: Services that changed since an automatic step last examined them.
     """
 
     configuration: Configuration = Configuration()
@@ -28,6 +29,7 @@
     last_written_at_ms: int = 0
     removed_endpoints: dict[Endpoint, RemovedEndpoint] = {}
     recent: tuple[Change, ...] = ()
+    due_services: frozenset[str] = frozenset()
 
     @property
     def version(self) -> int:
@@ -56,9 +58,23 @@
         last_written_at_ms=max(state.last_written_at_ms, entry.written_at_ms),
         removed_endpoints=note_removals(state.removed_endpoints, state.configuration, entry),
         recent=(*state.recent, summary)[-_RECENT_MAX:],
+        due_services=state.due_services | _find_services(state.configuration, entry),
     )
 
 
+def _find_services(before: Configuration, entry: ChangeEntry) -> frozenset[str]:
+    """Returns the services whose slots may have to move after an entry."""
+    objects = list_objects(entry)
+    data_centres = {item.name for item in objects if item.kind == "data-centre"}
+    named = {item.name for item in objects if item.kind == "service"}
+    inside = {
+        upstream.service
+        for upstream in (before.upstreams.values() if data_centres else ())
+        if upstream.data_centre in data_centres
+    }
+    return frozenset(named | inside)
+
+
 def build_entry(
     state: OperationsState, change_id: str, actor: str, command: str, reason: str, now_ms: int
 ) -> ChangeEntry:
--- a/src/catkinspread/operations/tests/fakes.py
+++ b/src/catkinspread/operations/tests/fakes.py
@@ -1,9 +1,11 @@
 """A fleet, a clock and a configured service for the tests of this subpackage."""
 
+import anyio
+
 from catkinspread.clock import ManualClock
-from catkinspread.configuration import ChangeEntry, SlotsListed, apply_entry
-from catkinspread.model import Configuration, Endpoint, OwnerMember
-from catkinspread.objectstore import MemoryObjectStore, ObjectStore
+from catkinspread.configuration import ChangeEntry, SlotsListed, apply_entry, decode_entry
+from catkinspread.model import Configuration, OwnerMember
+from catkinspread.objectstore import AppendLog, MemoryObjectStore, ObjectStore, OutcomeUnknown
 from catkinspread.operations import (
     AccessList,
     CompileContext,
@@ -15,6 +17,7 @@
     hash_token,
     parse_statement,
 )
+from catkinspread.operations.audit import CONFIGURATION_LOG
 
 START_MS = 1_800_000_000_000
 DATA_CENTRES = ("brum", "coventry", "leicester")
@@ -44,6 +47,22 @@
 )
 
 
+STATEMENTS = (
+    'drain upstream c1 because "cold"',
+    "show services",
+    "show data-centres",
+    "show upstreams of catalogue",
+    "show draining",
+    "show versions",
+    "show flow templates from 192.0.2.7:40000",
+    "show request r1 of catalogue",
+    "show request r2 of catalogue",
+    "plan take out data-centre brum",
+    "show changes of upstream c1",
+    "verify changes",
+)
+
+
 class FakeFleet:
     """Nine live instances, 700 flows per upstream and one record."""
 
@@ -120,4 +139,34 @@
     return apply_effects((effect,), configuration)
 
 
-CALLER = Endpoint("192.0.2.7", 40_000)
+def run(scenario):
+    """Runs a scenario with a manual clock."""
+
+    async def start() -> None:
+        await scenario(ManualClock(START_MS))
+
+    anyio.run(start)
+
+
+async def refuse(service: OperationsService, text: str, token: str = "token-ann"):
+    result = await service.execute(token, text)
+    assert result.is_error()
+    return result.error
+
+
+async def read_entries(store: MemoryObjectStore):
+    entries = await AppendLog(store, CONFIGURATION_LOG).read_after(0)
+    return [decode_entry(entry.payload) for entry in entries]
+
+
+class SilentStore(MemoryObjectStore):
+    """After a lost answer every further call is refused."""
+
+    __slots__ = ()
+
+    async def create(self, key: str, value: bytes) -> int:
+        try:
+            return await super().create(key, value)
+        except OutcomeUnknown:
+            self.faults.is_down = True
+            raise
--- a/src/catkinspread/operations/tests/test_parser.py
+++ b/src/catkinspread/operations/tests/test_parser.py
@@ -8,6 +8,7 @@
 from catkinspread.operations import OperationsError, parse_statement
 from catkinspread.operations.commands import AddUpstream, CommandStatement, DrainUpstream
 from catkinspread.operations.queries import ObjectName, PlanCommand, ShowChanges
+from catkinspread.operations.tests.fakes import SETUP, STATEMENTS
 
 
 def test_modifiers_and_options_reach_the_statement():
@@ -52,48 +53,8 @@
 
 
 _WORDS = st.sampled_from(
-    [
-        "add",
-        "at",
-        "back",
-        "because",
-        "bring",
-        "by",
-        "c1",
-        "changes",
-        "create",
-        "data-centre",
-        "drain",
-        "dry",
-        "flow",
-        "from",
-        "if",
-        "in",
-        "of",
-        "out",
-        "plan",
-        "region",
-        "run",
-        "set",
-        "show",
-        "since",
-        "take",
-        "to",
-        "upstream",
-        "version",
-        "weight",
-        "1.2.3.4:5",
-        "-1",
-        "99999999999",
-        "0x7",
-        '"a"',
-        '"',
-        "é",
-        "\x00",
-        "１",
-        "٣",
-        "1.2.3.4:٣",
-    ]
+    [word for text in (*SETUP, *STATEMENTS) for word in text.split()]
+    + ["-1", "9" * 5_000, '"', '"a"', "\x00", "\ud800", "１", "1.2.3.4:٣", "é"]
 )
 
 
