--- a/src/catkinspread/configuration/__init__.py
+++ b/src/catkinspread/configuration/__init__.py
@@ -1,5 +1,15 @@
-"""The configuration log: its entries and how they change a configuration."""
+"""The configuration log: its entries, how they change a configuration, and its replicas."""
 
+from catkinspread.configuration.actions import (
+    ChainBroken,
+    ConfigurationAction,
+    EntryRefused,
+    ReadLog,
+    ReadSnapshot,
+    SendConfiguration,
+    VersionApplied,
+    WriteSnapshot,
+)
 from catkinspread.configuration.effects import (
     ChangeEntry,
     DataCentreSet,
@@ -16,8 +26,63 @@
     decode_entry,
     encode_entry,
 )
+from catkinspread.configuration.messages import (
+    ConfigurationMessage,
+    ConfigurationMessageError,
+    EntryRecord,
+    decode_configuration_message,
+    encode_configuration_message,
+    hash_payload,
+    make_record,
+)
+from catkinspread.configuration.replica import ConfigurationReplica, choose_watchers
+from catkinspread.configuration.snapshot import Snapshot, decode_snapshot, encode_snapshot
+from catkinspread.configuration.snapshot_store import SnapshotStore
+from catkinspread.configuration.writer import (
+    CONFIGURATION_LOG_PREFIX,
+    Change,
+    ChangeConflict,
+    ChangeFailure,
+    ChangeOutcomeUnknown,
+    ChangeResult,
+    ChangeUnavailable,
+    ChangeWritten,
+    ConfigurationWriter,
+    VersionAhead,
+)
 
 __all__ = [
+    "CONFIGURATION_LOG_PREFIX",
+    "ChainBroken",
+    "Change",
+    "ChangeConflict",
+    "ChangeFailure",
+    "ChangeOutcomeUnknown",
+    "ChangeResult",
+    "ChangeUnavailable",
+    "ChangeWritten",
+    "ConfigurationAction",
+    "ConfigurationMessage",
+    "ConfigurationMessageError",
+    "ConfigurationReplica",
+    "ConfigurationWriter",
+    "EntryRecord",
+    "EntryRefused",
+    "ReadLog",
+    "ReadSnapshot",
+    "SendConfiguration",
+    "Snapshot",
+    "SnapshotStore",
+    "VersionAhead",
+    "VersionApplied",
+    "WriteSnapshot",
+    "choose_watchers",
+    "decode_configuration_message",
+    "decode_snapshot",
+    "encode_configuration_message",
+    "encode_snapshot",
+    "hash_payload",
+    "make_record",
     "ChangeEntry",
     "DataCentreSet",
     "Effect",
--- a/src/catkinspread/configuration/effects.py
+++ b/src/catkinspread/configuration/effects.py
@@ -170,54 +170,76 @@
     """
     if index != configuration.version + 1:
         raise EntryError(f"entry {index} does not follow version {configuration.version}")
+    draft = _Draft(configuration)
     for effect in entry.effects:
-        configuration = _apply_effect(configuration, index, entry.written_at_ms, effect)
-    return msgspec.structs.replace(configuration, version=index)
+        _apply_effect(draft, index, entry.written_at_ms, effect)
+    return draft.finish(index)
 
 
-def _apply_effect(
-    configuration: Configuration, version: int, now_ms: int, effect: Effect
-) -> Configuration:
+class _Draft:
+    """Copies of the parts that an entry changes; each is copied once for the whole entry."""
+
+    __slots__ = ("_copied", "_original", "data_centres", "services", "slot_tables", "upstreams")
+
+    def __init__(self, configuration: Configuration) -> None:
+        self._original = configuration
+        self._copied: set[str] = set()
+        self.services = configuration.services
+        self.upstreams = configuration.upstreams
+        self.data_centres = configuration.data_centres
+        self.slot_tables = configuration.slot_tables
+
+    def open(self, part: str) -> dict:
+        """Returns a part of the configuration that may be changed."""
+        if part not in self._copied:
+            self._copied.add(part)
+            setattr(self, part, dict(getattr(self, part)))
+        return getattr(self, part)
+
+    def finish(self, version: int) -> Configuration:
+        return Configuration(
+            version=version,
+            services=self.services,
+            upstreams=self.upstreams,
+            data_centres=self.data_centres,
+            slot_tables=self.slot_tables,
+        )
+
+
+def _apply_effect(draft: _Draft, version: int, now_ms: int, effect: Effect) -> None:
     match effect:
         case ServiceSet(service):
-            return _set_service(configuration, service)
+            _set_service(draft, service)
         case DataCentreSet(data_centre):
-            data_centres = {**configuration.data_centres, data_centre.name: data_centre}
-            return msgspec.structs.replace(configuration, data_centres=data_centres)
+            draft.open("data_centres")[data_centre.name] = data_centre
         case UpstreamSet(upstream):
-            upstreams = {**configuration.upstreams, upstream.name: upstream}
-            return msgspec.structs.replace(configuration, upstreams=upstreams)
+            draft.open("upstreams")[upstream.name] = upstream
         case UpstreamRemoved(name):
-            return _remove_upstream(configuration, name)
+            _remove_upstream(draft, name)
         case SlotsMoved():
-            return _change_table(
-                configuration, effect.service, _move_slots, effect, version, now_ms
-            )
+            _change_table(draft, effect.service, _move_slots, effect, version, now_ms)
         case GroupChanged():
-            return _change_table(configuration, effect.service, _change_group, effect)
+            _change_table(draft, effect.service, _change_group, effect)
         case SlotsListed():
-            return _change_table(configuration, effect.service, _list_slots, effect)
+            _change_table(draft, effect.service, _list_slots, effect)
 
 
-def _set_service(configuration: Configuration, service: Service) -> Configuration:
-    tables = configuration.slot_tables
-    if service.name not in tables:
+def _set_service(draft: _Draft, service: Service) -> None:
+    if service.name not in draft.slot_tables:
         empty = SlotTable(bases=(SlotBase(default=""),) * SLOT_COUNT)
-        tables = {**tables, service.name: empty}
-    services = {**configuration.services, service.name: service}
-    return msgspec.structs.replace(configuration, services=services, slot_tables=tables)
+        draft.open("slot_tables")[service.name] = empty
+    draft.open("services")[service.name] = service
 
 
-def _remove_upstream(configuration: Configuration, name: str) -> Configuration:
-    if name not in configuration.upstreams:
+def _remove_upstream(draft: _Draft, name: str) -> None:
+    if name not in draft.upstreams:
         raise EntryError(f"upstream {name!r} does not exist")
-    upstreams = {key: value for key, value in configuration.upstreams.items() if key != name}
-    service = configuration.upstreams[name].service
-    table = configuration.slot_tables[service]
+    service = draft.open("upstreams").pop(name).service
+    table = draft.slot_tables[service]
+    if not any(base.exceptions for base in table.bases):
+        return
     bases = tuple(_forget_upstream(base, name) for base in table.bases)
-    table = msgspec.structs.replace(table, bases=bases)
-    tables = {**configuration.slot_tables, service: table}
-    return msgspec.structs.replace(configuration, upstreams=upstreams, slot_tables=tables)
+    draft.open("slot_tables")[service] = SlotTable(bases=bases, transitions=table.transitions)
 
 
 def _forget_upstream(base: SlotBase, name: str) -> SlotBase:
@@ -227,25 +249,30 @@
     return SlotBase(default=base.default, exceptions=kept)
 
 
-def _change_table(configuration: Configuration, service: str, change, *arguments) -> Configuration:
-    if service not in configuration.slot_tables:
+def _change_table(draft: _Draft, service: str, change, *arguments) -> None:
+    if service not in draft.slot_tables:
         raise EntryError(f"service {service!r} does not exist")
-    table = change(configuration.slot_tables[service], *arguments)
-    tables = {**configuration.slot_tables, service: table}
-    return msgspec.structs.replace(configuration, slot_tables=tables)
+    table = change(draft.slot_tables[service], *arguments)
+    draft.open("slot_tables")[service] = table
 
 
 def _move_slots(table: SlotTable, effect: SlotsMoved, version: int, now_ms: int) -> SlotTable:
     bases = list(table.bases)
     transitions = dict(table.transitions)
     for move in effect.moves:
+        # Equal values share one object: a table of 1,024 bases would take 60 KB otherwise.
+        base = SlotBase(default=move.target)
+        moved = SlotTransition(move.target, effect.group, version, now_ms)
         for slot in move.slots:
             current = transitions.get(slot)
-            if current is None and not bases[slot].default:
+            if current is not None and current.group != effect.group:
+                transitions[slot] = SlotTransition(move.target, current.group, version, now_ms)
+            elif current is not None or bases[slot].default:
+                transitions[slot] = moved
+            elif bases[slot].exceptions:
                 bases[slot] = SlotBase(default=move.target, exceptions=bases[slot].exceptions)
-                continue
-            group = effect.group if current is None else current.group
-            transitions[slot] = SlotTransition(move.target, group, version, now_ms)
+            else:
+                bases[slot] = base
     return SlotTable(bases=tuple(bases), transitions=transitions)
 
 
@@ -254,7 +281,7 @@
     for slot in effect.slots:
         if slot in transitions:
             transitions[slot] = msgspec.structs.replace(transitions[slot], group=effect.group)
-    return msgspec.structs.replace(table, transitions=transitions)
+    return SlotTable(bases=table.bases, transitions=transitions)
 
 
 def _list_slots(table: SlotTable, effect: SlotsListed) -> SlotTable:
@@ -265,12 +292,16 @@
         for slot in effect.slots
         if slot in transitions and transitions[slot].version <= effect.version
     }
-    exceptions: dict[int, dict[int, str]] = {slot: {} for slot in listed}
+    exceptions: dict[int, dict[int, str]] = {}
     for upstream, flows in effect.exceptions.items():
         for flow in flows:
             if flow % SLOT_COUNT in listed:
-                exceptions[flow % SLOT_COUNT][flow] = upstream
+                exceptions.setdefault(flow % SLOT_COUNT, {})[flow] = upstream
+    plain: dict[str, SlotBase] = {}
     for slot in listed:
         target = transitions.pop(slot).target
-        bases[slot] = SlotBase(default=target, exceptions=exceptions[slot])
+        if slot in exceptions:
+            bases[slot] = SlotBase(default=target, exceptions=exceptions[slot])
+        else:
+            bases[slot] = plain.setdefault(target, SlotBase(default=target))
     return SlotTable(bases=tuple(bases), transitions=transitions)
--- /dev/null
+++ b/src/catkinspread/configuration/snapshot_store.py
@@ -0,0 +1,132 @@
+"""Snapshots of the configuration on the platform."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+
+from catkinspread.configuration.effects import EntryError
+from catkinspread.configuration.messages import hash_payload
+from catkinspread.configuration.snapshot import (
+    Snapshot,
+    decode_snapshot,
+    encode_snapshot,
+    split_snapshot,
+)
+from catkinspread.objectstore import (
+    AppendLog,
+    AppendOutcome,
+    ObjectExists,
+    ObjectNotFound,
+    ObjectStore,
+)
+
+_INDEX_PREFIX = "configuration/snapshots"
+_PART_PREFIX = "configuration/snapshot-parts"
+
+
+class _IndexItem(msgspec.Struct, array_like=True, frozen=True):
+    version: int
+    writer: str
+    part_count: int
+    payload_hash: int
+
+
+RunBlocking = Callable[[Callable, Any], Awaitable[Any]]
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(_IndexItem)
+
+
+async def _run_directly(function: Callable, argument: Any) -> Any:
+    return function(argument)
+
+
+class SnapshotStore:
+    """Saves and loads snapshots.
+
+    The parts come first and an entry in a log of snapshots last, so a writer that dies halfway
+    leaves nothing that a reader would take. The parts carry the writer's name, because two
+    releases may encode the same version differently.
+
+    Args:
+        store: The platform's object API.
+        writer: Id of this instance and its incarnation.
+        run_blocking: Runs a function with one argument, for example in a worker thread; by
+            default directly. Encoding takes 0.3 s at 960 services.
+    """
+
+    __slots__ = ("_index", "_run_blocking", "_store", "_writer")
+
+    def __init__(
+        self, store: ObjectStore, writer: str, run_blocking: RunBlocking | None = None
+    ) -> None:
+        self._run_blocking = run_blocking or _run_directly
+        self._store = store
+        self._index = AppendLog(store, _INDEX_PREFIX)
+        self._writer = writer
+
+    async def save(self, snapshot: Snapshot, least_gain: int = 1) -> bool:
+        """Saves a snapshot.
+
+        Args:
+            snapshot: The snapshot.
+            least_gain: Nothing is saved if the newest one lacks fewer versions than this.
+
+        Returns:
+            Whether it was saved and is the newest.
+
+        Raises:
+            ObjectStoreError: If the platform failed; a later call may repeat it.
+        """
+        newest_index, item = await self._read_newest()
+        if item is not None and snapshot.version < item.version + least_gain:
+            return False
+        payload = await self._run_blocking(encode_snapshot, snapshot)
+        parts = split_snapshot(payload)
+        for part, content in enumerate(parts):
+            try:
+                await self._store.create(
+                    self._format_key(snapshot.version, self._writer, part), content
+                )
+            except ObjectExists:
+                continue
+        item = _IndexItem(snapshot.version, self._writer, len(parts), hash_payload(payload))
+        entry_id = f"{self._writer}/{snapshot.version}"
+        outcome = await self._index.append(newest_index + 1, entry_id, _ENCODER.encode(item))
+        return outcome is AppendOutcome.WRITTEN
+
+    async def load(self) -> Snapshot | None:
+        """Returns the newest snapshot, or None if there is none.
+
+        Raises:
+            ObjectStoreError: If the platform failed.
+            EntryError: If the snapshot is damaged.
+        """
+        _, item = await self._read_newest()
+        if item is None:
+            return None
+        parts: list[bytes] = []
+        for part in range(item.part_count):
+            key = self._format_key(item.version, item.writer, part)
+            try:
+                parts.append((await self._store.get(key)).value)
+            except ObjectNotFound as error:
+                raise EntryError(f"snapshot {item.version} lacks part {part}") from error
+        payload = b"".join(parts)
+        if hash_payload(payload) != item.payload_hash:
+            raise EntryError(f"snapshot {item.version} does not match its hash")
+        return await self._run_blocking(decode_snapshot, payload)
+
+    async def _read_newest(self) -> tuple[int, _IndexItem | None]:
+        index = 0
+        newest: _IndexItem | None = None
+        while found := await self._index.read_after(index):
+            index = found[-1].index
+            items = [_DECODER.decode(entry.payload) for entry in found]
+            newest = max([*items, *([newest] if newest else [])], key=lambda item: item.version)
+        return index, newest
+
+    @staticmethod
+    def _format_key(version: int, writer: str, part: int) -> str:
+        return f"{_PART_PREFIX}/{version:012d}/{writer}/{part:04d}"
--- /dev/null
+++ b/src/catkinspread/configuration/tests/test_replica.py
@@ -0,0 +1,276 @@
+"""Tests of the replica of the configuration."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from catkinspread.configuration import (
+    ChainBroken,
+    ConfigurationMessageError,
+    EntryRefused,
+    ReadLog,
+    ReadSnapshot,
+    SendConfiguration,
+    VersionApplied,
+    WriteSnapshot,
+    choose_watchers,
+    decode_configuration_message,
+    encode_configuration_message,
+    make_record,
+)
+from catkinspread.configuration.effects import decode_entry
+from catkinspread.configuration.messages import (
+    Entries,
+    EntriesRequest,
+    SnapshotPart,
+    SnapshotRequest,
+    VersionNotice,
+)
+from catkinspread.configuration.replica import PUSH_FAN_OUT
+from catkinspread.configuration.tail import TAIL_MAX_ENTRIES
+from catkinspread.configuration.tests.builders import (
+    exchange,
+    list_sent,
+    make_chain,
+    make_replica,
+    to_log,
+)
+from catkinspread.configuration.tests.naive_apply import apply_entry_naively
+from catkinspread.model import Configuration
+
+
+def push(replica, records, sender="b", now_ms=0):
+    version = max(record.index for record in records)
+    return replica.handle(Entries(sender, version, tuple(records)), now_ms)
+
+
+def test_new_version_is_pushed_to_three_peers():
+    """Guards against a version that stays at the instances that watch the log."""
+    replica = make_replica()
+    actions = replica.handle_log(to_log(make_chain(1)), 0)
+    assert VersionApplied(1) in actions
+    assert len(list_sent(actions, Entries)) == PUSH_FAN_OUT
+
+
+def test_large_entry_is_announced_and_pulled_once():
+    """Guards against lists of exceptions that are sent several times to each instance."""
+    chain = make_chain(1)
+    replicas = {name: make_replica(name, [n for n in "abcd" if n != name]) for name in "abcd"}
+    entry = msgspec.structs.replace(decode_entry(chain[0].payload), command="x" * 20_000)
+    record = make_record(1, msgspec.msgpack.encode(entry))
+    actions = replicas["a"].handle_log(to_log([record]), 0)
+    assert list_sent(actions, Entries) == []
+    assert len(list_sent(actions, VersionNotice)) == 3
+    exchange(replicas, actions, 0)
+    assert {replica.version for replica in replicas.values()} == {1}
+
+
+def test_gap_is_asked_for_and_then_read_from_the_log():
+    """Guards against an entry that is skipped, or a gap that stays after a lost answer."""
+    replica = make_replica()
+    chain = make_chain(5)
+    actions = push(replica, [chain[4]])
+    assert replica.version == 0
+    (request,) = list_sent(actions, EntriesRequest)
+    assert (request.member, request.message.after) == ("b", 0)
+    assert replica.tick(500) == []
+    actions = replica.tick(1_000)
+    assert ReadLog(0) in actions
+    actions = replica.handle_log(to_log(chain[:4]), 1_010)
+    assert replica.version == 5
+    assert replica.tick(5_000) == []
+
+
+def test_heartbeat_with_a_higher_version_leads_to_a_pull():
+    """Guards against an instance that stays behind because all pushes to it were lost."""
+    behind, ahead = make_replica("a", ["b"]), make_replica("b", [])
+    push(ahead, make_chain(3), "x")
+    exchange({"a": behind, "b": ahead}, behind.note_version("b", 3, 0), 0)
+    assert behind.version == 3
+    assert behind.configuration == ahead.configuration
+
+
+def test_damaged_and_forged_entries_are_refused():
+    """Guards against an entry that was damaged on the way or belongs to another chain."""
+    replica = make_replica()
+    chain, foreign = make_chain(3), make_chain(3, seed=7)
+    push(replica, chain[:1])
+    damaged = msgspec.structs.replace(chain[1], payload=chain[1].payload.replace(b"dc-2", b"dc-9"))
+    malformed = make_record(2, b"\x93\x01")
+    for record in (damaged, malformed, foreign[1]):
+        actions = push(replica, [record])
+        assert [type(a) for a in actions][:2] == [EntryRefused, ReadLog]
+        assert not any(isinstance(action, VersionApplied) for action in actions)
+        assert replica.version == 1
+    replica.handle_log(to_log(chain[1:]), 0)
+    assert replica.version == 3
+
+
+def test_forged_entry_kept_ahead_does_not_blame_the_log():
+    """Guards against an instance that gives up because a peer sent a false later entry."""
+    replica = make_replica()
+    chain, foreign = make_chain(3), make_chain(3, seed=7)
+    push(replica, [foreign[2]])
+    actions = replica.handle_log(to_log(chain[:2]), 0)
+    assert EntryRefused(3, "b", "entry does not continue version 2") in actions
+    assert not replica.is_broken
+    replica.handle_log(to_log(chain[2:]), 0)
+    assert replica.version == 3
+
+
+@pytest.mark.parametrize("first_seen", [1, 2])
+def test_log_that_contradicts_what_was_applied_is_noticed(first_seen):
+    """Guards against serving on from a forged entry, or past a removed one."""
+    replica = make_replica()
+    chain, foreign = make_chain(3), make_chain(3, seed=7)
+    push(replica, foreign[:1])
+    actions = replica.handle_log(to_log(chain[first_seen - 1 :]), 0)
+    assert ChainBroken(first_seen) in actions
+    assert replica.is_broken
+    assert replica.handle(EntriesRequest("c", 0), 0) == []
+    assert replica.version == 1
+
+
+def test_start_while_the_platform_is_down_reads_a_peer():
+    """Guards against an instance that cannot start during an outage of the platform."""
+    peer = make_replica("b", [])
+    chain = make_chain(TAIL_MAX_ENTRIES + 40)
+    push(peer, chain, "x")
+    replica = make_replica("a", ["b"], is_started=False)
+    assert replica.tick(0) == [ReadSnapshot()]
+    replica.note_version("b", peer.version, 10)
+    assert replica.tick(500) == []
+    actions = replica.tick(1_000)
+    assert len(list_sent(actions, SnapshotRequest)) == 1
+    exchange({"a": replica, "b": peer}, actions, 1_000)
+    assert replica.is_ready
+    assert replica.configuration == peer.configuration
+    push(replica, make_chain(1, 0, peer.version, peer.make_snapshot().head_hash))
+    assert replica.version == peer.version + 1
+
+
+def test_snapshot_of_several_parts_comes_from_one_peer(monkeypatch):
+    """Guards against parts of different snapshots that are put together."""
+    monkeypatch.setattr("catkinspread.configuration.snapshot.SNAPSHOT_PART_BYTES", 50)
+    peers = {name: make_replica(name, []) for name in "bc"}
+    for peer in peers.values():
+        push(peer, make_chain(40), "x")
+    replica = make_replica("a", ["b", "c"], is_started=False)
+    replica.tick(0)
+    (request,) = list_sent(replica.tick(1_000), SnapshotRequest)
+    (answer,) = peers[request.member].handle(request.message, 1_000)
+    assert answer.message.part_count > 2
+    replica.handle(answer.message, 1_000)
+    stranger = SnapshotPart("z", 40, 1, answer.message.part_count, b"false")
+    assert replica.handle(stranger, 1_001) == []
+    for now_ms in range(2_000, 10_000, 1_000):
+        exchange({"a": replica, **peers}, replica.tick(now_ms), now_ms)
+    assert replica.configuration == peers["b"].configuration
+
+
+def test_restarted_instance_is_not_ready_below_a_known_version():
+    """Guards against a reversion across a restart from a peer that is behind."""
+    replica = make_replica("a", ["b"], is_started=False)
+    chain = make_chain(6)
+    replica.note_version("c", 6, 0)
+    behind = make_replica("b", [])
+    push(behind, chain[:4], "x")
+    replica.tick(0)
+    exchange({"a": replica, "b": behind}, replica.tick(1_000), 1_000)
+    assert (replica.version, replica.is_ready) == (4, False)
+    push(replica, chain[4:5])
+    assert (replica.version, replica.is_ready) == (5, False)
+    push(replica, chain[5:])
+    assert replica.is_ready
+    older = behind.make_snapshot()
+    assert replica.load_snapshot(older, 2_000) == []
+    assert replica.version == 6
+
+
+def test_replica_is_ready_only_after_the_log_was_read_to_its_end():
+    """Guards against serving from a first part of the log."""
+    replica = make_replica()
+    chain = make_chain(4)
+    assert not replica.is_ready
+    assert ReadLog(2) in replica.handle_log(to_log(chain[:2]), 0)
+    assert not replica.is_ready
+    replica.handle_log(to_log(chain[2:]), 0)
+    replica.handle_log([], 0)
+    assert replica.is_ready
+
+
+def test_peer_far_behind_reads_the_log_or_else_a_snapshot():
+    """Guards against an instance that stays behind the kept entries for good."""
+    ahead, behind = make_replica("b", []), make_replica("a", ["b"])
+    push(ahead, make_chain(TAIL_MAX_ENTRIES + 10), "x")
+    actions = exchange({"a": behind, "b": ahead}, behind.note_version("b", 522, 0), 0)
+    assert ReadLog(0) in actions
+    for now_ms in (1_000, 2_000, 3_000):
+        exchange({"a": behind, "b": ahead}, behind.tick(now_ms), now_ms)
+    assert behind.version == ahead.version
+
+
+def test_one_member_saves_each_snapshot_and_others_follow_up():
+    """Guards against snapshots by every instance, or by none when the first one fails."""
+    names = [f"i{number}" for number in range(9)]
+    chain = make_chain(320)
+    by_version = {}
+    for name in names:
+        replica = make_replica(name, names)
+        for record in chain:
+            for action in push(replica, [record]):
+                if isinstance(action, WriteSnapshot):
+                    by_version.setdefault(action.version, []).append(name)
+    assert sorted(by_version) == [256, 288, 320]
+    assert {len(writers) for writers in by_version.values()} == {1}
+    assert len({writers[0] for writers in by_version.values()}) == 3
+
+
+def test_two_members_of_each_data_centre_watch():
+    """Guards against too many waiting watches, and none after a watcher dies."""
+    live = [f"i{number}" for number in range(80)]
+    watchers = choose_watchers("khomas-1", live)
+    assert len(watchers) == 2
+    live.remove(watchers[0])
+    assert choose_watchers("khomas-1", live)[0] == watchers[1]
+    assert choose_watchers("khomas-1", ["i1"]) == ["i1"]
+
+
+def test_frames_are_checked():
+    """Guards against a crash from foreign or damaged frames."""
+    message = Entries("a", 3, tuple(make_chain(2)))
+    frame = encode_configuration_message(message)
+    assert decode_configuration_message(frame) == message
+    for damaged in (b"", b"\x07" + frame[1:], frame[:-2]):
+        with pytest.raises(ConfigurationMessageError):
+            decode_configuration_message(damaged)
+
+
+@settings(derandomize=True, max_examples=80, deadline=None)
+@given(st.data())
+def test_any_order_of_deliveries_ends_like_the_naive_oracle(data):
+    """Guards against skipped, repeated or reordered entries, whatever the links do."""
+    chain, foreign = make_chain(12), make_chain(12, seed=7)
+    oracle = [Configuration()]
+    for record in chain:
+        entry = decode_entry(record.payload)
+        oracle.append(apply_entry_naively(oracle[-1], record.index, entry))
+    replica = make_replica()
+    replica.handle_log(to_log(chain[:1]), 0)
+    served = [replica.version]
+    for _ in range(data.draw(st.integers(1, 40))):
+        first = data.draw(st.integers(0, 11))
+        length = data.draw(st.integers(1, 4))
+        source = data.draw(st.sampled_from([chain, chain, chain, foreign]))
+        if source is chain and data.draw(st.booleans()):
+            replica.handle_log(to_log(chain[first : first + length]), 0)
+        else:
+            push(replica, data.draw(st.permutations(source[first : first + length])))
+        assert replica.configuration == oracle[replica.version]
+        served.append(replica.version)
+    assert served == sorted(served)
+    actions = replica.note_version("b", 12, 10_000) + replica.handle_log(to_log(chain), 10_000)
+    assert replica.configuration == oracle[12]
+    assert not any(isinstance(a, ChainBroken) for a in actions)
+    assert all(isinstance(a.member, str) for a in actions if isinstance(a, SendConfiguration))
--- /dev/null
+++ b/src/catkinspread/configuration/tests/test_writer.py
@@ -0,0 +1,202 @@
+"""Tests of the writer and of snapshots on the platform."""
+
+import anyio
+import pytest
+
+from catkinspread.bench.population import build_configuration, make_entry, make_listing, make_move
+from catkinspread.configuration import (
+    CONFIGURATION_LOG_PREFIX,
+    ChangeConflict,
+    ChangeOutcomeUnknown,
+    ChangeUnavailable,
+    ChangeWritten,
+    ConfigurationWriter,
+    EntryError,
+    Snapshot,
+    SnapshotStore,
+    VersionAhead,
+    apply_entry,
+    decode_snapshot,
+    encode_snapshot,
+)
+from catkinspread.configuration.snapshot import SNAPSHOT_PART_BYTES
+from catkinspread.configuration.tests.builders import make_change, make_replica
+from catkinspread.configuration.tests.naive_apply import apply_entry_naively
+from catkinspread.objectstore import (
+    VALUE_MAX_BYTES,
+    AppendLog,
+    MemoryObjectStore,
+    StoreUnavailable,
+)
+
+
+def make_writer(store):
+    return ConfigurationWriter(AppendLog(store, CONFIGURATION_LOG_PREFIX))
+
+
+def run(scenario):
+    return anyio.run(scenario)
+
+
+def test_racing_operators_learn_who_came_first():
+    """Guards against two conflicting changes that both seem accepted."""
+
+    async def scenario():
+        store = MemoryObjectStore()
+        results = {}
+
+        async def write(name):
+            results[name] = await make_writer(store).write(make_change(1, name, name), 0, 50)
+
+        store.faults.delay_ms = 5
+        async with anyio.create_task_group() as group:
+            group.start_soon(write, "anna")
+            group.start_soon(write, "ben")
+        winner, loser = sorted(results, key=lambda name: results[name].is_error())
+        assert results[winner].ok == ChangeWritten(1)
+        assert results[loser].error == ChangeConflict(1, winner, "command 1", winner, 50)
+
+    run(scenario)
+
+
+def test_written_chain_is_accepted_by_a_replica():
+    """Guards against a writer whose hashes replicas would refuse."""
+
+    async def scenario():
+        store = MemoryObjectStore()
+        writer = make_writer(store)
+        for version in range(5):
+            result = await writer.write(make_change(version), version, 50)
+            assert result.ok == ChangeWritten(version + 1)
+        replica = make_replica()
+        replica.handle_log(await AppendLog(store, CONFIGURATION_LOG_PREFIX).read_after(0), 0)
+        assert replica.version == 5
+        stale = await writer.write(make_change(9), 3, 50)
+        assert (stale.error.version, stale.error.change_id) == (4, "c3")
+        assert (await writer.write(make_change(9), 7, 50)).error == VersionAhead(7)
+
+    run(scenario)
+
+
+def test_lost_answer_is_resolved_and_a_repeat_writes_nothing():
+    """Guards against a change that is written twice or reported as failed."""
+
+    async def scenario():
+        store = MemoryObjectStore()
+        writer = make_writer(store)
+        store.faults.lost_answers = 1
+        assert (await writer.write(make_change(1), 0, 50)).ok == ChangeWritten(1)
+        assert (await writer.write(make_change(1), 0, 60)).ok == ChangeWritten(1)
+        assert store.write_count == 1
+
+    run(scenario)
+
+
+class _LateStore(MemoryObjectStore):
+    """Loses the answer to a write and fails the reads after it, or writes late."""
+
+    __slots__ = ("held", "is_written")
+
+    def __init__(self, is_written):
+        super().__init__()
+        self.held = None
+        self.is_written = is_written
+
+    async def create(self, key, value):
+        if self.is_written:
+            await super().create(key, value)
+        self.held = (key, value)
+        self.faults.is_down = True
+        raise StoreUnavailable("no answer")
+
+
+@pytest.mark.parametrize("is_written", [True, False])
+def test_unknown_outcome_is_reported_and_asked_for_later(is_written):
+    """Guards against "not written" for a change that took effect, and the reverse."""
+
+    async def scenario():
+        store = _LateStore(is_written)
+        writer = make_writer(store)
+        unknown = ChangeOutcomeUnknown("c1", 0)
+        assert (await writer.write(make_change(1), 0, 50)).error == unknown
+        assert (await writer.find_outcome("c1", 0)).error == unknown
+        store.faults.is_down = False
+        if is_written:
+            assert (await writer.find_outcome("c1", 0)).ok == ChangeWritten(1)
+            return
+        assert (await writer.find_outcome("c1", 0)).error == unknown
+        await MemoryObjectStore.create(store, *store.held)
+        assert (await writer.find_outcome("c1", 0)).ok == ChangeWritten(1)
+        assert (await writer.find_outcome("c2", 0)).error.change_id == "c1"
+
+    run(scenario)
+
+
+def test_platform_down_before_the_write_is_reported_as_not_written():
+    """Guards against an unknown outcome for a change that was never sent."""
+
+    async def scenario():
+        store = MemoryObjectStore()
+        store.faults.is_down = True
+        result = await make_writer(store).write(make_change(1), 0, 50)
+        assert isinstance(result.error, ChangeUnavailable)
+        assert store.write_count == 0
+
+    run(scenario)
+
+
+def build_busy_configuration():
+    configuration = build_configuration(3, 21, 3)
+    names = [u.name for u in configuration.upstreams.values() if u.service == "service-0001"]
+    slots = tuple(range(40))
+    effects = (
+        (make_move("service-0001", names[0], slots),),
+        (make_move("service-0002", names[1], (5, 6)), make_move("service-0001", names[2], (39,))),
+        (make_listing("service-0001", names[3], 5, slots, 300, 1),),
+    )
+    for change in effects:
+        version = configuration.version
+        entry = make_entry(change)
+        applied = apply_entry(configuration, version + 1, entry)
+        assert applied == apply_entry_naively(configuration, version + 1, entry)
+        configuration = applied
+    return configuration
+
+
+def test_snapshot_restores_slots_exceptions_and_transitions():
+    """Guards against a start from a snapshot that misroutes flows."""
+    snapshot = Snapshot(build_busy_configuration(), 77)
+    assert snapshot.configuration.slot_tables["service-0001"].transitions
+    assert decode_snapshot(encode_snapshot(snapshot)) == snapshot
+    with pytest.raises(EntryError, match="malformed"):
+        decode_snapshot(encode_snapshot(snapshot)[:-9])
+
+
+def test_snapshot_is_saved_in_parts_and_loaded(monkeypatch):
+    """Guards against a value above the platform's limit, and a half-written snapshot."""
+    monkeypatch.setattr("catkinspread.configuration.snapshot.SNAPSHOT_PART_BYTES", 500)
+
+    async def scenario():
+        store = MemoryObjectStore()
+        snapshots = SnapshotStore(store, "a/1")
+        assert await snapshots.load() is None
+        snapshot = Snapshot(build_busy_configuration(), 77)
+        store.faults.lost_answers = 1
+        with pytest.raises(Exception, match="lost"):
+            await snapshots.save(snapshot)
+        assert await snapshots.load() is None
+        assert await snapshots.save(snapshot)
+        assert not await SnapshotStore(store, "b/1").save(snapshot)
+        assert await snapshots.load() == snapshot
+        parts = await store.scan("configuration/snapshot-parts/")
+        assert len(parts) > 2
+        await store.update(parts[1].key, b"damaged", 1)
+        with pytest.raises(EntryError, match="hash"):
+            await snapshots.load()
+
+    run(scenario)
+
+
+def test_parts_stay_below_the_limit_of_the_platform():
+    """Guards against a part size that the platform refuses."""
+    assert SNAPSHOT_PART_BYTES < VALUE_MAX_BYTES
--- a/src/catkinspread/membership/view.py
+++ b/src/catkinspread/membership/view.py
@@ -176,6 +176,9 @@
             case ViewPage():
                 self._merger.merge_records(message.records, now_ms, actions, is_news=False)
                 self._joiner.note_page(message)
+                version = max((record.version for record in message.records), default=0)
+                if version > self.own.version:
+                    actions.append(VersionSeen(message.sender, version))
                 self._due_ms["join"] = now_ms
                 self._end_staleness(message.sender)
                 if not self._joiner.is_done:
