--- a/src/catkinspread/bench/fleet.py
+++ b/src/catkinspread/bench/fleet.py
@@ -9,6 +9,7 @@
     MembershipView,
     MemberState,
     SendMessage,
+    VersionSeen,
     decode_membership_message,
     encode_membership_message,
 )
@@ -202,6 +203,12 @@
         if delay_ms is not None:
             self.queue.schedule(delay_ms, lambda: self._deliver(target, size_bytes, receive))
 
+    def after_tick(self, node: FleetNode) -> None:
+        """Runs what else an instance does in its loop."""
+
+    def after_version_seen(self, node: FleetNode, action: VersionSeen) -> None:
+        """Takes a version that a peer reported."""
+
     def _add(self, name: str, data_centre: str, endpoint: Endpoint) -> None:
         node = self.nodes[name] = FleetNode(name, data_centre, endpoint)
         self._by_endpoint[endpoint] = node
@@ -211,6 +218,7 @@
             return
         if not node.is_paused:
             self._act(node, view.tick(self.now_ms))
+            self.after_tick(node)
         self.queue.schedule(TICK_MS, lambda: self._tick(node, view))
 
     def _resume(self, node: FleetNode) -> None:
@@ -239,6 +247,8 @@
                         self.send(node, target, len(datagram), receive)
                 case MemberChanged() if self.on_change is not None:
                     self.on_change(node, action, self.now_ms)
+                case VersionSeen():
+                    self.after_version_seen(node, action)
 
     def _make_receiver(self, target: FleetNode, datagram: bytes) -> Callable[[], None]:
         def receive() -> None:
--- a/src/catkinspread/configuration/writer.py
+++ b/src/catkinspread/configuration/writer.py
@@ -33,9 +33,16 @@
 
 
 class ChangeWritten(msgspec.Struct, frozen=True):
-    """The change is in the log; it is the entry that leads to this version."""
+    """The change is in the log.
+
+    Attributes:
+        version: Version that the change leads to.
+        entry: The entry. Pass it to `ConfigurationReplica.handle_log` of this instance, which
+            then pushes it to peers at once, however slow the watches are.
+    """
 
     version: int
+    entry: LogEntry
 
 
 class ChangeConflict(msgspec.Struct, frozen=True):
@@ -129,7 +136,8 @@
             # reading back failed, so neither error shows that nothing was written.
             return await self.find_outcome(change.change_id, expected_version)
         if outcome is AppendOutcome.WRITTEN:
-            return Ok(ChangeWritten(expected_version + 1))
+            entry = LogEntry(expected_version + 1, change.change_id, payload)
+            return Ok(ChangeWritten(entry.index, entry))
         return await self.find_outcome(change.change_id, expected_version)
 
     async def find_outcome(self, change_id: str, expected_version: int) -> ChangeResult:
@@ -159,7 +167,7 @@
 
 def _judge(entry: LogEntry, change_id: str) -> ChangeResult:
     if entry.entry_id == change_id:
-        return Ok(ChangeWritten(entry.index))
+        return Ok(ChangeWritten(entry.index, entry))
     first = decode_entry(entry.payload)
     return Error(
         ChangeConflict(
