--- a/src/catkinspread/configuration/tests/test_effects.py
+++ b/src/catkinspread/configuration/tests/test_effects.py
@@ -1,9 +1,11 @@
 """Tests of applying log entries."""
 
+import msgspec
 import pytest
 
 from catkinspread.configuration import (
     ChangeEntry,
+    DataCentreSet,
     EntryError,
     ServiceSet,
     SlotMove,
@@ -18,6 +20,8 @@
 from catkinspread.model import (
     SLOT_COUNT,
     Configuration,
+    DataCentre,
+    DataCentreState,
     Endpoint,
     OwnerGroup,
     OwnerMember,
@@ -89,3 +93,19 @@
     assert decode_entry(encode_entry(entry)) == entry
     with pytest.raises(EntryError, match="malformed"):
         decode_entry(b"\x93\x01")
+
+
+def test_cold_starts_are_noted_when_an_upstream_is_added_or_brought_back():
+    """Guards against a new instance that takes a cold upstream for a warm one."""
+    configuration = build()
+    assert configuration.upstreams["rd-1"].cold_at_ms == 10
+    for index, state in ((2, DataCentreState.IN), (3, DataCentreState.OUT)):
+        entry = change(DataCentreSet(DataCentre("khomas-1", "khomas", state)))
+        configuration = apply_entry(configuration, index, entry)
+    heavier = msgspec.structs.replace(configuration.upstreams["rd-2"], weight=50)
+    later = msgspec.structs.replace(change(UpstreamSet(heavier)), written_at_ms=99)
+    configuration = apply_entry(configuration, 4, later)
+    assert configuration.upstreams["rd-2"].cold_at_ms == 10
+    back = change(DataCentreSet(DataCentre("khomas-1", "khomas", DataCentreState.IN)))
+    configuration = apply_entry(configuration, 5, msgspec.structs.replace(back, written_at_ms=77))
+    assert {upstream.cold_at_ms for upstream in configuration.upstreams.values()} == {77}
--- a/src/catkinspread/instance/admissions.py
+++ b/src/catkinspread/instance/admissions.py
@@ -1,7 +1,13 @@
 """The admission controllers of an instance, one for each upstream in use."""
 
 from catkinspread.instance.world import World
-from catkinspread.limits import AdmissionController, KnownInstances, LimitsInForce, RampRates
+from catkinspread.limits import (
+    Action,
+    AdmissionController,
+    KnownInstances,
+    LimitsInForce,
+    RampRates,
+)
 
 
 class Admissions:
@@ -18,8 +24,10 @@
         """Returns the controller of an upstream of the configuration."""
         controller = self._controllers.get(upstream)
         if controller is None:
+            found = self._world.configuration.upstreams[upstream]
+            rates = RampRates.of_upstream(found)
             controller = AdmissionController(
-                upstream, self._find_rates(upstream), self._fleet, now_ms
+                upstream, rates, self._fleet, now_ms, cold_at_ms=found.cold_at_ms
             )
             self._controllers[upstream] = controller
         return controller
@@ -33,6 +41,20 @@
         controller = self._controllers.get(upstream)
         return None if controller is None else controller.describe_limits(now_ms)
 
-    def _find_rates(self, upstream: str) -> RampRates:
-        found = self._world.configuration.upstreams[upstream]
-        return RampRates.of_upstream(found)
+    def update(self, now_ms: int) -> list[tuple[str, Action]]:
+        """Takes rates and cold starts of a new configuration.
+
+        Returns:
+            Actions of the limits with the names of their upstreams.
+        """
+        actions: list[tuple[str, Action]] = []
+        for name, controller in list(self._controllers.items()):
+            found = self._world.configuration.upstreams.get(name)
+            if found is None:
+                del self._controllers[name]
+                actions += [(name, action) for action in controller.close()]
+                continue
+            controller.update_rates(RampRates.of_upstream(found))
+            announced = controller.announce_cold_start(found.cold_at_ms, now_ms)
+            actions += [(name, action) for action in announced]
+        return actions
--- a/src/catkinspread/instance/core.py
+++ b/src/catkinspread/instance/core.py
@@ -75,9 +75,15 @@
         self.requests = RequestPath(self.world, self.packets, handler, admissions)
         self._next_expiry_ms = now_ms + _EXPIRE_PERIOD_MS
 
-    def apply(self, configuration: Configuration, now_ms: int) -> None:
+    def apply(self, configuration: Configuration, now_ms: int) -> list[Action]:
         """Puts a newer configuration in force; an older one is ignored."""
         self.world.apply(configuration, now_ms)
+        return self.requests.update_configuration(now_ms)
+
+    def rejoin(self, incarnation: int) -> list[Action]:
+        """Takes a greater incarnation after others took this instance for dead."""
+        self.world.member = OwnerMember(self.world.member.instance, incarnation)
+        return self._own(self.world.router.rejoin(incarnation), 0)
 
     def set_members(self, members: list[MemberView], now_ms: int) -> list[Action]:
         """Takes the live instances, this one included."""
@@ -85,7 +91,7 @@
         self.world.members = {view.name: view for view in members}
         for view in members:
             self._fleet.observe(view.name, now_ms)
-        actions = self._own(self.world.router.set_members(members), now_ms)
+        actions = self._own(self.world.router.set_members(members, now_ms), now_ms)
         if {view.member for view in members} != before:
             actions += self.requests.update_members(now_ms)
         return actions
--- a/src/catkinspread/instance/request_path.py
+++ b/src/catkinspread/instance/request_path.py
@@ -214,6 +214,13 @@
         live = frozenset(view.member for view in self._world.members.values())
         return self._carry(self._handler.set_live_instances(live, now_ms), now_ms)
 
+    def update_configuration(self, now_ms: int) -> list[Action]:
+        """Takes a new configuration."""
+        actions: list[Action] = []
+        for upstream, action in self._admissions.update(now_ms):
+            actions += self._limit(upstream, [action], now_ms)
+        return actions
+
     def tick(self, now_ms: int) -> list[Action]:
         """Does what is due."""
         actions = self._carry(self._handler.tick(now_ms), now_ms)
--- a/src/catkinspread/limits/admission.py
+++ b/src/catkinspread/limits/admission.py
@@ -73,10 +73,24 @@
         fleet: KnownInstances,
         now_ms: int,
         settings: AdmissionSettings | None = None,
+        cold_at_ms: int | None = None,
     ) -> None:
+        """Creates a controller.
+
+        Args:
+            upstream: Name of the upstream.
+            rates: Its rates.
+            fleet: The instances that share the cap.
+            now_ms: Current time in ms.
+            settings: Settings; the defaults if None.
+            cold_at_ms: Latest cold start that the configuration tells; None if it is unknown,
+                which counts as a cold start now.
+        """
         self._settings = settings or AdmissionSettings()
         self._fleet = fleet
-        self._ramp = ColdStartRamp(upstream, rates, cold_at_ms=now_ms)
+        self._ramp = ColdStartRamp(
+            upstream, rates, cold_at_ms=now_ms if cold_at_ms is None else cold_at_ms
+        )
         self._share = RateShare(self._ramp, fleet, now_ms)
         self._limiter = UpstreamLimiter(self._settings.limiter)
         self._detector = ColdTurnDetector(self._settings.detector)
--- a/src/catkinspread/model/configuration.py
+++ b/src/catkinspread/model/configuration.py
@@ -57,6 +57,8 @@
         warm_rate_per_s: New work per second that it bears when warm.
         warmup_ms: Time from a cold start until it is warm.
         state: Whether it takes new work.
+        cold_at_ms: When it was last added or brought back, in ms since the epoch. It is set
+            while an entry is applied, so a new instance knows which upstreams are cold.
     """
 
     name: str
@@ -70,6 +72,7 @@
     warm_rate_per_s: float = 500.0
     warmup_ms: int = 30_000
     state: UpstreamState = UpstreamState.ACTIVE
+    cold_at_ms: int = 0
 
 
 class DataCentre(msgspec.Struct, frozen=True):
@@ -132,6 +135,14 @@
                 return name
         return self.default
 
+    def list_exceptions(self) -> dict[int, str]:
+        """Returns the upstream by flow hash, in order of upstream and hash."""
+        return {
+            int.from_bytes(packed[start : start + _HASH_BYTES], "big"): name
+            for name, packed in self.exceptions.items()
+            for start in range(0, len(packed), _HASH_BYTES)
+        }
+
     def without_upstream(self, name: str) -> "SlotBase":
         """Returns the base without the exceptions of an upstream."""
         if name not in self.exceptions:
