--- a/src/catkinspread/demo/scenario.py
+++ b/src/catkinspread/demo/scenario.py
@@ -10,6 +10,7 @@
 from catkinspread.emulator.deployments import AddressPlan, Deployment
 from catkinspread.hashing import hash_flow
 from catkinspread.model import Endpoint
+from catkinspread.operations import Reply, render_table
 
 # Stated bound for draining, for a data centre out and for a configuration in force.
 CHANGE_BOUND_MS = 5_000
@@ -73,10 +74,10 @@
         site = self._site
         name = f"{site.deployment.services[0].upstream_prefix}-3"
         plan = await site.state(f"drain upstream {name} dry run")
-        self._say(f"dry run of draining {name}:\n{_indent(plan)}")
-        await site.state(f'drain upstream {name} because "disk change"')
+        self._say(f"dry run of draining {name}:\n{_indent(render_table(plan))}")
+        reply = await site.state(f'drain upstream {name} because "disk change"')
         drained_ms = site.clock.now_ms()
-        self._findings.in_force_ms.append(await self._measure_in_force())
+        await self._measure_in_force(reply)
         self._say(f"drained {name}, in force after {self._findings.in_force_ms[-1]} ms")
         self._findings.drained = name
         self._findings.drained_at_ms = drained_ms
@@ -87,10 +88,10 @@
         service = site.deployment.services[0]
         index = service.upstream_count
         options = UpstreamOptions(cold_factor=4.0, warmup_ms=3_000)
-        await site.add_upstream(0, index, options)
+        reply = await site.add_upstream(0, index, options)
         self._findings.cold = f"{service.upstream_prefix}-{index + 1}"
         self._findings.cold_at_ms = site.clock.now_ms()
-        self._findings.in_force_ms.append(await self._measure_in_force())
+        await self._measure_in_force(reply)
         self._say(f"added {self._findings.cold}, which is cold")
         await self._load("new", 0, 40, 8, self._report.new_flows)
 
@@ -119,9 +120,9 @@
     async def _take_out(self) -> None:
         site = self._site
         data_centre = site.deployment.data_centres[1]
-        await site.state(f'take out data-centre {data_centre} because "power work"')
+        reply = await site.state(f'take out data-centre {data_centre} because "power work"')
         taken_ms = site.clock.now_ms()
-        self._findings.in_force_ms.append(await self._measure_in_force())
+        await self._measure_in_force(reply)
         self._say(f"took out {data_centre}, waiting {CHANGE_BOUND_MS} ms")
         await anyio.sleep(CHANGE_BOUND_MS / 1000)
         inside = self._list_upstreams(data_centre)
@@ -131,8 +132,8 @@
         self._findings.late_to_out = sum(
             site.upstreams[name].last_packet_ms > taken_ms + CHANGE_BOUND_MS for name in inside
         )
-        await site.state(f'bring back data-centre {data_centre} because "power is back"')
-        self._findings.in_force_ms.append(await self._measure_in_force())
+        reply = await site.state(f'bring back data-centre {data_centre} because "power is back"')
+        await self._measure_in_force(reply)
         self._say(f"brought back {data_centre}")
 
     async def _race(self) -> None:
@@ -159,13 +160,17 @@
         service = site.deployment.services[0].name
         for caller_id, request_id in sorted(self._report.outage.not_run)[:1]:
             self._say(f"query: show request {request_id} of {service} (caller {caller_id})")
-            self._say(_indent(await site.state(f"show request {request_id} of {service}")))
+            self._say(
+                _indent(render_table(await site.state(f"show request {request_id} of {service}")))
+            )
         for port in self._report.long_flows.ports:
             flow = hash_flow(service, "127.0.0.1", port)
             if flow in self._findings.kept_flows:
                 caller = Endpoint("127.0.0.1", port)
                 self._say(f"query: show flow {service} from {caller} (outlived the drain)")
-                self._say(_indent(await site.state(f"show flow {service} from {caller}")))
+                self._say(
+                    _indent(render_table(await site.state(f"show flow {service} from {caller}")))
+                )
                 break
 
     async def _load(
@@ -182,8 +187,9 @@
         )
         await run_callers(load, self._site.clock, report)
 
-    async def _measure_in_force(self) -> int:
-        return await self._site.wait_for_version(self._get_version(), 2 * CHANGE_BOUND_MS)
+    async def _measure_in_force(self, reply: Reply) -> None:
+        took_ms = await self._site.wait_for_version(reply.version, 2 * CHANGE_BOUND_MS)
+        self._findings.in_force_ms.append(took_ms)
 
     def _get_version(self) -> int:
         return max(
--- a/src/catkinspread/demo/site.py
+++ b/src/catkinspread/demo/site.py
@@ -25,9 +25,9 @@
     AccessList,
     Grant,
     OperationsService,
+    Reply,
     hash_token,
     render_error,
-    render_table,
 )
 from catkinspread.settings import InstanceSettings, KeySettings, PeerSeed
 
@@ -117,8 +117,8 @@
             self._operations = OperationsService(self._objects, self._access, fleet, self.clock)
             task_status.started()
 
-    async def state(self, statement: str) -> str:
-        """Executes a statement and returns the reply as a table.
+    async def state(self, statement: str) -> Reply:
+        """Executes a statement and returns the reply.
 
         Raises:
             StatementRefused: If it is refused.
@@ -126,10 +126,10 @@
         result = await self._operations.execute(TOKEN, statement)
         if result.is_error():
             raise StatementRefused(render_error(result.error))
-        return render_table(result.ok)
+        return result.ok
 
-    async def add_upstream(self, service_index: int, index: int, options: UpstreamOptions) -> None:
-        """Starts a stand-in upstream and adds it to its service."""
+    async def add_upstream(self, service_index: int, index: int, options: UpstreamOptions) -> Reply:
+        """Starts a stand-in upstream, adds it to its service and returns the reply."""
         service = self.deployment.services[service_index]
         name = f"{service.upstream_prefix}-{index + 1}"
         data_centre = self.deployment.data_centres[index % len(self.deployment.data_centres)]
@@ -137,7 +137,7 @@
         model = UpstreamModel(options, self.clock.now_ms())
         self.upstreams[name] = model
         await self._group.start(run_upstream, endpoint, model, self.clock)
-        await self.state(
+        return await self.state(
             f"add upstream {name} to {service.name} in {data_centre} at {endpoint}"
             f" cold-rate {COLD_RATE_PER_S} warm-rate {WARM_RATE_PER_S} warmup-ms {WARMUP_MS}"
         )
--- a/src/catkinspread/instance/daemon.py
+++ b/src/catkinspread/instance/daemon.py
@@ -7,6 +7,7 @@
 from absl import logging
 
 from catkinspread.clock import Clock
+from catkinspread.configuration import ConfigurationMessageError
 from catkinspread.instance.actions import (
     Action,
     AppendChange,
@@ -24,12 +25,14 @@
 from catkinspread.instance.messages import (
     Envelope,
     FrameError,
+    FrameKind,
     PeerBody,
     RecordsAsked,
     RecordsFound,
-    decode_frame,
+    decode_envelope,
     encode_envelope,
-    encode_membership_frame,
+    encode_raw_frame,
+    split_frame,
 )
 from catkinspread.instance.metrics import InstanceFigures, MetricsApi
 from catkinspread.membership import (
@@ -39,12 +42,13 @@
     MembershipMessageError,
     MembershipView,
     MemberState,
+    VersionSeen,
     decode_membership_message,
     encode_membership_message,
 )
 from catkinspread.membership import SendMessage as SendMembership
 from catkinspread.membership.messages import Heartbeat
-from catkinspread.model import Endpoint, OwnerMember
+from catkinspread.model import Configuration, Endpoint, OwnerMember
 from catkinspread.objectstore import InstanceList, InstanceRecord, ObjectStore
 from catkinspread.operations import AccessList, OperationsService
 from catkinspread.records import RecordStore
@@ -86,6 +90,7 @@
         "_driver",
         "_fabric_port",
         "_group",
+        "_incarnations",
         "_leaving",
         "_membership_due_ms",
         "_metrics",
@@ -99,6 +104,7 @@
         "_store",
         "_store_calls",
         "_upstream_port",
+        "_was_routing",
         "core",
         "fleet",
         "has_left",
@@ -132,6 +138,8 @@
         self._clock = clock
         self._random = random.Random(seed)
         self.member = OwnerMember(settings.name, now_ms)
+        self._incarnations = {now_ms}
+        self._was_routing = False
         self.is_leaving = False
         self.has_left = False
         self._leaving = anyio.Event()
@@ -156,7 +164,16 @@
         self._membership_due_ms = now_ms
         self._driver = ClaimStoreDriver(store)
         self._store_calls = anyio.Semaphore(_STORE_CALLS_MAX)
-        self._configuration = ConfigurationTask(store, clock, settings.name, self._apply)
+        self._configuration = ConfigurationTask(
+            store=store,
+            clock=clock,
+            member=self.member,
+            view=self.members,
+            send=self._send_configuration,
+            on_applied=self._apply,
+            on_platform_exchange=self._note_platform_exchange,
+            random_source=self._random,
+        )
         self._fabric_port = UdpPort(settings.fabric_address, self._handle_fabric)
         self._upstream_port = UdpPort(settings.upstream_address, self._handle_upstream, clock)
         self._peer_port = PeerPort(settings.peer_address, settings.keys, self._handle_peer)
@@ -260,14 +277,33 @@
                 self._execute_membership(self.members.tick(now_ms))
                 self._update_members(now_ms)
             self._execute(self.core.tick(now_ms))
+            self._check_pause(now_ms)
             await anyio.sleep(_TICK_MS / 1000)
 
-    def _apply(self, configuration) -> None:
-        now_ms = self._clock.now_ms()
-        self.core.apply(configuration, now_ms)
-        self.core.world.router.note_exchange(configuration.version, now_ms)
+    def _check_pause(self, now_ms: int) -> None:
+        """Gives up owner groups after a pause, because others may have taken them over."""
+        needs_exchange = self.core.world.router.needs_exchange
+        if needs_exchange and self._was_routing:
+            self._execute_membership(self.members.renew_incarnation(now_ms))
+        self._was_routing = not needs_exchange
+
+    def _apply(self, configuration: Configuration) -> None:
+        if configuration.version <= self.core.world.configuration.version:
+            return
+        self._execute(self.core.apply(configuration, self._clock.now_ms()))
         self.members.set_version(configuration.version)
 
+    def _note_platform_exchange(self, started_at_ms: int, version: int) -> None:
+        self.members.confirm_platform_exchange(started_at_ms)
+        if not self.members.is_stale:
+            self.core.world.router.note_exchange(version, self._clock.now_ms())
+
+    def _send_configuration(self, instance: str, content: bytes) -> None:
+        member = self.members.find_member(instance)
+        if member is not None:
+            frame = encode_raw_frame(FrameKind.CONFIGURATION, content)
+            self._peer_port.send(frame, member.endpoint)
+
     def _handle_fabric(self, data: bytes, _: Endpoint) -> None:
         try:
             packet = decode_fabric_packet(data)
@@ -282,15 +318,19 @@
     def _handle_peer(self, frame: bytes) -> None:
         now_ms = self._clock.now_ms()
         try:
-            content = decode_frame(frame)
-            if isinstance(content, bytes):
-                self._handle_membership(content, now_ms)
+            kind, raw = split_frame(frame)
+            if kind is FrameKind.MEMBERSHIP:
+                self._handle_membership(raw, now_ms)
+                return
+            if kind is FrameKind.CONFIGURATION:
+                self._configuration.handle(raw)
                 return
-        except (FrameError, MembershipMessageError) as error:
+            content = decode_envelope(raw)
+        except (FrameError, MembershipMessageError, ConfigurationMessageError) as error:
             self.core.world.drop("malformed-peer-message")
             logging.log_every_n_seconds(logging.WARNING, "instance: %s", 10, error)
             return
-        if content.incarnation not in (0, self.member.incarnation):
+        if content.incarnation and content.incarnation not in self._incarnations:
             self.core.world.drop("other-incarnation")
             return
         match content.body:
@@ -312,14 +352,23 @@
         for action in actions:
             match action:
                 case SendMembership(_, endpoint, message):
-                    frame = encode_membership_frame(encode_membership_message(message))
+                    content = encode_membership_message(message)
+                    frame = encode_raw_frame(FrameKind.MEMBERSHIP, content)
                     self._peer_port.send(frame, endpoint)
                 case MemberChanged():
                     has_changed = True
+                case VersionSeen(member, version):
+                    self._configuration.note_version(member, version)
         if has_changed:
             self._update_members(self._clock.now_ms())
 
     def _update_members(self, now_ms: int) -> None:
+        incarnation = self.members.own.incarnation
+        if incarnation != self.member.incarnation:
+            logging.warning("instance: %s was taken for dead and rejoins", self.member.instance)
+            self.member = OwnerMember(self.member.instance, incarnation)
+            self._incarnations.add(incarnation)
+            self._execute(self.core.rejoin(incarnation))
         views = []
         for name in self.members.list_live():
             member = self.members.find_member(name)
@@ -327,7 +376,7 @@
             views.append(
                 MemberView(
                     name=name,
-                    incarnation=self.member.incarnation if is_own else member.incarnation,
+                    incarnation=member.incarnation,
                     data_centre=member.data_centre,
                     version=member.version,
                     is_leaving=is_own and self.is_leaving,
--- a/src/catkinspread/instance/messages.py
+++ b/src/catkinspread/instance/messages.py
@@ -1,7 +1,7 @@
 """The frames that instances exchange.
 
-A frame is one byte with its kind, then either a membership datagram as it is, or a msgpack
-envelope around a message of another part.
+A frame is one byte with its kind, then either a membership or configuration message as its
+part has encoded it, or a msgpack envelope around a message of another part.
 """
 
 import enum
@@ -33,6 +33,7 @@
 
     MEMBERSHIP = 0
     ENVELOPE = 1
+    CONFIGURATION = 2
 
 
 class RelayedRequest(msgspec.Struct, array_like=True, frozen=True, tag="relayed-request"):
@@ -130,24 +131,32 @@
     return bytes([FrameKind.ENVELOPE]) + _ENCODER.encode(envelope)
 
 
-def encode_membership_frame(datagram: bytes) -> bytes:
-    """Returns the frame of a membership datagram."""
-    return bytes([FrameKind.MEMBERSHIP]) + datagram
+def encode_raw_frame(kind: FrameKind, content: bytes) -> bytes:
+    """Returns the frame of a message that another part has encoded."""
+    return bytes([kind]) + content
 
 
-def decode_frame(frame: bytes) -> Envelope | bytes:
-    """Returns the envelope of a frame, or its membership datagram.
+def split_frame(frame: bytes) -> tuple[FrameKind, bytes]:
+    """Returns the kind and the content of a frame.
 
     Raises:
-        FrameError: If the frame is malformed.
+        FrameError: If the frame is empty or of an unknown kind.
     """
     if not frame:
         raise FrameError("frame is empty")
-    if frame[0] == FrameKind.MEMBERSHIP:
-        return frame[1:]
-    if frame[0] != FrameKind.ENVELOPE:
-        raise FrameError(f"frame has the unknown kind {frame[0]}")
     try:
-        return _DECODER.decode(memoryview(frame)[1:])
+        return FrameKind(frame[0]), frame[1:]
+    except ValueError:
+        raise FrameError(f"frame has the unknown kind {frame[0]}") from None
+
+
+def decode_envelope(content: bytes) -> Envelope:
+    """Returns the envelope that a frame of its kind contains.
+
+    Raises:
+        FrameError: If it is malformed.
+    """
+    try:
+        return _DECODER.decode(content)
     except msgspec.DecodeError as error:
         raise FrameError(f"envelope is malformed: {error}") from error
--- a/src/catkinspread/membership/merging.py
+++ b/src/catkinspread/membership/merging.py
@@ -151,6 +151,11 @@
         # a new incarnation. The same holds if an earlier run had a later clock.
         if claim.state is not MemberState.SUSPECT or incarnation != own.incarnation:
             incarnation, refutation = max(now_ms, claim.incarnation + 1), 0
+        actions += self.renew(incarnation, refutation, now_ms)
+
+    def renew(self, incarnation: int, refutation: int, now_ms: int) -> list[MembershipAction]:
+        """Gives this instance a greater incarnation or refutation and spreads the news."""
+        own = self._table.find(self._own_id)
         record = own.make_record(now_ms)
         version = own.version
         self._table.put(
@@ -168,4 +173,4 @@
         self._table.report(own.member, version)
         self.pass_on(own.member)
         self.is_urgent = True
-        actions.append(MemberChanged(own.member, incarnation, MemberState.ALIVE))
+        return [MemberChanged(own.member, incarnation, MemberState.ALIVE)]
--- a/src/catkinspread/membership/view.py
+++ b/src/catkinspread/membership/view.py
@@ -132,6 +132,13 @@
         if started_at_ms >= self._stale_since_ms:
             self._is_stale = False
 
+    def renew_incarnation(self, now_ms: int) -> list[MembershipAction]:
+        """Comes back as a new incarnation, as after being declared dead.
+
+        Call it after a pause in which the roles of this instance may have passed to others.
+        """
+        return self._merger.renew(max(now_ms, self.own.incarnation + 1), 0, now_ms)
+
     def leave(self, now_ms: int) -> list[MembershipAction]:
         """Announces that this instance leaves; call once, then stop calling `tick`."""
         own = self.own
