--- a/src/catkinspread/routing/__init__.py
+++ b/src/catkinspread/routing/__init__.py
@@ -16,7 +16,6 @@
 )
 from catkinspread.routing.groups import GROUP_SIZE, LiveMembers, MemberView, choose_group
 from catkinspread.routing.limits import RoutingLimits
-from catkinspread.routing.listing import can_carry, count_exceptions
 from catkinspread.routing.messages import (
     AnnounceListing,
     FlowsOnUpstream,
@@ -32,6 +31,7 @@
 from catkinspread.routing.owner import OwnerFigures, TransitionOwner
 from catkinspread.routing.planner import count_shares, current_upstream, plan_slots, plan_step
 from catkinspread.routing.router import SlotRouter
+from catkinspread.routing.status import can_carry, count_exceptions, is_unused
 
 __all__ = [
     "GROUP_SIZE",
@@ -68,6 +68,7 @@
     "count_exceptions",
     "count_shares",
     "current_upstream",
+    "is_unused",
     "plan_slots",
     "plan_step",
 ]
--- a/src/catkinspread/routing/listing.py
+++ b/src/catkinspread/routing/listing.py
@@ -3,10 +3,10 @@
 from typing import TYPE_CHECKING
 
 from catkinspread.configuration import SlotsListed
-from catkinspread.model import Configuration, DataCentreState
 from catkinspread.routing.actions import AppendEntry, OwnerAction, SendMessage
 from catkinspread.routing.batches import Batch, Phase
 from catkinspread.routing.messages import AnnounceListing, ListingNoted
+from catkinspread.routing.status import can_carry
 
 if TYPE_CHECKING:
     from catkinspread.routing.owner import TransitionOwner
@@ -15,21 +15,6 @@
 _LISTING_RETRY_MS = 1_000
 
 
-def count_exceptions(configuration: Configuration, service: str) -> int:
-    """Returns the number of exceptions of a service."""
-    table = configuration.slot_tables.get(service)
-    return 0 if table is None else sum(base.exception_count for base in table.bases)
-
-
-def can_carry(configuration: Configuration, name: str) -> bool:
-    """Returns whether flows on an upstream can go on."""
-    upstream = configuration.upstreams.get(name)
-    if upstream is None:
-        return False
-    data_centre = configuration.data_centres.get(upstream.data_centre)
-    return data_centre is None or data_centre.state is DataCentreState.IN
-
-
 class ListingSteps:
     """Decides when all live flows of a batch are known, and asks for the entry."""
 
--- a/src/catkinspread/routing/tests/test_router.py
+++ b/src/catkinspread/routing/tests/test_router.py
@@ -15,6 +15,7 @@
     SendToUpstream,
     SlotRouter,
     choose_group,
+    is_unused,
 )
 from catkinspread.routing.tests.fakes import OLD, SERVICE, Fleet, flows_in
 
@@ -179,10 +180,22 @@
     reset = ResetFlow(ResetReason.UPSTREAM_DRAINING, OLD)
     assert fleet.route("i3", flow, PacketKind.OPEN) == reset
     assert fleet.find("i3", flow) == OLD
+    assert not is_unused(fleet.configuration, OLD)
     fleet.append(UpstreamRemoved(OLD))
     assert fleet.find("i3", flow) not in ("", OLD)
 
 
+def test_drained_upstream_is_in_use_until_its_flows_have_ended() -> None:
+    """Guards G1 against a removal that completes too early."""
+    fleet = Fleet()
+    assert not is_unused(fleet.configuration, OLD)
+    fleet.drain()
+    fleet.run(15_000)
+    assert not is_unused(fleet.configuration, OLD)
+    fleet.run(15_000)
+    assert is_unused(fleet.configuration, OLD)
+
+
 def test_service_without_upstream_resets_flows() -> None:
     """Guards against a packet to an empty name."""
     fleet = Fleet()
