Name the table entry in each claim record, so that a stale read is harmless

Cause: after an answer was evicted, a repeat whose bucket read was stale wrote its claim, got a conflict, then saw the claim of its predecessor as its own and ran the request again. Change: a record carries a token of the table entry that asked for it; a claim of this instance with another token is answered OUTCOME_UNKNOWN. A record is at most 18 bytes instead of 13. Conclusion: a record that is seen is true, and a missing one proves nothing, stale or not.

--- a/src/catkinspread/bench/request_world.py
+++ b/src/catkinspread/bench/request_world.py
@@ -51,6 +51,7 @@
         store_write_late: The answer is lost and the write takes effect later.
         store_late_max_ms: Largest delay of a late write.
         store_silent: A call has no effect and no answer at all.
+        store_stale: A read returns the version before the latest.
         pause_before_send: The process pauses between the decision to send and the send.
     """
 
@@ -68,6 +69,7 @@
     store_write_late: float = 0.02
     store_late_max_ms: int = 3_000
     store_silent: float = 0.002
+    store_stale: float = 0.005
     pause_before_send: float = 0.003
 
 
@@ -166,11 +168,12 @@
 class WorldStore:
     """The claim buckets, with conditional writes that get lost or take effect late."""
 
-    __slots__ = ("_objects", "_world")
+    __slots__ = ("_objects", "_previous", "_world")
 
     def __init__(self, world: World) -> None:
         self._world = world
         self._objects: dict[str, tuple[int, bytes]] = {}
+        self._previous: dict[str, tuple[int, bytes]] = {}
 
     def call(
         self, action: StoreAction, is_reachable: bool, report: Callable[[StoreEvent], None]
@@ -197,7 +200,9 @@
 
     def _read(self, action: ReadBucket, report: Callable[[StoreEvent], None]) -> None:
         self._world.ledger.store_read_count += 1
-        version, value = self._objects.get(action.bucket.key, (0, b""))
+        is_stale = self._world.draw(self._world.rates.store_stale)
+        objects = self._previous if is_stale else self._objects
+        version, value = objects.get(action.bucket.key, (0, b""))
         event = BucketRead(action.bucket, action.operation, version, value)
         self._report_later(event, report)
 
@@ -226,9 +231,10 @@
             self._report_later(BucketConflicted(action.bucket, action.operation), report)
 
     def _apply(self, action: WriteBucket) -> bool:
-        version, _ = self._objects.get(action.bucket.key, (0, b""))
+        version, value = self._objects.get(action.bucket.key, (0, b""))
         if version != action.expected_version:
             return False
+        self._previous[action.bucket.key] = (version, value)
         self._objects[action.bucket.key] = (version + 1, action.value)
         return True
 
--- a/src/catkinspread/requests/bucket.py
+++ b/src/catkinspread/requests/bucket.py
@@ -9,8 +9,8 @@
 import msgspec
 
 _FORMAT_VERSION = 1
-# A record is a msgpack array of a 64-bit hash (9 bytes), a writer index and a kind.
-RECORD_BYTES = 13
+# A record is a msgpack array of a 64-bit hash (9 bytes), a writer index, a kind and a token.
+RECORD_BYTES = 18
 
 
 class BucketError(Exception):
@@ -34,16 +34,20 @@
     Attributes:
         writer: One run of an instance, as text from `format_member`.
         kind: What was decided.
+        token: Number that the writer chose for its table entry. It tells the entry that asked
+            for the record from a later one for the same request.
     """
 
     writer: str
     kind: RecordKind
+    token: int
 
 
 class _StoredRecord(msgspec.Struct, array_like=True, frozen=True):
     claim_hash: int
     writer_index: int
     kind: RecordKind
+    token: int
 
 
 class _StoredBucket(msgspec.Struct, array_like=True, frozen=True):
@@ -68,7 +72,7 @@
     stored: list[_StoredRecord] = []
     for claim_hash, record in records.items():
         index = indexes.setdefault(record.writer, len(indexes))
-        stored.append(_StoredRecord(claim_hash, index, record.kind))
+        stored.append(_StoredRecord(claim_hash, index, record.kind, record.token))
     return _ENCODER.encode(_StoredBucket(_FORMAT_VERSION, list(indexes), stored))
 
 
@@ -86,7 +90,9 @@
         raise BucketError(f"claim bucket has format {bucket.format_version}")
     try:
         return {
-            record.claim_hash: ClaimRecord(bucket.writers[record.writer_index], record.kind)
+            record.claim_hash: ClaimRecord(
+                bucket.writers[record.writer_index], record.kind, record.token
+            )
             for record in bucket.records
         }
     except IndexError as error:
--- a/src/catkinspread/requests/claimer.py
+++ b/src/catkinspread/requests/claimer.py
@@ -14,6 +14,8 @@
 docs/decisions/0002-at-most-once.md.
 """
 
+import itertools
+
 from catkinspread.model import OwnerMember
 from catkinspread.requests import reasons
 from catkinspread.requests.actions import (
@@ -67,6 +69,7 @@
         "_pipelines",
         "_retry_policy",
         "_table",
+        "_tokens",
         "_writer",
     )
 
@@ -79,6 +82,7 @@
         self._retry_policy = retry_policy
         self._table = EntryTable(parameters)
         self._pipelines = [ShardPipeline(self._writer, parameters) for _ in range(SHARD_COUNT)]
+        self._tokens = itertools.count(1)
         self._live: dict[str, OwnerMember] = {}
         self._now_ms = 0
         self._actions: list[ClaimerAction] = []
@@ -171,7 +175,9 @@
             request=event.request,
             deadline_ms=min(event.request.deadline_ms, window_end_ms),
             give_up_ms=0,
-            wish=ClaimWish(identity, find_bucket(identity), identity.claim_hash),
+            wish=ClaimWish(
+                identity, find_bucket(identity), identity.claim_hash, next(self._tokens)
+            ),
             refuse_reason=refuse_reason,
         )
         self._start_claiming(entry, event)
@@ -228,7 +234,7 @@
             self._finish_not_run(entry, entry.refuse_reason or reasons.EARLIER)
         elif record.writer != self._writer:
             self._forward(entry, record.writer)
-        elif not entry.wish.is_attempted:
+        elif record.token != entry.wish.token:
             self._finish_unknown(entry, reasons.LOST)
         elif entry.refuse_reason:
             self._finish_not_run(entry, entry.refuse_reason)
--- a/src/catkinspread/requests/shard_pipeline.py
+++ b/src/catkinspread/requests/shard_pipeline.py
@@ -44,15 +44,15 @@
         bucket: The bucket of the request.
         claim_hash: The hash of the request.
         kind: Which record is wanted; a claim becomes a tombstone at the deadline.
-        is_attempted: Whether a write with a record of this wish was started. If it was not,
-            a record of this instance is older than the wish, and its history is lost.
+        token: Unique in this run of the instance. A record of this instance with another
+            token is older than the wish, and what became of it is forgotten.
     """
 
     identity: RequestIdentity
     bucket: BucketId
     claim_hash: int
+    token: int
     kind: RecordKind = RecordKind.CLAIMED
-    is_attempted: bool = False
 
 
 class SettledWish(msgspec.Struct, frozen=True):
@@ -174,8 +174,7 @@
             return None
         records = dict(bucket.records)
         for wish in wishes:
-            wish.is_attempted = True
-            records[wish.claim_hash] = ClaimRecord(self._writer, wish.kind)
+            records[wish.claim_hash] = ClaimRecord(self._writer, wish.kind, wish.token)
         self._next_write_ms = now_ms + self._parameters.claim_batch_ms
         operation = self._begin(bucket_id, records, now_ms)
         return WriteBucket(bucket_id, operation.number, encode_bucket(records), bucket.version)
--- a/src/catkinspread/requests/tests/test_claimer.py
+++ b/src/catkinspread/requests/tests/test_claimer.py
@@ -4,6 +4,8 @@
 import pytest
 
 from catkinspread.requests import (
+    BucketRead,
+    ReadBucket,
     RecordKind,
     RequestParameters,
     decode_bucket,
@@ -314,6 +316,27 @@
     rig.check_truth()
 
 
+def test_stale_read_does_not_hide_an_earlier_claim_of_this_instance():
+    """Guards against a second run when answer and bucket were evicted and a read is stale."""
+    rig = Rig("a", RequestParameters(answered_max=0, buckets_max=0))
+    first = make_request(0)
+    earlier_ms = START_MS - 60_000
+    candidates = [make_request(number, issued_at_ms=earlier_ms) for number in range(200)]
+    second = next(item for item in candidates if _bucket(item).shard == _bucket(first).shard)
+    for request in (first, second):
+        rig.arrive("a", request)
+        rig.settle()
+    rig.answer(0)
+    rig.arrive("a", first)
+    read = rig.calls["a"].pop()
+    assert isinstance(read, ReadBucket)
+    rig.handle("a", BucketRead(read.bucket, read.operation, 0, b""))
+    rig.advance(rig.parameters.claim_batch_ms)
+    rig.settle()
+    assert rig.statuses == [NOT_RUN, OK, UNKNOWN]
+    rig.check_truth()
+
+
 def test_full_queue_refuses_with_tombstones_and_then_admits_nothing():
     """Guards against unbounded tables, and refusals without proof, under overload."""
     rig = Rig("a", RequestParameters(active_max=2, refused_max=2))
--- a/src/catkinspread/requests/tests/test_handler.py
+++ b/src/catkinspread/requests/tests/test_handler.py
@@ -148,7 +148,7 @@
         if not isinstance(read, ReadBucket):
             continue
         claim_hash = identify_request(make_request(number)).claim_hash
-        value = encode_bucket({claim_hash: ClaimRecord("other#1", RecordKind.CLAIMED)})
+        value = encode_bucket({claim_hash: ClaimRecord("other#1", RecordKind.CLAIMED, 1)})
         event = BucketRead(read.bucket, read.operation, 1, value)
         handler.handle_store_event(event, START_MS)
         actions = handler.set_live_instances(frozenset([THIRD]), START_MS)
