limits: Do not start work whose answer would come after its deadline

Cause: under twice the load the head of the queue has waited until just before its deadline, so the upstream was busy with answers that nobody waited for; and the detector scanned its window on every answer. Change: the next work is dropped while its remaining time is below the usual latency, of which at most half of the timeout counts. The detector judges only on a shed or slow answer. Tests: on a scratch copy, rule off, or half of the timeout off -> work_that_cannot_be_answered_in_time fails; expired work not dropped -> expired_work_behind_other_work fails (the tests of expired work at the head now pass without it, because the new rule covers the head).

--- a/src/catkinspread/limits/admission.py
+++ b/src/catkinspread/limits/admission.py
@@ -204,11 +204,30 @@
         actions: list[Action] = [
             self._expire(work, reason) for work in self._queue.drop_expired(now_ms)
         ]
+        actions += self._drop_hopeless(now_ms)
         while self._has_startable(now_ms) and self._share.try_take(now_ms):
             work = self._queue.pop()
             self._runs[work.work_id] = _Run(work, now_ms)
             self._limiter.begin()
             actions.append(Start(work))
+            actions += self._drop_hopeless(now_ms)
+        return actions
+
+    def _drop_hopeless(self, now_ms: int) -> list[Action]:
+        """Drops the next work while its answer would come after its deadline.
+
+        Under overload the work at the head has waited longest, so without this rule the
+        upstream is busy with answers that nobody waits for. At most half of the timeout counts
+        as latency; otherwise a slow upstream would never be tried again.
+        """
+        actions: list[Action] = []
+        while (work := self._queue.peek()) is not None:
+            half_ms = (work.deadline_ms - work.arrived_at_ms) / 2
+            needed_ms = min(self._detector.baseline_ms, half_ms)
+            if work.deadline_ms - now_ms > needed_ms:
+                break
+            self._queue.pop()
+            actions.append(self._expire(work, self._name_wait(now_ms)))
         return actions
 
     def _has_startable(self, now_ms: int) -> bool:
--- a/src/catkinspread/limits/detector.py
+++ b/src/catkinspread/limits/detector.py
@@ -149,7 +149,8 @@
         while now_ms - self._samples[0].at_ms >= self._settings.window_ms:
             self._samples.popleft()
         is_due = now_ms - self._judged_at_ms >= _JUDGE_INTERVAL_MS
-        if now_ms < self._holdoff_until_ms or not is_due:
+        is_suspect = kind is AnswerKind.SHED or latency_ms > self._compute_threshold_ms()
+        if now_ms < self._holdoff_until_ms or not is_due or not is_suspect:
             return None
         self._judged_at_ms = now_ms
         return self._judge(now_ms)
@@ -184,10 +185,12 @@
         latencies = [sample.latency_ms for sample in self._list_good(now_ms)]
         if len(latencies) < needed:
             return None
-        threshold_ms = settings.latency_factor * max(1.0, self._baseline_ms)
-        is_slow = sum(latencies) / len(latencies) > threshold_ms
+        is_slow = sum(latencies) / len(latencies) > self._compute_threshold_ms()
         return ColdTurnEvidence.LATENCY if is_slow else None
 
+    def _compute_threshold_ms(self) -> float:
+        return self._settings.latency_factor * max(1.0, self._baseline_ms)
+
     def _is_shedding(self, recent: list[_Sample], needed: int, now_ms: int) -> bool:
         shed = [sample for sample in recent if sample.kind is AnswerKind.SHED]
         if not shed or now_ms - shed[0].at_ms < self._settings.persist_ms:
--- a/src/catkinspread/limits/queue.py
+++ b/src/catkinspread/limits/queue.py
@@ -81,12 +81,16 @@
         self._priority_by_id[work.work_id] = work.priority
         return PushResult(PushVerdict.QUEUED, expired, displaced)
 
-    def pop(self) -> Work | None:
-        """Removes and returns the next work; call `drop_expired` before."""
+    def peek(self) -> Work | None:
+        """Returns the next work without removing it."""
         if not self._waiting:
             return None
-        highest = min(self._waiting)
-        return self._remove(next(iter(self._waiting[highest])))
+        return next(iter(self._waiting[min(self._waiting)].values()))
+
+    def pop(self) -> Work | None:
+        """Removes and returns the next work; call `drop_expired` before."""
+        work = self.peek()
+        return None if work is None else self._remove(work.work_id)
 
     def cancel(self, work_id: int) -> Work | None:
         """Removes work and returns it, or None if it does not wait here."""
