limits: Bound the memory of starts and accept rates of zero

Change: starts older than 1 s are always dropped; both divisions are guarded; the longest wait for a token is 1 s.

--- a/src/catkinspread/limits/cold_start.py
+++ b/src/catkinspread/limits/cold_start.py
@@ -56,7 +56,7 @@
 
     def compute_cap(self, elapsed_ms: int) -> float:
         """Returns the cap in work per second at a time after the cold start."""
-        if elapsed_ms >= self.warmup_ms:
+        if elapsed_ms >= self.warmup_ms or self.warmup_ms <= 0:
             return self.warm_rate_per_s
         gain = self.warm_rate_per_s - self.cold_rate_per_s
         return self.cold_rate_per_s + gain * max(0, elapsed_ms) / self.warmup_ms
--- a/src/catkinspread/limits/rate_share.py
+++ b/src/catkinspread/limits/rate_share.py
@@ -33,6 +33,8 @@
 _TURNS_PER_CAP = CAP_LAG_MS // TURN_MS
 _CREDIT_PER_TOKEN = 1_000 * _TURNS_PER_CAP
 _WARM_BURST_MS = 250
+# Rates may change meanwhile, and an upstream without a rate would never be looked at again.
+_WAIT_MAX_MS = 1_000
 _MS_PER_S = 1_000
 
 
@@ -80,6 +82,8 @@
     def compute_wait_ms(self, rate_per_s: float) -> int:
         """Returns the time from the last call of `try_take` until a token is whole."""
         missing = max(0.0, 1 - self._tokens)
+        if missing * _MS_PER_S >= rate_per_s * _WAIT_MAX_MS:
+            return _WAIT_MAX_MS
         return math.ceil(missing * _MS_PER_S / rate_per_s)
 
 
@@ -109,6 +113,8 @@
         """
         if self._starts:
             now_ms = max(now_ms, self._starts[-1])
+        while self._starts and now_ms - self._starts[0] >= RATE_WINDOW_MS:
+            self._starts.popleft()
         if self._ramp.is_warm(now_ms):
             is_free = self._bucket.try_take(self.compute_share(now_ms), now_ms)
         else:
@@ -126,12 +132,14 @@
         elapsed_ms = now_ms - self._ramp.cold_at_ms
         return now_ms + TURN_MS - elapsed_ms % TURN_MS
 
+    def count_recent_starts(self) -> int:
+        """Returns the number of starts in the second before the latest call of `try_take`."""
+        return len(self._starts)
+
     def _compute_cold_share(self, now_ms: int) -> float:
         return self._ramp.compute_cap(now_ms - CAP_LAG_MS) / self._fleet.count()
 
     def _try_take_cold(self, now_ms: int) -> bool:
-        while self._starts and now_ms - self._starts[0] >= RATE_WINDOW_MS:
-            self._starts.popleft()
         share = math.floor(self._compute_cold_share(now_ms))
         if share >= 1:
             return len(self._starts) < share
--- a/src/catkinspread/limits/tests/test_rate_share.py
+++ b/src/catkinspread/limits/tests/test_rate_share.py
@@ -164,3 +164,24 @@
     assert decode_notice(encode_notice(notice)) == notice
     with pytest.raises(MessageError, match="malformed"):
         decode_notice(b"\x91\x01")
+
+
+def test_rates_at_their_edges():
+    """Guards against a division by zero for an upstream without warm-up or without a rate."""
+    instant = ColdStartRamp("u", RampRates(5.0, 50.0, warmup_ms=0), cold_at_ms=0, sequence=1)
+    share = RateShare(instant, build_fleet("a", []), 0)
+    assert instant.compute_cap(-1) == 50.0
+    assert share.try_take(0)
+    closed = ColdStartRamp("u", RampRates(0.0, 0.0, warmup_ms=100), cold_at_ms=0, sequence=1)
+    share = RateShare(closed, build_fleet("a", []), 0)
+    for now_ms in range(0, 60_000, 50):
+        assert not share.try_take(now_ms)
+        assert share.compute_retry_ms(now_ms) > now_ms
+
+
+def test_starts_of_a_warm_upstream_are_forgotten():
+    """Guards against memory that grows with every request."""
+    share = RateShare(ColdStartRamp("u", RATES, 0, 1), build_fleet("a", []), 0)
+    taken = sum(share.try_take(now_ms) for now_ms in range(100_000, 200_000, 10))
+    assert taken == 10_000
+    assert share.count_recent_starts() <= 100
