Keep a removed upstream until no slot of its service is in transition

Change: a removal completes only when no slot of the service is in transition and nothing points at the upstream.

--- a/src/catkinspread/operations/moves.py
+++ b/src/catkinspread/operations/moves.py
@@ -258,10 +258,19 @@
 
 
 def find_completed_removals(configuration: Configuration) -> tuple[UpstreamRemoved, ...]:
-    """Returns the removals that can complete, because nothing points at the upstream."""
+    """Returns the removals that can complete, because nothing points at the upstream.
+
+    While a slot is in transition, its owner may have pinned flows to any upstream that was a
+    target since the transition began. The configuration does not say which, so a removal waits
+    until no slot of the service is in transition.
+    """
     return tuple(
         UpstreamRemoved(upstream.name)
         for upstream in configuration.upstreams.values()
         if upstream.state is UpstreamState.REMOVING
-        and count_references(configuration.slot_tables[upstream.service], upstream.name).is_empty
+        and _is_unused(configuration.slot_tables[upstream.service], upstream.name)
     )
+
+
+def _is_unused(table: SlotTable, name: str) -> bool:
+    return not table.transitions and count_references(table, name).is_empty
--- a/src/catkinspread/operations/parser.py
+++ b/src/catkinspread/operations/parser.py
@@ -85,10 +85,14 @@
     keywords = [_describe_terminal(name) for name in expected if name not in _VALUE_TERMINALS]
     nearest = find_nearest(words[0], keywords) if words and keywords else ""
     hint = f"; did you mean {nearest!r}?" if nearest else ""
-    message = f"column {column}: found {found}, expected {' or '.join(names)}{hint}"
+    message = f"column {column}: found {found}, expected {_join_names(names)}{hint}"
     return SyntaxProblem(message=message, column=column, expected=names)
 
 
+def _join_names(names: tuple[str, ...]) -> str:
+    return f"one of {', '.join(names)}" if len(names) > 2 else " or ".join(names)
+
+
 def _describe_terminal(terminal: str) -> str:
     return _VALUE_TERMINALS.get(terminal) or terminal.lower().replace("_", "-")
 
--- a/src/catkinspread/operations/planning.py
+++ b/src/catkinspread/operations/planning.py
@@ -4,8 +4,20 @@
 
 import msgspec
 
-from catkinspread.configuration import DataCentreSet, Effect, SlotsMoved
-from catkinspread.model import Configuration, DataCentre, DataCentreState
+from catkinspread.configuration import (
+    DataCentreSet,
+    Effect,
+    SlotsMoved,
+    UpstreamRemoved,
+    UpstreamSet,
+)
+from catkinspread.model import (
+    Configuration,
+    DataCentre,
+    DataCentreState,
+    Upstream,
+    UpstreamState,
+)
 from catkinspread.operations.replies import Reply
 from catkinspread.routing import current_upstream
 
@@ -84,6 +96,9 @@
         notes: Sentences to put first.
     """
     moves = summarise_moves(configuration, effects, flow_counts)
+    if not moves:
+        notes = (*notes, "no slots move", *_describe_consequences(effects))
+        return Reply(version=configuration.version, notes=notes)
     rows = tuple(
         (
             move.service,
@@ -99,7 +114,7 @@
     notes = (
         *notes,
         f"{sum(move.slots for move in moves)} slots move; they have {total} open flows",
-        *_describe_flows(configuration, effects),
+        *_describe_consequences(effects),
     )
     return Reply(
         version=configuration.version,
@@ -109,11 +124,18 @@
     )
 
 
-def _describe_flows(configuration: Configuration, effects: tuple[Effect, ...]) -> list[str]:
+def _describe_consequences(effects: tuple[Effect, ...]) -> list[str]:
+    notes: list[str] = []
+    removed = {effect.name for effect in effects if isinstance(effect, UpstreamRemoved)}
     for effect in effects:
         match effect:
             case DataCentreSet(DataCentre(name=name, state=DataCentreState.OUT)):
                 return [f"open flows to upstreams in {name!r} are given up"]
+            case UpstreamSet(Upstream(name=name, state=UpstreamState.REMOVING)):
+                when = "at once" if name in removed else "when nothing points at it any more"
+                notes.append(f"upstream {name!r} is removed {when}")
     if any(isinstance(effect, SlotsMoved) for effect in effects):
-        return ["open flows stay on their upstream until they end; new flows go to the new one"]
-    return []
+        notes.append(
+            "open flows stay on their upstream until they end; new flows go to the new one"
+        )
+    return notes
--- a/src/catkinspread/operations/refusals.py
+++ b/src/catkinspread/operations/refusals.py
@@ -138,7 +138,8 @@
             found.extend(_DECODER.decode(entry.payload).refusals)
         if self._waiting is not None:
             found.extend(_DECODER.decode(self._waiting.payload).refusals)
-        return [*found, *self._unauthorised, *self._pending]
+        found += [*self._unauthorised, *self._pending]
+        return sorted(found, key=lambda refusal: refusal.at_ms)
 
     def _build_batch(self) -> _WaitingBatch | None:
         refusals: list[Refusal] = []
--- a/src/catkinspread/operations/service.py
+++ b/src/catkinspread/operations/service.py
@@ -13,6 +13,7 @@
     VALUE_MAX_BYTES,
     AppendLog,
     AppendOutcome,
+    LogEntry,
     ObjectExists,
     ObjectStore,
     ObjectStoreError,
@@ -161,11 +162,14 @@
     async def _refresh(self) -> OperationsState:
         while page := await self._log.read_after(self._state.version):
             for item in page:
-                # Another statement may have applied the entry while this one was reading.
-                if item.index == self._state.version + 1:
-                    self._state = advance_state(self._state, item)
+                self._apply(item)
         return self._state
 
+    def _apply(self, item: LogEntry) -> None:
+        # Another statement may have applied the entry while this one was reading.
+        if item.index == self._state.version + 1:
+            self._state = advance_state(self._state, item)
+
     def _build_context(self, state: OperationsState, team: str) -> CompileContext:
         return CompileContext(
             now_ms=max(self._clock.now_ms(), state.last_written_at_ms),
