--- a/src/catkinspread/operations/service.py
+++ b/src/catkinspread/operations/service.py
@@ -211,6 +211,7 @@
                 return Error(_describe_unconfirmed(state.version + 1, change_id))
             if outcome is AppendOutcome.WRITTEN:
                 version = state.version + 1
+                self._apply(LogEntry(version, change_id, payload))
                 return Ok(
                     _note(reply, f"accepted as version {version}, change {change_id}", version)
                 )
