Complete a removal when its exceptions have outlived the flow lifetime

Cause: exceptions are not taken off the list when their flows end, so a removal that waited for them would never complete.

--- a/src/catkinspread/operations/__init__.py
+++ b/src/catkinspread/operations/__init__.py
@@ -29,11 +29,12 @@
     VersionChanged,
 )
 from catkinspread.operations.fleet import FleetSource, RecordLine
-from catkinspread.operations.moves import References, count_references, find_completed_removals
+from catkinspread.operations.moves import References, count_references
 from catkinspread.operations.owners import choose_owner_group
 from catkinspread.operations.parser import Statement, parse_statement
 from catkinspread.operations.queries import Query
 from catkinspread.operations.refusals import Refusal, RefusalBatch, RefusalLog
+from catkinspread.operations.removals import find_completed_removals
 from catkinspread.operations.replies import (
     Reply,
     render_error,
--- a/src/catkinspread/operations/compiler.py
+++ b/src/catkinspread/operations/compiler.py
@@ -28,11 +28,11 @@
 from catkinspread.operations.context import ENDPOINT_QUARANTINE_MS, CompileContext
 from catkinspread.operations.errors import InvalidChange, OperationsError, describe_unknown
 from catkinspread.operations.moves import (
-    find_completed_removals,
     plan_moves,
     preview_effects,
     weigh_upstreams,
 )
+from catkinspread.operations.removals import find_completed_removals
 
 
 class _Refused(Exception):
@@ -101,7 +101,8 @@
         context: Live members and the size of steps.
     """
     plan = plan_moves(configuration, services, context)
-    return (*find_completed_removals(configuration), *plan.effects)
+    removals = find_completed_removals(configuration, context.idle_since_ms, context.now_ms)
+    return (*removals, *plan.effects)
 
 
 def _complete(
@@ -118,8 +119,8 @@
         for effect in draft.effects
         if isinstance(effect, UpstreamSet) and effect.upstream.state is UpstreamState.REMOVING
     ]
-    completed = (effect for effect in find_completed_removals(final) if effect.name in names)
-    return (*effects, *completed)
+    completed = find_completed_removals(final, {}, context.now_ms)
+    return (*effects, *(effect for effect in completed if effect.name in names))
 
 
 @_drafts(commands.CreateDataCentre)
--- a/src/catkinspread/operations/context.py
+++ b/src/catkinspread/operations/context.py
@@ -29,6 +29,8 @@
         team: Team of the operator; owner of a service that names none.
         live_members: Live instances by data centre, from which owner groups are chosen.
         removed_endpoints: Endpoints in quarantine.
+        idle_since_ms: Since when upstreams that are being removed get no new flows; see
+            `removals.note_idle_removals`.
         step_slots: Slots that an upstream gains at first when it is added or comes back; the
             rest follows in steps. None gives it its whole share at once.
     """
@@ -37,6 +39,7 @@
     team: str = ""
     live_members: dict[str, tuple[OwnerMember, ...]] = {}
     removed_endpoints: dict[Endpoint, RemovedEndpoint] = {}
+    idle_since_ms: dict[str, int] = {}
     step_slots: int | None = None
 
 
--- a/src/catkinspread/operations/moves.py
+++ b/src/catkinspread/operations/moves.py
@@ -9,7 +9,6 @@
     Effect,
     SlotMove,
     SlotsMoved,
-    UpstreamRemoved,
     apply_entry,
 )
 from catkinspread.model import (
@@ -255,22 +254,3 @@
     for slot, target in targets:
         slots_by_target.setdefault(target, []).append(slot)
     return tuple(SlotMove(name, tuple(slots)) for name, slots in sorted(slots_by_target.items()))
-
-
-def find_completed_removals(configuration: Configuration) -> tuple[UpstreamRemoved, ...]:
-    """Returns the removals that can complete, because nothing points at the upstream.
-
-    While a slot is in transition, its owner may have pinned flows to any upstream that was a
-    target since the transition began. The configuration does not say which, so a removal waits
-    until no slot of the service is in transition.
-    """
-    return tuple(
-        UpstreamRemoved(upstream.name)
-        for upstream in configuration.upstreams.values()
-        if upstream.state is UpstreamState.REMOVING
-        and _is_unused(configuration.slot_tables[upstream.service], upstream.name)
-    )
-
-
-def _is_unused(table: SlotTable, name: str) -> bool:
-    return not table.transitions and count_references(table, name).is_empty
--- a/src/catkinspread/operations/service.py
+++ b/src/catkinspread/operations/service.py
@@ -176,6 +176,7 @@
             team=team,
             live_members=self._fleet.list_live_members(),
             removed_endpoints=state.removed_endpoints,
+            idle_since_ms=state.idle_since_ms,
             step_slots=self._step_slots,
         )
 
--- a/src/catkinspread/operations/state.py
+++ b/src/catkinspread/operations/state.py
@@ -7,6 +7,7 @@
 from catkinspread.objectstore import LogEntry
 from catkinspread.operations.audit import Change, hash_payload, is_automatic, list_objects
 from catkinspread.operations.context import RemovedEndpoint, note_removals
+from catkinspread.operations.removals import note_idle_removals
 
 # Enough to name who came first in a race; older changes are read from the log.
 _RECENT_MAX = 64
@@ -22,6 +23,7 @@
         removed_endpoints: Endpoints in quarantine.
         recent: The latest changes without their effects, oldest first.
         due_services: Services that changed since an automatic step last examined them.
+        idle_since_ms: Since when upstreams that are being removed get no new flows.
     """
 
     configuration: Configuration = Configuration()
@@ -30,6 +32,7 @@
     removed_endpoints: dict[Endpoint, RemovedEndpoint] = {}
     recent: tuple[Change, ...] = ()
     due_services: frozenset[str] = frozenset()
+    idle_since_ms: dict[str, int] = {}
 
     @property
     def version(self) -> int:
@@ -51,6 +54,7 @@
     """
     entry = decode_entry(item.payload)
     configuration = apply_entry(state.configuration, item.index, entry)
+    services = _find_services(state.configuration, entry)
     summary = Change(item.index, msgspec.structs.replace(entry, effects=()))
     return OperationsState(
         configuration=configuration,
@@ -58,7 +62,8 @@
         last_written_at_ms=max(state.last_written_at_ms, entry.written_at_ms),
         removed_endpoints=note_removals(state.removed_endpoints, state.configuration, entry),
         recent=(*state.recent, summary)[-_RECENT_MAX:],
-        due_services=state.due_services | _find_services(state.configuration, entry),
+        due_services=state.due_services | services,
+        idle_since_ms=note_idle_removals(state.idle_since_ms, configuration, entry, services),
     )
 
 
--- a/src/catkinspread/operations/tests/test_compiler.py
+++ b/src/catkinspread/operations/tests/test_compiler.py
@@ -137,14 +137,14 @@
     """Guards against flows that lose their upstream before they have ended."""
     configuration = apply_text("remove upstream c1", build_configuration())
     assert configuration.upstreams["c1"].state is UpstreamState.REMOVING
-    assert find_completed_removals(configuration) == ()
+    assert find_completed_removals(configuration, {}, START_MS) == ()
     table = configuration.slot_tables["catalogue"]
     slots = tuple(sorted(table.transitions))
     version = configuration.version
     listed = SlotsListed("catalogue", version, slots, {"c1": (slots[0],)})
     configuration = apply_effects((listed,), configuration)
     assert count_references(configuration.slot_tables["catalogue"], "c1").exceptions == 1
-    assert find_completed_removals(configuration) == ()
+    assert find_completed_removals(configuration, {}, START_MS) == ()
     context = CompileContext(START_MS, "", MEMBERS)
     table = configuration.slot_tables["catalogue"]
     bases = tuple(base.without_upstream("c1") for base in table.bases)
@@ -168,9 +168,9 @@
     configuration = apply_text("remove upstream c7", configuration)
     assert count_references(configuration.slot_tables["catalogue"], "c7").is_empty
     assert "c7" in configuration.upstreams
-    assert find_completed_removals(configuration) == ()
+    assert find_completed_removals(configuration, {}, START_MS) == ()
     configuration = end_transitions(configuration, "catalogue")
-    assert find_completed_removals(configuration) == (UpstreamRemoved("c7"),)
+    assert find_completed_removals(configuration, {}, START_MS) == (UpstreamRemoved("c7"),)
 
 
 def test_last_upstream_and_last_data_centre_stay():
--- a/src/catkinspread/operations/tests/test_service.py
+++ b/src/catkinspread/operations/tests/test_service.py
@@ -22,6 +22,7 @@
     verify_chain,
 )
 from catkinspread.operations.audit import CONFIGURATION_LOG
+from catkinspread.operations.removals import FLOW_LIFETIME_MAX_MS
 from catkinspread.operations.state import build_entry
 from catkinspread.operations.tests.fakes import (
     SETUP,
@@ -231,12 +232,7 @@
             pass
         state = await service._refresh()
         assert state.due_services == frozenset()
-        table = state.configuration.slot_tables["templates"]
-        slots = tuple(sorted(table.transitions))
-        effects = (SlotsListed("templates", state.version, slots, {}),)
-        entry = build_entry(state, "listed", "instance/brum-2", "", "", clock.now_ms())
-        payload = encode_entry(msgspec.structs.replace(entry, effects=effects))
-        await AppendLog(store, CONFIGURATION_LOG).append(state.version + 1, "listed", payload)
+        await append_list(store, state, clock, {})
         other = build_service(store, clock, "b")
         assert await service.advance("instance/brum-1")
         while await other.advance("instance/brum-2"):
@@ -248,6 +244,37 @@
     run(scenario)
 
 
+async def append_list(store, state, clock, exceptions) -> None:
+    """Appends the end of all transitions of templates, as an owner does."""
+    slots = tuple(sorted(state.configuration.slot_tables["templates"].transitions))
+    effects = (SlotsListed("templates", state.version, slots, exceptions),)
+    entry = build_entry(state, "listed", "instance/brum-2", "", "", clock.now_ms())
+    payload = encode_entry(msgspec.structs.replace(entry, effects=effects))
+    await AppendLog(store, CONFIGURATION_LOG).append(state.version + 1, "listed", payload)
+
+
+def test_removal_completes_when_the_flows_of_its_exceptions_have_outlived_their_lifetime():
+    """Guards against a removal that waits for ever, because exceptions stay when flows end."""
+
+    async def scenario(clock: ManualClock) -> None:
+        store, service = await build_configured(clock)
+        await state_all(service, "remove upstream t1")
+        while await service.advance("instance/brum-1"):
+            pass
+        clock.advance(FLOW_LIFETIME_MAX_MS)
+        await append_list(store, await service._refresh(), clock, {"t1": (7,)})
+        clock.advance(FLOW_LIFETIME_MAX_MS - 1)
+        fresh = build_service(store, clock, "b")
+        while await fresh.advance("instance/brum-1"):
+            pass
+        assert "t1" in (await fresh._refresh()).configuration.upstreams
+        clock.advance(1)
+        assert await fresh.advance("instance/brum-1")
+        assert "t1" not in (await fresh._refresh()).configuration.upstreams
+
+    run(scenario)
+
+
 def test_quarantine_is_rebuilt_from_the_log():
     """Guards against a new instance that gives away an endpoint in quarantine."""
 
