--- a/src/catkinspread/instance/core.py
+++ b/src/catkinspread/instance/core.py
@@ -17,7 +17,8 @@
 from catkinspread.limits import ColdStartNotice, KnownInstances
 from catkinspread.model import Configuration, Endpoint, OwnerMember
 from catkinspread.records import RecordStore
-from catkinspread.requests import ForwardedAnswer, ForwardedRequest, RequestHandler, StoreEvent
+from catkinspread.requests import PeerMessage as RequestMessage
+from catkinspread.requests import RequestHandler, StoreEvent
 from catkinspread.routing import (
     AppendEntry,
     ForwardedPacket,
@@ -135,8 +136,6 @@
                 if caller_packet is None:
                     return []
                 return self.packets.carry_forwarded(body, caller_packet, now_ms)
-            case ForwardedRequest() | ForwardedAnswer():
-                return self.requests.handle_peer(name, body, now_ms)
             case RelayedRequest():
                 return self.requests.handle_relayed(name, body, now_ms)
             case RelayedAnswer():
@@ -145,6 +144,8 @@
                 return self.requests.handle_relay_refused(body, now_ms)
             case ColdStartNotice():
                 return self.requests.handle_notice(name, body, now_ms)
+        if isinstance(body, RequestMessage):
+            return self.requests.handle_peer(body, now_ms)
         return self._own(self.world.router.handle(name, body, now_ms), now_ms)
 
     def handle_store_event(self, event: StoreEvent, now_ms: int) -> list[Action]:
--- a/src/catkinspread/instance/messages.py
+++ b/src/catkinspread/instance/messages.py
@@ -11,16 +11,8 @@
 from catkinspread.limits import ColdStartNotice
 from catkinspread.model import OwnerMember
 from catkinspread.operations import RecordLine
-from catkinspread.requests import ForwardedAnswer, ForwardedRequest
-from catkinspread.routing import (
-    AnnounceListing,
-    ForgetPins,
-    ForwardedPacket,
-    ForwardHeader,
-    ListingNoted,
-    PinsStored,
-    ReplicatePins,
-)
+from catkinspread.requests import PeerMessage as RequestMessage
+from catkinspread.routing import ForwardedPacket, ForwardHeader, RoutingMessage
 from catkinspread.wire import Answer, Request
 
 
@@ -91,20 +83,15 @@
 
 
 PeerBody = (
-    AnnounceListing
-    | ColdStartNotice
-    | ForgetPins
-    | ForwardedAnswer
+    ColdStartNotice
     | ForwardedPacket
-    | ForwardedRequest
-    | ListingNoted
-    | PinsStored
     | RecordsAsked
     | RecordsFound
     | RelayRefused
     | RelayedAnswer
     | RelayedRequest
-    | ReplicatePins
+    | RequestMessage
+    | RoutingMessage
 )
 
 
--- a/src/catkinspread/instance/request_path.py
+++ b/src/catkinspread/instance/request_path.py
@@ -32,9 +32,8 @@
 from catkinspread.requests import (
     AnswerCaller,
     DeleteBucket,
-    ForwardedAnswer,
-    ForwardedRequest,
     HandlerAction,
+    PeerMessage,
     ReadBucket,
     RequestHandler,
     StoreEvent,
@@ -145,9 +144,7 @@
                 return self._limit(upstream, actions, now_ms)
         return self._packets.carry(caller_packet, now_ms)
 
-    def handle_peer(
-        self, sender: str, message: ForwardedRequest | ForwardedAnswer, now_ms: int
-    ) -> list[Action]:
+    def handle_peer(self, message: PeerMessage, now_ms: int) -> list[Action]:
         """Takes a message of the request handler of another instance."""
         return self._carry(self._handler.handle_peer_message(message, now_ms), now_ms)
 
