Keep the modelled flows clearly within the idle time

Two pauses of the caller around a lost packet left the flow silent for 21.8 s, longer than the idle time of 20 s in the model, after which a flow counts as ended.

--- a/src/catkinspread/bench/cluster.py
+++ b/src/catkinspread/bench/cluster.py
@@ -51,7 +51,7 @@
     late_max_ms: int = 200
     tick_ms: int = 50
     # The idle time is 20 s instead of 300 s, so that a run covers whole transitions; the flows
-    # of the benches are silent for at most 12 s.
+    # of the benches are silent for at most 6 s.
     limits: RoutingLimits = RoutingLimits(flow_idle_timeout_ms=20_000)
 
 
