--- a/src/catkinspread/bench/request_faults.py
+++ b/src/catkinspread/bench/request_faults.py
@@ -83,6 +83,17 @@
     outage_interval_ms: int = 25_000
 
 
+# So many faults that most orders meet several; it finds mistakes, its shares mean nothing.
+STRESS_PLAN = SchedulePlan(
+    duration_ms=60_000,
+    idempotent_share=0.1,
+    death_interval_ms=1_500,
+    pause_interval_ms=600,
+    cut_interval_ms=6_000,
+    outage_interval_ms=8_000,
+)
+
+
 class Schedule(msgspec.Struct, frozen=True):
     """All that is planned for a run, in order of time."""
 
--- a/src/catkinspread/bench/request_world.py
+++ b/src/catkinspread/bench/request_world.py
@@ -73,6 +73,22 @@
     pause_before_send: float = 0.003
 
 
+# Belongs to request_faults.STRESS_PLAN.
+STRESS_RATES = WorldRates(
+    packet_loss=0.05,
+    packet_copy=0.2,
+    packet_late=0.1,
+    answer_crossed=0.02,
+    shed=0.3,
+    slow_run=0.1,
+    store_answer_lost=0.08,
+    store_write_lost=0.08,
+    store_write_late=0.15,
+    store_silent=0.01,
+    pause_before_send=0.03,
+)
+
+
 class Ledger(msgspec.Struct):
     """What really happened.
 
