Spread deaths in 4 bytes each

Change: a heartbeat carries deaths as 32-bit hashes of id and incarnation; while many updates wait, suspicions are told to the suspect only.

--- a/src/catkinspread/membership/heartbeats.py
+++ b/src/catkinspread/membership/heartbeats.py
@@ -55,9 +55,14 @@
         )
         room_bytes = self._max_bytes - measure_encoded_bytes(heartbeat)
         first = None if receiver.state is MemberState.ALIVE else receiver
-        updates, records = self._outbox.take(self._table, first, room_bytes, now_ms)
-        if updates or records:
-            heartbeat = msgspec.structs.replace(heartbeat, updates=updates, records=records)
+        news = self._outbox.take(self._table, first, room_bytes, now_ms)
+        if news.updates or news.records or news.deaths:
+            heartbeat = msgspec.structs.replace(
+                heartbeat,
+                updates=tuple(news.updates),
+                records=tuple(news.records),
+                deaths=news.deaths,
+            )
         return SendMessage(receiver.member, receiver.endpoint, heartbeat)
 
     def _make_reports(self) -> VersionReports | None:
--- a/src/catkinspread/membership/merging.py
+++ b/src/catkinspread/membership/merging.py
@@ -9,8 +9,6 @@
 from catkinspread.membership.settings import MembershipSettings
 from catkinspread.membership.table import MemberTable
 
-_OWN_DEATH_SEND_LIMIT = 3
-
 
 class RecordMerger:
     """Changes the table by received and own findings, and queues them for others.
@@ -68,9 +66,6 @@
             member = self._table.find(target)
             update = MemberUpdate(target, member.incarnation, member.refutation, MemberState.DEAD)
             self.merge_update(update, now_ms, actions)
-            if self._outbox.is_crowded:
-                # Most others have the suspicion and let the same time pass.
-                self._outbox.add(target, _OWN_DEATH_SEND_LIMIT)
 
     def merge_records(
         self,
@@ -126,6 +121,19 @@
         self._table.set_state(update, now_ms)
         self._note_change(update.member, now_ms, actions)
 
+    def merge_deaths(self, deaths: bytes, now_ms: int, actions: list[MembershipAction]) -> None:
+        """Takes over deaths of incarnations that are live here; see `Heartbeat`."""
+        for start in range(0, len(deaths), 4):
+            known = self._table.find_by_hash(int.from_bytes(deaths[start : start + 4], "little"))
+            if known is not None:
+                self.merge_update(
+                    MemberUpdate(
+                        known.member, known.incarnation, known.refutation, MemberState.DEAD
+                    ),
+                    now_ms,
+                    actions,
+                )
+
     def _note_change(
         self,
         member: str,
--- a/src/catkinspread/membership/messages.py
+++ b/src/catkinspread/membership/messages.py
@@ -105,6 +105,8 @@
         reports: What the sender knows of reported versions.
         updates: News of known members.
         records: News of members that may be unknown.
+        deaths: Dead members, 4 bytes each: a hash of id and incarnation. A death is final for
+            an incarnation, so it needs no more; an update takes 24 bytes.
     """
 
     sender: str
@@ -118,6 +120,7 @@
     reports: VersionReports | None = None
     updates: tuple[MemberUpdate, ...] = ()
     records: tuple[MemberRecord, ...] = ()
+    deaths: bytes = b""
 
 
 class ProbeRequest(msgspec.Struct, array_like=True, frozen=True, tag=2):
--- a/src/catkinspread/membership/outbox.py
+++ b/src/catkinspread/membership/outbox.py
@@ -8,7 +8,7 @@
     MemberUpdate,
     measure_encoded_bytes,
 )
-from catkinspread.membership.table import Member, MemberTable
+from catkinspread.membership.table import Member, MemberTable, hash_incarnation
 
 # With many updates waiting, as when a data centre is cut off, each is sent less often; the
 # synchronisation of views repairs what is missed.
@@ -16,6 +16,20 @@
 _CROWDED_COST = 3
 
 
+_DEATH_BYTES = 4
+
+
+class News:
+    """What goes into one heartbeat; see there."""
+
+    __slots__ = ("deaths", "records", "updates")
+
+    def __init__(self) -> None:
+        self.updates: list[MemberUpdate] = []
+        self.records: list[MemberRecord] = []
+        self.deaths = b""
+
+
 class Outbox:
     """Chooses the updates of each heartbeat; every update is sent a limited number of times."""
 
@@ -40,10 +54,8 @@
         self._queue.appendleft(member)
         self._remaining[member] = send_limit
 
-    def take(
-        self, table: MemberTable, first: Member | None, room_bytes: int, now_ms: int
-    ) -> tuple[tuple[MemberUpdate, ...], tuple[MemberRecord, ...]]:
-        """Returns updates and records that fit into a room.
+    def take(self, table: MemberTable, first: Member | None, room_bytes: int, now_ms: int) -> News:
+        """Returns the news that fit into a room.
 
         Args:
             table: Where the states are read.
@@ -51,21 +63,33 @@
             room_bytes: Room in the message.
             now_ms: Time of sending.
         """
-        updates: list[MemberUpdate] = []
-        records: list[MemberRecord] = []
+        news = News()
         if first is not None:
-            updates.append(first.make_update())
-            room_bytes -= measure_encoded_bytes(updates[0])
+            news.updates.append(first.make_update())
+            room_bytes -= measure_encoded_bytes(news.updates[0])
         for _ in range(len(self._queue)):
             known = table.find(self._queue[0])
             if known is not None:
-                item = _choose_form(known, now_ms)
-                room_bytes -= measure_encoded_bytes(item)
+                room_bytes -= self._put(known, news, room_bytes, now_ms)
                 if room_bytes < 0:
                     break
-                (records if isinstance(item, MemberRecord) else updates).append(item)
             self._advance(is_known=known is not None)
-        return tuple(updates), tuple(records)
+        return news
+
+    def _put(self, known: Member, news: News, room_bytes: int, now_ms: int) -> int:
+        """Adds a member if it fits and returns its size in bytes."""
+        if known.state is MemberState.DEAD:
+            if room_bytes >= _DEATH_BYTES:
+                news.deaths += hash_incarnation(known).to_bytes(_DEATH_BYTES, "little")
+            return _DEATH_BYTES
+        if known.state is MemberState.SUSPECT and self.is_crowded:
+            # The suspect itself is told by heartbeats to it; the others need only the death.
+            return 0
+        item = _choose_form(known, now_ms)
+        size_bytes = measure_encoded_bytes(item)
+        if size_bytes <= room_bytes:
+            (news.records if isinstance(item, MemberRecord) else news.updates).append(item)
+        return size_bytes
 
     def _advance(self, is_known: bool) -> None:
         member = self._queue.popleft()
--- a/src/catkinspread/membership/table.py
+++ b/src/catkinspread/membership/table.py
@@ -91,6 +91,11 @@
     return known.incarnation, has_ended, known.refutation, known.state
 
 
+def hash_incarnation(known: Member) -> int:
+    """Returns a 32-bit hash of the id and incarnation of a member."""
+    return hash_text(f"{known.member}\x00{known.incarnation}") & _DIGEST_MASK
+
+
 class MemberTable:
     """All known members, the instance itself included.
 
@@ -104,6 +109,7 @@
         "_ended",
         "_ids_by_bucket",
         "_live",
+        "_live_by_hash",
         "_members",
         "_order",
         "_reported_mask",
@@ -114,6 +120,7 @@
     def __init__(self) -> None:
         self._members: dict[str, Member] = {}
         self._live: dict[str, int] = {}
+        self._live_by_hash: dict[int, str] = {}
         self._digest = 0
         self._buckets = [0] * BUCKET_COUNT
         self._ids_by_bucket: list[set[str]] = [set() for _ in range(BUCKET_COUNT)]
@@ -164,6 +171,11 @@
                 del self._members[member]
                 self._ids_by_bucket[hash_text(member) % BUCKET_COUNT].discard(member)
 
+    def find_by_hash(self, value: int) -> Member | None:
+        """Returns the live member with a hash of id and incarnation."""
+        member = self._live_by_hash.get(value)
+        return None if member is None else self._members[member]
+
     def list_members(self) -> list[Member]:
         """Returns all known members in order of id."""
         return [self._members[member] for member in sorted(self._members)]
@@ -234,7 +246,7 @@
     def _index(self, known: Member, now_ms: int) -> None:
         value = 0
         if known.is_live:
-            value = hash_text(f"{known.member}\x00{known.incarnation}") & _DIGEST_MASK
+            value = hash_incarnation(known)
         else:
             self._ended.append((known.ended_at_ms, known.member))
         old = self._live.get(known.member, 0)
@@ -248,8 +260,10 @@
             self._remove(known.member)
         else:
             self._set_reported(self._find_position(known.member), known.version)
+        self._live_by_hash.pop(old, None)
         if value:
             self._live[known.member] = value
+            self._live_by_hash[value] = known.member
         else:
             del self._live[known.member]
         self.change_count += 1
--- a/src/catkinspread/membership/view.py
+++ b/src/catkinspread/membership/view.py
@@ -302,6 +302,7 @@
         )
         for update in (*message.updates, sender_state):
             self._merger.merge_update(update, now_ms, actions)
+        self._merger.merge_deaths(message.deaths, now_ms, actions)
         sender = self._table.find(message.sender)
         if sender is None:
             return
