--- a/src/catkinspread/membership/tests/test_view.py
+++ b/src/catkinspread/membership/tests/test_view.py
@@ -274,6 +274,45 @@
     assert any(len(message.records) >= 2 for message in sent)
 
 
+def test_mass_death_is_spread_in_few_bytes_and_only_for_its_incarnation():
+    """Guards against a lost data centre that takes minutes to be known, and a false death."""
+    view, other, third = make_view(), make_view("b"), make_view("c")
+    records = [
+        MemberRecord(f"x{i}", START_MS, 0, MemberState.ALIVE, "dc-2", "10.2.0.1", i)
+        for i in range(200)
+    ]
+    for reader in (view, other, third):
+        peers = [peer.own.make_record(START_MS) for peer in (view, other, third)]
+        reader.load(records + peers, START_MS)
+    newer = MemberRecord("x7", START_MS + 5, 0, MemberState.ALIVE, "dc-2", "10.2.0.1", 7)
+    third.load([newer], START_MS)
+    deaths = tuple(MemberUpdate(f"x{i}", START_MS, 0, MemberState.DEAD) for i in range(200))
+    claim = Heartbeat("b", START_MS, 0, MemberState.ALIVE, 0, 1, False, 0, None, deaths)
+    view.handle(claim, START_MS + 10)
+    question = Heartbeat("c", START_MS, 0, MemberState.ALIVE, 0, 1, False, 0)
+    for _ in range(5):
+        reply = list_heartbeats(view.handle(question, START_MS + 20))[-1]
+        assert len(encode_membership_message(reply)) <= 241
+        assert len(reply.deaths) >= 4 * 40
+        third.handle(reply, START_MS + 30)
+    assert third.list_live() == ["a", "b", "c", "x7"]
+
+
+def test_sender_with_an_unknown_incarnation_gets_a_reply():
+    """Guards against a storm of false suspicions while a partition heals."""
+    view, _ = make_pair()
+    heartbeat = Heartbeat("b", START_MS + 9, 0, MemberState.ALIVE, 0, 5, False, 0)
+    (reply,) = list_heartbeats(view.handle(heartbeat, START_MS + 10))[:1]
+    assert (reply.is_reply, reply.sequence) == (True, 5)
+    assert view.find_live("b") == OwnerMember("b", START_MS + 9)
+    moved = MemberRecord("b", START_MS + 9, 0, MemberState.ALIVE, "dc-1", "10.0.0.77", 9001)
+    heartbeat = Heartbeat(
+        "b", START_MS + 9, 0, MemberState.ALIVE, 0, 6, False, 0, None, (), (moved,)
+    )
+    view.handle(heartbeat, START_MS + 20)
+    assert view.find_member("b").endpoint == Endpoint("10.0.0.77", 9001)
+
+
 def test_datagrams_are_checked():
     """Guards against a crash or a wrong view from foreign or damaged datagrams."""
     view, _ = make_pair()
