Start operations from the replica and the end of the log

Cause: a service replayed the whole log before its first statement. An entry that completes a removal sets the upstream first, so that its endpoint can be read from the entry alone.

--- a/src/catkinspread/operations/compiler.py
+++ b/src/catkinspread/operations/compiler.py
@@ -101,8 +101,11 @@
         context: Live members and the size of steps.
     """
     plan = plan_moves(configuration, services, context)
-    removals = find_completed_removals(configuration, context.idle_since_ms, context.now_ms)
-    return (*removals, *plan.effects)
+    effects: list[Effect] = []
+    for removal in find_completed_removals(configuration, context.idle_since_ms, context.now_ms):
+        # The entry tells the endpoint, so that its quarantine can be read from the entry alone.
+        effects += [UpstreamSet(configuration.upstreams[removal.name]), removal]
+    return (*effects, *plan.effects)
 
 
 def _complete(
--- a/src/catkinspread/operations/context.py
+++ b/src/catkinspread/operations/context.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from catkinspread.configuration import ChangeEntry, UpstreamRemoved
+from catkinspread.configuration import ChangeEntry, UpstreamRemoved, UpstreamSet
 from catkinspread.model import Configuration, Endpoint, OwnerMember
 
 # Packets of a removed upstream may still be under way to its endpoint this long; another
@@ -48,6 +48,8 @@
 ) -> dict[Endpoint, RemovedEndpoint]:
     """Returns the endpoints in quarantine after an entry.
 
+    An entry that completes a removal sets the upstream first, so it tells the endpoint itself.
+
     Args:
         removed: The endpoints in quarantine before.
         before: The configuration before the entry.
@@ -58,8 +60,13 @@
         return removed
     oldest_ms = entry.written_at_ms - ENDPOINT_QUARANTINE_MS
     kept = {endpoint: item for endpoint, item in removed.items() if item.removed_at_ms > oldest_ms}
+    stated = {
+        effect.upstream.name: effect.upstream
+        for effect in entry.effects
+        if isinstance(effect, UpstreamSet)
+    }
     for name in gone:
-        upstream = before.upstreams.get(name)
+        upstream = stated.get(name) or before.upstreams.get(name)
         if upstream is not None:
             kept[upstream.endpoint] = RemovedEndpoint(upstream.service, entry.written_at_ms)
     return kept
--- a/src/catkinspread/operations/service.py
+++ b/src/catkinspread/operations/service.py
@@ -9,6 +9,7 @@
 
 from catkinspread.clock import Clock
 from catkinspread.configuration import Effect, EntryError, encode_entry
+from catkinspread.model import Configuration
 from catkinspread.objectstore import (
     VALUE_MAX_BYTES,
     AppendLog,
@@ -40,6 +41,7 @@
 from catkinspread.operations.query_runner import QueryRunner, describe_effects
 from catkinspread.operations.refusals import Refusal, RefusalLog
 from catkinspread.operations.replies import Reply
+from catkinspread.operations.seeding import seed_state
 from catkinspread.operations.state import OperationsState, advance_state, build_entry
 
 # Automatic steps may come first this often before a command gives up.
@@ -57,7 +59,9 @@
 class OperationsService:
     """Executes statements; any number of them may run at the same time.
 
-    Any instance can run one, because changes are ordered by the log alone.
+    Any instance can run one, because changes are ordered by the log alone. It starts from the
+    configuration that `read_replica` returns and the end of the log, or replays the log if that
+    has version 0.
 
     Attributes:
         refusals: Refused commands; the owner of the service runs `refusals.run()`.
@@ -70,6 +74,7 @@
         "_log",
         "_make_id",
         "_queries",
+        "_read_replica",
         "_state",
         "_step_slots",
         "refusals",
@@ -83,6 +88,7 @@
         clock: Clock,
         make_id: Callable[[], str] = lambda: uuid.uuid4().hex,
         step_slots: int | None = None,
+        read_replica: Callable[[], Configuration] = Configuration,
     ) -> None:
         self.refusals = RefusalLog(store, make_id)
         self._log = AppendLog(store, CONFIGURATION_LOG)
@@ -93,6 +99,7 @@
         self._make_id = make_id
         self._step_slots = step_slots
         self._state = OperationsState()
+        self._read_replica = read_replica
 
     async def execute(self, token: str, text: str) -> Result[Reply, OperationsError]:
         """Executes one statement.
@@ -160,11 +167,20 @@
         return Error(error)
 
     async def _refresh(self) -> OperationsState:
+        if self._state.version == 0:
+            await self._seed()
         while page := await self._log.read_after(self._state.version):
             for item in page:
                 self._apply(item)
         return self._state
 
+    async def _seed(self) -> None:
+        replica = self._read_replica()
+        if replica.version > 0:
+            state = await seed_state(self._log, replica, self._clock.now_ms())
+            if state.version > self._state.version:
+                self._state = state
+
     def _apply(self, item: LogEntry) -> None:
         # Another statement may have applied the entry while this one was reading.
         if item.index == self._state.version + 1:
--- a/src/catkinspread/operations/state.py
+++ b/src/catkinspread/operations/state.py
@@ -10,7 +10,7 @@
 from catkinspread.operations.removals import note_idle_removals
 
 # Enough to name who came first in a race; older changes are read from the log.
-_RECENT_MAX = 64
+RECENT_MAX = 64
 
 
 class OperationsState(msgspec.Struct, frozen=True):
@@ -54,20 +54,20 @@
     """
     entry = decode_entry(item.payload)
     configuration = apply_entry(state.configuration, item.index, entry)
-    services = _find_services(state.configuration, entry)
+    services = find_services(state.configuration, entry)
     summary = Change(item.index, msgspec.structs.replace(entry, effects=()))
     return OperationsState(
         configuration=configuration,
         last_hash=hash_payload(item.payload),
         last_written_at_ms=max(state.last_written_at_ms, entry.written_at_ms),
         removed_endpoints=note_removals(state.removed_endpoints, state.configuration, entry),
-        recent=(*state.recent, summary)[-_RECENT_MAX:],
+        recent=(*state.recent, summary)[-RECENT_MAX:],
         due_services=state.due_services | services,
         idle_since_ms=note_idle_removals(state.idle_since_ms, configuration, entry, services),
     )
 
 
-def _find_services(before: Configuration, entry: ChangeEntry) -> frozenset[str]:
+def find_services(before: Configuration, entry: ChangeEntry) -> frozenset[str]:
     """Returns the services whose slots may have to move after an entry."""
     objects = list_objects(entry)
     data_centres = {item.name for item in objects if item.kind == "data-centre"}
--- a/src/catkinspread/operations/tests/fakes.py
+++ b/src/catkinspread/operations/tests/fakes.py
@@ -83,10 +83,17 @@
         return [RecordLine(START_MS, "brum-1", 5, "c1", detail)] if request_id == "r1" else []
 
 
-def build_service(store: ObjectStore, clock: ManualClock, name: str = "id") -> OperationsService:
+def build_service(
+    store: ObjectStore, clock: ManualClock, name: str = "id", read_replica=Configuration
+) -> OperationsService:
     numbers = iter(range(1, 1_000_000))
     return OperationsService(
-        store, ACCESS, FakeFleet(), clock, make_id=lambda: f"{name}-{next(numbers)}"
+        store,
+        ACCESS,
+        FakeFleet(),
+        clock,
+        make_id=lambda: f"{name}-{next(numbers)}",
+        read_replica=read_replica,
     )
 
 
--- a/src/catkinspread/operations/tests/test_compiler.py
+++ b/src/catkinspread/operations/tests/test_compiler.py
@@ -5,7 +5,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from catkinspread.configuration import DataCentreSet, SlotsListed, SlotsMoved, UpstreamRemoved
+from catkinspread.configuration import (
+    DataCentreSet,
+    SlotsListed,
+    SlotsMoved,
+    UpstreamRemoved,
+    UpstreamSet,
+)
 from catkinspread.model import SLOT_COUNT, Endpoint, OwnerMember, UpstreamState
 from catkinspread.operations import (
     ENDPOINT_QUARANTINE_MS,
@@ -151,7 +157,8 @@
     table = msgspec.structs.replace(table, bases=bases)
     tables = {**configuration.slot_tables, "catalogue": table}
     configuration = msgspec.structs.replace(configuration, slot_tables=tables)
-    assert compile_next_step(configuration, (), context) == (UpstreamRemoved("c1"),)
+    effects = UpstreamSet(configuration.upstreams["c1"]), UpstreamRemoved("c1")
+    assert compile_next_step(configuration, (), context) == effects
 
 
 def test_removal_of_an_upstream_without_slots_completes_at_once():
--- a/src/catkinspread/operations/tests/test_service.py
+++ b/src/catkinspread/operations/tests/test_service.py
@@ -8,6 +8,7 @@
 from catkinspread.configuration import (
     SlotsListed,
     UpstreamRemoved,
+    UpstreamSet,
     encode_entry,
 )
 from catkinspread.objectstore import AppendLog, MemoryObjectStore
@@ -26,6 +27,7 @@
 from catkinspread.operations.state import build_entry
 from catkinspread.operations.tests.fakes import (
     SETUP,
+    START_MS,
     SilentStore,
     build_configured,
     build_service,
@@ -238,12 +240,44 @@
         while await other.advance("instance/brum-2"):
             pass
         last = (await read_entries(store))[-1]
-        assert (last.actor, last.effects) == ("instance/brum-1", (UpstreamRemoved("t1"),))
+        effects = UpstreamSet(state.configuration.upstreams["t1"]), UpstreamRemoved("t1")
+        assert (last.actor, last.effects) == ("instance/brum-1", effects)
         assert "complete and unchanged" in (await state_all(other, "verify changes")).notes[0]
 
     run(scenario)
 
 
+def test_state_from_a_replica_equals_the_replayed_one():
+    """Guards against a new instance that breaks the chain, forgets a race or never removes."""
+
+    async def scenario(clock: ManualClock) -> None:
+        store, service = await build_configured(clock)
+        await state_all(service, "remove upstream t1")
+        await append_list(store, await service._refresh(), clock, {"t1": (7,)})
+        clock.advance(FLOW_LIFETIME_MAX_MS // 2)
+        for number in range(300):
+            clock.advance(1)
+            await state_all(service, f"set weight of c1 to {number}")
+        replayed = await build_service(store, clock)._refresh()
+        seeded = build_service(store, clock, "b", lambda: replayed.configuration)
+        state = await seeded._refresh()
+        for name in ("last_hash", "last_written_at_ms", "removed_endpoints", "recent"):
+            assert getattr(state, name) == getattr(replayed, name)
+        assert state.idle_since_ms == replayed.idle_since_ms == {"t1": START_MS}
+        reads = store.read_count
+        assert (await seeded._refresh()) is state
+        assert store.read_count == reads + 1
+        # The entry that made t1 idle is now older than what is read from the log.
+        clock.advance(FLOW_LIFETIME_MAX_MS)
+        late = build_service(store, clock, "c", lambda: replayed.configuration)
+        while await late.advance("instance/brum-1"):
+            pass
+        assert "t1" not in (await late._refresh()).configuration.upstreams
+        assert "complete and unchanged" in (await state_all(late, "verify changes")).notes[0]
+
+    run(scenario)
+
+
 async def append_list(store, state, clock, exceptions) -> None:
     """Appends the end of all transitions of templates, as an owner does."""
     slots = tuple(sorted(state.configuration.slot_tables["templates"].transitions))
@@ -286,9 +320,12 @@
             "add upstream x to other in brum at 10.5.0.1:1 weight 0",
             "remove upstream x",
         )
+        replica = (await service._refresh()).configuration
+        seeded = build_service(store, clock, "c", lambda: replica)
         fresh = build_service(store, clock, "b")
         text = "add upstream y to templates in brum at 10.5.0.1:1 weight 0"
         assert "until recently" in (await refuse(fresh, text)).message
+        assert "until recently" in (await refuse(seeded, text)).message
         clock.advance(ENDPOINT_QUARANTINE_MS)
         await state_all(fresh, text)
 
