--- a/src/catkinspread/emulator/tests/test_platform_server.py
+++ b/src/catkinspread/emulator/tests/test_platform_server.py
@@ -1,6 +1,7 @@
 """Tests of the stand-in platform with the HTTP client over loopback."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import anyio
 import httpx
@@ -30,20 +31,21 @@
 
 
 class Platform:
-    """A running stand-in with its clock, its objects and its URL."""
+    """A running stand-in with its clock and its URL."""
 
-    def __init__(self, endpoint: Endpoint, store: MemoryObjectStore, clock: ManualClock) -> None:
+    def __init__(self, endpoint: Endpoint, clock: ManualClock) -> None:
         self.endpoint = endpoint
-        self.store = store
         self.clock = clock
         self.url = f"http://{endpoint}"
 
-    def set_faults(self, **faults: object) -> None:
+    async def set_faults(self, **faults: object) -> None:
         body = msgspec.msgpack.encode(PlatformFaults(**faults))
-        assert httpx.put(f"{self.url}/control/faults", content=body).status_code == 204
+        async with httpx.AsyncClient(base_url=self.url) as raw:
+            assert (await raw.put("/control/faults", content=body)).status_code == 204
 
-    def read_counters(self) -> PlatformCounters:
-        answer = httpx.get(f"{self.url}/control/counters")
+    async def read_counters(self) -> PlatformCounters:
+        async with httpx.AsyncClient(base_url=self.url) as raw:
+            answer = await raw.get("/control/counters")
         return msgspec.msgpack.decode(answer.content, type=PlatformCounters)
 
 
@@ -53,21 +55,10 @@
     **settings: int,
 ) -> None:
     async def run() -> None:
-        store, clock = MemoryObjectStore(), ManualClock()
+        clock = ManualClock()
+        serve = partial(run_platform, "127.0.0.1", 0, PlatformSettings(**settings), clock=clock)
         async with anyio.create_task_group() as tasks:
-
-            async def serve(*, task_status):
-                await run_platform(
-                    "127.0.0.1",
-                    0,
-                    PlatformSettings(**settings),
-                    store=store,
-                    clock=clock,
-                    task_status=task_status,
-                )
-
-            endpoint = await tasks.start(serve)
-            platform = Platform(endpoint, store, clock)
+            platform = Platform(await tasks.start(serve), clock)
             async with HttpObjectStore(platform.url, answer_timeout_ms=answer_timeout_ms) as client:
                 await scenario(platform, client)
             tasks.cancel_scope.cancel()
@@ -75,14 +66,6 @@
     anyio.run(run)
 
 
-async def set_faults(platform: Platform, **faults: object) -> None:
-    await anyio.to_thread.run_sync(lambda: platform.set_faults(**faults))
-
-
-async def read_counters(platform: Platform) -> PlatformCounters:
-    return await anyio.to_thread.run_sync(platform.read_counters)
-
-
 def test_calls_have_the_results_of_the_memory_store():
     """Guards against a mapping that confuses absent, taken and changed objects."""
 
@@ -126,11 +109,11 @@
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(wait)
-            while (await read_counters(platform)).waiting_watches == 0:
+            while (await platform.read_counters()).waiting_watches == 0:
                 await anyio.sleep(0.001)
             await client.create("log/2", b"x")
         assert [stored.key for stored in found] == ["log/2"]
-        assert (await read_counters(platform)).read_count == 1
+        assert (await platform.read_counters()).read_count == 1
 
     run_with_platform(scenario)
 
@@ -140,9 +123,9 @@
 
     async def scenario(platform: Platform, client: HttpObjectStore) -> None:
         log = AppendLog(client, "log")
-        await set_faults(platform, lost_answers=1)
+        await platform.set_faults(lost_answers=1)
         assert await log.append(1, "a", b"") is AppendOutcome.WRITTEN
-        await set_faults(platform, lost_writes=1)
+        await platform.set_faults(lost_writes=1)
         with pytest.raises(OutcomeUnknown):
             await log.append(2, "b", b"")
         assert [entry.entry_id for entry in await log.read_after(0)] == ["a"]
@@ -154,7 +137,7 @@
     """Guards against a slow write that is taken for one that had no effect."""
 
     async def scenario(platform: Platform, client: HttpObjectStore) -> None:
-        await set_faults(platform, delay_ms=60_000)
+        await platform.set_faults(delay_ms=60_000)
         with pytest.raises(StoreUnavailable):
             await client.get("a")
         with pytest.raises(OutcomeUnknown):
@@ -172,13 +155,13 @@
             await client.create("b", b"")
         platform.clock.advance(1_000)
         await client.create("b", b"")
-        await set_faults(platform, is_down=True)
+        await platform.set_faults(is_down=True)
         platform.clock.advance(1_000)
         with pytest.raises(StoreUnavailable):
             await client.create("c", b"")
-        await set_faults(platform)
+        await platform.set_faults()
         assert [stored.key for stored in await client.scan("")] == ["a", "b"]
-        counters = await read_counters(platform)
+        counters = await platform.read_counters()
         assert (counters.write_count, counters.refused_count) == (4, 1)
 
     run_with_platform(scenario, writes_per_s=1)
@@ -202,7 +185,7 @@
     """Guards against an early end of a watch that is reported as an error."""
 
     async def scenario(platform: Platform, client: HttpObjectStore) -> None:
-        await set_faults(platform, watch_end_ms=0)
+        await platform.set_faults(watch_end_ms=0)
         assert await client.watch("a", "", 60_000) == []
 
     run_with_platform(scenario)
--- a/src/catkinspread/operations/tests/test_compiler.py
+++ b/src/catkinspread/operations/tests/test_compiler.py
@@ -1,5 +1,7 @@
 """Tests of the compiler: what each command changes and what it refuses."""
 
+from collections import Counter
+
 import msgspec
 import pytest
 from hypothesis import given, settings
@@ -38,11 +40,7 @@
 
 def count_slots(configuration, service):
     table = configuration.slot_tables[service]
-    counts = {}
-    for slot in range(SLOT_COUNT):
-        name = current_upstream(table, slot)
-        counts[name] = counts.get(name, 0) + 1
-    return counts
+    return Counter(current_upstream(table, slot) for slot in range(SLOT_COUNT))
 
 
 @pytest.mark.parametrize(
