--- a/src/catkinspread/operations/tests/test_compiler.py
+++ b/src/catkinspread/operations/tests/test_compiler.py
@@ -1,11 +1,19 @@
 """Tests of the compiler: what each command changes and what it refuses."""
 
+from collections import Counter
+
 import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from catkinspread.configuration import DataCentreSet, SlotsListed, SlotsMoved, UpstreamRemoved
+from catkinspread.configuration import (
+    DataCentreSet,
+    SlotsListed,
+    SlotsMoved,
+    UpstreamRemoved,
+    UpstreamSet,
+)
 from catkinspread.model import SLOT_COUNT, Endpoint, OwnerMember, UpstreamState
 from catkinspread.operations import (
     ENDPOINT_QUARANTINE_MS,
@@ -32,11 +40,7 @@
 
 def count_slots(configuration, service):
     table = configuration.slot_tables[service]
-    counts = {}
-    for slot in range(SLOT_COUNT):
-        name = current_upstream(table, slot)
-        counts[name] = counts.get(name, 0) + 1
-    return counts
+    return Counter(current_upstream(table, slot) for slot in range(SLOT_COUNT))
 
 
 @pytest.mark.parametrize(
@@ -151,7 +155,8 @@
     table = msgspec.structs.replace(table, bases=bases)
     tables = {**configuration.slot_tables, "catalogue": table}
     configuration = msgspec.structs.replace(configuration, slot_tables=tables)
-    assert compile_next_step(configuration, (), context) == (UpstreamRemoved("c1"),)
+    effects = UpstreamSet(configuration.upstreams["c1"]), UpstreamRemoved("c1")
+    assert compile_next_step(configuration, (), context) == effects
 
 
 def test_removal_of_an_upstream_without_slots_completes_at_once():
