Correct figures in comments

Change: compression levels, memory of bases per slot, and the byte budget of membership. Conclusion: comments match measurements.

--- a/src/catkinspread/configuration/snapshot.py
+++ b/src/catkinspread/configuration/snapshot.py
@@ -1,7 +1,7 @@
 """The stored form of a whole configuration.
 
 Slots are stored as one or two bytes each. Equal bases of a table share one object after
-decoding: one object per slot would take more than 100 MB at 960 services.
+decoding: one object per slot took 60 MB at 960 services.
 """
 
 import array
@@ -27,7 +27,7 @@
 # Below the platform's largest value of 1 MB, with room for the frame.
 SNAPSHOT_PART_BYTES = 900_000
 SNAPSHOT_PERIOD = 256
-# Level 1 takes a third of the time of the default level for about 10% more bytes.
+# At 960 services level 1 takes 0.04 s for 566 KB, the default level 0.22 s for 527 KB.
 _COMPRESSION_LEVEL = 1
 _NARROW_MAX = 256
 
--- a/src/catkinspread/membership/settings.py
+++ b/src/catkinspread/membership/settings.py
@@ -10,7 +10,8 @@
 
     Each heartbeat is replied to, so an instance sends and receives 8 messages a second. When
     all are full, as while a partition heals, these take 8 x (240 + 28) = 2,144 bytes/s with
-    headers, heartbeats to dead members 357, urgent ones 270 and synchronisation 220.
+    headers, heartbeats to dead members 357, urgent ones 268 and synchronisation 245,
+    which is 3,014 at most; quiet traffic is 500 bytes/s.
 
     Attributes:
         local_period_ms: Time between heartbeats to the own data centre.
@@ -24,7 +25,8 @@
         suspicion_ms: Time from suspicion to death. With the two timeouts above it makes 2,000 ms
             of failed probes.
         urgent_fan_out: How many random peers get news of a suspicion, death, refutation or
-            leave at once. Without this, the last of 640 instances knew a death after 6.4 s.
+            leave at once. Without this, the last of 640 instances knew a death 2.4 s after the first
+            one instead of 0.5 s.
         urgent_burst: How many times in a row that is allowed.
         urgent_refill_ms: Time until it is allowed once more; bounds the bytes when many
             instances fail together.
