State that the byte budget is a sustained one

Cause: the comment called the sum a maximum. Change: comment only. Conclusion: none beyond the text.

--- a/src/catkinspread/membership/settings.py
+++ b/src/catkinspread/membership/settings.py
@@ -11,7 +11,7 @@
     Each heartbeat is replied to, so an instance sends and receives 8 messages a second. When
     all are full, as while a partition heals, these take 8 x (240 + 28) = 2,144 bytes/s with
     headers, heartbeats to dead members 357, urgent ones 268 and synchronisation 245,
-    which is 3,014 at most; quiet traffic is 500 bytes/s.
+    in sum 3,014 bytes/s; single seconds exceed it. Quiet traffic is 500 bytes/s.
 
     Attributes:
         local_period_ms: Time between heartbeats to the own data centre.
