--- a/src/catkinspread/bench/decisions.py
+++ b/src/catkinspread/bench/decisions.py
@@ -14,7 +14,7 @@
 from catkinspread.routing import MemberView, PacketKind, RoutingLimits, SlotRouter
 
 _FLOWS = 100_000
-_ROUNDS = 3
+_ROUNDS = 9
 _SERVICE = "recipe-desk"
 _MEMBER = OwnerMember("i1", 1)
 _START_MS = 1_000_000
@@ -22,14 +22,21 @@
 _LONG_SHARE = 8
 
 
-def _measure_rate(decide: Callable[[int], object], flows: list[int]) -> float:
-    """Returns decisions a second of processor time; the best of several rounds."""
-    best = 0.0
+def _measure_rates(
+    cases: dict[str, tuple[Callable[[int], object], list[int]]],
+) -> dict[str, float]:
+    """Returns decisions a second of processor time by case; the best of several rounds.
+
+    The cases take turns in each round, because the speed of a shared core changes by more than
+    two times within seconds.
+    """
+    best = dict.fromkeys(cases, 0.0)
     for _ in range(_ROUNDS):
-        start = time.process_time()
-        for flow in flows:
-            decide(flow)
-        best = max(best, len(flows) / (time.process_time() - start))
+        for name, (decide, flows) in cases.items():
+            start = time.process_time()
+            for flow in flows:
+                decide(flow)
+            best[name] = max(best[name], len(flows) / (time.process_time() - start))
     return best
 
 
@@ -107,15 +114,20 @@
     listed_router = _build_router(listed)
     exceptions = sum(base.exception_count for base in listed.slot_tables[_SERVICE].bases)
     data = PacketKind.DATA
-    rates = {
-        "plain": _measure_rate(lambda flow: plain.route(data, _SERVICE, flow, _START_MS), flows),
-        "pinned": _measure_rate(lambda flow: owner.route(data, _SERVICE, flow, now_ms), moved),
-        "listed": _measure_rate(
-            lambda flow: listed_router.route(data, _SERVICE, flow, _START_MS), moved
-        ),
-    }
-    modulo_rate = _measure_rate(lambda flow: upstreams[flow % len(upstreams)], flows)
-    table_rate = _measure_rate(table.get, flows)
+    rates = _measure_rates(
+        {
+            "plain": (lambda flow: plain.route(data, _SERVICE, flow, _START_MS), flows),
+            "pinned": (lambda flow: owner.route(data, _SERVICE, flow, now_ms), moved),
+            "listed": (
+                lambda flow: listed_router.route(data, _SERVICE, flow, _START_MS),
+                moved,
+            ),
+            "modulo": (lambda flow: upstreams[flow % len(upstreams)], flows),
+            "table": (lambda flow: table.get(flow), flows),
+        }
+    )
+    modulo_rate = rates.pop("modulo")
+    table_rate = rates.pop("table")
     table_flow_bytes = table_bytes / len(flows)
     figures = {f"{name}_decisions_per_s": round(rate) for name, rate in rates.items()}
     figures.update(
