--- a/src/catkinspread/bench/tests/test_broken_flows.py
+++ b/src/catkinspread/bench/tests/test_broken_flows.py
@@ -33,4 +33,5 @@
     limits = RoutingLimits(hold_min_ms=0, hold_max_ms=600, flow_idle_timeout_ms=1_000)
     options = ClusterOptions(limits=limits)
     scenario = Scenario((Change.DRAIN,), 0, Fault.NONE, 0)
-    assert run_scenario(KALAHARI, scenario, seed=7, options=options, flows=300).broken > 0
+    # About 1 in 100 flows is on the moved slots when the list is made.
+    assert run_scenario(KALAHARI, scenario, seed=7, options=options, flows=1_500).broken > 0
--- a/src/catkinspread/routing/__init__.py
+++ b/src/catkinspread/routing/__init__.py
@@ -14,6 +14,7 @@
     SendMessage,
     SendToUpstream,
 )
+from catkinspread.routing.figures import OwnerFigures
 from catkinspread.routing.groups import GROUP_SIZE, LiveMembers, MemberView, choose_group
 from catkinspread.routing.limits import RoutingLimits
 from catkinspread.routing.messages import (
@@ -28,7 +29,7 @@
     ReplicatePins,
     RoutingMessage,
 )
-from catkinspread.routing.owner import OwnerFigures, TransitionOwner
+from catkinspread.routing.owner import TransitionOwner
 from catkinspread.routing.planner import count_shares, current_upstream, plan_slots, plan_step
 from catkinspread.routing.router import SlotRouter
 from catkinspread.routing.status import can_carry, count_exceptions, is_unused
--- a/src/catkinspread/routing/owner.py
+++ b/src/catkinspread/routing/owner.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Iterable
 
-import msgspec
-
 from catkinspread.model import SLOT_COUNT, Configuration, OwnerMember
 from catkinspread.routing.actions import (
     AwaitPins,
@@ -18,6 +16,7 @@
 )
 from catkinspread.routing.answers import is_draining, resolve_upstream
 from catkinspread.routing.batches import Batch, BatchTable, Phase
+from catkinspread.routing.figures import OwnerFigures
 from catkinspread.routing.groups import LiveMembers
 from catkinspread.routing.limits import RoutingLimits
 from catkinspread.routing.listing import ListingSteps
@@ -35,15 +34,6 @@
 from catkinspread.routing.replication import FlowKey, PinReplicator, group_flows
 
 
-class OwnerFigures(msgspec.Struct):
-    """Counters of a transition owner since its start."""
-
-    takeovers: int = 0
-    orphaned_groups: int = 0
-    listings_blocked: int = 0
-    pins_adopted: int = 0
-
-
 class TransitionOwner:
     """Decides for flows of slots in transition and moves transitions through their phases.
 
