--- a/src/catkinspread/requests/identity.py
+++ b/src/catkinspread/requests/identity.py
@@ -7,8 +7,9 @@
 from catkinspread.wire import Request
 
 SHARD_COUNT = 16
-BUCKET_MS = 60_000
-_MINUTE_DIGITS = 10
+# Every claim rewrites its bucket, so the bytes per order grow with the time a bucket covers.
+BUCKET_MS = 5_000
+_PERIOD_DIGITS = 11
 
 
 class RequestIdentity(msgspec.Struct, array_like=True, frozen=True, order=True):
@@ -35,16 +36,16 @@
 
     Attributes:
         shard: Claim shard, from 0 to SHARD_COUNT - 1.
-        minute: `issued_at_ms` of its requests in whole minutes.
+        period: `issued_at_ms` of its requests in whole multiples of BUCKET_MS.
     """
 
     shard: int
-    minute: int
+    period: int
 
     @property
     def key(self) -> str:
         """The key of the bucket object in the object store."""
-        return f"claims/{self.shard:02d}/{self.minute:0{_MINUTE_DIGITS}d}"
+        return f"claims/{self.shard:02d}/{self.period:0{_PERIOD_DIGITS}d}"
 
 
 def identify_request(request: Request) -> RequestIdentity:
--- a/src/catkinspread/requests/sweeper.py
+++ b/src/catkinspread/requests/sweeper.py
@@ -6,20 +6,20 @@
 
 # A bucket stays this much longer than its requests may run. It is far above the clock skew,
 # and a call that the store delays cannot bring back a bucket that still matters.
-_MARGIN_MS = 2 * BUCKET_MS
+_MARGIN_MS = 120_000
 # An instance that becomes the claimer of a shard looks this far back for buckets that nobody
 # deleted. Older ones stay until an operator removes them.
-_CATCH_UP_MINUTES = 60
+_CATCH_UP_PERIODS = 3_600_000 // BUCKET_MS
 
 
 class BucketSweeper:
-    """Walks over the minutes of each shard, at most one bucket for each shard and call."""
+    """Walks over the periods of each shard, at most one bucket for each shard and call."""
 
-    __slots__ = ("_next_minute", "_parameters")
+    __slots__ = ("_next_period", "_parameters")
 
     def __init__(self, parameters: RequestParameters) -> None:
         self._parameters = parameters
-        self._next_minute = [-1] * SHARD_COUNT
+        self._next_period = [-1] * SHARD_COUNT
 
     def sweep(self, shards: frozenset[int], now_ms: int) -> list[DeleteBucket]:
         """Returns the next buckets to delete in the shards that this instance serves.
@@ -31,11 +31,11 @@
         actions: list[DeleteBucket] = []
         for shard in range(SHARD_COUNT):
             if shard not in shards:
-                self._next_minute[shard] = -1
+                self._next_period[shard] = -1
                 continue
-            if self._next_minute[shard] < 0:
-                self._next_minute[shard] = max(0, last - _CATCH_UP_MINUTES)
-            if self._next_minute[shard] <= last:
-                actions.append(DeleteBucket(BucketId(shard, self._next_minute[shard])))
-                self._next_minute[shard] += 1
+            if self._next_period[shard] < 0:
+                self._next_period[shard] = max(0, last - _CATCH_UP_PERIODS)
+            if self._next_period[shard] <= last:
+                actions.append(DeleteBucket(BucketId(shard, self._next_period[shard])))
+                self._next_period[shard] += 1
         return actions
--- a/src/catkinspread/requests/tests/test_handler.py
+++ b/src/catkinspread/requests/tests/test_handler.py
@@ -9,6 +9,7 @@
 from catkinspread.model import OwnerMember
 from catkinspread.objectstore import MemoryObjectStore
 from catkinspread.requests import (
+    BUCKET_MS,
     AnswerCaller,
     BucketConflicted,
     BucketId,
@@ -217,10 +218,10 @@
 def test_sweeper_deletes_only_buckets_beyond_the_claim_window():
     """Guards against a claim that is deleted while a copy of its request may still run."""
     sweeper = BucketSweeper(RequestParameters())
-    actions = [sweeper.sweep(frozenset([3]), START_MS) for _ in range(100)]
-    minutes = [action.bucket.minute for batch in actions for action in batch]
-    assert len(minutes) == 61
-    assert max(minutes) * 60_000 + 60_000 <= START_MS - 3_600_000 - 120_000
+    actions = [sweeper.sweep(frozenset([3]), START_MS) for _ in range(1_000)]
+    periods = [action.bucket.period for batch in actions for action in batch]
+    assert len(periods) == 3_600_000 // BUCKET_MS + 1
+    assert max(periods) * BUCKET_MS + BUCKET_MS <= START_MS - 3_600_000 - 120_000
 
 
 def test_removed_timers_do_not_fill_the_memory():
