--- a/src/catkinspread/instance/admissions.py
+++ b/src/catkinspread/instance/admissions.py
@@ -4,6 +4,7 @@
 from catkinspread.limits import (
     Action,
     AdmissionController,
+    ColdStartNotice,
     KnownInstances,
     LimitsInForce,
     RampRates,
@@ -41,6 +42,15 @@
         controller = self._controllers.get(upstream)
         return None if controller is None else controller.describe_limits(now_ms)
 
+    def list_notices(self, now_ms: int) -> list[ColdStartNotice]:
+        """Returns the cold starts that the configuration does not tell and that still matter."""
+        notices = []
+        for controller in self._controllers.values():
+            notice = controller.build_notice()
+            if notice.sequence and controller.describe_limits(now_ms).is_warming:
+                notices.append(notice)
+        return notices
+
     def update(self, now_ms: int) -> list[tuple[str, Action]]:
         """Takes rates and cold starts of a new configuration.
 
--- a/src/catkinspread/instance/core.py
+++ b/src/catkinspread/instance/core.py
@@ -95,6 +95,9 @@
         actions = self._own(self.world.router.set_members(members, now_ms), now_ms)
         if {view.member for view in members} != before:
             actions += self.requests.update_members(now_ms)
+        for view in members:
+            if view.member not in before and view.name != self.world.member.instance:
+                actions += self.requests.greet(view.name, now_ms)
         return actions
 
     def handle_caller(self, fabric_packet: FabricPacket, now_ms: int) -> list[Action]:
--- a/src/catkinspread/instance/request_path.py
+++ b/src/catkinspread/instance/request_path.py
@@ -211,6 +211,11 @@
         live = frozenset(view.member for view in self._world.members.values())
         return self._carry(self._handler.set_live_instances(live, now_ms), now_ms)
 
+    def greet(self, instance: str, now_ms: int) -> list[Action]:
+        """Tells an instance that has joined which upstreams became cold without a change."""
+        notices = self._admissions.list_notices(now_ms)
+        return [SendToPeer(instance, notice) for notice in notices]
+
     def update_configuration(self, now_ms: int) -> list[Action]:
         """Takes a new configuration."""
         actions: list[Action] = []
