--- a/src/catkinspread/demo/scenario.py
+++ b/src/catkinspread/demo/scenario.py
@@ -128,7 +128,7 @@
         inside = self._list_upstreams(data_centre)
         latest_ms = max(site.upstreams[name].last_packet_ms for name in inside)
         await anyio.sleep(1.0)
-        self._findings.out_ms = latest_ms - taken_ms
+        self._findings.out_ms = max(0, latest_ms - taken_ms)
         self._findings.late_to_out = sum(
             site.upstreams[name].last_packet_ms > taken_ms + CHANGE_BOUND_MS for name in inside
         )
--- a/src/catkinspread/instance/control.py
+++ b/src/catkinspread/instance/control.py
@@ -37,6 +37,11 @@
 _RETRY_DELAY_MS = 500
 _TICK_MS = 100
 _SNAPSHOT_GAIN_ENTRIES = 128
+# The steps of an owner look at transitions every 50 ms.
+_COLLECT_MS = 50
+_REQUESTS_MAX = 1_000
+# A list of exceptions takes up to 450 KB of an entry of at most 1 MB.
+_REQUESTS_PER_ENTRY_MAX = 16
 
 
 class ConfigurationTask:
@@ -53,6 +58,7 @@
         "_member",
         "_on_applied",
         "_on_platform_exchange",
+        "_requests",
         "_send",
         "_snapshots",
         "_view",
@@ -96,11 +102,13 @@
         self._snapshots = SnapshotStore(store, writer, anyio.to_thread.run_sync)
         self.replica = ConfigurationReplica(member.instance, random_source, clock.now_ms())
         self._group: anyio.abc.TaskGroup | None = None
+        self._requests: list[AppendEntry] = []
 
     async def run(self) -> None:
         """Follows the log until cancelled."""
         async with anyio.create_task_group() as self._group:
             self._group.start_soon(self._watch)
+            self._group.start_soon(self._write_requests)
             while True:
                 self.replica.set_peers(self._view.list_live())
                 self._execute(self.replica.tick(self._clock.now_ms()))
@@ -119,19 +127,33 @@
         """Takes a version that a peer reported."""
         self._execute(self.replica.note_version(member, version, self._clock.now_ms()))
 
-    async def append(self, request: AppendEntry) -> None:
-        """Appends an automatic entry if no other entry has its index."""
-        if request.if_version != self.replica.version:
-            return
+    def append(self, request: AppendEntry) -> None:
+        """Appends an automatic entry soon, if no other entry has its index then."""
+        if len(self._requests) < _REQUESTS_MAX:
+            self._requests.append(request)
+
+    async def _write_requests(self) -> None:
+        """Writes requests that were decided on the same version as one entry.
+
+        Each entry changes the version, so requests written one by one would refuse each other.
+        """
+        while True:
+            await anyio.sleep(_COLLECT_MS / 1000)
+            version = self.replica.version
+            due = [request for request in self._requests if request.if_version == version]
+            self._requests.clear()
+            if due:
+                await self._write(due[:_REQUESTS_PER_ENTRY_MAX], version)
+
+    async def _write(self, requests: list[AppendEntry], version: int) -> None:
         change = Change(
             change_id=uuid.uuid4().hex,
             actor=f"instance/{self._member.instance}",
             command="",
-            reason=request.reason,
-            effects=request.effects,
+            reason="; ".join(dict.fromkeys(request.reason for request in requests)),
+            effects=tuple(effect for request in requests for effect in request.effects),
         )
-        now_ms = self._clock.now_ms()
-        result = await self._writer.write(change, request.if_version, now_ms)
+        result = await self._writer.write(change, version, self._clock.now_ms())
         if result.is_ok():
             actions = self.replica.handle_log([result.ok.entry], self._clock.now_ms())
             self._execute(actions)
--- a/src/catkinspread/instance/daemon.py
+++ b/src/catkinspread/instance/daemon.py
@@ -242,7 +242,8 @@
         self.is_leaving = True
         await self._registration.announce_leaving()
         with anyio.move_on_after(self._settings.drain_timeout_ms / 1000) as scope:
-            while not self.core.world.router.owner.is_handover_complete:
+            # Groups in which it is a successor replace it once it has left.
+            while self.core.world.router.owner.is_acting:
                 await anyio.sleep(_TICK_MS / 1000)
             self._execute_membership(self.members.leave(self._clock.now_ms()))
             self.has_left = True
@@ -411,7 +412,7 @@
                 case CallStore(store_action):
                     self._group.start_soon(self._call_store, store_action)
                 case AppendChange(entry):
-                    self._group.start_soon(self._configuration.append, entry)
+                    self._configuration.append(entry)
 
     def _send_to_peer(self, instance: str, body: PeerBody, incarnation: int) -> None:
         member = self.members.find_member(instance)
--- a/src/catkinspread/instance/request_path.py
+++ b/src/catkinspread/instance/request_path.py
@@ -91,10 +91,11 @@
         return self.request.flow, self.request.caller_id, self.request.request_id
 
 
-class _Sent(msgspec.Struct, frozen=True):
+class _Sent(msgspec.Struct):
     job: Job
     upstream: str
     work_id: int
+    is_answered: bool = False
 
 
 class RequestPath:
@@ -178,6 +179,7 @@
         sent = self._sent.get(key)
         if sent is None:
             return self._carry(self._handler.handle_upstream_answer(answer, now_ms), now_ms)
+        sent.is_answered = True
         outcome = RunOutcome.SHED if answer.status is AnswerStatus.SHED else RunOutcome.GOOD
         controller = self._admissions.get(sent.upstream, now_ms)
         actions = self._limit(
@@ -233,7 +235,8 @@
 
     def count_open(self) -> int:
         """Returns the number of requests that wait here or were sent and not answered yet."""
-        return len(self._jobs) + sum(map(len, self._waiting.values())) + len(self._sent)
+        unanswered = sum(not sent.is_answered for sent in self._sent.values())
+        return len(self._jobs) + sum(map(len, self._waiting.values())) + unanswered
 
     def _carry(self, handler_actions: list[HandlerAction], now_ms: int) -> list[Action]:
         """Turns the actions of the request handler into those of the instance."""
--- a/src/catkinspread/routing/owner.py
+++ b/src/catkinspread/routing/owner.py
@@ -75,6 +75,11 @@
         """This run of this instance."""
         return self._self
 
+    @property
+    def is_acting(self) -> bool:
+        """Whether this instance decides for any slot in transition."""
+        return any(batch.is_acting for batch in self.batches)
+
     @property
     def is_handover_complete(self) -> bool:
         """Whether no instance forwards packets to this one any more, so that it may stop."""
