--- a/src/catkinspread/console/statements.py
+++ b/src/catkinspread/console/statements.py
@@ -7,7 +7,7 @@
 
 import httpx
 
-from catkinspread.console.registry import EXIT_OK, EXIT_REFUSED, register_subcommand
+from catkinspread.console.registry import EXIT_OK, EXIT_REFUSED, EXIT_USAGE, register_subcommand
 from catkinspread.instance import STATEMENT_PATH
 
 ADMIN_VARIABLE = "CATKINSPREAD_ADMIN"
@@ -50,6 +50,12 @@
     except OSError as error:
         print(f"error: {error}", file=sys.stderr)
         return EXIT_REFUSED
+    if not token or not arguments.admin:
+        missing = (
+            f"--token-file or {TOKEN_VARIABLE}" if not token else f"--admin or {ADMIN_VARIABLE}"
+        )
+        print(f"error: {missing} is needed", file=sys.stderr)
+        return EXIT_USAGE
     with httpx.Client(timeout=_TIMEOUT_S, trust_env=False) as client:
         for statement in statements:
             if _is_command(statement) != is_command:
--- a/src/catkinspread/emulator/callers.py
+++ b/src/catkinspread/emulator/callers.py
@@ -76,6 +76,7 @@
         not_run: Requests refused as not run, by (caller id, request id).
         ports: Source ports of the flows.
         unknown: Requests with unknown outcome.
+        refused_requests: Requests that were not answered with a body, by (caller id, request id).
         unanswered: Requests without any answer by their deadline and some time for a refusal.
         latencies_ms: Time to the answer of each answered request.
         longest_silence_ms: Longest time until a data packet was echoed.
@@ -92,6 +93,7 @@
     not_run: set[tuple[str, str]] = msgspec.field(default_factory=set)
     ports: list[int] = msgspec.field(default_factory=list)
     unknown: int = 0
+    refused_requests: list[tuple[str, str]] = msgspec.field(default_factory=list)
     unanswered: int = 0
     latencies_ms: list[int] = msgspec.field(default_factory=list)
     longest_silence_ms: int = 0
@@ -193,6 +195,8 @@
 
     def _count_answer(self, request: Request, parts: dict[int, Answer]) -> None:
         answer = parts[0]
+        if answer.status is not AnswerStatus.OK:
+            self._report.refused_requests.append((request.caller_id, request.request_id))
         if answer.status is AnswerStatus.NOT_RUN:
             self._report.not_run.add((request.caller_id, request.request_id))
         elif answer.status is not AnswerStatus.OK:
--- a/src/catkinspread/instance/control.py
+++ b/src/catkinspread/instance/control.py
@@ -230,7 +230,10 @@
                 case VersionApplied():
                     self._serve()
                 case EntryRefused(index, sender, reason):
-                    logging.error(
+                    # A peer without a snapshot is normal while the fleet starts.
+                    level = logging.ERROR if index else logging.INFO
+                    logging.log(
+                        level,
                         "configuration: entry %d of %s was refused: %s",
                         index,
                         sender or "the log",
