Do not wait for requests whose deadline has passed in a graceful shutdown

Cause: the demo logged a drain timeout with 2 open requests; an upstream drops a request after its deadline and never answers it. Change: such requests do not count as open.

--- a/src/catkinspread/instance/daemon.py
+++ b/src/catkinspread/instance/daemon.py
@@ -249,14 +249,14 @@
             self.has_left = True
             await self._wait_until_quiet()
         if scope.cancelled_caught:
-            open_count = self.core.requests.count_open()
+            open_count = self.core.requests.count_open(self._clock.now_ms())
             logging.warning("instance: drain timed out with %d open requests", open_count)
         await self._registration.remove()
 
     async def _wait_until_quiet(self) -> None:
         quiet_since_ms = self._clock.now_ms()
         while self._clock.now_ms() - quiet_since_ms < _QUIET_MS:
-            if self.core.requests.count_open():
+            if self.core.requests.count_open(self._clock.now_ms()):
                 quiet_since_ms = self._clock.now_ms()
             await anyio.sleep(_TICK_MS / 1000)
 
@@ -268,7 +268,7 @@
             configuration_version=world.configuration.version,
             live_instances=len(world.members),
             known_flows=len(self.core.packets.flows),
-            open_requests=self.core.requests.count_open(),
+            open_requests=self.core.requests.count_open(self._clock.now_ms()),
             slots_in_transition=sum(len(table.transitions) for table in tables),
             routing_exceptions=sum(
                 base.exception_count for table in tables for base in table.bases
--- a/src/catkinspread/instance/request_path.py
+++ b/src/catkinspread/instance/request_path.py
@@ -233,9 +233,14 @@
         self._forget_sent(now_ms)
         return actions
 
-    def count_open(self) -> int:
-        """Returns the number of requests that wait here or were sent and not answered yet."""
-        unanswered = sum(not sent.is_answered for sent in self._sent.values())
+    def count_open(self, now_ms: int) -> int:
+        """Returns the number of requests that wait here, or were sent and may be answered yet.
+
+        An upstream does not start a request after its deadline and then never answers it.
+        """
+        unanswered = sum(
+            not sent.is_answered and now_ms < sent.job.not_after_ms for sent in self._sent.values()
+        )
         return len(self._jobs) + sum(map(len, self._waiting.values())) + unanswered
 
     def _carry(self, handler_actions: list[HandlerAction], now_ms: int) -> list[Action]:
