--- a/src/catkinspread/bench/at_most_once.py
+++ b/src/catkinspread/bench/at_most_once.py
@@ -13,10 +13,10 @@
     draw_schedule,
 )
 from catkinspread.bench.request_instances import GuardedInstance, NaiveInstance
-from catkinspread.bench.request_world import (
+from catkinspread.bench.request_model import (
     START_MS,
-    World,
-    WorldRates,
+    ModelRates,
+    RequestModel,
     hash_flow_name,
     is_whole_answer,
 )
@@ -64,8 +64,8 @@
 
     __slots__ = ("_cluster", "_offsets_ms", "_world", "asked", "wrong_answer_count")
 
-    def __init__(self, world: World, cluster: Cluster, plan: SchedulePlan) -> None:
-        self._world = world
+    def __init__(self, model: RequestModel, cluster: Cluster, plan: SchedulePlan) -> None:
+        self._world = model
         self._cluster = cluster
         source = random.Random(plan.caller_count)
         self._offsets_ms = [
@@ -140,29 +140,29 @@
         asked.statuses.add(AnswerStatus.OK)
 
 
-def run_world(
+def run_model(
     seed: int,
     schedule: Schedule,
     plan: SchedulePlan,
     factory: InstanceFactory,
-    rates: WorldRates | None = None,
+    rates: ModelRates | None = None,
 ) -> dict[str, float]:
     """Runs one version through a schedule and returns its figures."""
-    world = World(seed, rates or WorldRates())
-    cluster = Cluster(world, plan, factory)
-    callers = Callers(world, cluster, plan)
+    model = RequestModel(seed, rates or ModelRates())
+    cluster = Cluster(model, plan, factory)
+    callers = Callers(model, cluster, plan)
     for fault in schedule.faults:
-        world.queue.schedule(fault.at_ms, lambda fault=fault: cluster.apply_fault(fault))
+        model.queue.schedule(fault.at_ms, lambda fault=fault: cluster.apply_fault(fault))
     for planned in schedule.requests:
-        world.queue.schedule(planned.at_ms, lambda planned=planned: callers.issue(planned))
-    world.queue.run_until(START_MS + plan.duration_ms + _DRAIN_MS)
-    return _measure(world, callers)
+        model.queue.schedule(planned.at_ms, lambda planned=planned: callers.issue(planned))
+    model.queue.run_until(START_MS + plan.duration_ms + _DRAIN_MS)
+    return _measure(model, callers)
 
 
-def _measure(world: World, callers: Callers) -> dict[str, float]:
-    ledger = world.ledger
+def _measure(model: RequestModel, callers: Callers) -> dict[str, float]:
+    run_log = model.run_log
     orders = [asked for asked in callers.list_asked() if not asked.request.idempotent]
-    runs = [ledger.runs[asked.identity] for asked in orders]
+    runs = [run_log.runs[asked.identity] for asked in orders]
     order_count = len(orders)
     second_runs = sum(count - 1 for count in runs if count > 1)
     idempotent = [asked for asked in callers.list_asked() if asked.request.idempotent]
@@ -172,19 +172,19 @@
         "order_count": order_count,
         "runs_per_order": sum(runs) / order_count,
         "second_run_count": second_runs,
-        "not_run_answer_count": len(ledger.not_run),
-        "false_not_run_count": sum(ledger.runs[identity] > 0 for identity in ledger.not_run),
-        "late_send_count": ledger.late_send_count,
-        "wrong_answer_count": ledger.wrong_answer_count + callers.wrong_answer_count,
+        "not_run_answer_count": len(run_log.not_run),
+        "false_not_run_count": sum(run_log.runs[identity] > 0 for identity in run_log.not_run),
+        "late_send_count": run_log.late_send_count,
+        "wrong_answer_count": run_log.wrong_answer_count + callers.wrong_answer_count,
         "order_ok_share": _share(orders, _is_ok),
         "order_not_run_share": _share(orders, _is_not_run),
         "order_unknown_share": _share(orders, _is_unknown),
         "order_silent_share": _share(orders, _is_silent),
         "idempotent_ok_share": ok_idempotent / max(1, len(idempotent)),
-        "sent_count": ledger.sent_count,
-        "store_reads_per_order": ledger.store_read_count / order_count,
-        "store_writes_per_order": ledger.store_write_count / order_count,
-        "store_write_bytes_per_order": ledger.store_write_bytes / order_count,
+        "sent_count": run_log.sent_count,
+        "store_reads_per_order": run_log.store_read_count / order_count,
+        "store_writes_per_order": run_log.store_write_count / order_count,
+        "store_write_bytes_per_order": run_log.store_write_bytes / order_count,
     }
 
 
@@ -213,8 +213,8 @@
     """Runs the request handling and the naive version through the same schedule."""
     plan = SchedulePlan()
     schedule = draw_schedule(seed, plan)
-    figures = run_world(seed, schedule, plan, GuardedInstance)
-    naive_figures = run_world(seed, schedule, plan, NaiveInstance)
+    figures = run_model(seed, schedule, plan, GuardedInstance)
+    naive_figures = run_model(seed, schedule, plan, NaiveInstance)
     return BenchReport(
         bench="at-most-once",
         seed=seed,
--- a/src/catkinspread/bench/request_cluster.py
+++ b/src/catkinspread/bench/request_cluster.py
@@ -6,10 +6,10 @@
 
 from catkinspread.bench.request_faults import FaultKind, PlannedFault, SchedulePlan
 from catkinspread.bench.request_instances import BenchInstance, InstancePorts
-from catkinspread.bench.request_world import (
-    World,
-    WorldStore,
-    WorldUpstreams,
+from catkinspread.bench.request_model import (
+    ModelStore,
+    ModelUpstreams,
+    RequestModel,
     is_whole_answer,
 )
 from catkinspread.model import OwnerMember
@@ -21,7 +21,7 @@
 _TICK_MS = 25
 _VIEW_LAG_RANGE_MS = (300, 3_000)
 
-InstanceFactory = Callable[[OwnerMember, InstancePorts, World], BenchInstance]
+InstanceFactory = Callable[[OwnerMember, InstancePorts, RequestModel], BenchInstance]
 Work = Callable[[BenchInstance], None]
 IdentityFinder = Callable[[int, str], RequestIdentity | None]
 
@@ -37,7 +37,7 @@
 
 
 class Cluster:
-    """Runs the instances and connects them to the world.
+    """Runs the instances and connects them to the model.
 
     Attributes:
         deliver_to_caller: Takes each packet for a caller; set by the bench.
@@ -55,11 +55,11 @@
         "find_identity",
     )
 
-    def __init__(self, world: World, plan: SchedulePlan, factory: InstanceFactory) -> None:
-        self._world = world
+    def __init__(self, model: RequestModel, plan: SchedulePlan, factory: InstanceFactory) -> None:
+        self._world = model
         self._factory = factory
-        self._store = WorldStore(world)
-        self._upstreams = WorldUpstreams(world)
+        self._store = ModelStore(model)
+        self._upstreams = ModelUpstreams(model)
         self._cut: set[int] = set()
         self.deliver_to_caller: Callable[[Answer], None] = lambda answer: None
         self.find_identity: IdentityFinder = lambda flow, request_id: None
@@ -221,26 +221,26 @@
 
     def _send_upstream(self, sender: _Slot, request: Request) -> None:
         """Sends without copies: the link to upstreams must not duplicate (see docs)."""
-        world = self._world
-        world.ledger.sent_count += 1
-        if world.now_ms >= request.deadline_ms + 2 * CLOCK_OFFSET_MAX_MS:
-            world.ledger.late_send_count += 1
-        if world.draw(world.rates.upstream_loss):
+        model = self._world
+        model.run_log.sent_count += 1
+        if model.now_ms >= request.deadline_ms + 2 * CLOCK_OFFSET_MAX_MS:
+            model.run_log.late_send_count += 1
+        if model.draw(model.rates.upstream_loss):
             return
 
         def answer(packet: Answer) -> None:
             target = sender
-            if world.draw(world.rates.answer_crossed):
-                target = world.random.choice(self._slots)
-            world.deliver(
+            if model.draw(model.rates.answer_crossed):
+                target = model.random.choice(self._slots)
+            model.deliver(
                 lambda: self._work(target, lambda instance: instance.receive_answer(packet)),
-                world.rates.upstream_loss,
+                model.rates.upstream_loss,
             )
 
-        delay_ms = world.random.randint(1, 10)
-        if world.draw(world.rates.packet_late):
-            delay_ms += world.random.randint(0, world.rates.late_max_ms)
-        world.queue.schedule(delay_ms, lambda: self._upstreams.receive(request, answer))
+        delay_ms = model.random.randint(1, 10)
+        if model.draw(model.rates.packet_late):
+            delay_ms += model.random.randint(0, model.rates.late_max_ms)
+        model.queue.schedule(delay_ms, lambda: self._upstreams.receive(request, answer))
 
     def _answer_caller(self, action: AnswerCaller) -> None:
         self._check_answer(action)
@@ -254,10 +254,10 @@
         first = action.answers[0]
         identity = self.find_identity(action.flow, first.request_id)
         if identity is None:
-            self._world.ledger.wrong_answer_count += 1
+            self._world.run_log.wrong_answer_count += 1
         elif first.status is AnswerStatus.NOT_RUN:
-            self._world.ledger.not_run.add(identity)
+            self._world.run_log.not_run.add(identity)
         elif first.status is AnswerStatus.OK:
             bodies = [packet.body for packet in action.answers]
             if not is_whole_answer(identity, bodies):
-                self._world.ledger.wrong_answer_count += 1
+                self._world.run_log.wrong_answer_count += 1
--- a/src/catkinspread/bench/request_instances.py
+++ b/src/catkinspread/bench/request_instances.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from catkinspread.bench.request_world import World
+from catkinspread.bench.request_model import RequestModel
 from catkinspread.model import OwnerMember
 from catkinspread.requests import (
     AnswerCaller,
@@ -81,11 +81,11 @@
         self,
         member: OwnerMember,
         ports: InstancePorts,
-        world: World,
+        model: RequestModel,
         parameters: RequestParameters | None = None,
     ) -> None:
         self._ports = ports
-        self._world = world
+        self._world = model
         source = random.Random(f"{member.instance}#{member.incarnation}")
         self._handler = RequestHandler(member, source, parameters)
 
@@ -160,7 +160,7 @@
 
     __slots__ = ("_entries", "_open", "_ports")
 
-    def __init__(self, member: OwnerMember, ports: InstancePorts, world: World) -> None:
+    def __init__(self, member: OwnerMember, ports: InstancePorts, model: RequestModel) -> None:
         self._ports = ports
         self._entries: dict[RequestIdentity, _NaiveEntry] = {}
         self._open: dict[RequestIdentity, _NaiveEntry] = {}
--- a/src/catkinspread/bench/request_world.py
+++ b/src/catkinspread/bench/request_model.py
@@ -1,7 +1,7 @@
-"""A seeded world for the request benches: object store, upstreams, links and the ledger.
+"""A seeded model for the request benches: object store, upstreams, links and the run_log.
 
 Everything runs on one EventQueue. Faults that are drawn for each call or packet come from the
-random source of the world; planned faults come from a schedule (see request_faults).
+random source of the model; planned faults come from a schedule (see request_faults).
 """
 
 import random
@@ -33,7 +33,7 @@
 _ATTEMPT_SEPARATOR = "\x1f"
 
 
-class WorldRates(msgspec.Struct, frozen=True):
+class ModelRates(msgspec.Struct, frozen=True):
     """Probabilities of the faults that are drawn for each call or packet.
 
     Attributes:
@@ -74,7 +74,7 @@
 
 
 # Belongs to request_faults.STRESS_PLAN.
-STRESS_RATES = WorldRates(
+STRESS_RATES = ModelRates(
     packet_loss=0.05,
     packet_copy=0.2,
     packet_late=0.1,
@@ -89,7 +89,7 @@
 )
 
 
-class Ledger(msgspec.Struct):
+class RunLog(msgspec.Struct):
     """What really happened.
 
     Attributes:
@@ -140,24 +140,24 @@
     return fields == expected and len(bodies) == 1 + identity.claim_hash % 3
 
 
-class World:
-    """The event queue, the faults in force and the ledger.
+class RequestModel:
+    """The event queue, the faults in force and the run_log.
 
     Attributes:
         queue: The event queue.
         random: Source of all draws.
         rates: Probabilities of faults.
-        ledger: What really happened.
+        run_log: What really happened.
         is_store_down: Whether the store refuses every call.
     """
 
-    __slots__ = ("is_store_down", "ledger", "queue", "random", "rates")
+    __slots__ = ("is_store_down", "run_log", "queue", "random", "rates")
 
-    def __init__(self, seed: int, rates: WorldRates) -> None:
+    def __init__(self, seed: int, rates: ModelRates) -> None:
         self.queue = EventQueue(START_MS)
         self.random = random.Random(seed)
         self.rates = rates
-        self.ledger = Ledger()
+        self.run_log = RunLog()
         self.is_store_down = False
 
     @property
@@ -181,13 +181,13 @@
             self.queue.schedule(delay_ms, callback)
 
 
-class WorldStore:
+class ModelStore:
     """The claim buckets, with conditional writes that get lost or take effect late."""
 
     __slots__ = ("_objects", "_previous", "_world")
 
-    def __init__(self, world: World) -> None:
-        self._world = world
+    def __init__(self, model: RequestModel) -> None:
+        self._world = model
         self._objects: dict[str, tuple[int, bytes]] = {}
         self._previous: dict[str, tuple[int, bytes]] = {}
 
@@ -195,18 +195,18 @@
         self, action: StoreAction, is_reachable: bool, report: Callable[[StoreEvent], None]
     ) -> None:
         """Executes an action and reports its outcome later, or never."""
-        world = self._world
-        delay_ms = world.random.randint(2, 20)
-        if not is_reachable or world.is_store_down:
-            world.queue.schedule(50 + delay_ms, lambda: self._refuse(action, report))
-        elif world.draw(world.rates.store_silent):
+        model = self._world
+        delay_ms = model.random.randint(2, 20)
+        if not is_reachable or model.is_store_down:
+            model.queue.schedule(50 + delay_ms, lambda: self._refuse(action, report))
+        elif model.draw(model.rates.store_silent):
             return
         elif isinstance(action, ReadBucket):
-            world.queue.schedule(delay_ms, lambda: self._read(action, report))
+            model.queue.schedule(delay_ms, lambda: self._read(action, report))
         elif isinstance(action, WriteBucket):
-            world.queue.schedule(delay_ms, lambda: self._write(action, report))
+            model.queue.schedule(delay_ms, lambda: self._write(action, report))
         else:
-            world.queue.schedule(delay_ms, lambda: self._delete(action))
+            model.queue.schedule(delay_ms, lambda: self._delete(action))
 
     def _refuse(self, action: StoreAction, report: Callable[[StoreEvent], None]) -> None:
         if isinstance(action, ReadBucket):
@@ -215,7 +215,7 @@
             report(BucketWriteUnavailable(action.bucket, action.operation))
 
     def _read(self, action: ReadBucket, report: Callable[[StoreEvent], None]) -> None:
-        self._world.ledger.store_read_count += 1
+        self._world.run_log.store_read_count += 1
         is_stale = self._world.draw(self._world.rates.store_stale)
         objects = self._previous if is_stale else self._objects
         version, value = objects.get(action.bucket.key, (0, b""))
@@ -223,17 +223,17 @@
         self._report_later(event, report)
 
     def _write(self, action: WriteBucket, report: Callable[[StoreEvent], None]) -> None:
-        world, rates = self._world, self._world.rates
-        world.ledger.store_write_count += 1
-        world.ledger.store_write_bytes += len(action.value)
+        model, rates = self._world, self._world.rates
+        model.run_log.store_write_count += 1
+        model.run_log.store_write_bytes += len(action.value)
         unknown = BucketWriteUnknown(action.bucket, action.operation)
-        draw = world.random.random()
+        draw = model.random.random()
         if draw < rates.store_write_lost:
             self._report_later(unknown, report)
             return
         if draw < rates.store_write_lost + rates.store_write_late:
-            late_ms = world.random.randint(1, rates.store_late_max_ms)
-            world.queue.schedule(late_ms, lambda: self._apply(action))
+            late_ms = model.random.randint(1, rates.store_late_max_ms)
+            model.queue.schedule(late_ms, lambda: self._apply(action))
             self._report_later(unknown, report)
             return
         is_applied = self._apply(action)
@@ -261,7 +261,7 @@
         self._world.queue.schedule(self._world.random.randint(1, 5), lambda: report(event))
 
 
-class WorldUpstreams:
+class ModelUpstreams:
     """Upstreams that run every request they accept and count the runs.
 
     They do not recognise copies and ignore deadlines, which is the worst case.
@@ -269,21 +269,21 @@
 
     __slots__ = ("_world",)
 
-    def __init__(self, world: World) -> None:
-        self._world = world
+    def __init__(self, model: RequestModel) -> None:
+        self._world = model
 
     def receive(self, request: Request, answer: Callable[[Answer], None]) -> None:
         """Takes a request and answers in parts, or sheds it."""
-        world = self._world
-        if world.draw(world.rates.shed):
+        model = self._world
+        if model.draw(model.rates.shed):
             answer(Answer(request.flow, request.caller_id, request.request_id, AnswerStatus.SHED))
             return
         identity = strip_attempt(request)
-        world.ledger.runs[identity] += 1
-        bodies = make_bodies(identity, request.idempotent, world.ledger.runs[identity])
-        run_ms = world.random.randint(2, 40)
-        if world.draw(world.rates.slow_run):
-            run_ms += world.random.randint(0, world.rates.slow_run_max_ms)
+        model.run_log.runs[identity] += 1
+        bodies = make_bodies(identity, request.idempotent, model.run_log.runs[identity])
+        run_ms = model.random.randint(2, 40)
+        if model.draw(model.rates.slow_run):
+            run_ms += model.random.randint(0, model.rates.slow_run_max_ms)
         for part, body in enumerate(bodies):
             packet = Answer(
                 flow=request.flow,
@@ -294,7 +294,7 @@
                 part_count=len(bodies),
                 body=body,
             )
-            world.queue.schedule(run_ms, lambda packet=packet: answer(packet))
+            model.queue.schedule(run_ms, lambda packet=packet: answer(packet))
 
 
 def hash_flow_name(caller_id: str, index: int) -> int:
--- a/src/catkinspread/demo/scenario.py
+++ b/src/catkinspread/demo/scenario.py
@@ -193,11 +193,11 @@
 
     def _get_version(self) -> int:
         return max(
-            instance.core.world.configuration.version for instance in self._site.instances.values()
+            instance.core.state.configuration.version for instance in self._site.instances.values()
         )
 
     def _list_upstreams(self, data_centre: str) -> list[str]:
-        configuration = next(iter(self._site.instances.values())).core.world.configuration
+        configuration = next(iter(self._site.instances.values())).core.state.configuration
         return [
             upstream.name
             for upstream in configuration.upstreams.values()
--- a/src/catkinspread/demo/site.py
+++ b/src/catkinspread/demo/site.py
@@ -169,7 +169,7 @@
         started_ms = self.clock.now_ms()
         while self.clock.now_ms() - started_ms < timeout_ms:
             versions = [
-                instance.core.world.configuration.version for instance in self.instances.values()
+                instance.core.state.configuration.version for instance in self.instances.values()
             ]
             if min(versions) >= version:
                 break
--- a/src/catkinspread/instance/admissions.py
+++ b/src/catkinspread/instance/admissions.py
@@ -1,6 +1,6 @@
 """The admission controllers of an instance, one for each upstream in use."""
 
-from catkinspread.instance.world import World
+from catkinspread.instance.state import SharedState
 from catkinspread.limits import (
     Action,
     AdmissionController,
@@ -14,10 +14,10 @@
 class Admissions:
     """Creates controllers on first use and closes those of removed upstreams."""
 
-    __slots__ = ("_controllers", "_fleet", "_world")
+    __slots__ = ("_controllers", "_fleet", "_state")
 
-    def __init__(self, world: World, fleet: KnownInstances) -> None:
-        self._world = world
+    def __init__(self, state: SharedState, fleet: KnownInstances) -> None:
+        self._state = state
         self._fleet = fleet
         self._controllers: dict[str, AdmissionController] = {}
 
@@ -25,7 +25,7 @@
         """Returns the controller of an upstream of the configuration."""
         controller = self._controllers.get(upstream)
         if controller is None:
-            found = self._world.configuration.upstreams[upstream]
+            found = self._state.configuration.upstreams[upstream]
             rates = RampRates.of_upstream(found)
             controller = AdmissionController(
                 upstream, rates, self._fleet, now_ms, cold_at_ms=found.cold_at_ms
@@ -59,7 +59,7 @@
         """
         actions: list[tuple[str, Action]] = []
         for name, controller in list(self._controllers.items()):
-            found = self._world.configuration.upstreams.get(name)
+            found = self._state.configuration.upstreams.get(name)
             if found is None:
                 del self._controllers[name]
                 actions += [(name, action) for action in controller.close()]
--- a/src/catkinspread/instance/core.py
+++ b/src/catkinspread/instance/core.py
@@ -13,7 +13,7 @@
 from catkinspread.instance.packet_path import PacketPath
 from catkinspread.instance.recorder import Recorder
 from catkinspread.instance.request_path import RequestPath
-from catkinspread.instance.world import World
+from catkinspread.instance.state import SharedState
 from catkinspread.limits import ColdStartNotice, KnownInstances
 from catkinspread.model import Configuration, Endpoint, OwnerMember
 from catkinspread.records import RecordStore
@@ -51,12 +51,12 @@
     All methods run in one task. None of them waits.
 
     Attributes:
-        world: Configuration, live instances, counters and records.
+        state: Configuration, live instances, counters and records.
         packets: The path of opens, data and closes.
         requests: The path of requests.
     """
 
-    __slots__ = ("_fleet", "_next_expiry_ms", "packets", "requests", "world")
+    __slots__ = ("_fleet", "_next_expiry_ms", "packets", "requests", "state")
 
     def __init__(
         self,
@@ -67,37 +67,37 @@
         now_ms: int,
     ) -> None:
         recorder = Recorder(member.instance, records)
-        self.world = World(member, SlotRouter(member), recorder)
+        self.state = SharedState(member, SlotRouter(member), recorder)
         self._fleet = KnownInstances(member.instance, now_ms)
-        self.packets = PacketPath(self.world, flows_max)
-        admissions = Admissions(self.world, self._fleet)
+        self.packets = PacketPath(self.state, flows_max)
+        admissions = Admissions(self.state, self._fleet)
         recorder.set_limits_source(admissions.describe)
         handler = RequestHandler(member, random_source)
-        self.requests = RequestPath(self.world, self.packets, handler, admissions)
+        self.requests = RequestPath(self.state, self.packets, handler, admissions)
         self._next_expiry_ms = now_ms + _EXPIRE_PERIOD_MS
 
     def apply(self, configuration: Configuration, now_ms: int) -> list[Action]:
         """Puts a newer configuration in force; an older one is ignored."""
-        self.world.apply(configuration, now_ms)
+        self.state.apply(configuration, now_ms)
         return self.requests.update_configuration(now_ms)
 
     def rejoin(self, incarnation: int) -> list[Action]:
         """Takes a greater incarnation after others took this instance for dead."""
-        self.world.member = OwnerMember(self.world.member.instance, incarnation)
-        return self._own(self.world.router.rejoin(incarnation), 0)
+        self.state.member = OwnerMember(self.state.member.instance, incarnation)
+        return self._own(self.state.router.rejoin(incarnation), 0)
 
     def set_members(self, members: list[MemberView], now_ms: int) -> list[Action]:
         """Takes the live instances, this one included."""
-        before = {view.member for view in self.world.members.values()}
-        self.world.members = {view.name: view for view in members}
+        before = {view.member for view in self.state.members.values()}
+        self.state.members = {view.name: view for view in members}
         for view in members:
             self._fleet.observe(view.name, now_ms)
-        actions = self._own(self.world.router.set_members(members, now_ms), now_ms)
+        actions = self._own(self.state.router.set_members(members, now_ms), now_ms)
         if {view.member for view in members} != before:
             actions += self.requests.update_members(now_ms)
         for view in members:
-            if view.member not in before and view.name != self.world.member.instance:
-                actions += self.requests.greet(view.name, now_ms)
+            if view.member not in before and view.name != self.state.member.instance:
+                actions += self.requests.send_cold_starts(view.name, now_ms)
         return actions
 
     def handle_caller(self, fabric_packet: FabricPacket, now_ms: int) -> list[Action]:
@@ -114,20 +114,20 @@
 
     def handle_upstream(self, sender: Endpoint, datagram: bytes, now_ms: int) -> list[Action]:
         """Handles a packet from an upstream."""
-        if self.world.find_upstream(sender) is None:
-            self.world.drop("unknown-upstream")
+        if self.state.find_upstream(sender) is None:
+            self.state.drop("unknown-upstream")
             return []
         try:
             packet = decode_packet(datagram)
         except PacketError:
-            self.world.drop("malformed-upstream-packet")
+            self.state.drop("malformed-upstream-packet")
             return []
         match packet:
             case Answer():
                 return self.requests.handle_answer(packet, now_ms)
             case Accepted() | Data() | Reset():
                 return self.packets.return_to_caller(sender, packet)
-        self.world.drop("unexpected-upstream-packet")
+        self.state.drop("unexpected-upstream-packet")
         return []
 
     def handle_peer(self, sender: OwnerMember, body: PeerBody, now_ms: int) -> list[Action]:
@@ -149,7 +149,7 @@
                 return self.requests.handle_notice(name, body, now_ms)
         if isinstance(body, RequestMessage):
             return self.requests.handle_peer(body, now_ms)
-        return self._own(self.world.router.handle(name, body, now_ms), now_ms)
+        return self._own(self.state.router.handle(name, body, now_ms), now_ms)
 
     def handle_store_event(self, event: StoreEvent, now_ms: int) -> list[Action]:
         """Handles the outcome of a store action."""
@@ -157,7 +157,7 @@
 
     def tick(self, now_ms: int) -> list[Action]:
         """Does what is due; called every 20 ms."""
-        actions = self._own(self.world.router.tick(now_ms), now_ms)
+        actions = self._own(self.state.router.tick(now_ms), now_ms)
         actions += self.requests.tick(now_ms)
         if now_ms >= self._next_expiry_ms:
             self._next_expiry_ms = now_ms + _EXPIRE_PERIOD_MS
--- a/src/catkinspread/instance/daemon.py
+++ b/src/catkinspread/instance/daemon.py
@@ -195,7 +195,7 @@
             read_replica=lambda: self._configuration.replica.configuration,
         )
         self._steps = AutomaticSteps(self._operations, settings.name, self.members.list_live)
-        self._records = RecordsTask(store, self.core.world.recorder.store, clock)
+        self._records = RecordsTask(store, self.core.state.recorder.store, clock)
         self._registration = Registration(
             directory,
             InstanceRecord(
@@ -243,7 +243,7 @@
         await self._registration.announce_leaving()
         with anyio.move_on_after(self._settings.drain_timeout_ms / 1000) as scope:
             # Groups in which it is a successor replace it once it has left.
-            while self.core.world.router.owner.is_acting:
+            while self.core.state.router.owner.is_acting:
                 await anyio.sleep(_TICK_MS / 1000)
             self._execute_membership(self.members.leave(self._clock.now_ms()))
             self.has_left = True
@@ -262,24 +262,24 @@
 
     def read_figures(self) -> InstanceFigures:
         """Returns the figures that metrics show."""
-        world = self.core.world
-        tables = world.configuration.slot_tables.values()
+        state = self.core.state
+        tables = state.configuration.slot_tables.values()
         return InstanceFigures(
-            configuration_version=world.configuration.version,
-            live_instances=len(world.members),
+            configuration_version=state.configuration.version,
+            live_instances=len(state.members),
             known_flows=len(self.core.packets.flows),
             open_requests=self.core.requests.count_open(self._clock.now_ms()),
             slots_in_transition=sum(len(table.transitions) for table in tables),
             routing_exceptions=sum(
                 base.exception_count for table in tables for base in table.bases
             ),
-            owned_pins=len(world.router.owner.pins),
-            slow_requests=world.recorder.slow_count,
-            refused_requests=world.recorder.refused_count,
+            owned_pins=len(state.router.owner.pins),
+            slow_requests=state.recorder.slow_count,
+            refused_requests=state.recorder.refused_count,
             peer_sent_bytes=self._peer_port.sent_bytes,
             peer_received_bytes=self._peer_port.received_bytes,
-            dropped_packets=dict(world.drops),
-            dropped_records=world.recorder.store.count().dropped,
+            dropped_packets=dict(state.drops),
+            dropped_records=state.recorder.store.count().dropped,
         )
 
     async def _tick(self) -> None:
@@ -296,13 +296,13 @@
 
     def _check_pause(self, now_ms: int) -> None:
         """Gives up owner groups after a pause, because others may have taken them over."""
-        needs_exchange = self.core.world.router.needs_exchange
+        needs_exchange = self.core.state.router.needs_exchange
         if needs_exchange and self._was_routing:
             self._execute_membership(self.members.renew_incarnation(now_ms))
         self._was_routing = not needs_exchange
 
     def _apply(self, configuration: Configuration) -> None:
-        if configuration.version <= self.core.world.configuration.version:
+        if configuration.version <= self.core.state.configuration.version:
             return
         self._execute(self.core.apply(configuration, self._clock.now_ms()))
         self.members.set_version(configuration.version)
@@ -310,7 +310,7 @@
     def _note_platform_exchange(self, started_at_ms: int, version: int) -> None:
         self.members.confirm_platform_exchange(started_at_ms)
         if not self.members.is_stale:
-            self.core.world.router.note_exchange(version, self._clock.now_ms())
+            self.core.state.router.note_exchange(version, self._clock.now_ms())
 
     def _send_configuration(self, instance: str, content: bytes) -> None:
         member = self.members.find_member(instance)
@@ -322,7 +322,7 @@
         try:
             packet = decode_fabric_packet(data)
         except PacketError:
-            self.core.world.drop("malformed-fabric-packet")
+            self.core.state.drop("malformed-fabric-packet")
             return
         self._execute(self.core.handle_caller(packet, self._clock.now_ms()))
 
@@ -341,11 +341,11 @@
                 return
             content = decode_envelope(raw)
         except (FrameError, MembershipMessageError, ConfigurationMessageError) as error:
-            self.core.world.drop("malformed-peer-message")
+            self.core.state.drop("malformed-peer-message")
             logging.log_every_n_seconds(logging.WARNING, "instance: %s", 10, error)
             return
         if content.incarnation and content.incarnation not in self._incarnations:
-            self.core.world.drop("other-incarnation")
+            self.core.state.drop("other-incarnation")
             return
         match content.body:
             case RecordsAsked():
@@ -359,7 +359,7 @@
         message = decode_membership_message(datagram)
         self._execute_membership(self.members.handle(message, now_ms))
         if isinstance(message, Heartbeat) and message.is_reply and not self.members.is_stale:
-            self.core.world.router.note_exchange(message.version, now_ms)
+            self.core.state.router.note_exchange(message.version, now_ms)
 
     def _execute_membership(self, actions: list[MembershipAction]) -> None:
         for action in actions:
@@ -417,7 +417,7 @@
     def _send_to_peer(self, instance: str, body: PeerBody, incarnation: int) -> None:
         member = self.members.find_member(instance)
         if member is None:
-            self.core.world.drop("unknown-instance")
+            self.core.state.drop("unknown-instance")
             return
         frame = encode_envelope(Envelope(self.member, incarnation, body))
         self._peer_port.send(frame, member.endpoint)
--- a/src/catkinspread/instance/fleet.py
+++ b/src/catkinspread/instance/fleet.py
@@ -43,13 +43,13 @@
     def list_live_members(self) -> dict[str, tuple[OwnerMember, ...]]:
         """Returns the live instances by data centre."""
         members: dict[str, list[OwnerMember]] = {}
-        for view in self._core.world.members.values():
+        for view in self._core.state.members.values():
             members.setdefault(view.data_centre, []).append(view.member)
         return {data_centre: tuple(found) for data_centre, found in members.items()}
 
     async def read_versions(self) -> dict[str, int]:
         """Returns the version in force by live instance."""
-        return {view.name: view.version for view in self._core.world.members.values()}
+        return {view.name: view.version for view in self._core.state.members.values()}
 
     async def count_flows(self, service: str) -> dict[str, int]:
         """Returns the flows that passed this instance by upstream, as an estimate."""
@@ -90,7 +90,7 @@
         return sorted(lines, key=lambda line: line.at_ms)
 
     def _find_own(self, question: RecordsAsked) -> list[RecordLine]:
-        store = self._core.world.recorder.store
+        store = self._core.state.recorder.store
         if question.request_id:
             found = store.find_request_id(question.service, question.request_id)
         else:
--- a/src/catkinspread/instance/packet_path.py
+++ b/src/catkinspread/instance/packet_path.py
@@ -5,7 +5,7 @@
 from catkinspread.hashing import hash_flow
 from catkinspread.instance.actions import Action, SendToCaller, SendToPeer, SendToUpstream
 from catkinspread.instance.flows import Flow, FlowTable
-from catkinspread.instance.world import World
+from catkinspread.instance.state import SharedState
 from catkinspread.model import Endpoint
 from catkinspread.routing import (
     AwaitPins,
@@ -56,36 +56,36 @@
         flows: Where callers are reached.
     """
 
-    __slots__ = ("_waiting", "_waiting_count", "_world", "flows")
+    __slots__ = ("_waiting", "_waiting_count", "_state", "flows")
 
-    def __init__(self, world: World, flows_max: int) -> None:
-        self._world = world
+    def __init__(self, state: SharedState, flows_max: int) -> None:
+        self._state = state
         self.flows = FlowTable(flows_max)
         self._waiting: dict[tuple[str, int], list[CallerPacket]] = {}
         self._waiting_count = 0
 
     def decode(self, fabric_packet: FabricPacket, now_ms: int) -> CallerPacket | None:
         """Checks a packet of the fabric and notes its flow; None if it was dropped."""
-        service = self._world.find_service(fabric_packet.service)
+        service = self._state.find_service(fabric_packet.service)
         if service is None:
-            return self._world.drop("unknown-service")
+            return self._state.drop("unknown-service")
         try:
             packet = decode_packet(fabric_packet.datagram)
         except PacketError:
-            return self._world.drop("malformed-caller-packet")
+            return self._state.drop("malformed-caller-packet")
         if isinstance(packet, Accepted | Answer | Reset):
-            return self._world.drop("unexpected-caller-packet")
+            return self._state.drop("unexpected-caller-packet")
         return self._identify(service, fabric_packet.service, fabric_packet.caller, packet, now_ms)
 
     def decode_forwarded(self, message: ForwardedPacket, now_ms: int) -> CallerPacket | None:
         """Checks a packet that another instance forwarded; None if it was dropped."""
-        service = self._world.configuration.services.get(message.header.service)
+        service = self._state.configuration.services.get(message.header.service)
         if service is None:
-            return self._world.drop("unknown-service")
+            return self._state.drop("unknown-service")
         try:
             packet = decode_packet(message.datagram)
         except PacketError:
-            return self._world.drop("malformed-peer-packet")
+            return self._state.drop("malformed-peer-packet")
         caller = Endpoint(message.caller_host, message.caller_port)
         return self._identify(service.name, service.address, caller, packet, now_ms)
 
@@ -93,14 +93,14 @@
         """Routes a packet that the fabric handed to this instance."""
         flow = caller_packet.flow
         kind = find_kind(caller_packet.packet)
-        route = self._world.router.route(kind, flow.service, flow.flow_hash, now_ms)
+        route = self._state.router.route(kind, flow.service, flow.flow_hash, now_ms)
         return self.follow(route, caller_packet, now_ms)
 
     def carry_forwarded(
         self, message: ForwardedPacket, caller_packet: CallerPacket, now_ms: int
     ) -> list[Action]:
         """Routes a packet that another instance forwarded."""
-        route = self._world.router.route_forwarded(message.header, now_ms)
+        route = self._state.router.route_forwarded(message.header, now_ms)
         return self.follow(route, caller_packet, now_ms)
 
     def follow(self, route: RouteAction, caller_packet: CallerPacket, now_ms: int) -> list[Action]:
@@ -122,13 +122,13 @@
                 return self._wait(caller_packet)
             case ResetFlow(reason, upstream):
                 self.flows.forget(flow.flow_hash)
-                self._world.recorder.note_given_up(
-                    flow, reason.value, upstream, self._world.configuration, now_ms
+                self._state.recorder.note_given_up(
+                    flow, reason.value, upstream, self._state.configuration, now_ms
                 )
                 reset = Reset(reason=reason.value)
                 return [SendToCaller(flow.service_address, flow.caller, reset)]
             case DropPacket(reason):
-                self._world.drop(reason.value)
+                self._state.drop(reason.value)
         return []
 
     def release(self, released: ReleasePackets, now_ms: int) -> list[Action]:
@@ -142,10 +142,10 @@
 
     def return_to_caller(self, sender: Endpoint, packet: Packet) -> list[Action]:
         """Hands a packet of an upstream to the caller of its flow."""
-        upstream = self._world.find_upstream(sender)
+        upstream = self._state.find_upstream(sender)
         flow = self.flows.find(packet.flow)
         if upstream is None or flow is None or flow.service != upstream.service:
-            self._world.drop("unknown-flow")
+            self._state.drop("unknown-flow")
             return []
         return self.send_to_flow(flow, packet)
 
@@ -167,7 +167,7 @@
 
     def _wait(self, caller_packet: CallerPacket) -> list[Action]:
         if self._waiting_count >= _WAITING_MAX:
-            self._world.drop("too-many-waiting")
+            self._state.drop("too-many-waiting")
             return []
         key = (caller_packet.flow.service, caller_packet.flow.flow_hash)
         self._waiting.setdefault(key, []).append(caller_packet)
--- a/src/catkinspread/instance/request_path.py
+++ b/src/catkinspread/instance/request_path.py
@@ -15,7 +15,7 @@
 from catkinspread.instance.admissions import Admissions
 from catkinspread.instance.messages import RelayedAnswer, RelayedRequest, RelayRefused
 from catkinspread.instance.packet_path import CallerPacket, PacketPath
-from catkinspread.instance.world import World
+from catkinspread.instance.state import SharedState
 from catkinspread.limits import Action as LimitAction
 from catkinspread.limits import (
     CancelRun,
@@ -110,13 +110,17 @@
         "_relays",
         "_sent",
         "_waiting",
-        "_world",
+        "_state",
     )
 
     def __init__(
-        self, world: World, packets: PacketPath, handler: RequestHandler, admissions: Admissions
+        self,
+        state: SharedState,
+        packets: PacketPath,
+        handler: RequestHandler,
+        admissions: Admissions,
     ) -> None:
-        self._world = world
+        self._state = state
         self._packets = packets
         self._handler = handler
         self._admissions = admissions
@@ -133,7 +137,7 @@
     def handle_request(self, caller_packet: CallerPacket, now_ms: int) -> list[Action]:
         """Takes a request from a caller."""
         flow, request = caller_packet.flow, caller_packet.packet
-        self._world.recorder.note_arrival(request, now_ms)
+        self._state.recorder.note_arrival(request, now_ms)
         return self._carry(self._handler.handle_request(flow.service, request, now_ms), now_ms)
 
     def handle_cancel(self, caller_packet: CallerPacket, now_ms: int) -> list[Action]:
@@ -159,7 +163,7 @@
             origin=sender,
             relay=message.relay,
         )
-        route = self._world.router.route_forwarded(message.header, now_ms)
+        route = self._state.router.route_forwarded(message.header, now_ms)
         return self._follow(route, job, now_ms)
 
     def handle_relayed_answer(self, message: RelayedAnswer, now_ms: int) -> list[Action]:
@@ -195,7 +199,7 @@
 
     def handle_notice(self, sender: str, notice: ColdStartNotice, now_ms: int) -> list[Action]:
         """Takes the notice of another instance that an upstream is cold."""
-        if notice.upstream not in self._world.configuration.upstreams:
+        if notice.upstream not in self._state.configuration.upstreams:
             return []
         controller = self._admissions.get(notice.upstream, now_ms)
         actions = controller.handle_notice(notice, now_ms)
@@ -210,10 +214,10 @@
 
     def update_members(self, now_ms: int) -> list[Action]:
         """Takes a change of the live instances."""
-        live = frozenset(view.member for view in self._world.members.values())
+        live = frozenset(view.member for view in self._state.members.values())
         return self._carry(self._handler.set_live_instances(live, now_ms), now_ms)
 
-    def greet(self, instance: str, now_ms: int) -> list[Action]:
+    def send_cold_starts(self, instance: str, now_ms: int) -> list[Action]:
         """Tells an instance that has joined which upstreams became cold without a change."""
         notices = self._admissions.list_notices(now_ms)
         return [SendToPeer(instance, notice) for notice in notices]
@@ -251,10 +255,10 @@
                 case AnswerCaller(flow, answers):
                     known = self._packets.flows.find(flow)
                     if known is None:
-                        self._world.drop("unknown-flow")
+                        self._state.drop("unknown-flow")
                         continue
-                    self._world.recorder.note_answer(
-                        known, answers[0], self._world.configuration, now_ms
+                    self._state.recorder.note_answer(
+                        known, answers[0], self._state.configuration, now_ms
                     )
                     for answer in answers:
                         actions += self._packets.send_to_flow(known, answer)
@@ -269,7 +273,7 @@
     def _start(self, send: RequestToUpstream, now_ms: int) -> list[Action]:
         job = Job(send.service, send.request, send.not_after_ms, send.is_idempotent, send)
         flow = send.request.flow
-        route = self._world.router.route(PacketKind.DATA, send.service, flow, now_ms)
+        route = self._state.router.route(PacketKind.DATA, send.service, flow, now_ms)
         return self._follow(route, job, now_ms)
 
     def _follow(self, route: RouteAction, job: Job, now_ms: int) -> list[Action]:
@@ -302,7 +306,7 @@
         work_id = hash_request(caller_id, request_id, flow)
         if work_id in self._jobs:
             return []
-        service = self._world.configuration.services[job.service]
+        service = self._state.configuration.services[job.service]
         # The priority that a caller states is not trusted.
         priority = service.priority if job.is_idempotent else 0
         self._jobs[work_id] = (job, upstream)
@@ -331,9 +335,9 @@
 
     def _send(self, upstream: str, work: Work, now_ms: int) -> list[Action]:
         job, _ = self._jobs.pop(work.work_id)
-        self._world.recorder.note_start(job.request, upstream, now_ms)
+        self._state.recorder.note_start(job.request, upstream, now_ms)
         self._sent[job.key] = _Sent(job, upstream, work.work_id)
-        endpoint = self._world.configuration.upstreams[upstream].endpoint
+        endpoint = self._state.configuration.upstreams[upstream].endpoint
         return [SendToUpstream(endpoint, job.request, job.not_after_ms)]
 
     def _refuse_work(self, work: Work, reason: RefusalReason, now_ms: int) -> list[Action]:
@@ -349,7 +353,7 @@
         return self._carry(self._handler.handle_send_refused(job.send, reason, now_ms), now_ms)
 
     def _cancel_run(self, upstream: str, work: Work) -> list[Action]:
-        configured = self._world.configuration.upstreams.get(upstream)
+        configured = self._state.configuration.upstreams.get(upstream)
         for sent in self._sent.values():
             if sent.work_id == work.work_id and configured is not None:
                 return [SendToUpstream(configured.endpoint, Cancel(*sent.job.key))]
--- a/src/catkinspread/instance/world.py
+++ b/src/catkinspread/instance/state.py
@@ -7,7 +7,7 @@
 from catkinspread.routing import MemberView, SlotRouter
 
 
-class World:
+class SharedState:
     """The shared state of the parts of one instance; all of them run in one task.
 
     Attributes:
--- a/src/catkinspread/instance/tests/test_core.py
+++ b/src/catkinspread/instance/tests/test_core.py
@@ -70,7 +70,7 @@
     )
     core.apply(build_configuration(), NOW - 10_000)
     core.set_members([MemberView("i1", 1, "khomas-1", version=1)], NOW - 10_000)
-    core.world.router.note_exchange(1, NOW - 10_000)
+    core.state.router.note_exchange(1, NOW - 10_000)
     for now_ms in range(NOW - 10_000, NOW + 1, 1_000):
         core.tick(now_ms)
     return core
@@ -97,7 +97,7 @@
     assert core.handle_upstream(UPSTREAMS["rd-1"], reply, NOW) == [
         SendToCaller(DESK, CALLER, Accepted())
     ]
-    assert core.world.drops == {"unknown-flow": 1, "unknown-upstream": 1}
+    assert core.state.drops == {"unknown-flow": 1, "unknown-upstream": 1}
 
 
 @pytest.mark.parametrize(
@@ -114,7 +114,7 @@
     core = build_core()
     fabric_packet = FabricPacket(service.host, service.port, CALLER.host, CALLER.port, datagram)
     assert core.handle_caller(fabric_packet, NOW) == []
-    assert core.world.drops == {reason: 1}
+    assert core.state.drops == {reason: 1}
 
 
 def test_a_refused_request_leaves_a_record_that_explains_it():
@@ -123,7 +123,7 @@
     send(core, make_request(timeout_ms=0))
     for now_ms in range(NOW, NOW + 5_000, 50):
         core.tick(now_ms)
-    (record,) = core.world.recorder.store.find_request_id("recipe-desk", "7")
+    (record,) = core.state.recorder.store.find_request_id("recipe-desk", "7")
     assert isinstance(record, RequestRecord)
     assert record.version == 1
     assert record.timings.arrived_at_ms == NOW
@@ -155,7 +155,7 @@
     send(core, Open())
     out = DataCentreSet(DataCentre("khomas-1", "khomas", DataCentreState.OUT))
     change = ChangeEntry("out", "operator", "", "", 20, 0, (out,))
-    core.apply(apply_entry(core.world.configuration, 2, change), NOW)
+    core.apply(apply_entry(core.state.configuration, 2, change), NOW)
     (action,) = send(core, Request(0, "press", "8", NOW, 500, True, 0, b""))
     assert isinstance(action, SendToCaller)
     packet = encode_packet(Open())
@@ -165,7 +165,7 @@
         )
         == []
     )
-    assert core.world.drops["data-centre-out"] == 1
+    assert core.state.drops["data-centre-out"] == 1
 
 
 def test_a_joining_instance_hears_of_unannounced_cold_starts():
