--- a/src/catkinspread/emulator/callers.py
+++ b/src/catkinspread/emulator/callers.py
@@ -76,6 +76,7 @@
         not_run: Requests refused as not run, by (caller id, request id).
         ports: Source ports of the flows.
         unknown: Requests with unknown outcome.
+        unknown_reasons: Number of requests with unknown outcome by the reason in the answer.
         refused_requests: Requests that were not answered with a body, by (caller id, request id).
         unanswered: Requests without any answer by their deadline and some time for a refusal.
         latencies_ms: Time to the answer of each answered request.
@@ -93,6 +94,7 @@
     not_run: set[tuple[str, str]] = msgspec.field(default_factory=set)
     ports: list[int] = msgspec.field(default_factory=list)
     unknown: int = 0
+    unknown_reasons: collections.Counter[str] = msgspec.field(default_factory=collections.Counter)
     refused_requests: list[tuple[str, str]] = msgspec.field(default_factory=list)
     unanswered: int = 0
     latencies_ms: list[int] = msgspec.field(default_factory=list)
@@ -201,6 +203,7 @@
             self._report.not_run.add((request.caller_id, request.request_id))
         elif answer.status is not AnswerStatus.OK:
             self._report.unknown += 1
+            self._report.unknown_reasons[answer.reason] += 1
         elif not answer.body.startswith(request.body):
             self._report.wrong += 1
         else:
--- a/src/catkinspread/instance/core.py
+++ b/src/catkinspread/instance/core.py
@@ -17,10 +17,11 @@
 from catkinspread.limits import ColdStartNotice, KnownInstances
 from catkinspread.model import Configuration, Endpoint, OwnerMember
 from catkinspread.records import RecordStore
+from catkinspread.requests import ForwardedRequest, RequestHandler, StoreEvent
 from catkinspread.requests import PeerMessage as RequestMessage
-from catkinspread.requests import RequestHandler, StoreEvent
 from catkinspread.routing import (
     AppendEntry,
+    DropReason,
     ForwardedPacket,
     MemberView,
     OwnerAction,
@@ -105,6 +106,11 @@
         caller_packet = self.packets.decode(fabric_packet, now_ms)
         if caller_packet is None:
             return []
+        if not self.state.router.is_open(now_ms):
+            # The caller sends it again. A request must not be refused here, because the next
+            # instance that it reaches can serve it.
+            self.state.drop(DropReason.NOT_READY.value)
+            return []
         match caller_packet.packet:
             case Request():
                 return self.requests.handle_request(caller_packet, now_ms)
@@ -147,6 +153,10 @@
                 return self.requests.handle_relay_refused(body, now_ms)
             case ColdStartNotice():
                 return self.requests.handle_notice(name, body, now_ms)
+        if isinstance(body, ForwardedRequest) and not self.state.router.is_open(now_ms):
+            # The sender claims the request itself when it gets no confirmation.
+            self.state.drop(DropReason.NOT_READY.value)
+            return []
         if isinstance(body, RequestMessage):
             return self.requests.handle_peer(body, now_ms)
         return self._own(self.state.router.handle(name, body, now_ms), now_ms)
--- a/src/catkinspread/instance/tests/test_core.py
+++ b/src/catkinspread/instance/tests/test_core.py
@@ -29,6 +29,7 @@
     Upstream,
 )
 from catkinspread.records import RecordStore, RequestRecord
+from catkinspread.requests import ForwardedRequest
 from catkinspread.routing import ForwardHeader, MemberView, PacketKind
 from catkinspread.wire import (
     Accepted,
@@ -129,6 +130,20 @@
     assert record.timings.arrived_at_ms == NOW
 
 
+def test_a_new_instance_drops_requests_until_it_may_route():
+    """Guards against a refusal by a restarted instance of a request that others can serve."""
+    core = InstanceCore(OwnerMember("i1", 1), 100, RecordStore("i1", NOW), random.Random(1), NOW)
+    core.apply(build_configuration(), NOW)
+    assert send(core, make_request()) == []
+    forwarded = ForwardedRequest(
+        origin=OwnerMember("i2", 1), service="recipe-desk", request=make_request()
+    )
+    assert core.handle_peer(OwnerMember("i2", 1), forwarded, NOW) == []
+    assert core.state.drops == {"not-ready": 2}
+    for now_ms in range(NOW, NOW + 1_000, 20):
+        assert core.tick(now_ms) == []
+
+
 def test_a_relayed_request_is_answered_to_its_origin_or_refused():
     """Guards against an answer that stays at the instance that sent the request."""
     core = build_core()
--- a/src/catkinspread/routing/router.py
+++ b/src/catkinspread/routing/router.py
@@ -140,6 +140,10 @@
         self._update_gate()
         return True
 
+    def is_open(self, now_ms: int) -> bool:
+        """Whether packets are routed now; not after a start or a pause until the view is new."""
+        return now_ms <= self._open_until_ms
+
     @property
     def needs_exchange(self) -> bool:
         """Whether nothing is routed before the next `note_exchange`."""
