Keep an instance running when one packet cannot be handled

Change: removed upstreams are looked up without creating a controller; oversized packets are dropped and counted; the UDP and peer ports log and count any error of a handler and go on. Conclusion: a fault in handling one packet no longer stops the others.

--- a/src/catkinspread/instance/admissions.py
+++ b/src/catkinspread/instance/admissions.py
@@ -33,6 +33,10 @@
             self._controllers[upstream] = controller
         return controller
 
+    def find(self, upstream: str) -> AdmissionController | None:
+        """Returns the controller of an upstream, or None if it is not in use or was removed."""
+        return self._controllers.get(upstream)
+
     def list_active(self) -> list[tuple[str, AdmissionController]]:
         """Returns the controllers with the names of their upstreams."""
         return list(self._controllers.items())
--- a/src/catkinspread/instance/daemon.py
+++ b/src/catkinspread/instance/daemon.py
@@ -399,20 +399,27 @@
 
     def _execute(self, actions: list[Action]) -> None:
         for action in actions:
-            match action:
-                case SendToUpstream(endpoint, packet, not_after_ms):
-                    self._upstream_port.send(encode_packet(packet), endpoint, not_after_ms)
-                case SendToCaller(service_address, caller, packet):
-                    data = encode_fabric_packet(service_address, caller, encode_packet(packet))
-                    self._fabric_port.send(data, self._settings.fabric_return_address)
-                case SendToPeer(instance, body, incarnation):
-                    self._send_to_peer(instance, body, incarnation)
-                case SpreadToPeers(body):
-                    self._spread(body)
-                case CallStore(store_action):
-                    self._group.start_soon(self._call_store, store_action)
-                case AppendChange(entry):
-                    self._configuration.append(entry)
+            try:
+                self._execute_one(action)
+            except PacketError:
+                # A packet near the limit can exceed it once its flow is filled in.
+                self.core.state.drop("oversized-packet")
+
+    def _execute_one(self, action: Action) -> None:
+        match action:
+            case SendToUpstream(endpoint, packet, not_after_ms):
+                self._upstream_port.send(encode_packet(packet), endpoint, not_after_ms)
+            case SendToCaller(service_address, caller, packet):
+                data = encode_fabric_packet(service_address, caller, encode_packet(packet))
+                self._fabric_port.send(data, self._settings.fabric_return_address)
+            case SendToPeer(instance, body, incarnation):
+                self._send_to_peer(instance, body, incarnation)
+            case SpreadToPeers(body):
+                self._spread(body)
+            case CallStore(store_action):
+                self._group.start_soon(self._call_store, store_action)
+            case AppendChange(entry):
+                self._configuration.append(entry)
 
     def _send_to_peer(self, instance: str, body: PeerBody, incarnation: int) -> None:
         member = self.members.find_member(instance)
--- a/src/catkinspread/instance/request_path.py
+++ b/src/catkinspread/instance/request_path.py
@@ -145,8 +145,9 @@
         cancel = caller_packet.packet
         for work_id, (job, upstream) in list(self._jobs.items()):
             if job.key == (cancel.flow, cancel.caller_id, cancel.request_id):
-                actions = self._admissions.get(upstream, now_ms).cancel(work_id, now_ms)
-                return self._limit(upstream, actions, now_ms)
+                controller = self._admissions.find(upstream)
+                if controller is not None:
+                    return self._limit(upstream, controller.cancel(work_id, now_ms), now_ms)
         return self._packets.carry(caller_packet, now_ms)
 
     def handle_peer(self, message: PeerMessage, now_ms: int) -> list[Action]:
@@ -185,10 +186,11 @@
             return self._carry(self._handler.handle_upstream_answer(answer, now_ms), now_ms)
         sent.is_answered = True
         outcome = RunOutcome.SHED if answer.status is AnswerStatus.SHED else RunOutcome.GOOD
-        controller = self._admissions.get(sent.upstream, now_ms)
-        actions = self._limit(
-            sent.upstream, controller.complete(sent.work_id, outcome, now_ms), now_ms
-        )
+        actions: list[Action] = []
+        controller = self._admissions.find(sent.upstream)
+        if controller is not None:
+            completed = controller.complete(sent.work_id, outcome, now_ms)
+            actions = self._limit(sent.upstream, completed, now_ms)
         if sent.job.origin:
             return [*actions, SendToPeer(sent.job.origin, RelayedAnswer(answer))]
         return actions + self._carry(self._handler.handle_upstream_answer(answer, now_ms), now_ms)
--- a/src/catkinspread/instance/tests/test_core.py
+++ b/src/catkinspread/instance/tests/test_core.py
@@ -10,6 +10,7 @@
     ServiceSet,
     SlotMove,
     SlotsMoved,
+    UpstreamRemoved,
     UpstreamSet,
     apply_entry,
 )
@@ -199,3 +200,18 @@
     ]
     assert [(action.instance, action.body.upstream) for action in sent] == [("i2", "rd-1")]
     assert not isinstance(send(core, Open())[0], Reset)
+
+
+def test_an_answer_of_an_upstream_that_was_removed_meanwhile_reaches_its_caller():
+    """Guards against an error when an answer arrives after the removal of its upstream."""
+    core = build_core()
+    send(core, Open())
+    actions = send(core, make_request()) + core.tick(NOW + 20)
+    (sent,) = [action for action in actions if isinstance(action, SendToUpstream)]
+    removed = ChangeEntry("gone", "operator", "", "", 20, 0, (UpstreamRemoved("rd-1"),))
+    core.apply(apply_entry(core.state.configuration, 2, removed), NOW + 30)
+    request = sent.packet
+    answer = Answer(request.flow, "press", request.request_id, AnswerStatus.OK, body=b"x")
+    (reply,) = core.requests.handle_answer(answer, NOW + 40)
+    assert isinstance(reply, SendToCaller)
+    assert reply.packet.body == b"x"
--- a/src/catkinspread/transport/peers.py
+++ b/src/catkinspread/transport/peers.py
@@ -12,6 +12,7 @@
 import anyio.abc
 import zmq
 import zmq.asyncio
+from absl import logging
 from zmq.auth.asyncio import AsyncioAuthenticator
 
 from catkinspread.model import Endpoint
@@ -43,6 +44,7 @@
     Attributes:
         endpoint: Where the router socket is bound.
         dropped_count: Messages that could not be queued for a peer.
+        failed_count: Messages whose handling raised an error.
         sent_bytes: Payload handed to the sockets so far.
         received_bytes: Payload received so far.
     """
@@ -51,6 +53,7 @@
         "_connections",
         "_context",
         "endpoint",
+        "failed_count",
         "_handler",
         "_is_open",
         "_keys",
@@ -70,6 +73,7 @@
             handler: Called with each message; it must not block.
         """
         self.dropped_count = 0
+        self.failed_count = 0
         self.sent_bytes = 0
         self.received_bytes = 0
         self.endpoint = endpoint
@@ -124,7 +128,16 @@
             _, *parts = await router.recv_multipart()
             if len(parts) == 1:
                 self.received_bytes += len(parts[0])
-                self._handler(parts[0])
+                self._handle(parts[0])
+
+    def _handle(self, message: bytes) -> None:
+        try:
+            self._handler(message)
+        except Exception:  # The port must outlive a fault in handling one message.
+            self.failed_count += 1
+            logging.log_every_n_seconds(
+                logging.ERROR, "transport: peer message failed", 10, exc_info=True
+            )
 
     def _connect(self, target: Endpoint) -> zmq.Socket:
         connection = self._connections.get(target)
--- a/src/catkinspread/transport/tests/test_udp.py
+++ b/src/catkinspread/transport/tests/test_udp.py
@@ -51,3 +51,30 @@
         return received, sender.dropped_count
 
     assert anyio.run(scenario) == ([b"in time"], 1)
+
+
+def test_a_handler_that_raises_does_not_close_the_port():
+    """Guards against one datagram that ends an instance."""
+
+    async def scenario():
+        received = []
+
+        def handle(data, _):
+            if data == b"bad":
+                raise KeyError(data)
+            received.append(data)
+
+        receiver = UdpPort(Endpoint("127.0.0.1", 0), handle)
+        sender = UdpPort(Endpoint("127.0.0.1", 0), lambda data, _: None)
+        async with anyio.create_task_group() as group:
+            await group.start(receiver.run)
+            await group.start(sender.run)
+            sender.send(b"bad", receiver.endpoint)
+            sender.send(b"good", receiver.endpoint)
+            with anyio.fail_after(20):
+                while not received:
+                    await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+        return received, receiver.failed_count
+
+    assert anyio.run(scenario) == ([b"good"], 1)
--- a/src/catkinspread/transport/udp.py
+++ b/src/catkinspread/transport/udp.py
@@ -5,6 +5,7 @@
 
 import anyio
 import anyio.abc
+from absl import logging
 
 from catkinspread.clock import Clock, SystemClock
 from catkinspread.model import Endpoint
@@ -22,9 +23,10 @@
     Attributes:
         endpoint: Where the socket is bound; port 0 is replaced by the real one once it is open.
         dropped_count: Datagrams dropped because the socket was closed or full, or too late.
+        failed_count: Datagrams whose handling raised an error.
     """
 
-    __slots__ = ("_clock", "_handler", "_socket", "dropped_count", "endpoint")
+    __slots__ = ("_clock", "_handler", "_socket", "dropped_count", "endpoint", "failed_count")
 
     def __init__(
         self,
@@ -41,6 +43,7 @@
         """
         self.endpoint = endpoint
         self.dropped_count = 0
+        self.failed_count = 0
         self._handler = handler
         self._clock = clock or SystemClock()
         self._socket: socket.socket | None = None
@@ -97,4 +100,10 @@
             except OSError:
                 # An ICMP error of an earlier send, for example to an instance that was killed.
                 continue
-            self._handler(datagram, Endpoint(host, port))
+            try:
+                self._handler(datagram, Endpoint(host, port))
+            except Exception:  # The port must outlive a fault in handling one datagram.
+                self.failed_count += 1
+                logging.log_every_n_seconds(
+                    logging.ERROR, "transport: datagram failed", 10, exc_info=True
+                )
