--- a/src/catkinspread/instance/daemon.py
+++ b/src/catkinspread/instance/daemon.py
@@ -34,7 +34,7 @@
     encode_raw_frame,
     split_frame,
 )
-from catkinspread.instance.metrics import InstanceFigures, MetricsApi
+from catkinspread.instance.metrics import MetricsApi, read_figures
 from catkinspread.membership import (
     MemberChanged,
     MemberRecord,
@@ -105,7 +105,6 @@
         "_registration",
         "_settings",
         "_steps",
-        "_store",
         "_store_calls",
         "_upstream_port",
         "_was_routing",
@@ -138,7 +137,6 @@
         """
         now_ms = clock.now_ms()
         self._settings = settings
-        self._store = store
         self._clock = clock
         self._random = random.Random(seed)
         self.member = OwnerMember(settings.name, now_ms)
@@ -207,7 +205,13 @@
             ),
         )
         self._admin = HttpServer(AdminApi(self._operations).answer, STATEMENT_MAX_BYTES, "admin")
-        self._metrics = HttpServer(MetricsApi(self.read_figures).answer, 0, "metrics")
+        self._metrics = HttpServer(
+            MetricsApi(
+                lambda: read_figures(self.core, self._peer_port, self._clock.now_ms())
+            ).answer,
+            0,
+            "metrics",
+        )
 
     async def run(
         self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
@@ -260,28 +264,6 @@
                 quiet_since_ms = self._clock.now_ms()
             await anyio.sleep(_TICK_MS / 1000)
 
-    def read_figures(self) -> InstanceFigures:
-        """Returns the figures that metrics show."""
-        state = self.core.state
-        tables = state.configuration.slot_tables.values()
-        return InstanceFigures(
-            configuration_version=state.configuration.version,
-            live_instances=len(state.members),
-            known_flows=len(self.core.packets.flows),
-            open_requests=self.core.requests.count_open(self._clock.now_ms()),
-            slots_in_transition=sum(len(table.transitions) for table in tables),
-            routing_exceptions=sum(
-                base.exception_count for table in tables for base in table.bases
-            ),
-            owned_pins=len(state.router.owner.pins),
-            slow_requests=state.recorder.slow_count,
-            refused_requests=state.recorder.refused_count,
-            peer_sent_bytes=self._peer_port.sent_bytes,
-            peer_received_bytes=self._peer_port.received_bytes,
-            dropped_packets=dict(state.drops),
-            dropped_records=state.recorder.store.count().dropped,
-        )
-
     async def _tick(self) -> None:
         while True:
             now_ms = self._clock.now_ms()
--- a/src/catkinspread/instance/metrics.py
+++ b/src/catkinspread/instance/metrics.py
@@ -7,7 +7,8 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
-from catkinspread.transport import HttpAnswer, HttpRequest
+from catkinspread.instance.core import InstanceCore
+from catkinspread.transport import HttpAnswer, HttpRequest, PeerPort
 
 _CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -87,6 +88,27 @@
         yield drops
 
 
+def read_figures(core: InstanceCore, peer_port: PeerPort, now_ms: int) -> InstanceFigures:
+    """Returns the figures of an instance at this moment."""
+    state = core.state
+    tables = state.configuration.slot_tables.values()
+    return InstanceFigures(
+        configuration_version=state.configuration.version,
+        live_instances=len(state.members),
+        known_flows=len(core.packets.flows),
+        open_requests=core.requests.count_open(now_ms),
+        slots_in_transition=sum(len(table.transitions) for table in tables),
+        routing_exceptions=sum(base.exception_count for table in tables for base in table.bases),
+        owned_pins=len(state.router.owner.pins),
+        slow_requests=state.recorder.slow_count,
+        refused_requests=state.recorder.refused_count,
+        peer_sent_bytes=peer_port.sent_bytes,
+        peer_received_bytes=peer_port.received_bytes,
+        dropped_packets=dict(state.drops),
+        dropped_records=state.recorder.store.count().dropped,
+    )
+
+
 class MetricsApi:
     """Serves `GET /metrics`."""
 
