Take the log prefix, the chain hash and the deployment sizes from one place

Cause: reading the whole change showed twins: the operations part had its own log prefix and hash of an entry beside those of the configuration, its own prefix of token sections beside that of the settings, and the benches their own copy of the reference deployments. Change: each is imported from the part that owns it; FlowTable.evicted_count, which nothing read, is gone. Conclusion: no behaviour changed; a change of the hash can no longer split the two.

--- a/src/catkinspread/bench/deployments.py
+++ b/src/catkinspread/bench/deployments.py
@@ -11,6 +11,7 @@
     SlotsMoved,
     UpstreamSet,
 )
+from catkinspread.emulator import deployments as reference_deployments
 from catkinspread.model import (
     Configuration,
     DataCentre,
@@ -40,15 +41,14 @@
     services: dict[str, int]
 
 
-KALAHARI = Deployment(
-    "kalahari",
-    "khomas",
-    ("khomas-1", "khomas-2", "khomas-3"),
-    {"recipe-desk": 7, "plate-vault": 3},
-)
-MIDLAND = Deployment(
-    "midland", "midland", ("brum", "coventry", "leicester"), {"catalogue": 7, "templates": 3}
-)
+def _take_sizes(name: str, reference: reference_deployments.Deployment) -> Deployment:
+    """Returns the names and sizes of a reference deployment."""
+    services = {service.name: service.upstream_count for service in reference.services}
+    return Deployment(name, reference.region, reference.data_centres, services)
+
+
+KALAHARI = _take_sizes("kalahari", reference_deployments.KALAHARI)
+MIDLAND = _take_sizes("midland", reference_deployments.CONSORTIUM)
 DEPLOYMENTS = (KALAHARI, MIDLAND)
 
 
--- a/src/catkinspread/instance/flows.py
+++ b/src/catkinspread/instance/flows.py
@@ -34,12 +34,11 @@
     next packet of the flow may reach an instance without the entry.
     """
 
-    __slots__ = ("_flows", "_flows_max", "evicted_count")
+    __slots__ = ("_flows", "_flows_max")
 
     def __init__(self, flows_max: int) -> None:
         self._flows: collections.OrderedDict[int, Flow] = collections.OrderedDict()
         self._flows_max = flows_max
-        self.evicted_count = 0
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -50,7 +49,6 @@
         self._flows.move_to_end(flow.flow_hash)
         if len(self._flows) > self._flows_max:
             self._flows.popitem(last=False)
-            self.evicted_count += 1
 
     def find(self, flow_hash: int) -> Flow | None:
         """Returns a flow, or None if it is not known here."""
--- a/src/catkinspread/operations/__init__.py
+++ b/src/catkinspread/operations/__init__.py
@@ -7,7 +7,7 @@
     hash_token,
     read_access_list,
 )
-from catkinspread.operations.audit import ChainReport, Change, hash_payload, verify_chain
+from catkinspread.operations.audit import ChainReport, Change, verify_chain
 from catkinspread.operations.commands import Command, CommandStatement
 from catkinspread.operations.compiler import compile_command, compile_next_step
 from catkinspread.operations.context import (
@@ -80,7 +80,6 @@
     "compile_next_step",
     "count_references",
     "find_completed_removals",
-    "hash_payload",
     "hash_token",
     "note_removals",
     "parse_statement",
--- a/src/catkinspread/operations/access.py
+++ b/src/catkinspread/operations/access.py
@@ -13,9 +13,9 @@
 from catkinspread.model import Configuration
 from catkinspread.operations import commands
 from catkinspread.operations.errors import Forbidden, InvalidChange, OperationsError
+from catkinspread.settings import TOKEN_SECTION_PREFIX
 
 OPERATOR_ROLE = "operator"
-_SECTION_PREFIX = "token "
 _HASH_DIGITS = 64
 
 
@@ -65,7 +65,7 @@
     """
     grants: dict[str, Grant] = {}
     for section in parser.sections():
-        if not section.startswith(_SECTION_PREFIX):
+        if not section.startswith(TOKEN_SECTION_PREFIX):
             continue
         digest = parser.get(section, "sha256", fallback="").strip().lower()
         team = parser.get(section, "team", fallback="").strip()
@@ -78,7 +78,7 @@
         roles = frozenset(parser.get(section, "roles", fallback="").split())
         if roles - {OPERATOR_ROLE}:
             return _report(f"[{section}] roles has other roles than {OPERATOR_ROLE!r}")
-        grants[digest] = Grant(section.removeprefix(_SECTION_PREFIX).strip(), team, roles)
+        grants[digest] = Grant(section.removeprefix(TOKEN_SECTION_PREFIX).strip(), team, roles)
     return Ok(AccessList(grants))
 
 
--- a/src/catkinspread/operations/audit.py
+++ b/src/catkinspread/operations/audit.py
@@ -3,9 +3,9 @@
 from collections.abc import AsyncIterator
 
 import msgspec
-from xxhash import xxh3_64_intdigest
 
 from catkinspread.configuration import (
+    CONFIGURATION_LOG_PREFIX,
     ChangeEntry,
     DataCentreSet,
     EntryError,
@@ -16,11 +16,11 @@
     UpstreamRemoved,
     UpstreamSet,
     decode_entry,
+    hash_payload,
 )
 from catkinspread.objectstore import AppendLog, LogEntry, ObjectStore
 from catkinspread.operations.queries import ObjectName, ShowChanges
 
-CONFIGURATION_LOG = "configuration/log"
 # Entries of automatic steps have an actor that starts with this.
 AUTOMATIC_PREFIX = "instance/"
 
@@ -44,11 +44,6 @@
     fault: str = ""
 
 
-def hash_payload(payload: bytes) -> int:
-    """Returns the hash by which the next entry names this one, xxh3 with 64 bits."""
-    return xxh3_64_intdigest(payload)
-
-
 def is_automatic(actor: str) -> bool:
     """Whether an actor is an instance and not an operator."""
     return actor.startswith(AUTOMATIC_PREFIX)
@@ -104,7 +99,7 @@
 
 
 async def verify_chain(
-    store: ObjectStore, known_version: int, prefix: str = CONFIGURATION_LOG
+    store: ObjectStore, known_version: int, prefix: str = CONFIGURATION_LOG_PREFIX
 ) -> ChainReport:
     """Checks that no entry of the configuration log was changed, removed or inserted.
 
--- a/src/catkinspread/operations/seeding.py
+++ b/src/catkinspread/operations/seeding.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
-from catkinspread.configuration import EntryError, decode_entry
+from catkinspread.configuration import EntryError, decode_entry, hash_payload
 from catkinspread.model import Configuration, UpstreamState
 from catkinspread.objectstore import AppendLog, LogEntry
-from catkinspread.operations.audit import Change, hash_payload
+from catkinspread.operations.audit import Change
 from catkinspread.operations.context import note_removals
 from catkinspread.operations.removals import FLOW_LIFETIME_MAX_MS, note_idle_removals
 from catkinspread.operations.state import RECENT_MAX, OperationsState, find_services
--- a/src/catkinspread/operations/service.py
+++ b/src/catkinspread/operations/service.py
@@ -8,7 +8,7 @@
 from expression import Error, Ok, Result
 
 from catkinspread.clock import Clock
-from catkinspread.configuration import Effect, EntryError, encode_entry
+from catkinspread.configuration import CONFIGURATION_LOG_PREFIX, Effect, EntryError, encode_entry
 from catkinspread.model import Configuration
 from catkinspread.objectstore import (
     VALUE_MAX_BYTES,
@@ -22,7 +22,7 @@
 )
 from catkinspread.operations import queries
 from catkinspread.operations.access import AccessList, Grant, check_command
-from catkinspread.operations.audit import CONFIGURATION_LOG, Change, is_automatic
+from catkinspread.operations.audit import Change, is_automatic
 from catkinspread.operations.commands import Command, CommandStatement
 from catkinspread.operations.compiler import compile_command, compile_next_step
 from catkinspread.operations.context import CompileContext
@@ -90,7 +90,7 @@
         read_replica: Callable[[], Configuration] = Configuration,
     ) -> None:
         self.refusals = RefusalLog(store, make_id)
-        self._log = AppendLog(store, CONFIGURATION_LOG)
+        self._log = AppendLog(store, CONFIGURATION_LOG_PREFIX)
         self._queries = QueryRunner(store, self._log, fleet, self.refusals)
         self._access = access
         self._fleet = fleet
--- a/src/catkinspread/operations/state.py
+++ b/src/catkinspread/operations/state.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from catkinspread.configuration import ChangeEntry, apply_entry, decode_entry
+from catkinspread.configuration import ChangeEntry, apply_entry, decode_entry, hash_payload
 from catkinspread.model import Configuration, Endpoint
 from catkinspread.objectstore import LogEntry
-from catkinspread.operations.audit import Change, hash_payload, is_automatic, list_objects
+from catkinspread.operations.audit import Change, is_automatic, list_objects
 from catkinspread.operations.context import RemovedEndpoint, note_removals
 from catkinspread.operations.removals import note_idle_removals
 
--- a/src/catkinspread/operations/tests/fakes.py
+++ b/src/catkinspread/operations/tests/fakes.py
@@ -3,7 +3,13 @@
 import anyio
 
 from catkinspread.clock import ManualClock
-from catkinspread.configuration import ChangeEntry, SlotsListed, apply_entry, decode_entry
+from catkinspread.configuration import (
+    CONFIGURATION_LOG_PREFIX,
+    ChangeEntry,
+    SlotsListed,
+    apply_entry,
+    decode_entry,
+)
 from catkinspread.model import Configuration, OwnerMember
 from catkinspread.objectstore import AppendLog, MemoryObjectStore, ObjectStore, OutcomeUnknown
 from catkinspread.operations import (
@@ -17,7 +23,6 @@
     hash_token,
     parse_statement,
 )
-from catkinspread.operations.audit import CONFIGURATION_LOG
 
 START_MS = 1_800_000_000_000
 DATA_CENTRES = ("brum", "coventry", "leicester")
@@ -162,7 +167,7 @@
 
 
 async def read_entries(store: MemoryObjectStore):
-    entries = await AppendLog(store, CONFIGURATION_LOG).read_after(0)
+    entries = await AppendLog(store, CONFIGURATION_LOG_PREFIX).read_after(0)
     return [decode_entry(entry.payload) for entry in entries]
 
 
--- a/src/catkinspread/operations/tests/test_audit.py
+++ b/src/catkinspread/operations/tests/test_audit.py
@@ -5,6 +5,7 @@
 import pytest
 
 from catkinspread.clock import ManualClock
+from catkinspread.configuration import CONFIGURATION_LOG_PREFIX
 from catkinspread.objectstore import MemoryObjectStore, OutcomeUnknown, StoreUnavailable
 from catkinspread.operations import (
     Grant,
@@ -20,7 +21,6 @@
     verify_chain,
 )
 from catkinspread.operations import refusals as refusals_module
-from catkinspread.operations.audit import CONFIGURATION_LOG
 from catkinspread.operations.refusals import PENDING_MAX, PENDING_UNAUTHORISED_MAX
 from catkinspread.operations.tests.fakes import (
     SETUP,
@@ -67,7 +67,7 @@
         store, service = await build_configured(clock)
         end = len(SETUP)
         assert "15 entries are complete" in (await state_all(service, "verify changes")).notes[0]
-        keys = [item.key for item in await store.scan(f"{CONFIGURATION_LOG}/")]
+        keys = [item.key for item in await store.scan(f"{CONFIGURATION_LOG_PREFIX}/")]
         original = await store.get(keys[4])
         forged = original.value.replace(b"ann", b"bob")
         await store.update(keys[4], forged, 1)
--- a/src/catkinspread/operations/tests/test_service.py
+++ b/src/catkinspread/operations/tests/test_service.py
@@ -6,6 +6,7 @@
 
 from catkinspread.clock import ManualClock
 from catkinspread.configuration import (
+    CONFIGURATION_LOG_PREFIX,
     SlotsListed,
     UpstreamRemoved,
     UpstreamSet,
@@ -22,7 +23,6 @@
     render_error,
     verify_chain,
 )
-from catkinspread.operations.audit import CONFIGURATION_LOG
 from catkinspread.operations.removals import FLOW_LIFETIME_MAX_MS
 from catkinspread.operations.state import build_entry
 from catkinspread.operations.tests.fakes import (
@@ -112,7 +112,7 @@
         async def overtake() -> None:
             state = await other._refresh()
             entry = build_entry(state, "step", "instance/brum-1", "", "", clock.now_ms())
-            log = AppendLog(store, CONFIGURATION_LOG)
+            log = AppendLog(store, CONFIGURATION_LOG_PREFIX)
             await log.append(state.version + 1, "step", encode_entry(entry))
 
         store.before_create = overtake
@@ -284,7 +284,7 @@
     effects = (SlotsListed("templates", state.version, slots, exceptions),)
     entry = build_entry(state, "listed", "instance/brum-2", "", "", clock.now_ms())
     payload = encode_entry(msgspec.structs.replace(entry, effects=effects))
-    await AppendLog(store, CONFIGURATION_LOG).append(state.version + 1, "listed", payload)
+    await AppendLog(store, CONFIGURATION_LOG_PREFIX).append(state.version + 1, "listed", payload)
 
 
 def test_removal_completes_when_the_flows_of_its_exceptions_have_outlived_their_lifetime():
--- a/src/catkinspread/settings/__init__.py
+++ b/src/catkinspread/settings/__init__.py
@@ -8,6 +8,7 @@
     suggest,
 )
 from catkinspread.settings.instance import (
+    TOKEN_SECTION_PREFIX,
     InstanceSettings,
     KeySettings,
     PeerSeed,
@@ -15,6 +16,7 @@
 )
 
 __all__ = [
+    "TOKEN_SECTION_PREFIX",
     "InstanceSettings",
     "KeySettings",
     "PeerSeed",
