Read and parse a settings file once

Cause: the composition root parsed the file a second time for the tokens of operators, so the two parts could also have seen different contents. Change: load_file parses, read_instance_settings validates; load_instance_settings is both, as before. Conclusion: one read; messages and order of checks are the same.

--- a/src/catkinspread/composition.py
+++ b/src/catkinspread/composition.py
@@ -15,8 +15,8 @@
     InstanceSettings,
     SettingsError,
     SettingsProblem,
-    load_instance_settings,
-    parse_text,
+    load_file,
+    read_instance_settings,
 )
 
 
@@ -34,13 +34,16 @@
 
 def load_instance_file(path: str | pathlib.Path) -> Result[InstanceFile, SettingsError]:
     """Reads and validates a settings file as a whole."""
-    loaded = load_instance_settings(path)
+    file = str(path)
+    parsed = load_file(path)
+    if parsed.is_error():
+        return Error(parsed.error)
+    loaded = read_instance_settings(file, parsed.ok)
     if loaded.is_error():
         return Error(loaded.error)
-    parser = parse_text(str(path), pathlib.Path(path).read_text(encoding="utf-8"))
-    access = read_access_list(parser)
+    access = read_access_list(parsed.ok)
     if access.is_error():
-        problem = SettingsProblem(str(path), "", "", "", access.error.message)
+        problem = SettingsProblem(file, "", "", "", access.error.message)
         return Error(SettingsError((problem,)))
     return Ok(InstanceFile(loaded.ok, access.ok))
 
--- a/src/catkinspread/settings/__init__.py
+++ b/src/catkinspread/settings/__init__.py
@@ -4,7 +4,6 @@
     SettingsError,
     SettingsProblem,
     parse_endpoint,
-    parse_text,
     suggest,
 )
 from catkinspread.settings.instance import (
@@ -12,7 +11,9 @@
     InstanceSettings,
     KeySettings,
     PeerSeed,
+    load_file,
     load_instance_settings,
+    read_instance_settings,
 )
 
 __all__ = [
@@ -22,8 +23,9 @@
     "PeerSeed",
     "SettingsError",
     "SettingsProblem",
+    "load_file",
     "load_instance_settings",
+    "read_instance_settings",
     "parse_endpoint",
-    "parse_text",
     "suggest",
 ]
--- a/src/catkinspread/settings/instance.py
+++ b/src/catkinspread/settings/instance.py
@@ -1,5 +1,6 @@
 """The settings of one instance."""
 
+import configparser
 import pathlib
 
 import msgspec
@@ -145,14 +146,32 @@
     Returns:
         The settings, or an error that lists every problem with file, section, key and value.
     """
+    return load_file(path).bind(lambda parser: read_instance_settings(str(path), parser))
+
+
+def load_file(path: str | pathlib.Path) -> Result[configparser.ConfigParser, SettingsError]:
+    """Reads an INI file without checking its sections."""
     file = str(path)
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
+        return Ok(parse_text(file, pathlib.Path(path).read_text(encoding="utf-8")))
     except (OSError, UnicodeDecodeError) as error:
         problem = SettingsProblem(file, "", "", "", f"cannot be read: {error}")
         return Error(SettingsError((problem,)))
+    except SettingsError as error:
+        return Error(error)
+
+
+def read_instance_settings(
+    file: str, parser: configparser.ConfigParser
+) -> Result[InstanceSettings, SettingsError]:
+    """Validates the settings of an instance.
+
+    Args:
+        file: Name of the file, for error messages.
+        parser: Content of the file.
+    """
     try:
-        values = read_fields(file, parse_text(file, text), _FIELDS, TOKEN_SECTION_PREFIX)
+        values = read_fields(file, parser, _FIELDS, TOKEN_SECTION_PREFIX)
     except SettingsError as error:
         return Error(_hide_secrets(error))
     settings = _build(values)
