--- /dev/null
+++ b/src/catkinspread/deployment/__init__.py
@@ -0,0 +1,57 @@
+"""The deployment as an instance knows it: routes, upstreams, evacuated data centres."""
+
+from catkinspread.deployment.records import (
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    ServiceAddress,
+    ServiceLimits,
+    StateKind,
+    UpstreamRecord,
+)
+from catkinspread.deployment.source import (
+    HistoryLost,
+    Record,
+    SourceUnavailable,
+    StateChange,
+    StateChanges,
+    StateSource,
+)
+from catkinspread.deployment.state import (
+    LAPSE_GRACE_MS,
+    ApplyOutcome,
+    DeploymentState,
+    KnownUpstream,
+    compute_token,
+)
+from catkinspread.deployment.synchroniser import (
+    SourceHealth,
+    StateApplier,
+    Synchroniser,
+    SynchroniserSettings,
+)
+
+__all__ = [
+    "LAPSE_GRACE_MS",
+    "ApplyOutcome",
+    "DeploymentState",
+    "HistoryLost",
+    "KnownUpstream",
+    "Record",
+    "RequestKind",
+    "Route",
+    "RoutingConfiguration",
+    "ServiceAddress",
+    "ServiceLimits",
+    "SourceHealth",
+    "SourceUnavailable",
+    "StateApplier",
+    "StateChange",
+    "StateChanges",
+    "StateKind",
+    "StateSource",
+    "Synchroniser",
+    "SynchroniserSettings",
+    "UpstreamRecord",
+    "compute_token",
+]
--- /dev/null
+++ b/src/catkinspread/forwarding/__init__.py
@@ -0,0 +1,27 @@
+"""Decisions on the packets of callers: placing new flows and following open ones."""
+
+from catkinspread.forwarding.cold_budget import ColdBudget
+from catkinspread.forwarding.decision_log import DecisionLog, format_ip
+from catkinspread.forwarding.flows import Flow, FlowTable
+from catkinspread.forwarding.forwarder import Forwarder
+from catkinspread.forwarding.load import LoadBook, UpstreamLoad
+from catkinspread.forwarding.packets import CallerPacket, FlowKey, PacketOutput, Reason
+from catkinspread.forwarding.placement import Choice, Placement, Standing
+
+__all__ = [
+    "CallerPacket",
+    "Choice",
+    "ColdBudget",
+    "DecisionLog",
+    "Flow",
+    "FlowKey",
+    "FlowTable",
+    "Forwarder",
+    "LoadBook",
+    "PacketOutput",
+    "Placement",
+    "Reason",
+    "Standing",
+    "UpstreamLoad",
+    "format_ip",
+]
--- /dev/null
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -0,0 +1,277 @@
+"""Decides what becomes of each packet of a caller.
+
+An opening packet is placed on an upstream; every later packet follows the flow. If no upstream
+answers an opening packet within the time that handshakes take, the instance sends it to another
+one itself, well before the caller repeats it.
+"""
+
+import collections
+import heapq
+from collections.abc import Callable
+
+from catkinspread.deployment import DeploymentState, KnownUpstream
+from catkinspread.forwarding.decision_log import DecisionLog
+from catkinspread.forwarding.flows import Flow, FlowTable
+from catkinspread.forwarding.handshakes import HandshakeTimes
+from catkinspread.forwarding.load import LoadBook
+from catkinspread.forwarding.packets import CallerPacket, PacketOutput, Reason
+from catkinspread.forwarding.placement import Placement
+
+# Upstreams that are tried for one opening packet, copies of the caller included.
+TRIES_MAX = 4
+IDLE_TIMEOUT_DEFAULT_MS = 15_000
+_SEQUENCE_MODULUS = 1 << 32
+_SEQUENCE_HALF = 1 << 31
+
+
+def is_later(sequence: int, other: int) -> bool:
+    """Whether a 32-bit sequence number comes after another, with wrap-around."""
+    return 0 < (sequence - other) % _SEQUENCE_MODULUS < _SEQUENCE_HALF
+
+
+class Forwarder:
+    """Handles packets of callers; every call states the current time.
+
+    Args:
+        state: The deployment.
+        placement: Chooses upstreams for new flows.
+        loads: Load of the upstreams.
+        output: Sends packets.
+        log: Takes a line for each decision that touches a request.
+        read_request_id: Returns the identifier of the request that starts in a packet; empty
+            if none does.
+    """
+
+    __slots__ = (
+        "_flows",
+        "_handshakes",
+        "_loads",
+        "_log",
+        "_output",
+        "_placement",
+        "_read_request_id",
+        "_retries",
+        "_retry_count",
+        "_state",
+        "counts",
+    )
+
+    def __init__(
+        self,
+        state: DeploymentState,
+        placement: Placement,
+        loads: LoadBook,
+        output: PacketOutput,
+        log: DecisionLog,
+        read_request_id: Callable[[CallerPacket], str],
+    ) -> None:
+        self._state = state
+        self._placement = placement
+        self._loads = loads
+        self._output = output
+        self._log = log
+        self._read_request_id = read_request_id
+        self._flows = FlowTable()
+        self._handshakes = HandshakeTimes()
+        self._retries: list[tuple[int, int, Flow, KnownUpstream]] = []
+        self._retry_count = 0
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    @property
+    def flow_count(self) -> int:
+        """Number of flows in the table."""
+        return len(self._flows)
+
+    def handle(self, packet: CallerPacket, now_ms: int) -> None:
+        """Forwards, answers or drops a packet."""
+        flow = self._flows.find(packet.key)
+        if packet.is_open:
+            self._handle_open(packet, flow, now_ms)
+        elif flow is None:
+            self._adopt(packet, now_ms)
+        else:
+            self._follow(packet, flow, now_ms)
+
+    def run_due(self, now_ms: int) -> None:
+        """Sends unanswered opening packets whose time is up to another upstream."""
+        while self._retries and self._retries[0][0] <= now_ms:
+            _, _, flow, upstream = heapq.heappop(self._retries)
+            if flow.is_open or flow.upstream is not upstream or flow.opening_packet is None:
+                continue
+            self._loads.get(upstream.record.name).note_silence(now_ms)
+            self._log.unanswered(flow, upstream, now_ms)
+            self._try_next(flow, flow.opening_packet, now_ms)
+
+    def next_due_ms(self) -> int | None:
+        """Returns when `run_due` has something to do; None if nothing waits."""
+        return self._retries[0][0] if self._retries else None
+
+    def sweep(self, now_ms: int) -> None:
+        """Forgets flows of which nothing is expected."""
+        configuration = self._state.configuration
+        idle_ms = configuration.idle_timeout_ms if configuration else IDLE_TIMEOUT_DEFAULT_MS
+        for flow in self._flows.remove_expired(now_ms, idle_ms):
+            if flow.busy_since_ms is not None:
+                self._end_request(flow)
+                self._log.abandoned(flow, now_ms)
+                self.counts["abandoned"] += 1
+
+    def _handle_open(self, packet: CallerPacket, flow: Flow | None, now_ms: int) -> None:
+        if flow is not None and flow.is_open and flow.next_sequence == packet.sequence + 1:
+            # A delayed copy; an upstream that holds the flow ignores it.
+            self.counts["late_copy"] += 1
+            return
+        if flow is not None and flow.is_opened_by(packet):
+            self._repeat_open(flow, packet, now_ms)
+            return
+        self._open(packet, now_ms)
+
+    def _open(self, packet: CallerPacket, now_ms: int) -> None:
+        route = self._state.find_route(packet.key.address)
+        if route is None:
+            self._refuse(packet, Reason.NO_ROUTE, now_ms)
+            return
+        choice = self._placement.choose(route, now_ms)
+        if choice is None:
+            self._refuse(packet, Reason.NO_UPSTREAM, now_ms)
+            return
+        flow = Flow(packet.key, route, choice.upstream, now_ms)
+        flow.next_sequence = (packet.sequence + 1) % _SEQUENCE_MODULUS
+        self._flows.add(flow)
+        self.counts["opened"] += 1
+        self._start_request(flow, now_ms)
+        self._log.placed(flow, choice, packet.acknowledged, now_ms)
+        self._send_open(flow, packet, choice.upstream, now_ms)
+
+    def _repeat_open(self, flow: Flow, packet: CallerPacket, now_ms: int) -> None:
+        self._loads.get(flow.upstream.record.name).note_silence(now_ms)
+        self._try_next(flow, packet, now_ms)
+
+    def _try_next(self, flow: Flow, packet: CallerPacket, now_ms: int) -> None:
+        choice = None
+        route = self._state.find_route(flow.key.address)
+        if route is not None and len(flow.tried) < TRIES_MAX:
+            choice = self._placement.choose(route, now_ms, flow.tried)
+        if choice is None:
+            self.counts["no_other_upstream"] += 1
+            return
+        self._end_request(flow)
+        flow.route = route
+        flow.upstream = choice.upstream
+        self._start_request(flow, now_ms)
+        self.counts["retried"] += 1
+        self._log.placed(flow, choice, packet.acknowledged, now_ms)
+        self._send_open(flow, packet, choice.upstream, now_ms)
+
+    def _send_open(
+        self, flow: Flow, packet: CallerPacket, upstream: KnownUpstream, now_ms: int
+    ) -> None:
+        flow.tried = (*flow.tried, upstream)
+        flow.opening_packet = packet
+        flow.opened_at_ms = now_ms
+        flow.last_at_ms = now_ms
+        self._output.forward(packet, upstream)
+        due_ms = now_ms + self._handshakes.compute_timeout_ms(upstream.record.data_centre)
+        self._retry_count += 1
+        heapq.heappush(self._retries, (due_ms, self._retry_count, flow, upstream))
+
+    def _adopt(self, packet: CallerPacket, now_ms: int) -> None:
+        """Takes over a flow that another instance opened."""
+        upstream = self._state.find_by_token(packet.token)
+        if upstream is None:
+            self._drop(packet, Reason.UNKNOWN_TOKEN, now_ms)
+            return
+        route = self._state.find_route(packet.key.address)
+        if route is not None and route.service != upstream.record.service:
+            # The route was pointed elsewhere; the flow stays where it was opened.
+            self.counts["kept_after_change"] += 1
+        flow = Flow(packet.key, route, upstream, now_ms)
+        flow.is_open = True
+        flow.acknowledged = packet.acknowledged
+        flow.next_sequence = packet.sequence
+        self._flows.add(flow)
+        self.counts["adopted"] += 1
+        self._log.adopted(flow, now_ms)
+        self._follow(packet, flow, now_ms)
+
+    def _follow(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
+        if not flow.is_open:
+            self._settle(packet, flow, now_ms)
+        flow.last_at_ms = now_ms
+        if flow.busy_since_ms is not None and is_later(packet.acknowledged, flow.acknowledged):
+            self._note_answered(flow, now_ms)
+        if is_later(packet.acknowledged, flow.acknowledged):
+            flow.acknowledged = packet.acknowledged
+        if packet.data_bytes:
+            self._note_data(packet, flow, now_ms)
+        if packet.is_close or packet.is_reset:
+            self._close(packet, flow, now_ms)
+        self._output.forward(packet, flow.upstream)
+
+    def _settle(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
+        """Binds an opening flow to the upstream that answered the caller first."""
+        answered = next((tried for tried in flow.tried if tried.token == packet.token), None)
+        if answered is None:
+            answered = self._state.find_by_token(packet.token) or flow.upstream
+        if answered is flow.upstream:
+            took_ms = now_ms - flow.opened_at_ms
+            self._handshakes.add(answered.record.data_centre, took_ms)
+            self._loads.get(answered.record.name).note_answer(flow.opened_at_ms)
+        else:
+            self._end_request(flow)
+            flow.upstream = answered
+            self._start_request(flow, now_ms)
+        flow.is_open = True
+        flow.opening_packet = None
+        flow.acknowledged = packet.acknowledged
+        flow.busy_since_ms = now_ms
+
+    def _note_data(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
+        end = (packet.sequence + packet.data_bytes) % _SEQUENCE_MODULUS
+        if not is_later(end, flow.next_sequence):
+            flow.retransmissions += 1
+            self.counts["retransmitted"] += 1
+            return
+        flow.next_sequence = end
+        if flow.busy_since_ms is None:
+            self._start_request(flow, now_ms)
+        request_id = self._read_request_id(packet)
+        if request_id:
+            flow.request_id = request_id
+            flow.busy_since_ms = now_ms
+            self._log.requested(flow, now_ms)
+
+    def _note_answered(self, flow: Flow, now_ms: int) -> None:
+        took_ms = now_ms - (flow.busy_since_ms or now_ms)
+        self._loads.get(flow.upstream.record.name).add_latency(took_ms, now_ms)
+        self._end_request(flow)
+        self._log.answered(flow, took_ms, now_ms)
+
+    def _close(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
+        if flow.is_closed:
+            return
+        flow.is_closed = True
+        if flow.busy_since_ms is not None:
+            self._end_request(flow)
+            self._log.given_up(flow, packet.is_reset, now_ms)
+            self.counts["given_up"] += 1
+
+    def _start_request(self, flow: Flow, now_ms: int) -> None:
+        if flow.busy_since_ms is None:
+            flow.busy_since_ms = now_ms
+            self._loads.get(flow.upstream.record.name).in_flight += 1
+
+    def _end_request(self, flow: Flow) -> None:
+        if flow.busy_since_ms is not None:
+            flow.busy_since_ms = None
+            load = self._loads.get(flow.upstream.record.name)
+            load.in_flight = max(0, load.in_flight - 1)
+
+    def _refuse(self, packet: CallerPacket, reason: Reason, now_ms: int) -> None:
+        self.counts[f"refused_{reason.value}"] += 1
+        self._log.refused(packet, reason, now_ms)
+        self._output.reset(packet)
+
+    def _drop(self, packet: CallerPacket, reason: Reason, now_ms: int) -> None:
+        self.counts[f"dropped_{reason.value}"] += 1
+        self._log.dropped(packet, reason, now_ms)
--- /dev/null
+++ b/src/catkinspread/forwarding/load.py
@@ -0,0 +1,102 @@
+"""What an instance sees of the load and health of upstreams.
+
+Packets of upstreams go to callers directly, so everything is inferred from packets of callers:
+the first packet after an opening one shows that an upstream answered, the first acknowledgement
+of response data shows how long the request took.
+"""
+
+import collections
+
+# Weight of one response time in the moving average of an upstream.
+LATENCY_STEP = 0.2
+# Without new samples the average returns half-way to the usual value in this time, so that an
+# upstream that was slow is tried again.
+LATENCY_HALF_LIFE_MS = 1_500
+# Expected time of a request at an upstream that has not been measured.
+LATENCY_DEFAULT_MS = 45.0
+# An upstream that left an opening packet unanswered is avoided this long, doubled each time.
+SILENCE_FIRST_MS = 400
+SILENCE_MAX_MS = 6_000
+# A record of silence is forgotten after this long without another.
+SILENCE_MEMORY_MS = 15_000
+
+
+class UpstreamLoad:
+    """Load of one upstream as this instance sees it.
+
+    Attributes:
+        in_flight: Requests of this instance that it has not answered.
+        peer_in_flight: Requests of other instances, as they last told.
+        placed_at_ms: When it was last given a flow.
+        unanswered: Opening packets that wait for an answer, by the time they were sent.
+    """
+
+    __slots__ = (
+        "_latency_at_ms",
+        "_latency_ms",
+        "_silence_ms",
+        "_silent_since_ms",
+        "_silent_until_ms",
+        "in_flight",
+        "peer_in_flight",
+        "placed_at_ms",
+    )
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.peer_in_flight = 0
+        self.placed_at_ms = 0
+        self._latency_ms = LATENCY_DEFAULT_MS
+        self._latency_at_ms = 0
+        self._silence_ms = 0
+        self._silent_since_ms = 0
+        self._silent_until_ms = 0
+
+    def add_latency(self, latency_ms: int, now_ms: int) -> None:
+        """Takes the response time of a request."""
+        current = self.estimate_latency_ms(now_ms)
+        self._latency_ms = current + LATENCY_STEP * (latency_ms - current)
+        self._latency_at_ms = now_ms
+
+    def estimate_latency_ms(self, now_ms: int) -> float:
+        """Returns the expected response time of a request without other load."""
+        age_ms = now_ms - self._latency_at_ms
+        share = 0.5 ** (age_ms / LATENCY_HALF_LIFE_MS)
+        return LATENCY_DEFAULT_MS + (self._latency_ms - LATENCY_DEFAULT_MS) * share
+
+    def note_answer(self, opened_at_ms: int) -> None:
+        """Notes that an opening packet sent at a time was answered."""
+        if opened_at_ms >= self._silent_since_ms:
+            self._silent_until_ms = 0
+            self._silence_ms = 0
+
+    def note_silence(self, now_ms: int) -> None:
+        """Notes that an opening packet was not answered in time."""
+        if now_ms < self._silent_until_ms:
+            return
+        if now_ms - self._silent_until_ms > SILENCE_MEMORY_MS:
+            self._silence_ms = 0
+        self._silence_ms = min(SILENCE_MAX_MS, 2 * self._silence_ms or SILENCE_FIRST_MS)
+        self._silent_since_ms = now_ms
+        self._silent_until_ms = now_ms + self._silence_ms
+
+    def is_silent(self, now_ms: int) -> bool:
+        """Whether it is avoided because it did not answer."""
+        return now_ms < self._silent_until_ms
+
+
+class LoadBook:
+    """The load of all upstreams by name."""
+
+    __slots__ = ("_loads",)
+
+    def __init__(self) -> None:
+        self._loads: dict[str, UpstreamLoad] = collections.defaultdict(UpstreamLoad)
+
+    def get(self, name: str) -> UpstreamLoad:
+        """Returns the load of an upstream."""
+        return self._loads[name]
+
+    def forget(self, name: str) -> None:
+        """Removes what is known of an upstream, for example when it started anew."""
+        self._loads.pop(name, None)
--- /dev/null
+++ b/src/catkinspread/forwarding/placement.py
@@ -0,0 +1,142 @@
+"""The choice of an upstream for a new flow.
+
+Upstreams are compared by the time at which they would answer: the work that is known to wait
+there, their measured response time, and the way to another data centre. Upstreams that do not
+answer are left out while others do, and cold ones are used only within their budget.
+"""
+
+import enum
+import random
+
+import msgspec
+
+from catkinspread.deployment import DeploymentState, KnownUpstream, Route
+from catkinspread.forwarding.cold_budget import ColdBudget
+from catkinspread.forwarding.load import LoadBook
+
+# Added to the expected answer time of an upstream elsewhere. More than the way there, because
+# traffic between data centres is paid for and can be cut.
+OTHER_DATA_CENTRE_MS = 25.0
+
+
+class Standing(enum.Enum):
+    """How an upstream came to be chosen."""
+
+    NORMAL = "normal"
+    SILENT = "silent"
+    COLD = "cold"
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """A chosen upstream with the inputs that decided.
+
+    Attributes:
+        upstream: The upstream.
+        standing: Whether it is a regular choice or the best of a bad lot.
+        expected_ms: Expected time to the answer.
+        candidates: How many upstreams were compared.
+    """
+
+    upstream: KnownUpstream
+    standing: Standing
+    expected_ms: float
+    candidates: int
+
+
+class Placement:
+    """Chooses upstreams for new flows.
+
+    Args:
+        data_centre: Where this instance runs.
+        state: The deployment.
+        loads: Load of the upstreams.
+        cold_budget: What may be sent to cold upstreams.
+        rng: Source of random choices.
+    """
+
+    __slots__ = ("_cold_budget", "_data_centre", "_loads", "_rng", "_state")
+
+    def __init__(
+        self,
+        data_centre: str,
+        state: DeploymentState,
+        loads: LoadBook,
+        cold_budget: ColdBudget,
+        rng: random.Random,
+    ) -> None:
+        self._data_centre = data_centre
+        self._state = state
+        self._loads = loads
+        self._cold_budget = cold_budget
+        self._rng = rng
+
+    def choose(
+        self, route: Route, now_ms: int, excluded: tuple[KnownUpstream, ...] = ()
+    ) -> Choice | None:
+        """Returns the best upstream, or None if no upstream may take the flow.
+
+        Args:
+            route: Route of the flow.
+            now_ms: Current time.
+            excluded: Upstreams that were already tried for the flow.
+        """
+        candidates = [
+            upstream
+            for upstream in self._state.list_open_to_new_flows(route.service)
+            if upstream not in excluded
+        ]
+        warm = [upstream for upstream in candidates if now_ms >= upstream.cold_until_ms]
+        answering = [
+            upstream
+            for upstream in warm
+            if upstream.missing_since_ms is None
+            and not self._loads.get(upstream.record.name).is_silent(now_ms)
+        ]
+        if answering:
+            return self._choose_fastest(answering, Standing.NORMAL, now_ms)
+        rate_per_s = self._state.find_service(route.service).cold_rate_per_s
+        cold = self._find_cold_with_budget(candidates, rate_per_s, now_ms)
+        if cold:
+            choice = self._choose_fastest(cold, Standing.COLD, now_ms)
+            self._cold_budget.spend(choice.upstream, rate_per_s, now_ms)
+            return choice
+        if warm:
+            return self._choose_fastest(warm, Standing.SILENT, now_ms)
+        return None
+
+    def _choose_fastest(
+        self, candidates: list[KnownUpstream], standing: Standing, now_ms: int
+    ) -> Choice:
+        best = candidates[0]
+        best_rank = (float("inf"), 0, 0.0)
+        for upstream in candidates:
+            load = self._loads.get(upstream.record.name)
+            rank = (
+                self._estimate_ms(upstream, now_ms),
+                load.placed_at_ms,
+                self._rng.random(),
+            )
+            if rank < best_rank:
+                best, best_rank = upstream, rank
+        self._loads.get(best.record.name).placed_at_ms = now_ms
+        return Choice(best, standing, best_rank[0], len(candidates))
+
+    def _estimate_ms(self, upstream: KnownUpstream, now_ms: int) -> float:
+        record = upstream.record
+        load = self._loads.get(record.name)
+        ahead = load.in_flight + load.peer_in_flight
+        latency_ms = load.estimate_latency_ms(now_ms)
+        rounds = max(0, ahead + 1 - record.work_slots) / record.work_slots
+        way_ms = 0.0 if record.data_centre == self._data_centre else OTHER_DATA_CENTRE_MS
+        # Rounding lets upstreams that are nearly equal take turns.
+        return round((rounds + 1) * latency_ms / 5) * 5 + way_ms
+
+    def _find_cold_with_budget(
+        self, candidates: list[KnownUpstream], rate_per_s: float, now_ms: int
+    ) -> list[KnownUpstream]:
+        return [
+            upstream
+            for upstream in candidates
+            if now_ms < upstream.cold_until_ms
+            and self._cold_budget.allows(upstream, rate_per_s, now_ms)
+        ]
--- /dev/null
+++ b/src/catkinspread/platform/readiness.py
@@ -0,0 +1,39 @@
+"""Answers the readiness check of the platform's routers."""
+
+from collections.abc import Callable
+
+from catkinspread.model import Endpoint
+from catkinspread.transport.http_server import HttpAnswer, HttpRequest, HttpServer
+
+_PATH = "/catkinspread/ready"
+_OK = 200
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+_BODY_MAX_BYTES = 1_024
+
+
+class ReadinessServer:
+    """Tells the routers whether this instance takes packets.
+
+    Args:
+        endpoint: Where the check is answered.
+        is_ready: Returns the answer.
+    """
+
+    __slots__ = ("_endpoint", "_is_ready", "_server")
+
+    def __init__(self, endpoint: Endpoint, is_ready: Callable[[], bool]) -> None:
+        self._endpoint = endpoint
+        self._is_ready = is_ready
+        self._server = HttpServer(self._answer, _BODY_MAX_BYTES, "readiness")
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        await self._server.run(self._endpoint)
+
+    async def _answer(self, request: HttpRequest) -> HttpAnswer:
+        if request.target != _PATH:
+            return HttpAnswer(_NOT_FOUND)
+        return HttpAnswer(
+            _OK if self._is_ready() else _UNAVAILABLE, content_type="application/json"
+        )
--- /dev/null
+++ b/src/catkinspread/settings/forwarding.py
@@ -0,0 +1,146 @@
+"""Settings of an instance that forwards packets and reads the deployment from a source."""
+
+import configparser
+import pathlib
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from catkinspread.model import Endpoint
+from catkinspread.settings.fields import (
+    Field,
+    SettingsError,
+    SettingsProblem,
+    parse_endpoint,
+    parse_integer,
+    parse_name,
+    parse_text,
+    read_fields,
+)
+
+_MS_PER_S = 1_000
+_HOUR_MS = 3_600_000
+_PORT_MAX = 65_535
+
+
+class ForwardingSettings(msgspec.Struct, frozen=True):
+    """Settings of a forwarding instance.
+
+    Attributes:
+        name: Unique name of the instance.
+        data_centre: Data centre it runs in.
+        region: Region of the data centre.
+        data_centres: Names of all data centres.
+        packet_address: Where packets of callers arrive.
+        readiness_address: Where the readiness check is answered.
+        peer_address: Where other instances reach it first; None if it is not reachable.
+        peer_port: UDP port for messages between instances.
+        grace_ms: Time between the request to stop and the end of the process.
+        stable_ms: Time without trouble after which bounds apply in full.
+        flow_lifetime_max_ms: Flows older than this may be discarded.
+        seeds: Instances that may know the others.
+        source_address: Where the state of the deployment is read.
+        heartbeat_ms: Interval at which upstreams report.
+    """
+
+    name: str
+    data_centre: str
+    region: str
+    data_centres: tuple[str, ...]
+    packet_address: Endpoint
+    readiness_address: Endpoint
+    peer_address: Endpoint | None
+    peer_port: int
+    grace_ms: int
+    stable_ms: int
+    flow_lifetime_max_ms: int
+    seeds: tuple[Endpoint, ...]
+    source_address: Endpoint
+    heartbeat_ms: int
+
+
+def _parse_seconds(text: str) -> int:
+    """Returns milliseconds from a number of seconds that may have a fraction."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        raise ValueError("expected a number of seconds") from None
+    if not 0 <= seconds <= _HOUR_MS / _MS_PER_S:
+        raise ValueError("must be from 0 to 3600")
+    return round(seconds * _MS_PER_S)
+
+
+def _parse_optional_endpoint(text: str) -> Endpoint | None:
+    return parse_endpoint(text) if text else None
+
+
+def _parse_endpoints(text: str) -> tuple[Endpoint, ...]:
+    return tuple(parse_endpoint(part.strip()) for part in text.split(",") if part.strip())
+
+
+def _parse_data_centres(text: str) -> tuple[str, ...]:
+    """Returns the keys of a JSON object of regions by data centre."""
+    try:
+        return tuple(msgspec.json.decode(text, type=dict[str, str]))
+    except msgspec.DecodeError as error:
+        raise ValueError(f"expected regions by data centre as JSON: {error}") from None
+
+
+def _field(section: str, key: str, parse: Callable[[str], Any]) -> Field:
+    return Field(section, key, parse)
+
+
+_FIELDS = [
+    _field("instance", "name", parse_name),
+    _field("instance", "data_centre", parse_name),
+    _field("instance", "region", parse_name),
+    _field("instance", "data_centres", _parse_data_centres),
+    _field("instance", "packet_address", parse_endpoint),
+    _field("instance", "readiness_address", parse_endpoint),
+    _field("instance", "peer_address", _parse_optional_endpoint),
+    _field("instance", "peer_port", parse_integer(1, _PORT_MAX)),
+    _field("instance", "grace_s", _parse_seconds),
+    _field("instance", "stable_ms", parse_integer(0, _HOUR_MS)),
+    _field("instance", "flow_lifetime_max_s", _parse_seconds),
+    _field("peers", "seeds", _parse_endpoints),
+    _field("source", "address", parse_endpoint),
+    _field("source", "heartbeat_ms", parse_integer(1, _HOUR_MS)),
+]
+
+
+def read_forwarding_settings(path: str | pathlib.Path) -> ForwardingSettings:
+    """Reads and validates the settings file of a forwarding instance.
+
+    Raises:
+        SettingsError: With every problem found.
+    """
+    file = str(path)
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        problem = SettingsProblem(file, "", "", "", f"cannot be read: {error}")
+        raise SettingsError((problem,)) from error
+    return build_forwarding_settings(file, parse_text(file, text))
+
+
+def build_forwarding_settings(file: str, parser: configparser.ConfigParser) -> ForwardingSettings:
+    """Validates parsed settings.
+
+    Args:
+        file: Name of the file, for error messages.
+        parser: Content of the file.
+
+    Raises:
+        SettingsError: With every problem found.
+    """
+    values = read_fields(file, parser, _FIELDS)
+    instance = values["instance"]
+    return ForwardingSettings(
+        grace_ms=instance.pop("grace_s"),
+        flow_lifetime_max_ms=instance.pop("flow_lifetime_max_s"),
+        **instance,
+        seeds=values["peers"]["seeds"],
+        source_address=values["source"]["address"],
+        heartbeat_ms=values["source"]["heartbeat_ms"],
+    )
