--- a/deploy/instance.py
+++ b/deploy/instance.py
@@ -5,6 +5,6 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "src"))
 
-from catkinspread.console.forward import main  # noqa: E402
+from catkinspread.runtime import main  # noqa: E402
 
 sys.exit(main())
--- a/src/catkinspread/bench/transport_cost.py
+++ b/src/catkinspread/bench/transport_cost.py
@@ -15,7 +15,7 @@
 from catkinspread.bench.registry import BenchReport, register_bench
 from catkinspread.model import Endpoint
 from catkinspread.settings import KeySettings
-from catkinspread.transport import PeerPort
+from catkinspread.transport.peers import PeerPort
 
 _SIZES_BYTES = (40, 200, 280, 1_000)
 _MESSAGES = 200
--- a/src/catkinspread/deployment/records.py
+++ b/src/catkinspread/deployment/records.py
@@ -70,7 +70,7 @@
     connections_max: int
 
 
-class RoutingConfiguration(msgspec.Struct, frozen=True):
+class RoutingConfiguration(msgspec.Struct, frozen=True, tag="configuration"):
     """One version of the routes and services.
 
     Attributes:
@@ -86,7 +86,7 @@
     idle_timeout_ms: int
 
 
-class UpstreamRecord(msgspec.Struct, frozen=True):
+class UpstreamRecord(msgspec.Struct, frozen=True, tag="upstream"):
     """What an upstream reports of itself.
 
     Attributes:
--- a/src/catkinspread/deployment/synchroniser.py
+++ b/src/catkinspread/deployment/synchroniser.py
@@ -47,17 +47,20 @@
     Attributes:
         available_since_ms: Since when it answers; None while it does not.
         answered_at_ms: When it answered last; 0 before the first answer.
+        is_failing: Whether the last call failed.
     """
 
-    __slots__ = ("answered_at_ms", "available_since_ms")
+    __slots__ = ("answered_at_ms", "available_since_ms", "is_failing")
 
     def __init__(self) -> None:
         self.available_since_ms: int | None = None
         self.answered_at_ms = 0
+        self.is_failing = False
 
     def note_answer(self, now_ms: int) -> bool:
         """Notes an answer and returns whether it ends an outage."""
         self.answered_at_ms = now_ms
+        self.is_failing = False
         if self.available_since_ms is not None:
             return False
         self.available_since_ms = now_ms
@@ -65,11 +68,16 @@
 
     def note_failure(self) -> bool:
         """Notes a failure and returns whether it begins an outage."""
-        if self.available_since_ms is None:
+        if self.is_failing:
             return False
+        self.is_failing = True
         self.available_since_ms = None
         return True
 
+    def get_answer_age_ms(self, now_ms: int) -> int | None:
+        """Returns the time since the last answer; None in an outage or before the first."""
+        return None if self.available_since_ms is None else now_ms - self.answered_at_ms
+
 
 class StateApplier:
     """Applies changes to the state and logs each difference.
--- a/src/catkinspread/forwarding/__init__.py
+++ b/src/catkinspread/forwarding/__init__.py
@@ -4,6 +4,7 @@
 from catkinspread.forwarding.decision_log import DecisionLog, format_ip
 from catkinspread.forwarding.flows import Flow, FlowTable
 from catkinspread.forwarding.forwarder import Forwarder
+from catkinspread.forwarding.histogram import LatencyHistogram
 from catkinspread.forwarding.load import LoadBook, UpstreamLoad
 from catkinspread.forwarding.packets import CallerPacket, FlowKey, PacketOutput, Reason
 from catkinspread.forwarding.placement import Choice, Placement, Standing
@@ -17,6 +18,7 @@
     "FlowKey",
     "FlowTable",
     "Forwarder",
+    "LatencyHistogram",
     "LoadBook",
     "PacketOutput",
     "Placement",
--- a/src/catkinspread/forwarding/flows.py
+++ b/src/catkinspread/forwarding/flows.py
@@ -11,6 +11,8 @@
 CLOSED_RETENTION_MS = 4_000
 # Callers give up opening a flow after 1.4 s.
 OPENING_TIMEOUT_MS = 1_500
+# Time for the answer to a request whose route is not known.
+REQUEST_TIMEOUT_DEFAULT_MS = 2_000
 
 
 class Flow:
@@ -77,6 +79,13 @@
         waiting = self.opening_packet
         return not self.is_open and waiting is not None and waiting.sequence == packet.sequence
 
+    def is_overdue(self, now_ms: int) -> bool:
+        """Whether the caller no longer waits for the answer to its request."""
+        if self.busy_since_ms is None:
+            return False
+        timeout_ms = self.route.timeout_ms if self.route else REQUEST_TIMEOUT_DEFAULT_MS
+        return now_ms - self.busy_since_ms >= timeout_ms
+
     def is_expired(self, now_ms: int, idle_timeout_ms: int) -> bool:
         """Whether nothing of the flow is expected any more."""
         if not self.is_open:
@@ -104,6 +113,10 @@
         """Adds a flow in place of an earlier one with the same ends."""
         self._flows[flow.key] = flow
 
+    def list_overdue(self, now_ms: int) -> list[Flow]:
+        """Returns the flows with a request that was not answered in its time."""
+        return [flow for flow in self._flows.values() if flow.is_overdue(now_ms)]
+
     def remove_expired(self, now_ms: int, idle_timeout_ms: int) -> list[Flow]:
         """Removes the flows of which nothing is expected and returns them."""
         expired = [
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -13,6 +13,7 @@
 from catkinspread.forwarding.decision_log import DecisionLog
 from catkinspread.forwarding.flows import Flow, FlowTable
 from catkinspread.forwarding.handshakes import HandshakeTimes
+from catkinspread.forwarding.histogram import LatencyHistogram
 from catkinspread.forwarding.load import LoadBook
 from catkinspread.forwarding.packets import CallerPacket, PacketOutput, Reason
 from catkinspread.forwarding.placement import Placement
@@ -54,6 +55,7 @@
         "_retry_count",
         "_state",
         "counts",
+        "histograms",
     )
 
     def __init__(
@@ -76,6 +78,7 @@
         self._retries: list[tuple[int, int, Flow, KnownUpstream]] = []
         self._retry_count = 0
         self.counts: collections.Counter[str] = collections.Counter()
+        self.histograms = {"handshake": LatencyHistogram(), "response": LatencyHistogram()}
 
     @property
     def flow_count(self) -> int:
@@ -97,7 +100,7 @@
         while self._retries and self._retries[0][0] <= now_ms:
             _, _, flow, upstream = heapq.heappop(self._retries)
             if flow.is_open or flow.upstream is not upstream or flow.opening_packet is None:
-                continue
+                continue  # Answered, or sent elsewhere meanwhile.
             self._loads.get(upstream.record.name).note_silence(now_ms)
             self._log.unanswered(flow, upstream, now_ms)
             self._try_next(flow, flow.opening_packet, now_ms)
@@ -110,7 +113,8 @@
         """Forgets flows of which nothing is expected."""
         configuration = self._state.configuration
         idle_ms = configuration.idle_timeout_ms if configuration else IDLE_TIMEOUT_DEFAULT_MS
-        for flow in self._flows.remove_expired(now_ms, idle_ms):
+        expired = self._flows.remove_expired(now_ms, idle_ms)
+        for flow in [*expired, *self._flows.list_overdue(now_ms)]:
             if flow.busy_since_ms is not None:
                 self._end_request(flow)
                 self._log.abandoned(flow, now_ms)
@@ -216,6 +220,7 @@
         if answered is flow.upstream:
             took_ms = now_ms - flow.opened_at_ms
             self._handshakes.add(answered.record.data_centre, took_ms)
+            self.histograms["handshake"].add(took_ms)
             self._loads.get(answered.record.name).note_answer(flow.opened_at_ms)
         else:
             self._end_request(flow)
@@ -244,6 +249,7 @@
     def _note_answered(self, flow: Flow, now_ms: int) -> None:
         took_ms = now_ms - (flow.busy_since_ms or now_ms)
         self._loads.get(flow.upstream.record.name).add_latency(took_ms, now_ms)
+        self.histograms["response"].add(took_ms)
         self._end_request(flow)
         self._log.answered(flow, took_ms, now_ms)
 
--- a/src/catkinspread/forwarding/load.py
+++ b/src/catkinspread/forwarding/load.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Mapping
 
 # Weight of one response time in the moving average of an upstream.
 LATENCY_STEP = 0.2
@@ -21,6 +22,23 @@
 SILENCE_MEMORY_MS = 15_000
 
 
+# A report of an instance counts this long.
+REPORT_TIMEOUT_MS = 600
+# Reports overtake each other by a few at most; a lower sequence is a restarted instance.
+REPORT_REORDER_MAX = 16
+
+
+class _PeerReport:
+    """The last report of another instance."""
+
+    __slots__ = ("at_ms", "in_flight", "sequence")
+
+    def __init__(self, sequence: int, in_flight: dict[str, int], at_ms: int) -> None:
+        self.sequence = sequence
+        self.in_flight = in_flight
+        self.at_ms = at_ms
+
+
 class UpstreamLoad:
     """Load of one upstream as this instance sees it.
 
@@ -28,7 +46,6 @@
         in_flight: Requests of this instance that it has not answered.
         peer_in_flight: Requests of other instances, as they last told.
         placed_at_ms: When it was last given a flow.
-        unanswered: Opening packets that wait for an answer, by the time they were sent.
     """
 
     __slots__ = (
@@ -88,15 +105,39 @@
 class LoadBook:
     """The load of all upstreams by name."""
 
-    __slots__ = ("_loads",)
+    __slots__ = ("_loads", "_reports")
 
     def __init__(self) -> None:
         self._loads: dict[str, UpstreamLoad] = collections.defaultdict(UpstreamLoad)
+        self._reports: dict[str, _PeerReport] = {}
+
+    def take_report(
+        self, sender: str, sequence: int, in_flight: Mapping[str, int], now_ms: int
+    ) -> None:
+        """Takes the requests in flight of another instance, by name of the upstream."""
+        previous = self._reports.get(sender)
+        if previous is not None:
+            if 0 <= previous.sequence - sequence < REPORT_REORDER_MAX:
+                return
+            self._add(previous.in_flight, -1)
+        self._reports[sender] = _PeerReport(sequence, dict(in_flight), now_ms)
+        self._add(in_flight, 1)
+
+    def expire_reports(self, now_ms: int) -> None:
+        """Drops what instances said that have been quiet since."""
+        for sender, report in list(self._reports.items()):
+            if now_ms - report.at_ms >= REPORT_TIMEOUT_MS:
+                self._add(report.in_flight, -1)
+                del self._reports[sender]
+
+    def list_in_flight(self) -> dict[str, int]:
+        """Returns the own requests in flight by upstream, without those that have none."""
+        return {name: load.in_flight for name, load in self._loads.items() if load.in_flight}
+
+    def _add(self, in_flight: Mapping[str, int], sign: int) -> None:
+        for name, count in in_flight.items():
+            self._loads[name].peer_in_flight += sign * count
 
     def get(self, name: str) -> UpstreamLoad:
         """Returns the load of an upstream."""
         return self._loads[name]
-
-    def forget(self, name: str) -> None:
-        """Removes what is known of an upstream, for example when it started anew."""
-        self._loads.pop(name, None)
--- a/src/catkinspread/forwarding/placement.py
+++ b/src/catkinspread/forwarding/placement.py
@@ -17,6 +17,9 @@
 # Added to the expected answer time of an upstream elsewhere. More than the way there, because
 # traffic between data centres is paid for and can be cut.
 OTHER_DATA_CENTRE_MS = 25.0
+# Share of the time between the opening packet and the answer in which the upstream works on the
+# request; the rest goes to the way of the packets.
+WORKING_SHARE = 0.7
 
 
 class Standing(enum.Enum):
@@ -124,9 +127,9 @@
     def _estimate_ms(self, upstream: KnownUpstream, now_ms: int) -> float:
         record = upstream.record
         load = self._loads.get(record.name)
-        ahead = load.in_flight + load.peer_in_flight
+        ahead = WORKING_SHARE * (load.in_flight + load.peer_in_flight)
         latency_ms = load.estimate_latency_ms(now_ms)
-        rounds = max(0, ahead + 1 - record.work_slots) / record.work_slots
+        rounds = max(0.0, ahead + 1 - record.work_slots) / record.work_slots
         way_ms = 0.0 if record.data_centre == self._data_centre else OTHER_DATA_CENTRE_MS
         # Rounding lets upstreams that are nearly equal take turns.
         return round((rounds + 1) * latency_ms / 5) * 5 + way_ms
--- /dev/null
+++ b/src/catkinspread/forwarding/tests/builders.py
@@ -0,0 +1,172 @@
+"""A forwarder on a small deployment without a network."""
+
+import random
+
+from catkinspread.clock import ManualClock
+from catkinspread.deployment import (
+    DeploymentState,
+    KnownUpstream,
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    ServiceAddress,
+    ServiceLimits,
+    UpstreamRecord,
+)
+from catkinspread.eventlog import EventLog
+from catkinspread.forwarding import (
+    CallerPacket,
+    ColdBudget,
+    DecisionLog,
+    FlowKey,
+    Forwarder,
+    LoadBook,
+    Placement,
+)
+
+ORDERS = ServiceAddress(0xC6120001, 443)
+UNKNOWN = ServiceAddress(0xC6120001, 444)
+SERVICE = "orders"
+SEQUENCE = 1_000
+START_MS = 1_000_000
+
+
+class RecordedOutput:
+    """Keeps what a forwarder sends."""
+
+    def __init__(self) -> None:
+        self.forwarded: list[tuple[CallerPacket, str]] = []
+        self.resets: list[CallerPacket] = []
+
+    def forward(self, packet: CallerPacket, upstream: KnownUpstream) -> None:
+        self.forwarded.append((packet, upstream.record.name))
+
+    def reset(self, packet: CallerPacket) -> None:
+        self.resets.append(packet)
+
+
+class LineRecorder:
+    """Stands in for the writer of log lines."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+
+    def write(self, line: bytes) -> bool:
+        self.lines.append(line)
+        return True
+
+
+def build_upstream(
+    name: str,
+    data_centre: str = "east",
+    service: str = SERVICE,
+    is_draining: bool = False,
+    cold_left_ms: int = 0,
+    born_ms: int = 1,
+) -> UpstreamRecord:
+    """Returns the report of an upstream with two work slots."""
+    return UpstreamRecord(
+        name=name,
+        key=1,
+        service=service,
+        data_centre=data_centre,
+        host="10.0.0.1",
+        port=80,
+        work_slots=2,
+        is_draining=is_draining,
+        cold_left_ms=cold_left_ms,
+        born_ms=born_ms,
+    )
+
+
+def build_configuration(
+    version: int = 1, service: str = SERVICE, cold_rate_per_s: float = 0.0
+) -> RoutingConfiguration:
+    """Returns a configuration with one route."""
+    route = Route("r1", ORDERS, service, RequestKind.NON_IDEMPOTENT, 2_000, 1)
+    limits = ServiceLimits(service, cold_rate_per_s, 2_000)
+    return RoutingConfiguration(version, (route,), (limits,), 15_000)
+
+
+class Rig:
+    """A forwarder with everything that it needs."""
+
+    def __init__(self, *records: UpstreamRecord, data_centre: str = "east", seed: int = 1) -> None:
+        self.clock = ManualClock(START_MS)
+        self.state = DeploymentState()
+        self.state.put_configuration(build_configuration())
+        for record in records:
+            self.state.put_upstream(record, self.clock.now_ms())
+        self.output = RecordedOutput()
+        self.loads = LoadBook()
+        self.lines = LineRecorder()
+        rng = random.Random(seed)
+        self.budget = ColdBudget(instances=1, rng=rng)
+        self.placement = Placement(data_centre, self.state, self.loads, self.budget, rng)
+        events = EventLog("one", self.lines, self.clock)
+        self.forwarder = Forwarder(
+            self.state,
+            self.placement,
+            self.loads,
+            self.output,
+            DecisionLog(events, self.state),
+            lambda packet: "id-1" if packet.data_bytes else "",
+        )
+
+    @property
+    def now_ms(self) -> int:
+        return self.clock.now_ms()
+
+    def send(self, packet: CallerPacket) -> None:
+        """Lets a packet arrive."""
+        self.forwarder.handle(packet, self.now_ms)
+
+    def wait(self, duration_ms: int) -> None:
+        """Lets time pass and runs what became due, every 10 ms."""
+        for _ in range(0, duration_ms, 10):
+            self.clock.advance(10)
+            self.forwarder.run_due(self.now_ms)
+        self.forwarder.sweep(self.now_ms)
+
+    def find_token(self, name: str) -> int:
+        """Returns the token of an upstream."""
+        return next(
+            known.token for known in self.state.list_upstreams() if known.record.name == name
+        )
+
+    def list_targets(self) -> list[str]:
+        """Returns the upstreams that packets were sent to, in order."""
+        return [name for _, name in self.output.forwarded]
+
+
+def build_packet(
+    caller_port: int = 4_000,
+    is_open: bool = False,
+    is_close: bool = False,
+    sequence: int = SEQUENCE + 1,
+    acknowledged: int = 1,
+    token: int = 0,
+    data_bytes: int = 0,
+    address: ServiceAddress = ORDERS,
+) -> CallerPacket:
+    """Returns a packet of a caller."""
+    return CallerPacket(
+        key=FlowKey(0x64400007, caller_port, address),
+        is_open=is_open,
+        is_close=is_close,
+        is_reset=False,
+        sequence=sequence,
+        acknowledged=acknowledged,
+        token=token,
+        data_bytes=data_bytes,
+        datagram=b"",
+    )
+
+
+def build_open(
+    caller_port: int = 4_000, copy: int = 0, address: ServiceAddress = ORDERS
+) -> CallerPacket:
+    """Returns an opening packet or a later copy of it."""
+    return build_packet(
+        caller_port, is_open=True, sequence=SEQUENCE, acknowledged=copy, address=address
+    )
--- /dev/null
+++ b/src/catkinspread/forwarding/tests/test_forwarder.py
@@ -0,0 +1,154 @@
+"""What callers get while instances, upstreams and the configuration change."""
+
+import json
+
+from catkinspread.forwarding.tests.builders import (
+    SEQUENCE,
+    UNKNOWN,
+    Rig,
+    build_configuration,
+    build_open,
+    build_packet,
+    build_upstream,
+)
+
+
+def test_follows_a_flow_to_the_upstream_that_answered() -> None:
+    """Guards against packets of one flow reaching two upstreams."""
+    rig = Rig(build_upstream("a"), build_upstream("b"))
+    rig.send(build_open())
+    first = rig.list_targets()[0]
+    rig.send(build_packet(token=rig.find_token(first), data_bytes=10))
+    rig.send(build_packet(token=rig.find_token(first), sequence=SEQUENCE + 11, data_bytes=10))
+    assert rig.list_targets() == [first] * 3
+
+
+def test_another_instance_takes_over_by_the_token() -> None:
+    """Guards against flows that break when the routers hand them to another instance."""
+    rig = Rig(build_upstream("a"), build_upstream("b"))
+    rig.send(build_packet(token=rig.find_token("b"), data_bytes=10))
+    assert rig.list_targets() == ["b"]
+
+
+def test_keeps_the_first_upstream_when_a_late_answer_changes_the_token() -> None:
+    """Guards against moving an open flow when a second upstream answered a copy of its opening."""
+    rig = Rig(build_upstream("a"), build_upstream("b"))
+    rig.send(build_open())
+    first = rig.list_targets()[0]
+    other = "b" if first == "a" else "a"
+    rig.send(build_packet(token=rig.find_token(first)))
+    rig.send(build_packet(token=rig.find_token(other), data_bytes=10))
+    assert rig.list_targets()[-1] == first
+
+
+def test_tries_another_upstream_before_the_caller_repeats() -> None:
+    """Guards against callers that wait 200 ms for an upstream that does not answer."""
+    rig = Rig(build_upstream("a"), build_upstream("b"))
+    rig.send(build_open())
+    rig.wait(150)
+    assert sorted(rig.list_targets()) == ["a", "b"]
+
+
+def test_flow_settles_on_the_upstream_that_answers_first() -> None:
+    """Guards against data sent to the second upstream when the first one answered late."""
+    rig = Rig(build_upstream("a"), build_upstream("b"))
+    rig.send(build_open())
+    first = rig.list_targets()[0]
+    rig.wait(150)
+    rig.send(build_packet(token=rig.find_token(first), data_bytes=10))
+    assert rig.list_targets()[-1] == first
+
+
+def test_avoids_an_upstream_that_did_not_answer() -> None:
+    """Guards against sending each new flow to a silent upstream once more."""
+    rig = Rig(build_upstream("a"), build_upstream("b"))
+    rig.send(build_open(1))
+    silent = rig.list_targets()[0]
+    rig.wait(100)
+    rig.output.forwarded.clear()
+    for port in range(2, 12):
+        rig.send(build_open(port))
+    assert silent not in rig.list_targets()
+
+
+def test_refuses_at_once_without_a_route() -> None:
+    """Guards against callers that wait for an address that nobody serves."""
+    rig = Rig(build_upstream("a"))
+    rig.send(build_open(address=UNKNOWN))
+    assert len(rig.output.resets) == 1
+    assert rig.list_targets() == []
+
+
+def test_refuses_at_once_without_an_upstream() -> None:
+    """Guards against holding a flow that no upstream can take."""
+    rig = Rig(build_upstream("a", is_draining=True))
+    rig.send(build_open())
+    assert len(rig.output.resets) == 1
+
+
+def test_draining_upstream_keeps_its_flows_and_gets_no_new_ones() -> None:
+    """Guards against cutting flows, or opening new ones, at an upstream that leaves."""
+    rig = Rig(build_upstream("a"))
+    rig.send(build_open(1))
+    rig.send(build_packet(1, token=rig.find_token("a"), data_bytes=5))
+    rig.state.put_upstream(build_upstream("a", is_draining=True), rig.now_ms)
+    rig.state.put_upstream(build_upstream("b"), rig.now_ms)
+    rig.output.forwarded.clear()
+    rig.send(build_packet(1, token=rig.find_token("a"), sequence=SEQUENCE + 6, data_bytes=5))
+    rig.send(build_open(2))
+    assert rig.list_targets() == ["a", "b"]
+
+
+def test_flow_outlives_the_entry_of_its_upstream() -> None:
+    """Guards against cutting flows whose upstream has left the list but still serves."""
+    rig = Rig(build_upstream("a", is_draining=True))
+    token = rig.find_token("a")
+    rig.state.remove_upstream("a", rig.now_ms)
+    rig.state.expire(rig.now_ms + 10_000, rig.now_ms)
+    rig.send(build_packet(token=token, data_bytes=5))
+    assert rig.list_targets() == ["a"]
+
+
+def test_packet_with_a_forged_token_is_dropped() -> None:
+    """Guards against resets or guesses for a token that no upstream has."""
+    rig = Rig(build_upstream("a"))
+    rig.send(build_packet(token=12_345, data_bytes=5))
+    assert rig.list_targets() == []
+    assert rig.output.resets == []
+    assert rig.forwarder.counts["dropped_unknown_token"] == 1
+
+
+def test_open_flow_stays_when_its_route_is_pointed_elsewhere() -> None:
+    """Guards against moving open flows with a new configuration."""
+    rig = Rig(build_upstream("a"), build_upstream("x", service="pages"))
+    rig.send(build_open(1))
+    rig.send(build_packet(1, token=rig.find_token("a")))
+    rig.state.put_configuration(build_configuration(version=2, service="pages"))
+    rig.output.forwarded.clear()
+    rig.send(build_packet(1, token=rig.find_token("a"), data_bytes=5))
+    rig.send(build_open(2))
+    assert rig.list_targets() == ["a", "x"]
+
+
+def test_request_without_answer_stops_counting_as_load() -> None:
+    """Guards against upstreams that look busy because of callers that are gone."""
+    rig = Rig(build_upstream("a"))
+    rig.send(build_packet(token=rig.find_token("a"), data_bytes=5))
+    assert rig.loads.list_in_flight() == {"a": 1}
+    rig.wait(2_500)
+    assert rig.loads.list_in_flight() == {}
+
+
+def test_log_leads_from_the_request_to_its_upstreams() -> None:
+    """Guards against a failed request whose lines cannot be joined by its identifier."""
+    rig = Rig(build_upstream("a"), build_upstream("b"))
+    rig.send(build_open())
+    rig.wait(100)
+    answered = rig.list_targets()[-1]
+    rig.send(build_packet(token=rig.find_token(answered), data_bytes=5))
+    rig.wait(2_500)
+    lines = [json.loads(line) for line in rig.lines.lines]
+    events = {line["event"]: line for line in lines}
+    assert events["request"]["request"] == "id-1"
+    assert events["request"]["flow"] == events["open_unanswered"]["flow"]
+    assert events["request_abandoned"]["upstream"] == answered
--- /dev/null
+++ b/src/catkinspread/forwarding/tests/test_placement.py
@@ -0,0 +1,112 @@
+"""Which upstream takes a new flow under load."""
+
+import collections
+
+from catkinspread.forwarding.tests.builders import (
+    START_MS,
+    Rig,
+    build_configuration,
+    build_open,
+    build_packet,
+    build_upstream,
+)
+
+
+def _place(rig: Rig, count: int, first_port: int = 1) -> collections.Counter[str]:
+    rig.output.forwarded.clear()
+    for port in range(first_port, first_port + count):
+        rig.send(build_open(port))
+    return collections.Counter(rig.list_targets())
+
+
+def test_spreads_evenly_over_equal_upstreams() -> None:
+    """Guards against load that falls on one of several equal upstreams."""
+    rig = Rig(*(build_upstream(name) for name in "abc"))
+    assert set(_place(rig, 12).values()) == {4}
+
+
+def test_own_data_centre_first_while_it_has_free_slots() -> None:
+    """Guards against paid traffic between data centres without need."""
+    rig = Rig(build_upstream("near"), build_upstream("far", data_centre="west"))
+    assert _place(rig, 2) == {"near": 2}
+
+
+def test_load_goes_elsewhere_once_near_upstreams_queue() -> None:
+    """Guards against a queue in one data centre while upstreams idle in another."""
+    rig = Rig(build_upstream("near"), build_upstream("far", data_centre="west"))
+    placed = _place(rig, 12)
+    assert placed["far"] >= 4
+
+
+def test_load_of_other_instances_counts() -> None:
+    """Guards against two instances that both choose the same upstream."""
+    rig = Rig(build_upstream("a"), build_upstream("b"))
+    rig.loads.take_report("two", 1, {"a": 6}, rig.now_ms)
+    assert _place(rig, 2) == {"b": 2}
+
+
+def test_report_replaces_the_one_before_and_expires() -> None:
+    """Guards against load that adds up with each report or stays after an instance is gone."""
+    rig = Rig(build_upstream("a"))
+    rig.loads.take_report("two", 1, {"a": 6}, rig.now_ms)
+    rig.loads.take_report("two", 2, {"a": 1}, rig.now_ms)
+    assert rig.loads.get("a").peer_in_flight == 1
+    rig.loads.expire_reports(rig.now_ms + 1_000)
+    assert rig.loads.get("a").peer_in_flight == 0
+
+
+def test_slow_upstream_gets_less() -> None:
+    """Guards against an equal share for an upstream that takes five times as long."""
+    rig = Rig(build_upstream("slow"), build_upstream("quick"))
+    for _ in range(20):
+        rig.loads.get("slow").add_latency(225, rig.now_ms)
+    placed = _place(rig, 8)
+    assert placed["quick"] >= 6
+
+
+def test_cold_upstream_gets_nothing_while_others_serve() -> None:
+    """Guards against load on an upstream that has just started."""
+    rig = Rig(build_upstream("cold", cold_left_ms=2_000), build_upstream("warm"))
+    assert _place(rig, 10) == {"warm": 10}
+    rig.wait(2_010)
+    assert _place(rig, 10, first_port=100)["cold"] > 0
+
+
+def test_cold_upstreams_get_their_rate_when_nothing_else_is_left() -> None:
+    """Guards against exceeding what a cold upstream bears, and against refusing all of it."""
+    rig = Rig(build_upstream("cold", cold_left_ms=60_000))
+    rig.state.put_configuration(build_configuration(version=2, cold_rate_per_s=10.0))
+    served = 0
+    for port in range(1, 301):
+        rig.output.forwarded.clear()
+        rig.send(build_open(port))
+        served += len(rig.list_targets())
+        rig.clock.advance(10)
+    assert 25 <= served <= 31
+
+
+def test_evacuated_data_centre_gets_no_new_flows() -> None:
+    """Guards against new flows to a data centre that operators emptied."""
+    rig = Rig(build_upstream("a"), build_upstream("b", data_centre="west"))
+    rig.state.set_evacuated("east", True)
+    assert _place(rig, 4) == {"b": 4}
+
+
+def test_missing_entry_is_used_last() -> None:
+    """Guards against refusing callers when all entries lapse in an outage of the source."""
+    rig = Rig(build_upstream("a"), build_upstream("b"))
+    rig.state.remove_upstream("a", START_MS)
+    assert _place(rig, 4) == {"b": 4}
+    rig.state.remove_upstream("b", START_MS)
+    assert sum(_place(rig, 4, first_port=50).values()) == 4
+
+
+def test_in_flight_falls_when_the_caller_acknowledges_the_answer() -> None:
+    """Guards against counting the time in which a caller reads its answer as load."""
+    rig = Rig(build_upstream("a"))
+    token = rig.find_token("a")
+    rig.send(build_open(1))
+    rig.send(build_packet(1, token=token, acknowledged=500, data_bytes=5))
+    assert rig.loads.list_in_flight() == {"a": 1}
+    rig.send(build_packet(1, token=token, acknowledged=900, sequence=1_006))
+    assert rig.loads.list_in_flight() == {}
--- /dev/null
+++ b/src/catkinspread/ini/__init__.py
@@ -0,0 +1,29 @@
+"""Typed fields of INI files."""
+
+from catkinspread.ini.fields import (
+    PORT_MAX,
+    Field,
+    SettingsError,
+    SettingsProblem,
+    parse_endpoint,
+    parse_integer,
+    parse_name,
+    parse_text,
+    parse_url,
+    read_fields,
+    suggest,
+)
+
+__all__ = [
+    "PORT_MAX",
+    "Field",
+    "SettingsError",
+    "SettingsProblem",
+    "parse_endpoint",
+    "parse_integer",
+    "parse_name",
+    "parse_text",
+    "parse_url",
+    "read_fields",
+    "suggest",
+]
--- a/src/catkinspread/instance/daemon.py
+++ b/src/catkinspread/instance/daemon.py
@@ -55,7 +55,8 @@
 from catkinspread.requests import ClaimStoreDriver
 from catkinspread.routing import MemberView
 from catkinspread.settings import InstanceSettings
-from catkinspread.transport import HttpServer, PeerPort, UdpPort
+from catkinspread.transport import HttpServer, UdpPort
+from catkinspread.transport.peers import PeerPort
 from catkinspread.wire import (
     PacketError,
     decode_fabric_packet,
--- a/src/catkinspread/instance/metrics.py
+++ b/src/catkinspread/instance/metrics.py
@@ -8,7 +8,8 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
 from catkinspread.instance.core import InstanceCore
-from catkinspread.transport import HttpAnswer, HttpRequest, PeerPort
+from catkinspread.transport import HttpAnswer, HttpRequest
+from catkinspread.transport.peers import PeerPort
 
 _CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
--- /dev/null
+++ b/src/catkinspread/peers/__init__.py
@@ -0,0 +1,38 @@
+"""The instances among themselves: who they are, and one reading the source for several."""
+
+from catkinspread.peers.directory import FEEDERS, PeerDirectory
+from catkinspread.peers.exchange import PeerExchange
+from catkinspread.peers.feed import FEED_BODY_MAX_BYTES, FeedServer, PeerSource
+from catkinspread.peers.messages import (
+    Hello,
+    HelloReply,
+    KnownMember,
+    LoadReport,
+    Member,
+    MemberStatus,
+    MessageError,
+    decode_message,
+    encode_message,
+)
+from catkinspread.peers.shared_source import SharedSource
+from catkinspread.peers.state_cache import StateCache
+
+__all__ = [
+    "FEEDERS",
+    "FEED_BODY_MAX_BYTES",
+    "FeedServer",
+    "Hello",
+    "HelloReply",
+    "KnownMember",
+    "LoadReport",
+    "Member",
+    "MemberStatus",
+    "MessageError",
+    "PeerDirectory",
+    "PeerExchange",
+    "PeerSource",
+    "SharedSource",
+    "StateCache",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/src/catkinspread/peers/directory.py
@@ -0,0 +1,197 @@
+"""The other instances and which of them passes on the state of the deployment.
+
+Each instance exchanges statuses with a fixed number of others: the first ones of its data centre
+in rendezvous order, from which it may take the state, and a few random ones through which it
+hears of the rest. The cost for an instance does not grow with their number.
+"""
+
+import random
+
+from catkinspread.hashing import hash_text, rank_by_rendezvous
+from catkinspread.peers.messages import (
+    Hello,
+    HelloReply,
+    KnownMember,
+    Member,
+    MemberStatus,
+)
+
+# The instances of a data centre that may read the source for the others.
+FEEDERS = 3
+# A status older than this does not count; five intervals of the exchange.
+STATUS_TIMEOUT_MS = 1_600
+# A source that has not answered an instance for this long counts as lost to it.
+SOURCE_TIMEOUT_MS = 2_200
+# An instance that nobody heard of for this long is forgotten.
+MEMBER_TIMEOUT_MS = 20_000
+# Members in one reply; bounds the size of the datagram.
+MEMBERS_PER_REPLY = 64
+_RANK_KEY = "feeders"
+
+
+class _Contact:
+    """What is known of one other instance."""
+
+    __slots__ = ("heard_at_ms", "member", "status", "status_at_ms")
+
+    def __init__(self, member: Member, heard_at_ms: int) -> None:
+        self.member = member
+        self.heard_at_ms = heard_at_ms
+        self.status: MemberStatus | None = None
+        self.status_at_ms = 0
+
+
+class PeerDirectory:
+    """Knows the other instances; every call states the current time.
+
+    Args:
+        member: The instance itself.
+        rng: Source of random choices.
+    """
+
+    __slots__ = ("_contacts", "_digest", "_member", "_ranks", "_rng")
+
+    def __init__(self, member: Member, rng: random.Random) -> None:
+        self._member = member
+        self._rng = rng
+        self._contacts: dict[str, _Contact] = {}
+        self._ranks: list[str] = [member.name]
+        self._digest = 0
+        self._renew()
+
+    @property
+    def digest(self) -> int:
+        """Digest of the names of all members, the instance itself included."""
+        return self._digest
+
+    def count_members(self) -> int:
+        """Returns the number of instances, this one included."""
+        return len(self._contacts) + 1
+
+    def list_neighbours(self) -> list[Member]:
+        """Returns the other instances of the data centre."""
+        return [
+            contact.member
+            for contact in self._contacts.values()
+            if contact.member.data_centre == self._member.data_centre
+        ]
+
+    def take(self, message: Hello | HelloReply, now_ms: int) -> None:
+        """Takes the status and members that another instance sent."""
+        status = message.status
+        if status.member.name == self._member.name:
+            return
+        contact = self._hear(status.member, now_ms)
+        contact.status = status
+        contact.status_at_ms = now_ms
+        if isinstance(message, HelloReply):
+            for known in message.members:
+                if known.member.name != self._member.name and known.age_ms < MEMBER_TIMEOUT_MS:
+                    self._hear(known.member, now_ms - known.age_ms)
+
+    def list_known(self, now_ms: int) -> tuple[KnownMember, ...]:
+        """Returns members for a reply, those heard of last first."""
+        contacts = sorted(self._contacts.values(), key=lambda found: -found.heard_at_ms)
+        return tuple(
+            KnownMember(contact.member, max(0, now_ms - contact.heard_at_ms))
+            for contact in contacts[:MEMBERS_PER_REPLY]
+        )
+
+    def expire(self, now_ms: int) -> list[str]:
+        """Forgets instances that nobody heard of and returns their names."""
+        lost = [
+            name
+            for name, contact in self._contacts.items()
+            if now_ms - contact.heard_at_ms >= MEMBER_TIMEOUT_MS
+        ]
+        for name in lost:
+            del self._contacts[name]
+        if lost:
+            self._renew()
+        return lost
+
+    def choose_partners(self) -> list[Member]:
+        """Returns the instances to exchange statuses with now."""
+        names = [name for name in self._ranks[:FEEDERS] if name != self._member.name]
+        partners = [self._contacts[name].member for name in names]
+        others = [contact.member for name, contact in self._contacts.items() if name not in names]
+        if others:
+            partners.append(self._rng.choice(others))
+        return partners
+
+    def may_feed(self) -> bool:
+        """Whether this instance is one of those that read the source for others."""
+        return self._member.name in self._ranks[:FEEDERS]
+
+    def is_first(self) -> bool:
+        """Whether this instance is the first to read the source in its data centre."""
+        return self._ranks[0] == self._member.name
+
+    def choose_feeder(self, source_age_ms: int | None, now_ms: int) -> Member | None:
+        """Returns the instance to take the state from; None to read the source.
+
+        An instance of the own data centre goes before others, and the order among them is the
+        same everywhere, so that one or two read the source for all.
+
+        Args:
+            source_age_ms: Time since the source answered this instance; None if it does not.
+            now_ms: Current time.
+        """
+        is_own_good = source_age_ms is not None and source_age_ms < SOURCE_TIMEOUT_MS
+        for name in self._ranks[:FEEDERS]:
+            if name == self._member.name:
+                if is_own_good:
+                    return None
+            elif self._is_feeding(self._contacts[name], now_ms):
+                return self._contacts[name].member
+        if is_own_good:
+            return None
+        remote = [
+            contact.member
+            for contact in self._contacts.values()
+            if self._is_feeding(contact, now_ms)
+        ]
+        return min(remote, key=lambda member: member.name, default=None)
+
+    def find_any_with_state(self, now_ms: int) -> list[Member]:
+        """Returns the instances that could pass on what they know, nearest first."""
+        found = [
+            contact.member
+            for contact in self._contacts.values()
+            if contact.status is not None
+            and contact.status.has_state
+            and now_ms - contact.status_at_ms < STATUS_TIMEOUT_MS
+        ]
+        own = self._member.data_centre
+        return sorted(found, key=lambda member: (member.data_centre != own, member.name))
+
+    def _is_feeding(self, contact: _Contact, now_ms: int) -> bool:
+        status = contact.status
+        status_age_ms = now_ms - contact.status_at_ms
+        return (
+            status is not None
+            and status.has_state
+            and not status.is_leaving
+            and status.source_age_ms is not None
+            and status_age_ms < STATUS_TIMEOUT_MS
+            and status.source_age_ms + status_age_ms < SOURCE_TIMEOUT_MS
+        )
+
+    def _hear(self, member: Member, heard_at_ms: int) -> _Contact:
+        contact = self._contacts.get(member.name)
+        if contact is None:
+            contact = _Contact(member, heard_at_ms)
+            self._contacts[member.name] = contact
+            self._renew()
+            return contact
+        if member.started_ms > contact.member.started_ms:
+            contact.member = member
+            contact.status = None
+        contact.heard_at_ms = max(contact.heard_at_ms, heard_at_ms)
+        return contact
+
+    def _renew(self) -> None:
+        neighbours = [member.name for member in self.list_neighbours()]
+        self._ranks = rank_by_rendezvous(_RANK_KEY, [*neighbours, self._member.name])
+        names = sorted([*self._contacts, self._member.name])
+        self._digest = hash_text("\n".join(names))
--- /dev/null
+++ b/src/catkinspread/peers/exchange.py
@@ -0,0 +1,126 @@
+"""Exchanges statuses and load with other instances over UDP."""
+
+import random
+from collections.abc import Callable
+
+import anyio
+
+from catkinspread.clock import Clock
+from catkinspread.model import Endpoint
+from catkinspread.peers.directory import PeerDirectory
+from catkinspread.peers.messages import (
+    Hello,
+    HelloReply,
+    LoadReport,
+    Member,
+    MemberStatus,
+    MessageError,
+    PeerMessage,
+    decode_message,
+    encode_message,
+)
+from catkinspread.transport.udp import UdpPort
+
+HELLO_INTERVAL_MS = 300
+# Until the first answer a new instance asks more often.
+FIRST_HELLO_INTERVAL_MS = 50
+_MS_PER_S = 1_000
+
+
+class PeerExchange:
+    """Owns the UDP socket between instances.
+
+    Args:
+        member: The instance itself.
+        port: UDP port, the same on all instances.
+        seeds: Addresses of instances that may know the others.
+        directory: Takes what others say.
+        read_status: Returns the status of this instance.
+        take_load: Called with each load report and the time.
+        clock: Source of the time.
+        rng: Source of random choices.
+
+    Attributes:
+        malformed_count: Datagrams that were not messages.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_directory",
+        "_member",
+        "_port",
+        "_read_status",
+        "_rng",
+        "_seeds",
+        "_take_load",
+        "_udp",
+        "malformed_count",
+    )
+
+    def __init__(
+        self,
+        member: Member,
+        port: int,
+        seeds: tuple[str, ...],
+        directory: PeerDirectory,
+        read_status: Callable[[], MemberStatus],
+        take_load: Callable[[LoadReport, int], None],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._member = member
+        self._port = port
+        self._seeds = tuple(seed for seed in seeds if seed != member.host)
+        self._directory = directory
+        self._read_status = read_status
+        self._take_load = take_load
+        self._clock = clock
+        self._rng = rng
+        self._udp = UdpPort(Endpoint(member.host, port), self._receive, clock)
+        self.malformed_count = 0
+
+    async def run(self) -> None:
+        """Serves the socket and sends statuses until cancelled."""
+        async with anyio.create_task_group() as group:
+            await group.start(self._udp.run)
+            while True:
+                self.say_hello()
+                is_alone = self._directory.count_members() == 1
+                interval_ms = FIRST_HELLO_INTERVAL_MS if is_alone else HELLO_INTERVAL_MS
+                await anyio.sleep(interval_ms * (0.9 + 0.2 * self._rng.random()) / _MS_PER_S)
+
+    def say_hello(self) -> None:
+        """Sends the own status to the partners of the moment."""
+        hello = encode_message(Hello(self._read_status(), self._directory.digest))
+        hosts = [partner.host for partner in self._directory.choose_partners()]
+        if self._seeds and (not hosts or self._rng.random() < 0.1):
+            # Now and then a seed too, so that groups that lost each other meet again.
+            hosts.extend(self._seeds if not hosts else [self._rng.choice(self._seeds)])
+        for host in hosts:
+            self._udp.send(hello, Endpoint(host, self._port))
+
+    def send_load(self, report: LoadReport, hosts: list[str]) -> None:
+        """Sends a load report."""
+        datagram = encode_message(report)
+        for host in hosts:
+            self._udp.send(datagram, Endpoint(host, self._port))
+
+    def _receive(self, datagram: bytes, sender: Endpoint) -> None:
+        now_ms = self._clock.now_ms()
+        try:
+            message = decode_message(datagram)
+        except MessageError:
+            self.malformed_count += 1
+            return
+        self._handle(message, sender, now_ms)
+
+    def _handle(self, message: PeerMessage, sender: Endpoint, now_ms: int) -> None:
+        if isinstance(message, LoadReport):
+            self._take_load(message, now_ms)
+            return
+        self._directory.take(message, now_ms)
+        if isinstance(message, Hello):
+            is_same = message.digest == self._directory.digest
+            members = () if is_same else self._directory.list_known(now_ms)
+            reply = HelloReply(self._read_status(), members)
+            self._udp.send(encode_message(reply), Endpoint(sender.host, self._port))
--- a/src/catkinspread/platform/__init__.py
+++ b/src/catkinspread/platform/__init__.py
@@ -7,12 +7,13 @@
 from catkinspread.platform.packet_port import PacketPort
 from catkinspread.platform.packets import read_request_id
 from catkinspread.platform.readiness import ReadinessServer
-from catkinspread.platform.settings import find_settings_file
+from catkinspread.platform.settings import SettingsFileUnknown, find_settings_file
 from catkinspread.platform.store import StoreClient
 
 __all__ = [
     "PacketPort",
     "ReadinessServer",
+    "SettingsFileUnknown",
     "StoreClient",
     "find_settings_file",
     "read_request_id",
--- a/src/catkinspread/platform/store.py
+++ b/src/catkinspread/platform/store.py
@@ -1,11 +1,7 @@
 """Client of the platform's metadata store."""
 
-import contextlib
-import socket
 from typing import TypeVar
 
-import anyio
-import httpx
 import msgspec
 from absl import logging
 
@@ -16,24 +12,15 @@
     StateChanges,
     StateKind,
 )
+from catkinspread.httpclient import HttpClient, HttpFailure
 from catkinspread.model import Endpoint
 from catkinspread.platform.objects import KIND_PATHS, ObjectShapeError, decode_record
 
 _BASE_PATH = "/catkinspread/objects/"
 _GONE = 410
 _OK = 200
-_CONNECT_TIMEOUT_S = 1.0
-_ANSWER_TIMEOUT_S = 1.5
-_MS_PER_S = 1_000
-# Finds a connection that went silent without an answer to a waiting call.
-_KEEPALIVE_OPTIONS = [
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2_000),
-]
-
+CONNECT_TIMEOUT_MS = 700
+ANSWER_TIMEOUT_MS = 1_000
 
 _Shape = TypeVar("_Shape")
 
@@ -67,35 +54,23 @@
 class StoreClient:
     """Reads the deployment from the platform's store.
 
-    Attributes:
-        call_count: Calls made since the start.
+    Args:
+        client: Makes the calls.
+        endpoint: Address of the store.
     """
 
-    __slots__ = ("_client", "call_count")
-
-    def __init__(self, endpoint: Endpoint) -> None:
-        """Creates a client; use it as an asynchronous context manager."""
-        transport = httpx.AsyncHTTPTransport(
-            verify=False, trust_env=False, socket_options=_KEEPALIVE_OPTIONS
-        )
-        self._client = httpx.AsyncClient(
-            base_url=f"http://{endpoint}", transport=transport, trust_env=False
-        )
-        self.call_count = 0
-
-    async def __aenter__(self) -> "StoreClient":
-        return self
+    __slots__ = ("_client", "_endpoint")
 
-    async def __aexit__(self, *_: object) -> None:
-        with contextlib.suppress(OSError):
-            await self._client.aclose()
+    def __init__(self, client: HttpClient, endpoint: Endpoint) -> None:
+        self._client = client
+        self._endpoint = endpoint
 
     async def list_records(self, kind: StateKind) -> StateChanges:
         """Returns all records of a kind; see `StateSource`."""
         changes: list[StateChange] = []
         parameters: dict[str, str] = {}
         while True:
-            body = await self._call(kind, parameters, _ANSWER_TIMEOUT_S)
+            body = await self._call(kind, parameters, ANSWER_TIMEOUT_MS)
             listing = _decode(body, _Listing)
             changes.extend(_convert(kind, item, False) for item in listing.items)
             if not listing.has_more or not listing.items:
@@ -105,27 +80,24 @@
     async def wait_for_changes(self, kind: StateKind, revision: int, wait_ms: int) -> StateChanges:
         """Returns the changes after a revision; see `StateSource`."""
         parameters = {"watch": str(revision), "wait_ms": str(wait_ms)}
-        timeout_s = wait_ms / _MS_PER_S + _ANSWER_TIMEOUT_S
-        watched = _decode(await self._call(kind, parameters, timeout_s), _Watched)
+        body = await self._call(kind, parameters, wait_ms + ANSWER_TIMEOUT_MS)
+        watched = _decode(body, _Watched)
         changes = tuple(_convert(kind, event.object, event.removed) for event in watched.events)
         return StateChanges(changes, watched.at_rev)
 
-    async def _call(self, kind: StateKind, parameters: dict[str, str], timeout_s: float) -> bytes:
-        self.call_count += 1
+    async def _call(self, kind: StateKind, parameters: dict[str, str], timeout_ms: int) -> bytes:
+        path = _BASE_PATH + KIND_PATHS[kind]
         try:
-            with anyio.fail_after(timeout_s + _CONNECT_TIMEOUT_S):
-                response = await self._client.get(
-                    _BASE_PATH + KIND_PATHS[kind],
-                    params=parameters,
-                    timeout=httpx.Timeout(timeout_s, connect=_CONNECT_TIMEOUT_S),
-                )
-        except (httpx.HTTPError, TimeoutError, OSError) as error:
-            raise SourceUnavailable(f"{type(error).__name__}: {error}") from error
-        if response.status_code == _GONE:
+            result = await self._client.get(
+                self._endpoint, path, parameters, CONNECT_TIMEOUT_MS, timeout_ms
+            )
+        except HttpFailure as error:
+            raise SourceUnavailable(str(error)) from error
+        if result.status == _GONE:
             raise HistoryLost(f"no history of {kind.value} at {parameters}")
-        if response.status_code != _OK:
-            raise SourceUnavailable(f"status {response.status_code}")
-        return response.content
+        if result.status != _OK:
+            raise SourceUnavailable(f"{path} answered {result.status}")
+        return result.body
 
 
 def _decode(body: bytes, shape: type[_Shape]) -> _Shape:
--- /dev/null
+++ b/src/catkinspread/runtime/instance.py
@@ -0,0 +1,264 @@
+"""Runs a forwarding instance: the composition root of the packet path.
+
+It wires the decisions to the adapters of the platform and owns the order of start and stop.
+"""
+
+import random
+import signal
+
+import anyio
+
+from catkinspread.clock import Clock
+from catkinspread.deployment import (
+    DeploymentState,
+    SourceHealth,
+    StateApplier,
+    Synchroniser,
+    SynchroniserSettings,
+)
+from catkinspread.eventlog import EventLog, LineWriter
+from catkinspread.forwarding import (
+    CallerPacket,
+    ColdBudget,
+    DecisionLog,
+    Forwarder,
+    LoadBook,
+    Placement,
+)
+from catkinspread.httpclient import HttpClient
+from catkinspread.model import Endpoint
+from catkinspread.peers import (
+    FEED_BODY_MAX_BYTES,
+    FeedServer,
+    Member,
+    MemberStatus,
+    PeerDirectory,
+    PeerExchange,
+    PeerSource,
+    SharedSource,
+    StateCache,
+)
+from catkinspread.platform import PacketPort, ReadinessServer, StoreClient, read_request_id
+from catkinspread.runtime.load_reports import LoadReporter
+from catkinspread.runtime.metrics import METRICS_BODY_MAX_BYTES, METRICS_PORT, MetricsPage
+from catkinspread.runtime.settings import ForwardingSettings
+from catkinspread.transport.http_server import HttpServer
+
+# Routers leave out an instance after two missed checks, one every 500 ms.
+LEAVE_NOTICE_MS = 1_300
+LEAVE_QUIET_MS = 400
+# The platform kills the process at the end of its grace time.
+LEAVE_MARGIN_MS = 800
+SWEEP_INTERVAL_MS = 500
+WAIT_MS = 10_000
+PAUSE_MS = 100
+# Longest and shortest pause between two looks at what is due; each look costs processor time.
+TICK_MS = 40
+TICK_MIN_MS = 10
+_MS_PER_S = 1_000
+
+
+class ForwardingInstance:
+    """One running instance.
+
+    Args:
+        settings: Settings of the instance.
+        clock: Source of the time.
+    """
+
+    __slots__ = (
+        "_budget",
+        "_cache",
+        "_clock",
+        "_directory",
+        "_events",
+        "_exchange",
+        "_forwarder",
+        "_health",
+        "_is_leaving",
+        "_loads",
+        "_member",
+        "_own_health",
+        "_port",
+        "_reporter",
+        "_rng",
+        "_settings",
+        "_state",
+    )
+
+    def __init__(self, settings: ForwardingSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._rng = random.Random()
+        self._events = EventLog(settings.name, LineWriter(), clock)
+        self._state = DeploymentState()
+        self._health = SourceHealth()
+        self._own_health = SourceHealth()
+        self._cache = StateCache()
+        self._loads = LoadBook()
+        self._is_leaving = False
+        host = settings.packet_address.host
+        self._member = Member(settings.name, settings.data_centre, host, clock.now_ms())
+        self._directory = PeerDirectory(self._member, self._rng)
+        self._reporter = LoadReporter(
+            self._member, self._state, self._loads, self._directory, self._rng
+        )
+        self._port = PacketPort(settings.packet_address, self._handle, clock)
+        self._exchange = self._build_exchange()
+        self._budget = ColdBudget(instances=1, rng=self._rng)
+        self._forwarder = self._build_forwarder()
+
+    async def run(self) -> None:
+        """Runs until SIGTERM or SIGINT and leaves gracefully."""
+        self._events.write_always("started", self._clock.now_ms())
+        async with HttpClient() as client, anyio.create_task_group() as group:
+            shared = self._build_shared_source(client)
+            group.start_soon(self._exchange.run)
+            group.start_soon(self._port.run)
+            readiness = ReadinessServer(self._settings.readiness_address, self._is_ready)
+            group.start_soon(readiness.run)
+            group.start_soon(self._serve_feed)
+            group.start_soon(self._serve_metrics)
+            group.start_soon(self._build_synchroniser(shared).run)
+            group.start_soon(self._run_timers, shared)
+            await self._wait_for_stop()
+            await self._leave()
+            group.cancel_scope.cancel()
+        self._events.write_always(
+            "stopped", self._clock.now_ms(), dropped_lines_total=self._events.dropped_count
+        )
+
+    def _build_forwarder(self) -> Forwarder:
+        placement = Placement(
+            self._settings.data_centre, self._state, self._loads, self._budget, self._rng
+        )
+        log = DecisionLog(self._events, self._state)
+        return Forwarder(self._state, placement, self._loads, self._port, log, read_request_id)
+
+    def _build_exchange(self) -> PeerExchange:
+        return PeerExchange(
+            self._member,
+            self._settings.peer_port,
+            tuple(seed.host for seed in self._settings.seeds),
+            self._directory,
+            self._read_status,
+            self._reporter.take,
+            self._clock,
+            self._rng,
+        )
+
+    def _build_shared_source(self, client: HttpClient) -> SharedSource:
+        def open_peer(member: Member) -> PeerSource:
+            return PeerSource(client, Endpoint(member.host, self._settings.peer_port))
+
+        return SharedSource(
+            StoreClient(client, self._settings.source_address),
+            open_peer,
+            self._directory,
+            self._cache,
+            self._own_health,
+            self._events,
+            self._clock,
+        )
+
+    def _build_synchroniser(self, source: SharedSource) -> Synchroniser:
+        heartbeat_ms = self._settings.heartbeat_ms
+        return Synchroniser(
+            source,
+            StateApplier(self._state, self._events, heartbeat_ms),
+            self._health,
+            SynchroniserSettings(WAIT_MS, PAUSE_MS, heartbeat_ms),
+            self._events,
+            self._clock,
+            self._rng,
+        )
+
+    def _handle(self, packet: CallerPacket, now_ms: int) -> None:
+        self._forwarder.handle(packet, now_ms)
+
+    def _is_ready(self) -> bool:
+        return self._state.is_complete and not self._is_leaving
+
+    def _read_status(self) -> MemberStatus:
+        return MemberStatus(
+            self._member,
+            self._own_health.get_answer_age_ms(self._clock.now_ms()),
+            self._cache.is_complete,
+            self._is_leaving,
+        )
+
+    async def _serve_feed(self) -> None:
+        server = HttpServer(FeedServer(self._cache).answer, FEED_BODY_MAX_BYTES, "feed")
+        await server.run(Endpoint(self._member.host, self._settings.peer_port))
+
+    async def _serve_metrics(self) -> None:
+        page = MetricsPage(self._read_counts, self._read_gauges, self._forwarder.histograms)
+        server = HttpServer(page.answer, METRICS_BODY_MAX_BYTES, "metrics")
+        await server.run(Endpoint(self._member.host, METRICS_PORT))
+
+    def _read_counts(self) -> dict[str, int]:
+        return {
+            **self._forwarder.counts,
+            "malformed_packet": self._port.malformed_count,
+            "malformed_message": self._exchange.malformed_count,
+            "dropped_log_line": self._events.dropped_count,
+        }
+
+    def _read_gauges(self) -> dict[str, float]:
+        configuration = self._state.configuration
+        return {
+            "flows": self._forwarder.flow_count,
+            "members": self._directory.count_members(),
+            "upstreams": len(self._state.list_upstreams()),
+            "configuration_version": configuration.version if configuration else 0,
+        }
+
+    async def _run_timers(self, shared: SharedSource) -> None:
+        sweep_at_ms = 0
+        while True:
+            now_ms = self._clock.now_ms()
+            self._forwarder.run_due(now_ms)
+            self._send_load(now_ms)
+            shared.choose_feeder()
+            if now_ms >= sweep_at_ms:
+                self._sweep(now_ms)
+                sweep_at_ms = now_ms + SWEEP_INTERVAL_MS
+            due_ms = self._forwarder.next_due_ms() or now_ms + TICK_MS
+            wait_ms = max(TICK_MIN_MS, min(TICK_MS, due_ms - now_ms))
+            await anyio.sleep(wait_ms / _MS_PER_S)
+
+    def _send_load(self, now_ms: int) -> None:
+        report = self._reporter.compose(now_ms)
+        if report is not None:
+            self._exchange.send_load(report, self._reporter.choose_hosts())
+
+    def _sweep(self, now_ms: int) -> None:
+        self._forwarder.sweep(now_ms)
+        self._loads.expire_reports(now_ms)
+        for name in self._state.expire(now_ms, self._health.available_since_ms):
+            self._events.write("upstream_gone", now_ms, name=name)
+        for name in self._directory.expire(now_ms):
+            self._events.write("instance_lost", now_ms, name=name)
+        self._budget.instances = self._directory.count_members()
+
+    async def _wait_for_stop(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async for received in signals:
+                if received != signal.SIGHUP:
+                    return
+                # Everything in the settings file is fixed for the life of a process.
+                self._events.write_always("reload_ignored", self._clock.now_ms())
+
+    async def _leave(self) -> None:
+        """Tells the routers and forwards until they send nothing more."""
+        started_ms = self._clock.now_ms()
+        self._is_leaving = True
+        self._exchange.say_hello()
+        self._events.write_always("leaving", started_ms, flows=self._forwarder.flow_count)
+        end_ms = started_ms + self._settings.grace_ms - LEAVE_MARGIN_MS
+        while self._clock.now_ms() < end_ms:
+            now_ms = self._clock.now_ms()
+            quiet_ms = now_ms - self._port.last_packet_at_ms
+            if now_ms - started_ms >= LEAVE_NOTICE_MS and quiet_ms >= LEAVE_QUIET_MS:
+                return
+            await anyio.sleep(TICK_MS / _MS_PER_S)
--- /dev/null
+++ b/src/catkinspread/runtime/metrics.py
@@ -0,0 +1,76 @@
+"""Serves counters and histograms of a forwarding instance.
+
+The Prometheus library is loaded with the first scrape, so that it costs nothing at start.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+
+from catkinspread.forwarding import LatencyHistogram
+from catkinspread.transport.http_server import HttpAnswer, HttpRequest
+
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+METRICS_BODY_MAX_BYTES = 1_024
+_OK = 200
+_NOT_FOUND = 404
+_MS_PER_S = 1_000
+
+
+class MetricsPage:
+    """Answers scrapes.
+
+    Args:
+        read_counts: Returns the counters by name.
+        read_gauges: Returns the gauges by name.
+        histograms: Histograms of times by name.
+    """
+
+    __slots__ = ("_histograms", "_read_counts", "_read_gauges")
+
+    def __init__(
+        self,
+        read_counts: Callable[[], Mapping[str, int]],
+        read_gauges: Callable[[], Mapping[str, float]],
+        histograms: Mapping[str, LatencyHistogram],
+    ) -> None:
+        self._read_counts = read_counts
+        self._read_gauges = read_gauges
+        self._histograms = histograms
+
+    async def answer(self, request: HttpRequest) -> HttpAnswer:
+        """Answers `GET /metrics`."""
+        if request.target != METRICS_PATH:
+            return HttpAnswer(_NOT_FOUND)
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(self)
+        return HttpAnswer(_OK, generate_latest(registry), content_type="text/plain")
+
+    def collect(self) -> Iterable[object]:
+        """Yields the metric families, as the Prometheus library asks for them."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        events = CounterMetricFamily(
+            "catkinspread_events", "Decisions and faults by name.", labels=["event"]
+        )
+        for name, count in sorted(self._read_counts().items()):
+            events.add_metric([name], count)
+        yield events
+        for name, value in self._read_gauges().items():
+            yield GaugeMetricFamily(f"catkinspread_{name}", name.replace("_", " "), value)
+        for name, histogram in self._histograms.items():
+            buckets = [
+                ("+Inf" if bound is None else str(bound / _MS_PER_S), count)
+                for bound, count in histogram.list_cumulative()
+            ]
+            yield HistogramMetricFamily(
+                f"catkinspread_{name}_seconds",
+                name.replace("_", " "),
+                buckets=buckets,
+                sum_value=histogram.sum_ms / _MS_PER_S,
+            )
--- a/src/catkinspread/settings/forwarding.py
+++ b/src/catkinspread/runtime/settings.py
@@ -7,8 +7,7 @@
 
 import msgspec
 
-from catkinspread.model import Endpoint
-from catkinspread.settings.fields import (
+from catkinspread.ini import (
     Field,
     SettingsError,
     SettingsProblem,
@@ -18,6 +17,7 @@
     parse_text,
     read_fields,
 )
+from catkinspread.model import Endpoint
 
 _MS_PER_S = 1_000
 _HOUR_MS = 3_600_000
--- a/src/catkinspread/settings/__init__.py
+++ b/src/catkinspread/settings/__init__.py
@@ -1,6 +1,6 @@
 """Settings of an instance, read from an INI file and validated as a whole."""
 
-from catkinspread.settings.fields import (
+from catkinspread.ini import (
     SettingsError,
     SettingsProblem,
     parse_endpoint,
--- a/src/catkinspread/settings/instance.py
+++ b/src/catkinspread/settings/instance.py
@@ -6,8 +6,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from catkinspread.model import Endpoint
-from catkinspread.settings.fields import (
+from catkinspread.ini import (
     Field,
     SettingsError,
     SettingsProblem,
@@ -18,6 +17,7 @@
     parse_url,
     read_fields,
 )
+from catkinspread.model import Endpoint
 
 # Sections with tokens of operators are read by the operations part.
 TOKEN_SECTION_PREFIX = "token "
--- a/src/catkinspread/transport/__init__.py
+++ b/src/catkinspread/transport/__init__.py
@@ -1,4 +1,8 @@
-"""Sockets owned by tasks, with bounded queues in front of them."""
+"""Sockets owned by tasks, with bounded queues in front of them.
+
+`catkinspread.transport.peers` is imported by name, because it loads ZeroMQ, which instances that
+only forward packets do not need.
+"""
 
 from catkinspread.transport.http_server import (
     BODY_DRAIN_FACTOR,
@@ -6,7 +10,6 @@
     HttpRequest,
     HttpServer,
 )
-from catkinspread.transport.peers import PeerPort
 from catkinspread.transport.udp import UdpPort
 
-__all__ = ["BODY_DRAIN_FACTOR", "HttpAnswer", "HttpRequest", "HttpServer", "PeerPort", "UdpPort"]
+__all__ = ["BODY_DRAIN_FACTOR", "HttpAnswer", "HttpRequest", "HttpServer", "UdpPort"]
