List again where the history was lost; drop instead of refusing before the state is known

Now the listing comes from whoever lost the history, and a repeated loss waits longer each time.

Cause 2: an instance that had just started refused opening packets with no_route until its state was there. Unanswered opening packets come again after 200 ms and find the state.

--- a/src/catkinspread/deployment/synchroniser.py
+++ b/src/catkinspread/deployment/synchroniser.py
@@ -187,17 +187,25 @@
         revision: int | None = None
         retry_ms = RETRY_FIRST_MS
         while True:
+            was_waiting = revision is not None
             try:
                 revision = await self._read_once(kind, revision)
             except HistoryLost as error:
                 self._events.write("history_lost", self._clock.now_ms(), reason=str(error))
                 revision = None
+                # Should the new listing be behind too, the next one must not follow at once.
+                await self._pause(retry_ms)
+                retry_ms = min(RETRY_MAX_MS, 2 * retry_ms)
             except SourceUnavailable as error:
                 self._note_failure(kind, error)
-                await anyio.sleep(retry_ms * (0.5 + self._rng.random()) / _MS_PER_S)
+                await self._pause(retry_ms)
                 retry_ms = min(RETRY_MAX_MS, 2 * retry_ms)
             else:
-                retry_ms = RETRY_FIRST_MS
+                if was_waiting:
+                    retry_ms = RETRY_FIRST_MS
+
+    async def _pause(self, duration_ms: int) -> None:
+        await anyio.sleep(duration_ms * (0.5 + self._rng.random()) / _MS_PER_S)
 
     async def _read_once(self, kind: StateKind, revision: int | None) -> int:
         if revision is None:
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -131,6 +131,10 @@
         self._open(packet, now_ms)
 
     def _open(self, packet: CallerPacket, now_ms: int) -> None:
+        if not self._state.is_complete:
+            # The state is there within the time in which the caller repeats the packet.
+            self._drop(packet, Reason.NO_STATE, now_ms)
+            return
         route = self._state.find_route(packet.key.address)
         if route is None:
             self._refuse(packet, Reason.NO_ROUTE, now_ms)
--- a/src/catkinspread/forwarding/packets.py
+++ b/src/catkinspread/forwarding/packets.py
@@ -54,9 +54,8 @@
 
     NO_ROUTE = "no_route"
     NO_UPSTREAM = "no_upstream"
-    NO_CONFIGURATION = "no_configuration"
+    NO_STATE = "no_state"
     UNKNOWN_TOKEN = "unknown_token"
-    WRONG_SERVICE = "wrong_service"
 
 
 class PacketOutput(Protocol):
--- a/src/catkinspread/forwarding/tests/builders.py
+++ b/src/catkinspread/forwarding/tests/builders.py
@@ -91,10 +91,19 @@
 class Rig:
     """A forwarder with everything that it needs."""
 
-    def __init__(self, *records: UpstreamRecord, data_centre: str = "east", seed: int = 1) -> None:
+    def __init__(
+        self,
+        *records: UpstreamRecord,
+        data_centre: str = "east",
+        seed: int = 1,
+        is_state_known: bool = True,
+    ) -> None:
         self.clock = ManualClock(START_MS)
         self.state = DeploymentState()
-        self.state.put_configuration(build_configuration())
+        if is_state_known:
+            self.state.put_configuration(build_configuration())
+            self.state.has_upstreams = True
+            self.state.has_evacuations = True
         for record in records:
             self.state.put_upstream(record, self.clock.now_ms())
         self.output = RecordedOutput()
--- a/src/catkinspread/forwarding/tests/test_forwarder.py
+++ b/src/catkinspread/forwarding/tests/test_forwarder.py
@@ -86,6 +86,19 @@
     assert len(rig.output.resets) == 1
 
 
+def test_neither_refuses_nor_places_before_the_state_is_known() -> None:
+    """Guards against refusing callers in the moment between start and the first state.
+
+    Callers repeat a refused attempt at once and give up; an unanswered opening packet comes
+    again after 200 ms.
+    """
+    rig = Rig(is_state_known=False)
+    rig.send(build_open())
+    assert rig.output.resets == []
+    assert rig.list_targets() == []
+    assert rig.forwarder.counts["dropped_no_state"] == 1
+
+
 def test_draining_upstream_keeps_its_flows_and_gets_no_new_ones() -> None:
     """Guards against cutting flows, or opening new ones, at an upstream that leaves."""
     rig = Rig(build_upstream("a"))
--- a/src/catkinspread/peers/shared_source.py
+++ b/src/catkinspread/peers/shared_source.py
@@ -10,6 +10,7 @@
 
 from catkinspread.clock import Clock
 from catkinspread.deployment import (
+    HistoryLost,
     SourceHealth,
     SourceUnavailable,
     StateChanges,
@@ -57,6 +58,7 @@
         "_events",
         "_feeder",
         "_feeder_changed",
+        "_kinds_behind",
         "_open_peer",
         "_own_health",
         "_source",
@@ -81,6 +83,7 @@
         self._clock = clock
         self._feeder: Member | None = None
         self._feeder_changed = anyio.Event()
+        self._kinds_behind: set[StateKind] = set()
 
     def choose_feeder(self) -> None:
         """Decides anew whom to follow; calls that wait at another feeder end."""
@@ -97,8 +100,13 @@
     async def list_records(self, kind: StateKind) -> StateChanges:
         """Returns all records of a kind; see `StateSource`.
 
-        While the source is away, what another instance knows is better than nothing.
+        At first, what another instance knows is taken, because the source may be away. Once
+        the history was lost, only whoever lost it has the records that follow.
         """
+        if kind in self._kinds_behind:
+            listing = await self._list_where_history_was_lost(kind)
+            self._kinds_behind.discard(kind)
+            return self._keep_listing(kind, listing)
         await self._wait_for_contact()
         holders = self._directory.find_any_with_state(self._clock.now_ms())
         for member in holders[:2]:
@@ -112,8 +120,20 @@
             raise SourceUnavailable("the source did not answer another call")
         return self._keep_listing(kind, await self._read_source(self._source.list_records(kind)))
 
+    async def _list_where_history_was_lost(self, kind: StateKind) -> StateChanges:
+        if self._feeder is not None:
+            return await self._open_peer(self._feeder).list_records(kind)
+        return await self._read_source(self._source.list_records(kind))
+
     async def wait_for_changes(self, kind: StateKind, revision: int, wait_ms: int) -> StateChanges:
         """Returns the changes after a revision; see `StateSource`."""
+        try:
+            return await self._wait_at_feeder(kind, revision, wait_ms)
+        except HistoryLost:
+            self._kinds_behind.add(kind)
+            raise
+
+    async def _wait_at_feeder(self, kind: StateKind, revision: int, wait_ms: int) -> StateChanges:
         if self._feeder is None:
             if not await self._may_call_source(kind):
                 return StateChanges((), revision)
