Refuse opening packets at once while no upstream answers

Change: when all upstreams of a service were silent twice in a row, each is tried once in 400 ms and all other flows are refused with a reset; the caller's copy of an opening packet is refused too when nobody is left to try.

Ruled out: using the evacuated upstreams of the own data centre, which operators took out; longer silences, which delay the first flow after a cut.

Callers know at once instead of after 2.5 to 8 s. Two tests play the cut; the first fails before.

--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -140,8 +140,8 @@
             self._refuse(packet, Reason.NO_ROUTE, now_ms)
             return
         choice = self._placement.choose(route, now_ms)
-        if choice is None:
-            self._refuse(packet, Reason.NO_UPSTREAM, now_ms)
+        if isinstance(choice, Reason):
+            self._refuse(packet, choice, now_ms)
             return
         flow = Flow(packet.key, route, choice.upstream, now_ms)
         flow.next_sequence = (packet.sequence + 1) % _SEQUENCE_MODULUS
@@ -153,16 +153,21 @@
 
     def _repeat_open(self, flow: Flow, packet: CallerPacket, now_ms: int) -> None:
         self._loads.get(flow.upstream.record.name).note_silence(now_ms)
-        self._try_next(flow, packet, now_ms)
+        reason = self._try_next(flow, packet, now_ms)
+        if reason is Reason.NONE_ANSWERS:
+            self._end_request(flow)
+            self._refuse(packet, reason, now_ms)
 
-    def _try_next(self, flow: Flow, packet: CallerPacket, now_ms: int) -> None:
-        choice = None
+    def _try_next(self, flow: Flow, packet: CallerPacket, now_ms: int) -> Reason | None:
+        """Sends an opening packet to another upstream, or returns why there is none."""
         route = self._state.find_route(flow.key.address)
-        if route is not None and len(flow.tried) < TRIES_MAX:
-            choice = self._placement.choose(route, now_ms, flow.tried)
-        if choice is None:
-            self.counts["no_other_upstream"] += 1
-            return
+        if route is None or len(flow.tried) >= TRIES_MAX:
+            self.counts["tries_exhausted"] += 1
+            return Reason.TRIES_EXHAUSTED
+        choice = self._placement.choose(route, now_ms, flow.tried)
+        if isinstance(choice, Reason):
+            self.counts[f"no_other_upstream_{choice.value}"] += 1
+            return choice
         self._end_request(flow)
         flow.route = route
         flow.upstream = choice.upstream
@@ -170,6 +175,7 @@
         self.counts["retried"] += 1
         self._log.placed(flow, choice, packet.acknowledged, now_ms)
         self._send_open(flow, packet, choice.upstream, now_ms)
+        return None
 
     def _send_open(
         self, flow: Flow, packet: CallerPacket, upstream: KnownUpstream, now_ms: int
--- a/src/catkinspread/forwarding/load.py
+++ b/src/catkinspread/forwarding/load.py
@@ -18,6 +18,10 @@
 # An upstream that left an opening packet unanswered is avoided this long, doubled each time.
 SILENCE_FIRST_MS = 400
 SILENCE_MAX_MS = 6_000
+# When no upstream answers, each is tried once in this time; other flows are refused.
+SILENT_TRIAL_MS = 400
+# Silences in a row after which an upstream counts as one that does not answer at all.
+SILENCES_MIN = 2
 # A record of silence is forgotten after this long without another.
 SILENCE_MEMORY_MS = 15_000
 
@@ -101,6 +105,11 @@
         """Whether it is avoided because it did not answer."""
         return now_ms < self._silent_until_ms
 
+    def may_be_tried(self, now_ms: int) -> bool:
+        """Whether a flow may be risked on it when no upstream answers."""
+        is_lasting = self._silence_ms >= SILENCE_FIRST_MS << (SILENCES_MIN - 1)
+        return not is_lasting or now_ms - self.placed_at_ms >= SILENT_TRIAL_MS
+
 
 class LoadBook:
     """The load of all upstreams by name."""
--- a/src/catkinspread/forwarding/packets.py
+++ b/src/catkinspread/forwarding/packets.py
@@ -54,6 +54,9 @@
 
     NO_ROUTE = "no_route"
     NO_UPSTREAM = "no_upstream"
+    NONE_ANSWERS = "none_answers"
+    ALL_COLD = "all_cold"
+    TRIES_EXHAUSTED = "tries_exhausted"
     NO_STATE = "no_state"
     UNKNOWN_TOKEN = "unknown_token"
 
--- a/src/catkinspread/forwarding/placement.py
+++ b/src/catkinspread/forwarding/placement.py
@@ -13,6 +13,7 @@
 from catkinspread.deployment import DeploymentState, KnownUpstream, Route
 from catkinspread.forwarding.cold_budget import ColdBudget
 from catkinspread.forwarding.load import LoadBook
+from catkinspread.forwarding.packets import Reason
 
 # Added to the expected answer time of an upstream elsewhere. More than the way there, because
 # traffic between data centres is paid for and can be cut.
@@ -75,8 +76,8 @@
 
     def choose(
         self, route: Route, now_ms: int, excluded: tuple[KnownUpstream, ...] = ()
-    ) -> Choice | None:
-        """Returns the best upstream, or None if no upstream may take the flow.
+    ) -> Choice | Reason:
+        """Returns the best upstream, or why no upstream may take the flow.
 
         Args:
             route: Route of the flow.
@@ -103,9 +104,16 @@
             choice = self._choose_fastest(cold, Standing.COLD, now_ms)
             self._cold_budget.spend(choice.upstream, rate_per_s, now_ms)
             return choice
+        tried_now = [
+            upstream
+            for upstream in warm
+            if self._loads.get(upstream.record.name).may_be_tried(now_ms)
+        ]
+        if tried_now:
+            return self._choose_fastest(tried_now, Standing.SILENT, now_ms)
         if warm:
-            return self._choose_fastest(warm, Standing.SILENT, now_ms)
-        return None
+            return Reason.NONE_ANSWERS
+        return Reason.ALL_COLD if candidates else Reason.NO_UPSTREAM
 
     def _choose_fastest(
         self, candidates: list[KnownUpstream], standing: Standing, now_ms: int
--- a/src/catkinspread/forwarding/tests/test_placement.py
+++ b/src/catkinspread/forwarding/tests/test_placement.py
@@ -92,6 +92,36 @@
     assert _place(rig, 4) == {"b": 4}
 
 
+def test_refuses_at_once_when_no_upstream_answers() -> None:
+    """Guards against callers that are held until their deadline while nothing can serve them.
+
+    The load: a data centre is cut off while its own upstreams are evacuated, and 20 callers a
+    second go on opening flows for 3 s.
+    """
+    rig = Rig(*(build_upstream(name, data_centre="west") for name in "abc"))
+    for port in range(1, 61):
+        rig.send(build_open(port))
+        rig.wait(50)
+    late = [packet.key.caller_port for packet in rig.output.resets]
+    assert len(late) >= 30
+    tried = collections.Counter(rig.list_targets())
+    assert min(tried.values()) >= 4, "each upstream is tried again now and then"
+
+
+def test_serves_again_once_an_upstream_answers() -> None:
+    """Guards against refusing callers for seconds after a cut has healed."""
+    rig = Rig(build_upstream("a", data_centre="west"))
+    for port in range(1, 41):
+        rig.send(build_open(port))
+        rig.wait(50)
+    rig.output.forwarded.clear()
+    rig.wait(500)
+    rig.send(build_open(100))
+    assert rig.list_targets() == ["a"]
+    rig.send(build_packet(100, token=rig.find_token("a")))
+    assert _place(rig, 3, first_port=200) == {"a": 3}
+
+
 def test_missing_entry_is_used_last() -> None:
     """Guards against refusing callers when all entries lapse in an outage of the source."""
     rig = Rig(build_upstream("a"), build_upstream("b"))
