--- a/src/catkinspread/forwarding/decision_log.py
+++ b/src/catkinspread/forwarding/decision_log.py
@@ -75,7 +75,7 @@
         """The caller acknowledged the first bytes of an answer."""
         self._events.write("answered", now_ms, request=flow.request_id, took_ms=took_ms)
 
-    def unanswered(self, flow: Flow, upstream: KnownUpstream, now_ms: int) -> None:
+    def unanswered(self, flow: Flow, upstream: KnownUpstream, avoided_ms: int, now_ms: int) -> None:
         """An upstream did not answer an opening packet in time."""
         self._events.write(
             "open_unanswered",
@@ -83,6 +83,16 @@
             flow=format_flow(flow.key),
             upstream=upstream.record.name,
             waited_ms=now_ms - flow.opened_at_ms,
+            avoided_ms=avoided_ms,
+        )
+
+    def answers_again(self, flow: Flow, upstream: KnownUpstream, now_ms: int) -> None:
+        """An upstream that had been silent answered."""
+        self._events.write(
+            "upstream_answers_again",
+            now_ms,
+            flow=format_flow(flow.key),
+            upstream=upstream.record.name,
         )
 
     def adopted(self, flow: Flow, now_ms: int) -> None:
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -101,8 +101,8 @@
             _, _, flow, upstream = heapq.heappop(self._retries)
             if flow.is_open or flow.upstream is not upstream or flow.opening_packet is None:
                 continue  # Answered, or sent elsewhere meanwhile.
-            self._loads.get(upstream.record.name).note_silence(now_ms)
-            self._log.unanswered(flow, upstream, now_ms)
+            avoided_ms = self._loads.get(upstream.record.name).note_silence(now_ms)
+            self._log.unanswered(flow, upstream, avoided_ms, now_ms)
             self._try_next(flow, flow.opening_packet, now_ms)
 
     def next_due_ms(self) -> int | None:
@@ -231,7 +231,8 @@
             took_ms = now_ms - flow.opened_at_ms
             self._handshakes.add(answered.record.data_centre, took_ms)
             self.histograms["handshake"].add(took_ms)
-            self._loads.get(answered.record.name).note_answer(flow.opened_at_ms)
+            if self._loads.get(answered.record.name).note_answer(flow.opened_at_ms):
+                self._log.answers_again(flow, answered, now_ms)
         else:
             self._end_request(flow)
             flow.upstream = answered
--- a/src/catkinspread/forwarding/load.py
+++ b/src/catkinspread/forwarding/load.py
@@ -85,21 +85,32 @@
         share = 0.5 ** (age_ms / LATENCY_HALF_LIFE_MS)
         return LATENCY_DEFAULT_MS + (self._latency_ms - LATENCY_DEFAULT_MS) * share
 
-    def note_answer(self, opened_at_ms: int) -> None:
-        """Notes that an opening packet sent at a time was answered."""
-        if opened_at_ms >= self._silent_since_ms:
-            self._silent_until_ms = 0
-            self._silence_ms = 0
+    def note_answer(self, opened_at_ms: int) -> bool:
+        """Notes that an opening packet sent at a time was answered.
+
+        Returns:
+            Whether that ends a silence.
+        """
+        if self._silence_ms == 0 or opened_at_ms < self._silent_since_ms:
+            return False
+        self._silent_until_ms = 0
+        self._silence_ms = 0
+        return True
+
+    def note_silence(self, now_ms: int) -> int:
+        """Notes that an opening packet was not answered in time.
 
-    def note_silence(self, now_ms: int) -> None:
-        """Notes that an opening packet was not answered in time."""
+        Returns:
+            For how many ms more the upstream is avoided.
+        """
         if now_ms < self._silent_until_ms:
-            return
+            return self._silent_until_ms - now_ms
         if now_ms - self._silent_until_ms > SILENCE_MEMORY_MS:
             self._silence_ms = 0
         self._silence_ms = min(SILENCE_MAX_MS, 2 * self._silence_ms or SILENCE_FIRST_MS)
         self._silent_since_ms = now_ms
         self._silent_until_ms = now_ms + self._silence_ms
+        return self._silence_ms
 
     def is_silent(self, now_ms: int) -> bool:
         """Whether it is avoided because it did not answer."""
--- a/src/catkinspread/peers/exchange.py
+++ b/src/catkinspread/peers/exchange.py
@@ -70,7 +70,7 @@
     ) -> None:
         self._member = member
         self._port = port
-        self._seeds = tuple(seed for seed in seeds if seed != member.host)
+        self._seeds: tuple[str, ...] = ()
         self._directory = directory
         self._read_status = read_status
         self._take_load = take_load
@@ -78,6 +78,11 @@
         self._rng = rng
         self._udp = UdpPort(Endpoint(member.host, port), self._receive, clock)
         self.malformed_count = 0
+        self.replace_seeds(seeds)
+
+    def replace_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Sets the addresses that are asked when no other instance is known."""
+        self._seeds = tuple(seed for seed in seeds if seed != self._member.host)
 
     async def run(self) -> None:
         """Serves the socket and sends statuses until cancelled."""
--- a/src/catkinspread/platform/store.py
+++ b/src/catkinspread/platform/store.py
@@ -69,12 +69,16 @@
         """Returns all records of a kind; see `StateSource`."""
         changes: list[StateChange] = []
         parameters: dict[str, str] = {}
+        revision: int | None = None
         while True:
             body = await self._call(kind, parameters, ANSWER_TIMEOUT_MS)
             listing = _decode(body, _Listing)
             changes.extend(_convert(kind, item, False) for item in listing.items)
+            if revision is None:
+                # Later pages are newer; changes since the first one are asked for again.
+                revision = listing.at_rev
             if not listing.has_more or not listing.items:
-                return StateChanges(tuple(changes), listing.at_rev)
+                return StateChanges(tuple(changes), revision)
             parameters = {"after": listing.items[-1].meta.name}
 
     async def wait_for_changes(self, kind: StateKind, revision: int, wait_ms: int) -> StateChanges:
--- /dev/null
+++ b/src/catkinspread/platform/tests/test_objects.py
@@ -0,0 +1,104 @@
+"""Objects of the platform's store, well formed and not."""
+
+import pytest
+
+from catkinspread.deployment import (
+    RequestKind,
+    RoutingConfiguration,
+    ServiceAddress,
+    StateKind,
+    UpstreamRecord,
+)
+from catkinspread.platform.objects import ObjectShapeError, decode_record
+
+SERVER = {
+    "service": "pages",
+    "address": "10.128.0.9:8080",
+    "zone": "khomas-a",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "cold_left_ms": 1_200,
+    "seq": 4,
+    "born": 1_790_000_000_000,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "198.18.0.1",
+            "path_prefix": "/8443/",
+            "kind": "unsafe",
+            "timeout_ms": 2_000,
+            "priority": 1,
+            "service": "pages",
+            "max_attempts": 2,
+        }
+    ],
+    "services": [{"name": "pages", "max_flows": 2_000, "cold_per_s": 4.5}],
+    "limits": {"idle_timeout_ms": 15_000},
+}
+
+
+def test_decodes_an_upstream() -> None:
+    """Guards against names of the wire that end up in the wrong field."""
+    record = decode_record(StateKind.UPSTREAMS, "i-7f3a91c2", SERVER)
+    assert record == UpstreamRecord(
+        name="i-7f3a91c2",
+        key=0x7F3A91C2,
+        service="pages",
+        data_centre="khomas-a",
+        host="10.128.0.9",
+        port=8080,
+        work_slots=2,
+        is_draining=False,
+        cold_left_ms=1_200,
+        born_ms=1_790_000_000_000,
+    )
+
+
+def test_decodes_a_configuration() -> None:
+    """Guards against routes that answer for the wrong address."""
+    record = decode_record(StateKind.CONFIGURATION, "main", CONFIGURATION)
+    assert isinstance(record, RoutingConfiguration)
+    assert record.version == 7
+    assert record.routes[0].address == ServiceAddress(0xC6120001, 8443)
+    assert record.routes[0].kind is RequestKind.NON_IDEMPOTENT
+    assert record.services[0].cold_rate_per_s == 4.5
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "10.128.0.9"},
+        {"address": "host.example:80"},
+        {"address": 17},
+        {"service": None},
+        {"state": "asleep"},
+        {"slots": "two"},
+        {"zone": 3},
+    ],
+)
+def test_entry_of_another_shape_names_no_upstream(change: dict[str, object]) -> None:
+    """Guards against an entry of another writer that stops the instance or gets flows."""
+    with pytest.raises(ObjectShapeError):
+        decode_record(StateKind.UPSTREAMS, "i-7f3a91c2", {**SERVER, **change})
+
+
+@pytest.mark.parametrize("spec", [None, "text", 5, [], {}])
+def test_content_that_is_no_table_names_no_upstream(spec: object) -> None:
+    """Guards against content that is not even a table."""
+    with pytest.raises(ObjectShapeError):
+        decode_record(StateKind.UPSTREAMS, "i-1", spec)
+
+
+def test_name_without_a_number_names_no_upstream() -> None:
+    """Guards against an upstream whose packets would be open to any process."""
+    with pytest.raises(ObjectShapeError):
+        decode_record(StateKind.UPSTREAMS, "xyz", SERVER)
+
+
+def test_other_objects_of_the_kind_are_not_used() -> None:
+    """Guards against a second configuration that replaces the one in force."""
+    assert decode_record(StateKind.CONFIGURATION, "draft", CONFIGURATION) is None
--- /dev/null
+++ b/src/catkinspread/platform/tests/test_store.py
@@ -0,0 +1,107 @@
+"""Calls of the platform's store, against scripted answers."""
+
+import anyio
+import msgspec
+import pytest
+
+from catkinspread.deployment import HistoryLost, SourceUnavailable, StateKind
+from catkinspread.httpclient import HttpFailure, HttpResult
+from catkinspread.model import Endpoint
+from catkinspread.platform import StoreClient
+
+
+class ScriptedClient:
+    """Stands in for the HTTP client."""
+
+    def __init__(self, *answers: HttpResult | HttpFailure) -> None:
+        self._answers = list(answers)
+        self.queries: list[dict[str, str]] = []
+
+    async def get(
+        self,
+        endpoint: Endpoint,
+        path: str,
+        query: dict[str, str],
+        connect_timeout_ms: int,
+        answer_timeout_ms: int,
+    ) -> HttpResult:
+        self.queries.append(query)
+        answer = self._answers.pop(0)
+        if isinstance(answer, HttpFailure):
+            raise answer
+        return answer
+
+
+def _answer(status: int, body: object) -> HttpResult:
+    return HttpResult(status, msgspec.json.encode(body))
+
+
+def _object(name: str, spec: object = None) -> dict[str, object]:
+    return {"meta": {"name": name, "revision": 3}, "spec": spec, "status": None}
+
+
+def _client(*answers: HttpResult | HttpFailure) -> tuple[StoreClient, ScriptedClient]:
+    scripted = ScriptedClient(*answers)
+    return StoreClient(scripted, Endpoint("10.0.0.1", 80)), scripted
+
+
+def test_reads_a_listing_of_several_pages() -> None:
+    """Guards against upstreams that are missing because only the first page was read."""
+    store, scripted = _client(
+        _answer(200, {"items": [_object("east", {})], "has_more": True, "at_rev": 5}),
+        _answer(200, {"items": [_object("west", {})], "has_more": False, "at_rev": 6}),
+    )
+    listing = anyio.run(store.list_records, StateKind.EVACUATIONS)
+    assert [change.name for change in listing.changes] == ["east", "west"]
+    assert scripted.queries[1] == {"after": "east"}
+
+
+def test_listing_counts_from_its_first_page() -> None:
+    """Guards against missing a change that was made between two pages of a listing."""
+    store, _ = _client(
+        _answer(200, {"items": [_object("east", {})], "has_more": True, "at_rev": 5}),
+        _answer(200, {"items": [_object("west", {})], "has_more": False, "at_rev": 9}),
+    )
+    assert anyio.run(store.list_records, StateKind.EVACUATIONS).revision == 5
+
+
+def test_bad_entry_does_not_hide_the_others() -> None:
+    """Guards against one entry of another writer that empties the list of upstreams."""
+    store, _ = _client(
+        _answer(200, {"items": [_object("i-1", "junk"), _object("i-2", None)], "at_rev": 5})
+    )
+    listing = anyio.run(store.list_records, StateKind.UPSTREAMS)
+    assert [change.record for change in listing.changes] == [None, None]
+
+
+def test_reports_lost_history() -> None:
+    """Guards against waiting at a revision that the store no longer has."""
+    store, _ = _client(_answer(410, {}))
+    with pytest.raises(HistoryLost):
+        anyio.run(store.wait_for_changes, StateKind.UPSTREAMS, 5, 100)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        _answer(503, {}),
+        _answer(429, {}),
+        _answer(200, {"unexpected": 1}),
+        HttpResult(200, b"\xff"),
+        HttpFailure("reset"),
+    ],
+)
+def test_reports_an_outage(answer: HttpResult | HttpFailure) -> None:
+    """Guards against an outage that looks like an empty list."""
+    store, _ = _client(answer)
+    with pytest.raises(SourceUnavailable):
+        anyio.run(store.list_records, StateKind.UPSTREAMS)
+
+
+def test_removed_object_has_no_record() -> None:
+    """Guards against an evacuation that lasts after it was taken back."""
+    event = {"removed": True, "object": _object("east", {})}
+    store, _ = _client(_answer(200, {"events": [event], "at_rev": 8}))
+    changes = anyio.run(store.wait_for_changes, StateKind.EVACUATIONS, 5, 100)
+    assert changes.changes[0].record is None
+    assert changes.revision == 8
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -5,8 +5,10 @@
 
 import random
 import signal
+from collections.abc import Callable
 
 import anyio
+import msgspec
 
 from catkinspread.clock import Clock
 from catkinspread.deployment import (
@@ -26,6 +28,7 @@
     Placement,
 )
 from catkinspread.httpclient import HttpClient
+from catkinspread.ini import SettingsError
 from catkinspread.model import Endpoint
 from catkinspread.peers import (
     FEED_BODY_MAX_BYTES,
@@ -63,6 +66,7 @@
 
     Args:
         settings: Settings of the instance.
+        read_settings: Reads the settings file again.
         clock: Source of the time.
     """
 
@@ -80,14 +84,21 @@
         "_member",
         "_own_health",
         "_port",
+        "_read_settings",
         "_reporter",
         "_rng",
         "_settings",
         "_state",
     )
 
-    def __init__(self, settings: ForwardingSettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        read_settings: Callable[[], ForwardingSettings],
+        clock: Clock,
+    ) -> None:
         self._settings = settings
+        self._read_settings = read_settings
         self._clock = clock
         self._rng = random.Random()
         self._events = EventLog(settings.name, LineWriter(), clock)
@@ -246,8 +257,21 @@
             async for received in signals:
                 if received != signal.SIGHUP:
                     return
-                # Everything in the settings file is fixed for the life of a process.
-                self._events.write_always("reload_ignored", self._clock.now_ms())
+                self.reload()
+
+    def reload(self) -> None:
+        """Reads the settings again; seeds change at once, all else with the next start."""
+        now_ms = self._clock.now_ms()
+        try:
+            settings = self._read_settings()
+        except SettingsError as error:
+            self._events.write_always("reload_failed", now_ms, reason=str(error))
+            return
+        self._exchange.replace_seeds(tuple(seed.host for seed in settings.seeds))
+        fixed = msgspec.structs.replace(settings, seeds=self._settings.seeds)
+        self._events.write_always(
+            "reloaded", now_ms, needs_restart=fixed != self._settings, seeds=len(settings.seeds)
+        )
 
     async def _leave(self) -> None:
         """Tells the routers and forwards until they send nothing more."""
--- /dev/null
+++ b/src/catkinspread/runtime/tests/test_settings.py
@@ -0,0 +1,86 @@
+"""The settings of a forwarding instance, and the template that the platform fills in."""
+
+import configparser
+import pathlib
+import re
+
+import pytest
+
+import catkinspread.platform
+from catkinspread.ini import SettingsError, parse_text
+from catkinspread.model import Endpoint
+from catkinspread.runtime.settings import build_forwarding_settings, read_forwarding_settings
+
+VALID = """
+[instance]
+name = edge-khomas-a-1
+data_centre = khomas-a
+region = khomas
+data_centres = {"khomas-a":"khomas","khomas-b":"khomas"}
+packet_address = 10.1.0.10:8172
+readiness_address = 10.1.0.10:8167
+peer_address = 10.1.0.10:8166
+peer_port = 7720
+grace_s = 6
+stable_ms = 4000
+flow_lifetime_max_s = 60
+
+[peers]
+seeds = 10.1.0.10:8166,10.2.0.40:8166
+
+[source]
+address = 10.200.1.7:8169
+heartbeat_ms = 1200
+"""
+
+
+def test_reads_all_fields(tmp_path: pathlib.Path) -> None:
+    """Guards against units that are mixed up between file and fields."""
+    file = tmp_path / "instance.ini"
+    file.write_text(VALID)
+    settings = read_forwarding_settings(file)
+    assert settings.grace_ms == 6_000
+    assert settings.flow_lifetime_max_ms == 60_000
+    assert settings.seeds[1] == Endpoint("10.2.0.40", 8166)
+    assert settings.data_centres == ("khomas-a", "khomas-b")
+
+
+def test_instance_may_have_no_seeds_and_no_peer_address() -> None:
+    """Guards against refusing to start where the platform leaves a value empty."""
+    text = VALID.replace("10.1.0.10:8166,10.2.0.40:8166", "").replace(
+        "peer_address = 10.1.0.10:8166", "peer_address ="
+    )
+    settings = build_forwarding_settings("x.ini", parse_text("x.ini", text))
+    assert settings.seeds == ()
+    assert settings.peer_address is None
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "place"),
+    [
+        ("peer_port = 7720", "peer_port = many", "[instance] peer_port = many"),
+        ("peer_port = 7720", "", "[instance] peer_port"),
+        ("grace_s = 6", "grace_s = soon", "[instance] grace_s = soon"),
+        ("heartbeat_ms = 1200", "heartbeat_ms = 0", "[source] heartbeat_ms = 0"),
+        ("10.200.1.7:8169", "store:8169", "[source] address = store:8169"),
+        ('{"khomas-a":"khomas","khomas-b":"khomas"}', "[]", "[instance] data_centres = []"),
+        ("[peers]", "[friends]", "[friends]"),
+    ],
+)
+def test_names_what_is_wrong(before: str, after: str, place: str) -> None:
+    """Guards against an instance that starts with settings it cannot use."""
+    text = VALID.replace(before, after)
+    with pytest.raises(SettingsError) as raised:
+        build_forwarding_settings("x.ini", parse_text("x.ini", text))
+    assert place in str(raised.value)
+
+
+def test_template_names_exactly_the_fields_that_are_read() -> None:
+    """Guards against a template and settings that drift apart."""
+    template = pathlib.Path(catkinspread.platform.__file__).with_name("settings.ini")
+    filled = configparser.ConfigParser(interpolation=None)
+    filled.read_string(re.sub(r"\{\{.*?\}\}", "x", template.read_text()))
+    expected = parse_text("x.ini", VALID)
+    assert {name: set(filled[name]) for name in filled.sections()} == {
+        name: set(expected[name]) for name in expected.sections()
+    }
