Refuse unknown keys of token sections; end the import loop of the routing steps

Cause: catkinspread check accepted a misspelt key such as role in [token NAME], which silently granted nothing; and listing, regroup and owner of routing imported each other. The steps now take a TransitionState protocol.

--- a/src/catkinspread/console/tests/test_main.py
+++ b/src/catkinspread/console/tests/test_main.py
@@ -16,6 +16,15 @@
     assert "are valid" in capsys.readouterr().out
 
 
+def test_unknown_key_of_a_token_is_refused(tmp_path, capsys):
+    """Guards against a misspelt key, such as `role`, that silently grants nothing."""
+    assert main(["write-example", "kalahari", str(tmp_path)]) == 0
+    file = sorted(tmp_path.glob("*.ini"))[0]
+    file.write_text(f"{file.read_text()}\n[token ada]\nsha256 = {'0' * 64}\nteam = x\nrole = y\n")
+    assert main(["check", str(file)]) == 1
+    assert "[token ada] role" in capsys.readouterr().err
+
+
 @pytest.mark.parametrize(
     ("arguments", "status", "message"),
     [
--- a/src/catkinspread/operations/access.py
+++ b/src/catkinspread/operations/access.py
@@ -10,6 +10,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from catkinspread.ini import suggest
 from catkinspread.model import Configuration
 from catkinspread.operations import commands
 from catkinspread.operations.errors import Forbidden, InvalidChange, OperationsError
@@ -17,6 +18,7 @@
 
 OPERATOR_ROLE = "operator"
 _HASH_DIGITS = 64
+_TOKEN_KEYS = ("roles", "sha256", "team")
 
 
 class Grant(msgspec.Struct, frozen=True):
@@ -67,6 +69,9 @@
     for section in parser.sections():
         if not section.startswith(TOKEN_SECTION_PREFIX):
             continue
+        for key in parser[section]:
+            if key not in _TOKEN_KEYS:
+                return _report(f"[{section}] {key}: unknown key{suggest(key, list(_TOKEN_KEYS))}")
         digest = parser.get(section, "sha256", fallback="").strip().lower()
         team = parser.get(section, "team", fallback="").strip()
         if len(digest) != _HASH_DIGITS or set(digest) - set(string.hexdigits):
--- a/src/catkinspread/routing/listing.py
+++ b/src/catkinspread/routing/listing.py
@@ -1,15 +1,11 @@
 """The steps that end a transition with a list of exceptions."""
 
-from typing import TYPE_CHECKING
-
 from catkinspread.configuration import SlotsListed
 from catkinspread.routing.actions import AppendEntry, OwnerAction, SendMessage
 from catkinspread.routing.batches import Batch, Phase
 from catkinspread.routing.messages import AnnounceListing, ListingNoted
 from catkinspread.routing.status import can_carry
-
-if TYPE_CHECKING:
-    from catkinspread.routing.owner import TransitionOwner
+from catkinspread.routing.transition_state import TransitionState
 
 # A list that cannot be made yet is tried again after this time.
 _LISTING_RETRY_MS = 1_000
@@ -20,7 +16,7 @@
 
     __slots__ = ("_owner",)
 
-    def __init__(self, owner: "TransitionOwner") -> None:
+    def __init__(self, owner: TransitionState) -> None:
         self._owner = owner
 
     def advance(self, batch: Batch, now_ms: int, actions: list[OwnerAction]) -> None:
--- a/src/catkinspread/routing/regroup.py
+++ b/src/catkinspread/routing/regroup.py
@@ -1,16 +1,12 @@
 """The steps that replace members of owner groups."""
 
-from typing import TYPE_CHECKING
-
 from catkinspread.configuration import GroupChanged
 from catkinspread.hashing import rank_by_rendezvous
 from catkinspread.model import DataCentreState, OwnerGroup, OwnerMember
 from catkinspread.routing.actions import AppendEntry, OwnerAction
 from catkinspread.routing.batches import Batch
 from catkinspread.routing.groups import choose_group
-
-if TYPE_CHECKING:
-    from catkinspread.routing.owner import TransitionOwner
+from catkinspread.routing.transition_state import TransitionState
 
 
 class GroupSteps:
@@ -18,7 +14,7 @@
 
     __slots__ = ("_owner",)
 
-    def __init__(self, owner: "TransitionOwner") -> None:
+    def __init__(self, owner: TransitionState) -> None:
         self._owner = owner
 
     def advance(self, batch: Batch, now_ms: int, actions: list[OwnerAction]) -> None:
