Keep the reader of a data centre through a single failed call

A reader counts as lost after 600 ms of failures now, and a waiting call gives up after 700 ms instead of 1,000, so that the loss of the store is still known within 2.2 s. Ruled out: a longer status timeout, which delays the loss of a killed reader.

--- a/src/catkinspread/deployment/synchroniser.py
+++ b/src/catkinspread/deployment/synchroniser.py
@@ -24,6 +24,8 @@
 
 RETRY_FIRST_MS = 100
 RETRY_MAX_MS = 1_000
+# Calls that have failed for this long are an outage to the instances that follow this one.
+OUTAGE_AFTER_MS = 600
 _MS_PER_S = 1_000
 
 
@@ -47,36 +49,48 @@
     Attributes:
         available_since_ms: Since when it answers; None while it does not.
         answered_at_ms: When it answered last; 0 before the first answer.
-        is_failing: Whether the last call failed.
     """
 
-    __slots__ = ("answered_at_ms", "available_since_ms", "is_failing")
+    __slots__ = ("_failing_since_ms", "answered_at_ms", "available_since_ms")
 
     def __init__(self) -> None:
         self.available_since_ms: int | None = None
         self.answered_at_ms = 0
-        self.is_failing = False
+        self._failing_since_ms: int | None = None
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last call failed."""
+        return self._failing_since_ms is not None
 
     def note_answer(self, now_ms: int) -> bool:
         """Notes an answer and returns whether it ends an outage."""
         self.answered_at_ms = now_ms
-        self.is_failing = False
+        self._failing_since_ms = None
         if self.available_since_ms is not None:
             return False
         self.available_since_ms = now_ms
         return True
 
-    def note_failure(self) -> bool:
+    def note_failure(self, now_ms: int) -> bool:
         """Notes a failure and returns whether it begins an outage."""
         if self.is_failing:
             return False
-        self.is_failing = True
+        self._failing_since_ms = now_ms
         self.available_since_ms = None
         return True
 
     def get_answer_age_ms(self, now_ms: int) -> int | None:
-        """Returns the time since the last answer; None in an outage or before the first."""
-        return None if self.available_since_ms is None else now_ms - self.answered_at_ms
+        """Returns the time since the last answer; None in an outage or before the first.
+
+        A single failure is no outage yet, because the source may only have closed connections.
+        """
+        since_ms = self._failing_since_ms
+        if self.answered_at_ms == 0 or (
+            since_ms is not None and now_ms - since_ms >= OUTAGE_AFTER_MS
+        ):
+            return None
+        return now_ms - self.answered_at_ms
 
 
 class StateApplier:
@@ -226,7 +240,6 @@
             self._events.write_always("source_available", now_ms)
 
     def _note_failure(self, kind: StateKind, error: SourceUnavailable) -> None:
-        if self._health.note_failure():
-            self._events.write_always(
-                "source_lost", self._clock.now_ms(), kind=kind.value, reason=str(error)
-            )
+        now_ms = self._clock.now_ms()
+        if self._health.note_failure(now_ms):
+            self._events.write_always("source_lost", now_ms, kind=kind.value, reason=str(error))
--- a/src/catkinspread/peers/shared_source.py
+++ b/src/catkinspread/peers/shared_source.py
@@ -174,7 +174,7 @@
         try:
             changes = await call
         except SourceUnavailable:
-            if self._own_health.note_failure():
+            if self._own_health.note_failure(self._clock.now_ms()):
                 self._interrupt()
             raise
         if self._own_health.is_failing:
--- a/src/catkinspread/platform/store.py
+++ b/src/catkinspread/platform/store.py
@@ -20,7 +20,9 @@
 _GONE = 410
 _OK = 200
 CONNECT_TIMEOUT_MS = 700
-ANSWER_TIMEOUT_MS = 1_000
+ANSWER_TIMEOUT_MS = 700
+# A listing may be large, and the store may be slow.
+LIST_TIMEOUT_MS = 1_500
 
 _Shape = TypeVar("_Shape")
 
@@ -71,7 +73,7 @@
         parameters: dict[str, str] = {}
         revision: int | None = None
         while True:
-            body = await self._call(kind, parameters, ANSWER_TIMEOUT_MS)
+            body = await self._call(kind, parameters, LIST_TIMEOUT_MS)
             listing = _decode(body, _Listing)
             changes.extend(_convert(kind, item, False) for item in listing.items)
             if revision is None:
