Know the members of a large deployment; wait for a feeder before reading the store

Change: statuses carry the age of ten members heard of lately; the timeout grows with the number of members; a feeder that does not answer for 4 s is replaced; instances that do not feed wait 1.2 s for a feeder; at the first start of the deployment an instance without contact waits 1.5 s. Changes of the store are read every 300 ms.

Ruled out: heartbeats between all instances, whose cost grows with their square; a longer fixed timeout alone.

--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -18,12 +18,18 @@
 
 # The instances of a data centre that may read the source for the others.
 FEEDERS = 3
-# A status older than this does not count; five intervals of the exchange.
-STATUS_TIMEOUT_MS = 1_600
+# A status older than this does not count; four intervals of the exchange.
+STATUS_TIMEOUT_MS = 1_200
 # A source that has not answered an instance for this long counts as lost to it.
 SOURCE_TIMEOUT_MS = 2_200
-# An instance that nobody heard of for this long is forgotten.
+# A feeder that has not answered for this long gives its place to the next one.
+FEEDER_TIMEOUT_MS = 4_000
+# An instance that nobody heard of for this long is forgotten; word of one takes longer to come
+# round the more there are.
 MEMBER_TIMEOUT_MS = 20_000
+MEMBER_TIMEOUT_EACH_MS = 1_000
+# Members whose age travels with a status, so that instances that never talk know of each other.
+MEMBERS_PER_HELLO = 10
 # Members in one reply; bounds the size of the datagram.
 MEMBERS_PER_REPLY = 64
 _RANK_KEY = "feeders"
@@ -32,10 +38,12 @@
 class _Contact:
     """What is known of one other instance."""
 
-    __slots__ = ("heard_at_ms", "member", "status", "status_at_ms")
+    __slots__ = ("asked_since_ms", "heard_at_ms", "is_silent", "member", "status", "status_at_ms")
 
     def __init__(self, member: Member, heard_at_ms: int) -> None:
         self.member = member
+        self.asked_since_ms: int | None = None
+        self.is_silent = False
         self.heard_at_ms = heard_at_ms
         self.status: MemberStatus | None = None
         self.status_at_ms = 0
@@ -84,25 +92,40 @@
         contact = self._hear(status.member, now_ms)
         contact.status = status
         contact.status_at_ms = now_ms
-        if isinstance(message, HelloReply):
-            for known in message.members:
-                if known.member.name != self._member.name and known.age_ms < MEMBER_TIMEOUT_MS:
-                    self._hear(known.member, now_ms - known.age_ms)
+        if contact.is_silent:
+            contact.is_silent = False
+            self._renew()
+        for known in message.members:
+            if known.member.name != self._member.name and known.age_ms < self._timeout_ms:
+                self._hear(known.member, now_ms - known.age_ms)
+
+    def list_known(self, now_ms: int, is_sample: bool) -> tuple[KnownMember, ...]:
+        """Returns members to pass on, with the time since they were heard of.
 
-    def list_known(self, now_ms: int) -> tuple[KnownMember, ...]:
-        """Returns members for a reply, those heard of last first."""
+        Args:
+            now_ms: Current time.
+            is_sample: Whether a few random ones are enough; else those heard of last.
+        """
         contacts = sorted(self._contacts.values(), key=lambda found: -found.heard_at_ms)
+        if is_sample:
+            # Old news spreads no further, so that a dead instance is forgotten.
+            recent = contacts[: max(MEMBERS_PER_HELLO, len(contacts) // 2)]
+            contacts = self._rng.sample(recent, min(MEMBERS_PER_HELLO, len(recent)))
         return tuple(
             KnownMember(contact.member, max(0, now_ms - contact.heard_at_ms))
             for contact in contacts[:MEMBERS_PER_REPLY]
         )
 
     def expire(self, now_ms: int) -> list[str]:
-        """Forgets instances that nobody heard of and returns their names."""
+        """Forgets instances that nobody heard of and returns their names.
+
+        Feeders that do not answer give their place to others.
+        """
+        self._replace_silent_feeders(now_ms)
         lost = [
             name
             for name, contact in self._contacts.items()
-            if now_ms - contact.heard_at_ms >= MEMBER_TIMEOUT_MS
+            if now_ms - contact.heard_at_ms >= self._timeout_ms
         ]
         for name in lost:
             del self._contacts[name]
@@ -110,14 +133,23 @@
             self._renew()
         return lost
 
-    def choose_partners(self) -> list[Member]:
-        """Returns the instances to exchange statuses with now."""
+    def list_feeders(self) -> list[Member]:
+        """Returns the other instances that may read the source for this one."""
         names = [name for name in self._ranks[:FEEDERS] if name != self._member.name]
-        partners = [self._contacts[name].member for name in names]
-        others = [contact.member for name, contact in self._contacts.items() if name not in names]
-        if others:
-            partners.append(self._rng.choice(others))
-        return partners
+        return [self._contacts[name].member for name in names]
+
+    def choose_random(self) -> Member | None:
+        """Returns one of the instances that this one rarely talks to; None if there is none."""
+        others = [
+            contact.member
+            for name, contact in self._contacts.items()
+            if name not in self._ranks[:FEEDERS]
+        ]
+        return self._rng.choice(others) if others else None
+
+    @property
+    def _timeout_ms(self) -> int:
+        return MEMBER_TIMEOUT_MS + MEMBER_TIMEOUT_EACH_MS * len(self._contacts)
 
     def may_feed(self) -> bool:
         """Whether this instance is one of those that read the source for others."""
@@ -190,8 +222,27 @@
         contact.heard_at_ms = max(contact.heard_at_ms, heard_at_ms)
         return contact
 
+    def _replace_silent_feeders(self, now_ms: int) -> None:
+        is_changed = False
+        for name in self._ranks[:FEEDERS]:
+            contact = self._contacts.get(name)
+            if contact is None:
+                continue
+            if contact.asked_since_ms is None:
+                contact.asked_since_ms = now_ms
+            if now_ms - max(contact.asked_since_ms, contact.status_at_ms) >= FEEDER_TIMEOUT_MS:
+                contact.is_silent = True
+                contact.asked_since_ms = None
+                is_changed = True
+        if is_changed:
+            self._renew()
+
     def _renew(self) -> None:
-        neighbours = [member.name for member in self.list_neighbours()]
+        neighbours = [
+            member.name
+            for member in self.list_neighbours()
+            if not self._contacts[member.name].is_silent
+        ]
         self._ranks = rank_by_rendezvous(_RANK_KEY, [*neighbours, self._member.name])
         names = sorted([*self._contacts, self._member.name])
         self._digest = hash_text("\n".join(names))
--- a/src/catkinspread/peers/exchange.py
+++ b/src/catkinspread/peers/exchange.py
@@ -11,6 +11,7 @@
 from catkinspread.peers.messages import (
     Hello,
     HelloReply,
+    KnownMember,
     LoadReport,
     Member,
     MemberStatus,
@@ -22,8 +23,12 @@
 from catkinspread.transport.udp import UdpPort
 
 HELLO_INTERVAL_MS = 300
-# Until the first answer a new instance asks more often.
-FIRST_HELLO_INTERVAL_MS = 50
+# Random instances are asked less often; they only spread who there is.
+RANDOM_INTERVAL_MS = 900
+# Share of the random exchanges that goes to a seed.
+SEED_SHARE = 0.2
+# Until it has the state of the deployment, an instance asks more often.
+FIRST_HELLO_INTERVAL_MS = 60
 _MS_PER_S = 1_000
 
 
@@ -49,6 +54,7 @@
         "_directory",
         "_member",
         "_port",
+        "_random_due_ms",
         "_read_status",
         "_rng",
         "_seeds",
@@ -70,6 +76,7 @@
     ) -> None:
         self._member = member
         self._port = port
+        self._random_due_ms = 0
         self._seeds: tuple[str, ...] = ()
         self._directory = directory
         self._read_status = read_status
@@ -90,25 +97,42 @@
             await group.start(self._udp.run)
             while True:
                 self.say_hello()
-                is_alone = self._directory.count_members() == 1
-                interval_ms = FIRST_HELLO_INTERVAL_MS if is_alone else HELLO_INTERVAL_MS
+                has_state = self._read_status().has_state
+                interval_ms = HELLO_INTERVAL_MS if has_state else FIRST_HELLO_INTERVAL_MS
                 await anyio.sleep(interval_ms * (0.9 + 0.2 * self._rng.random()) / _MS_PER_S)
 
     def say_hello(self) -> None:
-        """Sends the own status to the partners of the moment."""
-        hello = encode_message(Hello(self._read_status(), self._directory.digest))
-        hosts = [partner.host for partner in self._directory.choose_partners()]
-        if self._seeds and (not hosts or self._rng.random() < 0.1):
-            # Now and then a seed too, so that groups that lost each other meet again.
-            hosts.extend(self._seeds if not hosts else [self._rng.choice(self._seeds)])
-        for host in hosts:
-            self._udp.send(hello, Endpoint(host, self._port))
+        """Sends the own status to the feeders and now and then to another instance."""
+        now_ms = self._clock.now_ms()
+        hello = Hello(self._read_status(), self._directory.digest)
+        self._send(hello, [feeder.host for feeder in self._directory.list_feeders()])
+        if now_ms < self._random_due_ms and self._directory.count_members() > 1:
+            return
+        self._random_due_ms = now_ms + RANDOM_INTERVAL_MS
+        members = self._directory.list_known(now_ms, is_sample=True)
+        self._send(Hello(hello.status, hello.digest, members), self._choose_random_hosts())
+
+    def _choose_random_hosts(self) -> list[str]:
+        """Returns a random instance, or now and then a seed.
+
+        Groups of instances that lost each other meet again through the seeds.
+        """
+        chosen = self._directory.choose_random()
+        if self._directory.count_members() == 1:
+            return list(self._seeds)
+        if self._seeds and (chosen is None or self._rng.random() < SEED_SHARE):
+            return [self._rng.choice(self._seeds)]
+        return [chosen.host] if chosen else []
+
+    def _send(self, message: PeerMessage, hosts: list[str]) -> None:
+        if hosts:
+            datagram = encode_message(message)
+            for host in hosts:
+                self._udp.send(datagram, Endpoint(host, self._port))
 
     def send_load(self, report: LoadReport, hosts: list[str]) -> None:
         """Sends a load report."""
-        datagram = encode_message(report)
-        for host in hosts:
-            self._udp.send(datagram, Endpoint(host, self._port))
+        self._send(report, hosts)
 
     def _receive(self, datagram: bytes, sender: Endpoint) -> None:
         now_ms = self._clock.now_ms()
@@ -126,6 +150,8 @@
         self._directory.take(message, now_ms)
         if isinstance(message, Hello):
             is_same = message.digest == self._directory.digest
-            members = () if is_same else self._directory.list_known(now_ms)
+            members: tuple[KnownMember, ...] = ()
+            if message.members or not is_same:
+                members = self._directory.list_known(now_ms, is_sample=is_same)
             reply = HelloReply(self._read_status(), members)
             self._udp.send(encode_message(reply), Endpoint(sender.host, self._port))
--- a/src/catkinspread/peers/messages.py
+++ b/src/catkinspread/peers/messages.py
@@ -58,10 +58,12 @@
     Attributes:
         status: Status of the sender.
         digest: Digest of the members that the sender knows.
+        members: A few members that it heard of lately.
     """
 
     status: MemberStatus
     digest: int
+    members: tuple[KnownMember, ...] = ()
 
 
 class HelloReply(msgspec.Struct, frozen=True, tag="reply"):
@@ -69,7 +71,7 @@
 
     Attributes:
         status: Status of the sender.
-        members: Members that it knows; empty if both know the same.
+        members: Members that it knows: all that fit if the digests differ, else a few.
     """
 
     status: MemberStatus
--- a/src/catkinspread/peers/shared_source.py
+++ b/src/catkinspread/peers/shared_source.py
@@ -18,7 +18,7 @@
     StateSource,
 )
 from catkinspread.eventlog import EventLog
-from catkinspread.peers.directory import PeerDirectory
+from catkinspread.peers.directory import SOURCE_TIMEOUT_MS, PeerDirectory
 from catkinspread.peers.messages import Member
 from catkinspread.peers.state_cache import StateCache
 
@@ -28,9 +28,15 @@
 LIVENESS_KIND = StateKind.EVACUATIONS
 # How long a new instance waits to hear of others before it reads the source itself.
 FIRST_CONTACT_WAIT_MS = 120
-# One that is not the first to read the source waits longer for the one that is.
-FOLLOWER_WAIT_MS = 400
+# At the first start of the deployment there are seconds until the first packet.
+FIRST_START_WAIT_MS = 1_500
+# One that is not the first to read the source waits longer for the one that is, and one that
+# never reads for others longest.
+FEEDER_WAIT_MS = 500
+FOLLOWER_WAIT_MS = 1_500
 _FIRST_CONTACT_STEP_MS = 10
+# How long an instance that does not feed others waits for a feeder to be replaced.
+FEEDER_PATIENCE_MS = 1_200
 # In an outage: pause between calls of instances that do not feed others, and between looks at
 # whether the outage is over.
 OUTAGE_PAUSE_MS = 4_000
@@ -49,6 +55,7 @@
         own_health: Whether the real source answers this instance.
         events: Takes a line for each change of the feeder.
         clock: Source of the time.
+        is_first_start: Whether the whole deployment starts for the first time.
     """
 
     __slots__ = (
@@ -58,6 +65,7 @@
         "_events",
         "_feeder",
         "_feeder_changed",
+        "_is_first_start",
         "_kinds_behind",
         "_open_peer",
         "_own_health",
@@ -73,7 +81,9 @@
         own_health: SourceHealth,
         events: EventLog,
         clock: Clock,
+        is_first_start: bool = False,
     ) -> None:
+        self._is_first_start = is_first_start
         self._source = source
         self._open_peer = open_peer
         self._directory = directory
@@ -152,19 +162,29 @@
     async def _may_call_source(self, kind: StateKind) -> bool:
         """Whether to call the source now; False after a pause in which others may try.
 
-        During an outage one kind alone asks again, and instances that do not feed others ask
-        rarely, because the source counts every call.
+        The source counts every call. Instances that do not feed others wait first for one
+        that does; during an outage one kind alone asks again.
         """
         if not self._own_health.is_failing:
-            return True
+            if self._directory.may_feed() or self._reads_already():
+                return True
+            return not await self._wait_for_feeder(FEEDER_PATIENCE_MS)
         if kind is LIVENESS_KIND and self._directory.may_feed():
             return True
         pause_ms = OUTAGE_PAUSE_MS if kind is LIVENESS_KIND else OUTAGE_CHECK_MS
+        return not await self._wait_for_feeder(pause_ms) and kind is LIVENESS_KIND
+
+    def _reads_already(self) -> bool:
+        age_ms = self._own_health.get_answer_age_ms(self._clock.now_ms())
+        return age_ms is not None and age_ms < SOURCE_TIMEOUT_MS
+
+    async def _wait_for_feeder(self, wait_ms: int) -> bool:
+        """Waits for a change of the feeder and returns whether there was one."""
         changed = self._feeder_changed
-        with anyio.move_on_after(pause_ms / _MS_PER_S):
+        with anyio.move_on_after(wait_ms / _MS_PER_S):
             await changed.wait()
-            return False
-        return kind is LIVENESS_KIND
+            return True
+        return False
 
     def _keep_listing(self, kind: StateKind, listing: StateChanges) -> StateChanges:
         self._cache.put_listing(kind, listing)
@@ -208,13 +228,20 @@
         started_ms = self._clock.now_ms()
         while True:
             now_ms = self._clock.now_ms()
-            limit_ms = FIRST_CONTACT_WAIT_MS
-            if not self._directory.is_first():
-                limit_ms = FOLLOWER_WAIT_MS
-            if now_ms - started_ms >= limit_ms or self._directory.find_any_with_state(now_ms):
+            if now_ms - started_ms >= self._get_contact_wait_ms():
+                return
+            if self._directory.find_any_with_state(now_ms):
                 return
             await anyio.sleep(_FIRST_CONTACT_STEP_MS / _MS_PER_S)
 
+    def _get_contact_wait_ms(self) -> int:
+        if not self._directory.may_feed():
+            return FOLLOWER_WAIT_MS
+        if not self._directory.is_first():
+            return FEEDER_WAIT_MS
+        is_alone = self._directory.count_members() == 1
+        return FIRST_START_WAIT_MS if is_alone and self._is_first_start else FIRST_CONTACT_WAIT_MS
+
     def _interrupt(self) -> None:
         self._feeder_changed.set()
         self._feeder_changed = anyio.Event()
--- /dev/null
+++ b/src/catkinspread/peers/tests/test_directory.py
@@ -0,0 +1,100 @@
+"""Who knows whom, without each instance talking to each other one."""
+
+import random
+
+from catkinspread.peers import Hello, HelloReply, Member, MemberStatus, PeerDirectory
+
+COUNT = 60
+SPREAD_ROUNDS = 80
+ROUND_MS = 900
+
+
+def _status(member: Member) -> MemberStatus:
+    return MemberStatus(member, None, True, False)
+
+
+class _Crowd:
+    """Instances that exchange statuses with one random other each round."""
+
+    def __init__(self, count: int) -> None:
+        self.members = [
+            Member(f"n{number}", "east", f"10.0.0.{number}", 1) for number in range(count)
+        ]
+        self.directories = {
+            member.host: PeerDirectory(member, random.Random(number))
+            for number, member in enumerate(self.members)
+        }
+        self.now_ms = 1_000_000
+        for member in self.members[1:]:
+            self.exchange(member, self.members[0])
+
+    def exchange(self, asking: Member, asked: Member) -> None:
+        own, other = self.directories[asking.host], self.directories[asked.host]
+        sample = own.list_known(self.now_ms, is_sample=True)
+        other.take(Hello(_status(asking), own.digest, sample), self.now_ms)
+        is_same = own.digest == other.digest
+        members = other.list_known(self.now_ms, is_sample=is_same)
+        own.take(HelloReply(_status(asked), members), self.now_ms)
+
+    def run_round(self, live: list[Member]) -> list[str]:
+        lost = []
+        self.now_ms += ROUND_MS
+        for member in live:
+            directory = self.directories[member.host]
+            chosen = directory.choose_random()
+            if chosen is not None and chosen in live:
+                self.exchange(member, chosen)
+        for member in live:
+            lost.extend(self.directories[member.host].expire(self.now_ms))
+        return lost
+
+
+def test_live_instances_stay_known_to_all() -> None:
+    """Guards against forgetting instances of a large deployment that are only rarely met."""
+    crowd = _Crowd(COUNT)
+    lost = [name for _ in range(SPREAD_ROUNDS) for name in crowd.run_round(crowd.members)]
+    assert lost == []
+    assert {crowd.directories[m.host].count_members() for m in crowd.members} == {COUNT}
+
+
+def test_dead_instance_is_forgotten_by_all() -> None:
+    """Guards against an instance that lives on in hearsay."""
+    crowd = _Crowd(COUNT)
+    for _ in range(SPREAD_ROUNDS):
+        crowd.run_round(crowd.members)
+    live = crowd.members[1:]
+    for _ in range(2 * SPREAD_ROUNDS):
+        crowd.run_round(live)
+    assert {crowd.directories[m.host].count_members() for m in live} == {COUNT - 1}
+
+
+def test_all_instances_choose_the_same_first_feeder() -> None:
+    """Guards against many readers of the source in one data centre."""
+    crowd = _Crowd(COUNT)
+    for _ in range(SPREAD_ROUNDS):
+        crowd.run_round(crowd.members)
+    firsts = [m for m in crowd.members if crowd.directories[m.host].is_first()]
+    feeders = [m for m in crowd.members if crowd.directories[m.host].may_feed()]
+    assert (len(firsts), len(feeders)) == (1, 3)
+
+
+def test_feeder_that_does_not_answer_gives_its_place_to_another() -> None:
+    """Guards against a data centre without a reader because the chosen ones are gone."""
+    crowd = _Crowd(5)
+    for _ in range(SPREAD_ROUNDS):
+        crowd.run_round(crowd.members)
+    last = next(m for m in crowd.members if not crowd.directories[m.host].may_feed())
+    for _ in range(8):
+        crowd.run_round([last])
+    assert crowd.directories[last.host].is_first()
+
+
+def test_restarted_instance_replaces_its_status() -> None:
+    """Guards against following an instance on the word of the process before."""
+    directory = PeerDirectory(Member("me", "east", "10.0.0.1", 1), random.Random(1))
+    old = MemberStatus(Member("other", "east", "10.0.0.2", 1), 10, True, False)
+    directory.take(Hello(old, 0), 1_000)
+    assert directory.find_any_with_state(1_000)
+    new = MemberStatus(Member("other", "east", "10.0.0.2", 2), None, False, False)
+    directory.take(Hello(new, 0), 1_010)
+    assert not directory.find_any_with_state(1_010)
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -54,7 +54,8 @@
 LEAVE_MARGIN_MS = 800
 SWEEP_INTERVAL_MS = 500
 WAIT_MS = 10_000
-PAUSE_MS = 100
+# Upstreams report often while many are replaced; drains and configurations have seconds.
+PAUSE_MS = 300
 # Longest and shortest pause between two looks at what is due; each look costs processor time.
 TICK_MS = 40
 TICK_MIN_MS = 10
@@ -170,6 +171,7 @@
             self._own_health,
             self._events,
             self._clock,
+            self._settings.is_first_start,
         )
 
     def _build_synchroniser(self, source: SharedSource) -> Synchroniser:
--- a/src/catkinspread/runtime/settings.py
+++ b/src/catkinspread/runtime/settings.py
@@ -31,6 +31,7 @@
         name: Unique name of the instance.
         data_centre: Data centre it runs in.
         region: Region of the data centre.
+        is_first_start: Whether the whole deployment starts for the first time.
         data_centres: Names of all data centres.
         packet_address: Where packets of callers arrive.
         readiness_address: Where the readiness check is answered.
@@ -47,6 +48,7 @@
     name: str
     data_centre: str
     region: str
+    is_first_start: bool
     data_centres: tuple[str, ...]
     packet_address: Endpoint
     readiness_address: Endpoint
@@ -71,6 +73,12 @@
     return round(seconds * _MS_PER_S)
 
 
+def _parse_flag(text: str) -> bool:
+    if text not in ("true", "false"):
+        raise ValueError("expected true or false")
+    return text == "true"
+
+
 def _parse_optional_endpoint(text: str) -> Endpoint | None:
     return parse_endpoint(text) if text else None
 
@@ -95,6 +103,7 @@
     _field("instance", "name", parse_name),
     _field("instance", "data_centre", parse_name),
     _field("instance", "region", parse_name),
+    _field("instance", "is_first_start", _parse_flag),
     _field("instance", "data_centres", _parse_data_centres),
     _field("instance", "packet_address", parse_endpoint),
     _field("instance", "readiness_address", parse_endpoint),
--- a/src/catkinspread/runtime/tests/test_settings.py
+++ b/src/catkinspread/runtime/tests/test_settings.py
@@ -16,6 +16,7 @@
 name = edge-khomas-a-1
 data_centre = khomas-a
 region = khomas
+is_first_start = true
 data_centres = {"khomas-a":"khomas","khomas-b":"khomas"}
 packet_address = 10.1.0.10:8172
 readiness_address = 10.1.0.10:8167
@@ -65,6 +66,7 @@
         ("10.200.1.7:8169", "store:8169", "[source] address = store:8169"),
         ('{"khomas-a":"khomas","khomas-b":"khomas"}', "[]", "[instance] data_centres = []"),
         ("[peers]", "[friends]", "[friends]"),
+        ("is_first_start = true", "is_first_start = yes", "[instance] is_first_start = yes"),
     ],
 )
 def test_names_what_is_wrong(before: str, after: str, place: str) -> None:
