Ask the feeders of other data centres while the own one has none

An instance that restarted in that time took an old state from a peer and then found nobody to follow: it met instances of other data centres at random every 0.9 s only, and a status counts for 1.2 s. It served version 3 and a list of upstreams from before their release from 10.4 to 16.3 s, and 33 requests failed in two seconds.

Change: while no feeder of its own data centre reads the store and it cannot either, an instance asks the first feeder of each other data centre every 300 ms, which it knows by the same rank, and follows the first that reads.

Ruled out: a longer life of statuses (a dead feeder would be followed for longer); refusals by placing (none but no_route in that time).

The directory test failed before.

--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -57,7 +57,7 @@
         rng: Source of random choices.
     """
 
-    __slots__ = ("_contacts", "_digest", "_member", "_ranks", "_rng")
+    __slots__ = ("_contacts", "_digest", "_member", "_needs_remote", "_ranks", "_rng")
 
     def __init__(self, member: Member, rng: random.Random) -> None:
         self._member = member
@@ -65,6 +65,7 @@
         self._contacts: dict[str, _Contact] = {}
         self._ranks: list[str] = [member.name]
         self._digest = 0
+        self._needs_remote = False
         self._renew()
 
     @property
@@ -132,8 +133,13 @@
         return lost
 
     def list_feeders(self) -> list[Member]:
-        """Returns the other instances that may read the source for this one."""
+        """Returns the other instances that may read the source for this one.
+
+        Those of other data centres are among them while the own one has none.
+        """
         names = [name for name in self._ranks[:FEEDERS] if name != self._member.name]
+        if self._needs_remote:
+            names.extend(self._list_remote_feeders())
         return [self._contacts[name].member for name in names]
 
     def choose_random(self) -> Member | None:
@@ -167,6 +173,7 @@
             source_age_ms: Time since the source answered this instance; None if it does not.
             now_ms: Current time.
         """
+        self._needs_remote = False
         is_own_good = source_age_ms is not None and source_age_ms < SOURCE_TIMEOUT_MS
         for name in self._ranks[:FEEDERS]:
             if name == self._member.name:
@@ -176,12 +183,11 @@
                 return self._contacts[name].member
         if is_own_good:
             return None
-        remote = [
-            contact.member
-            for contact in self._contacts.values()
-            if self._is_feeding(contact, now_ms)
-        ]
-        return min(remote, key=lambda member: member.name, default=None)
+        self._needs_remote = True
+        for name in self._list_remote_feeders():
+            if self._is_feeding(self._contacts[name], now_ms):
+                return self._contacts[name].member
+        return None
 
     def find_any_with_state(self, now_ms: int) -> list[Member]:
         """Returns the instances that could pass on what they know, nearest first."""
@@ -195,6 +201,21 @@
         own = self._member.data_centre
         return sorted(found, key=lambda member: (member.data_centre != own, member.name))
 
+    def _list_remote_feeders(self) -> list[str]:
+        """Returns the first feeders of the other data centres, FEEDERS at most."""
+        by_data_centre: dict[str, list[str]] = {}
+        for name, contact in self._contacts.items():
+            if contact.member.data_centre != self._member.data_centre:
+                by_data_centre.setdefault(contact.member.data_centre, []).append(name)
+        ranked = [
+            rank_by_rendezvous(_RANK_KEY, by_data_centre[data_centre])
+            for data_centre in sorted(by_data_centre)
+        ]
+        firsts = [
+            names[place] for place in range(FEEDERS) for names in ranked if place < len(names)
+        ]
+        return firsts[:FEEDERS]
+
     def _is_feeding(self, contact: _Contact, now_ms: int) -> bool:
         status = contact.status
         status_age_ms = now_ms - contact.status_at_ms
--- a/src/catkinspread/peers/tests/test_directory.py
+++ b/src/catkinspread/peers/tests/test_directory.py
@@ -90,6 +90,27 @@
     assert crowd.directories[last.host].is_first()
 
 
+def test_asks_the_feeders_elsewhere_while_its_own_data_centre_has_none() -> None:
+    """Guards against an instance that serves an old state for seconds.
+
+    The load: the source turns away all instances of a data centre, and the others still read it.
+    Their feeders have to be asked as often as the own ones, or their status is never fresh.
+    """
+    directory = PeerDirectory(Member("me", "east", "10.0.0.1", 1), random.Random(1))
+    for number in range(20):
+        member = Member(f"w{number}", "west", f"10.0.1.{number}", 1)
+        directory.take(Hello(_status(member), 0), 1_000)
+    directory.choose_feeder(100, 1_000)
+    assert directory.list_feeders() == []
+    directory.choose_feeder(None, 1_000)
+    asked = directory.list_feeders()
+    assert 1 <= len(asked) <= 3
+    reader = MemberStatus(asked[0], 50, True, False)
+    directory.take(HelloReply(reader, ()), 1_100)
+    assert directory.choose_feeder(None, 1_100) == asked[0]
+    assert directory.list_feeders() == asked
+
+
 def test_restarted_instance_replaces_its_status() -> None:
     """Guards against following an instance on the word of the process before."""
     directory = PeerDirectory(Member("me", "east", "10.0.0.1", 1), random.Random(1))
