--- a/src/catkinspread/eventlog/__init__.py
+++ b/src/catkinspread/eventlog/__init__.py
@@ -1,5 +1,5 @@
 """Structured log lines on standard output."""
 
-from catkinspread.eventlog.event_log import EventLog, LineWriter
+from catkinspread.eventlog.event_log import EventLog, LineSink, LineWriter
 
-__all__ = ["EventLog", "LineWriter"]
+__all__ = ["EventLog", "LineSink", "LineWriter"]
--- a/src/catkinspread/eventlog/event_log.py
+++ b/src/catkinspread/eventlog/event_log.py
@@ -6,6 +6,7 @@
 """
 
 import os
+from typing import Protocol
 
 import msgspec
 
@@ -19,12 +20,15 @@
 _STDOUT_FD = 1
 
 
-class LineWriter:
-    """Writes whole lines to a file descriptor that is not blocking.
+class LineSink(Protocol):
+    """Takes log lines."""
 
-    Attributes:
-        is_full: Whether the reader did not take the last line as a whole.
-    """
+    def write(self, line: bytes) -> bool:
+        """Writes a line, or returns False if it cannot be taken now."""
+
+
+class LineWriter:
+    """Writes whole lines to a file descriptor that is not blocking."""
 
     __slots__ = ("_descriptor", "_rest")
 
@@ -77,7 +81,7 @@
         "dropped_count",
     )
 
-    def __init__(self, instance: str, writer: LineWriter, clock: Clock) -> None:
+    def __init__(self, instance: str, writer: LineSink, clock: Clock) -> None:
         self._instance = instance
         self._writer = writer
         self._clock = clock
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -18,7 +18,7 @@
     Synchroniser,
     SynchroniserSettings,
 )
-from catkinspread.eventlog import EventLog, LineWriter
+from catkinspread.eventlog import EventLog, LineSink
 from catkinspread.forwarding import (
     CallerPacket,
     ColdBudget,
@@ -69,6 +69,7 @@
         settings: Settings of the instance.
         read_settings: Reads the settings file again.
         clock: Source of the time.
+        writer: Takes the log lines.
     """
 
     __slots__ = (
@@ -97,12 +98,13 @@
         settings: ForwardingSettings,
         read_settings: Callable[[], ForwardingSettings],
         clock: Clock,
+        writer: LineSink,
     ) -> None:
         self._settings = settings
         self._read_settings = read_settings
         self._clock = clock
         self._rng = random.Random()
-        self._events = EventLog(settings.name, LineWriter(), clock)
+        self._events = EventLog(settings.name, writer, clock)
         self._state = DeploymentState()
         self._health = SourceHealth()
         self._own_health = SourceHealth()
--- a/src/catkinspread/runtime/main.py
+++ b/src/catkinspread/runtime/main.py
@@ -5,6 +5,7 @@
 import anyio
 
 from catkinspread.clock import SystemClock
+from catkinspread.eventlog import LineWriter
 from catkinspread.ini import SettingsError
 from catkinspread.platform import SettingsFileUnknown, find_settings_file
 from catkinspread.runtime.instance import ForwardingInstance
@@ -29,5 +30,5 @@
     except (SettingsFileUnknown, SettingsError) as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
-    anyio.run(ForwardingInstance(settings, read_settings, SystemClock()).run)
+    anyio.run(ForwardingInstance(settings, read_settings, SystemClock(), LineWriter()).run)
     return EXIT_OK
--- /dev/null
+++ b/src/catkinspread/runtime/tests/test_whole_path.py
@@ -0,0 +1,194 @@
+"""Whole instances on loopback between stand-ins for the platform."""
+
+import json
+from collections.abc import Awaitable, Callable
+
+import anyio
+import pytest
+
+from catkinspread.clock import SystemClock
+from catkinspread.model import Endpoint
+from catkinspread.runtime import ForwardingInstance, ForwardingSettings
+from catkinspread.runtime.tests.stand_ins import (
+    RST,
+    CallerStandIn,
+    StoreStandIn,
+    UpstreamStandIn,
+    find_free_port,
+)
+
+ADDRESS = Endpoint("198.18.0.1", 443)
+CALLER = "127.0.0.2"
+INSTANCES = ("127.0.0.10", "127.0.0.11")
+UPSTREAMS = ("127.0.0.20", "127.0.0.21")
+_START_TIMEOUT_S = 5
+
+
+class Lines:
+    """Keeps log lines."""
+
+    def __init__(self) -> None:
+        self.events: list[dict[str, object]] = []
+
+    def write(self, line: bytes) -> bool:
+        self.events.append(json.loads(line))
+        return True
+
+    def find(self, event: str) -> list[dict[str, object]]:
+        return [found for found in self.events if found["event"] == event]
+
+
+class Deployment:
+    """Store, two upstreams, a caller and up to two instances."""
+
+    def __init__(self, group: anyio.abc.TaskGroup) -> None:
+        self._group = group
+        self._packet_port, self._peer_port = find_free_port(), find_free_port()
+        self.store = StoreStandIn()
+        self.upstreams = [
+            UpstreamStandIn(host, self._packet_port, self._packet_port) for host in UPSTREAMS
+        ]
+        self.caller = CallerStandIn(CALLER, self._packet_port, INSTANCES[0])
+        self.lines = [Lines(), Lines()]
+        self._store_endpoint = Endpoint("127.0.0.1", 1)
+
+    async def start(self) -> None:
+        """Starts everything but the instances."""
+        self._store_endpoint = await self._group.start(self.store.run)
+        for part in (*self.upstreams, self.caller):
+            await self._group.start(part.run)
+        self.store.put("config", "main", self.build_configuration(1, "pages"))
+        for number in range(len(self.upstreams)):
+            self.put_upstream(number)
+
+    def build_configuration(self, version: int, service: str) -> dict[str, object]:
+        """Returns a configuration with one route."""
+        route = {
+            "name": "r1",
+            "host": ADDRESS.host,
+            "path_prefix": f"/{ADDRESS.port}/",
+            "kind": "safe",
+            "timeout_ms": 1_500,
+            "priority": 1,
+            "service": service,
+        }
+        return {
+            "version": version,
+            "routes": [route],
+            "services": [{"name": service, "max_flows": 9, "cold_per_s": 0.0}],
+            "limits": {"idle_timeout_ms": 15_000},
+        }
+
+    def put_upstream(self, number: int, state: str = "ready") -> None:
+        """Lets an upstream report."""
+        spec = {
+            "service": "pages",
+            "address": f"{UPSTREAMS[number]}:{self._packet_port}",
+            "zone": "east",
+            "state": state,
+            "slots": 2,
+            "cold_left_ms": 0,
+            "born": 1,
+        }
+        self.store.put("servers", f"i-{number}a", spec)
+
+    async def start_instance(self, number: int) -> None:
+        """Starts an instance and waits until it has the state."""
+        host = INSTANCES[number]
+        settings = ForwardingSettings(
+            name=f"instance-{number}",
+            data_centre="east",
+            region="here",
+            is_first_start=False,
+            data_centres=("east",),
+            packet_address=Endpoint(host, self._packet_port),
+            readiness_address=Endpoint(host, find_free_port()),
+            peer_address=None,
+            peer_port=self._peer_port,
+            grace_ms=2_000,
+            stable_ms=4_000,
+            flow_lifetime_max_ms=60_000,
+            seeds=tuple(Endpoint(seed, 1) for seed in INSTANCES),
+            source_address=self._store_endpoint,
+            heartbeat_ms=1_000,
+        )
+        instance = ForwardingInstance(settings, lambda: settings, SystemClock(), self.lines[number])
+        self._group.start_soon(instance.run)
+        with anyio.fail_after(_START_TIMEOUT_S):
+            while len(self.lines[number].find("state_changed")) < 3:
+                await anyio.sleep(0.02)
+        await anyio.sleep(0.1)
+
+    def count_opened(self, number: int) -> int:
+        """Returns how many opening packets an upstream got."""
+        return sum(1 for _, head, _ in self.upstreams[number].received if head[8] & 32)
+
+
+def _play(scenario: Callable[[Deployment], Awaitable[None]]) -> None:
+    async def run() -> None:
+        async with anyio.create_task_group() as group:
+            deployment = Deployment(group)
+            await deployment.start()
+            await deployment.start_instance(0)
+            await scenario(deployment)
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def test_request_reaches_an_upstream_and_its_answer_the_caller() -> None:
+    """Guards against any part of the path that does not fit the next one."""
+
+    async def scenario(deployment: Deployment) -> None:
+        port, head = await deployment.caller.open(ADDRESS)
+        answer = await deployment.caller.request(ADDRESS, port, head[3])
+        assert answer.startswith(b"HTTP/1.1 200")
+        keys = {key for upstream in deployment.upstreams for key, _, _ in upstream.received}
+        assert keys <= {0x0A, 0x1A}
+        assert deployment.lines[0].find("request")[0]["request"] == "r1"
+
+    _play(scenario)
+
+
+def test_flow_goes_on_through_another_instance_that_started_without_the_store() -> None:
+    """Guards against flows that break with their instance, and starts that need the store."""
+
+    async def scenario(deployment: Deployment) -> None:
+        port, head = await deployment.caller.open(ADDRESS)
+        deployment.store.is_down = True
+        await deployment.start_instance(1)
+        deployment.caller.use_instance(INSTANCES[1])
+        answer = await deployment.caller.request(ADDRESS, port, head[3])
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert deployment.lines[1].find("flow_adopted")
+
+    _play(scenario)
+
+
+def test_silent_upstream_costs_the_caller_little() -> None:
+    """Guards against a caller that waits for its own copy of the opening packet."""
+
+    async def scenario(deployment: Deployment) -> None:
+        deployment.upstreams[0].is_silent = True
+        for _ in range(4):
+            await deployment.caller.open(ADDRESS)
+        assert deployment.count_opened(1) == 4
+        assert deployment.count_opened(0) <= 2
+
+    _play(scenario)
+
+
+@pytest.mark.parametrize("service", ["pages", "gone"])
+def test_changes_of_the_operator_come_into_force(service: str) -> None:
+    """Guards against draining upstreams and dropped routes that still get flows."""
+
+    async def scenario(deployment: Deployment) -> None:
+        deployment.put_upstream(0, state="draining")
+        deployment.store.put("config", "main", deployment.build_configuration(2, service))
+        await anyio.sleep(0.6)
+        _, head = await deployment.caller.open(ADDRESS)
+        assert deployment.count_opened(0) == 0
+        is_refused = bool(head[8] & RST)
+        assert is_refused == (service == "gone")
+
+    _play(scenario)
