Keep names of the platform inside platform/; read INI files in one place

Cause: the field cold_left_ms of the store's entries was also the name in deployment, and the loopback stand-ins with names of the wire stood outside platform/. The product says cold_remaining_ms now, the stand-ins and the test of whole instances moved to platform/tests. The twin code that opens a settings file is ini.read_file.

Ruled out: renaming through deploy/wire.toml, which would hide the platform's words in a second file. Behaviour is unchanged.

--- a/src/catkinspread/deployment/records.py
+++ b/src/catkinspread/deployment/records.py
@@ -99,7 +99,7 @@
         port: Port that takes its packets.
         work_slots: Requests that it executes at once.
         is_draining: Whether it leaves and wants no new flows.
-        cold_left_ms: How much longer it is cold, at the time of the report.
+        cold_remaining_ms: How much longer it is cold, at the time of the report.
         born_ms: Start of its process in ms since the epoch.
     """
 
@@ -111,5 +111,5 @@
     port: int
     work_slots: int
     is_draining: bool
-    cold_left_ms: int
+    cold_remaining_ms: int
     born_ms: int
--- a/src/catkinspread/deployment/state.py
+++ b/src/catkinspread/deployment/state.py
@@ -48,14 +48,14 @@
     def __init__(self, record: UpstreamRecord, now_ms: int) -> None:
         self.record = record
         self.token = compute_token(record.name)
-        self.cold_until_ms = now_ms + record.cold_left_ms
+        self.cold_until_ms = now_ms + record.cold_remaining_ms
         self.missing_since_ms: int | None = None
         self.is_removed = False
 
     def report(self, record: UpstreamRecord, now_ms: int) -> None:
         """Takes a newer report of the same upstream."""
         self.record = record
-        self.cold_until_ms = now_ms + record.cold_left_ms
+        self.cold_until_ms = now_ms + record.cold_remaining_ms
         self.missing_since_ms = None
         self.is_removed = False
 
--- a/src/catkinspread/deployment/tests/test_state.py
+++ b/src/catkinspread/deployment/tests/test_state.py
@@ -23,9 +23,11 @@
 
 
 def _upstream(
-    name: str = "i-1", is_draining: bool = False, cold_left_ms: int = 0
+    name: str = "i-1", is_draining: bool = False, cold_remaining_ms: int = 0
 ) -> UpstreamRecord:
-    return UpstreamRecord(name, 1, "pages", "east", "10.0.0.9", 80, 2, is_draining, cold_left_ms, 1)
+    return UpstreamRecord(
+        name, 1, "pages", "east", "10.0.0.9", 80, 2, is_draining, cold_remaining_ms, 1
+    )
 
 
 def _state(*records: UpstreamRecord) -> DeploymentState:
--- a/src/catkinspread/forwarding/tests/builders.py
+++ b/src/catkinspread/forwarding/tests/builders.py
@@ -61,7 +61,7 @@
     data_centre: str = "east",
     service: str = SERVICE,
     is_draining: bool = False,
-    cold_left_ms: int = 0,
+    cold_remaining_ms: int = 0,
     born_ms: int = 1,
 ) -> UpstreamRecord:
     """Returns the report of an upstream with two work slots."""
@@ -74,7 +74,7 @@
         port=80,
         work_slots=2,
         is_draining=is_draining,
-        cold_left_ms=cold_left_ms,
+        cold_remaining_ms=cold_remaining_ms,
         born_ms=born_ms,
     )
 
--- a/src/catkinspread/forwarding/tests/test_placement.py
+++ b/src/catkinspread/forwarding/tests/test_placement.py
@@ -66,7 +66,7 @@
 
 def test_cold_upstream_gets_nothing_while_others_serve() -> None:
     """Guards against load on an upstream that has just started."""
-    rig = Rig(build_upstream("cold", cold_left_ms=2_000), build_upstream("warm"))
+    rig = Rig(build_upstream("cold", cold_remaining_ms=2_000), build_upstream("warm"))
     assert _place(rig, 10) == {"warm": 10}
     rig.wait(2_010)
     assert _place(rig, 10, first_port=100)["cold"] > 0
@@ -74,7 +74,7 @@
 
 def test_cold_upstreams_get_their_rate_when_nothing_else_is_left() -> None:
     """Guards against exceeding what a cold upstream bears, and against refusing all of it."""
-    rig = Rig(build_upstream("cold", cold_left_ms=60_000))
+    rig = Rig(build_upstream("cold", cold_remaining_ms=60_000))
     rig.state.put_configuration(build_configuration(version=2, cold_rate_per_s=10.0))
     served = 0
     for port in range(1, 301):
--- a/src/catkinspread/ini/__init__.py
+++ b/src/catkinspread/ini/__init__.py
@@ -11,6 +11,7 @@
     parse_text,
     parse_url,
     read_fields,
+    read_file,
     suggest,
 )
 
@@ -25,5 +26,6 @@
     "parse_text",
     "parse_url",
     "read_fields",
+    "read_file",
     "suggest",
 ]
--- a/src/catkinspread/ini/fields.py
+++ b/src/catkinspread/ini/fields.py
@@ -3,6 +3,7 @@
 import configparser
 import difflib
 import ipaddress
+import pathlib
 from collections.abc import Callable
 from typing import Any
 
@@ -107,6 +108,21 @@
     return text.rstrip("/")
 
 
+def read_file(path: str | pathlib.Path) -> configparser.ConfigParser:
+    """Reads and parses an INI file without checking its sections.
+
+    Raises:
+        SettingsError: If it cannot be read or its syntax is wrong.
+    """
+    file = str(path)
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        problem = SettingsProblem(file, "", "", "", f"cannot be read: {error}")
+        raise SettingsError((problem,)) from error
+    return parse_text(file, text)
+
+
 def parse_text(file: str, text: str) -> configparser.ConfigParser:
     """Parses an INI text.
 
--- a/src/catkinspread/platform/objects.py
+++ b/src/catkinspread/platform/objects.py
@@ -137,7 +137,7 @@
         port=int(port),
         work_slots=max(1, wire.slots),
         is_draining=wire.state == _DRAINING,
-        cold_left_ms=max(0, round(wire.cold_left_ms)),
+        cold_remaining_ms=max(0, round(wire.cold_left_ms)),
         born_ms=wire.born,
     )
 
--- a/src/catkinspread/platform/tests/test_objects.py
+++ b/src/catkinspread/platform/tests/test_objects.py
@@ -53,7 +53,7 @@
         port=8080,
         work_slots=2,
         is_draining=False,
-        cold_left_ms=1_200,
+        cold_remaining_ms=1_200,
         born_ms=1_790_000_000_000,
     )
 
--- a/src/catkinspread/runtime/tests/test_whole_path.py
+++ b/src/catkinspread/platform/tests/test_whole_path.py
@@ -8,14 +8,14 @@
 
 from catkinspread.clock import SystemClock
 from catkinspread.model import Endpoint
-from catkinspread.runtime import ForwardingInstance, ForwardingSettings
-from catkinspread.runtime.tests.stand_ins import (
+from catkinspread.platform.tests.stand_ins import (
     RST,
     CallerStandIn,
     StoreStandIn,
     UpstreamStandIn,
     find_free_port,
 )
+from catkinspread.runtime import ForwardingInstance, ForwardingSettings
 
 ADDRESS = Endpoint("198.18.0.1", 443)
 CALLER = "127.0.0.2"
--- a/src/catkinspread/runtime/settings.py
+++ b/src/catkinspread/runtime/settings.py
@@ -9,13 +9,11 @@
 
 from catkinspread.ini import (
     Field,
-    SettingsError,
-    SettingsProblem,
     parse_endpoint,
     parse_integer,
     parse_name,
-    parse_text,
     read_fields,
+    read_file,
 )
 from catkinspread.model import Endpoint
 
@@ -124,13 +122,7 @@
     Raises:
         SettingsError: With every problem found.
     """
-    file = str(path)
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        problem = SettingsProblem(file, "", "", "", f"cannot be read: {error}")
-        raise SettingsError((problem,)) from error
-    return build_forwarding_settings(file, parse_text(file, text))
+    return build_forwarding_settings(str(path), read_file(path))
 
 
 def build_forwarding_settings(file: str, parser: configparser.ConfigParser) -> ForwardingSettings:
--- a/src/catkinspread/settings/instance.py
+++ b/src/catkinspread/settings/instance.py
@@ -13,9 +13,9 @@
     parse_endpoint,
     parse_integer,
     parse_name,
-    parse_text,
     parse_url,
     read_fields,
+    read_file,
 )
 from catkinspread.model import Endpoint
 
@@ -151,12 +151,8 @@
 
 def load_file(path: str | pathlib.Path) -> Result[configparser.ConfigParser, SettingsError]:
     """Reads an INI file without checking its sections."""
-    file = str(path)
     try:
-        return Ok(parse_text(file, pathlib.Path(path).read_text(encoding="utf-8")))
-    except (OSError, UnicodeDecodeError) as error:
-        problem = SettingsProblem(file, "", "", "", f"cannot be read: {error}")
-        return Error(SettingsError((problem,)))
+        return Ok(read_file(path))
     except SettingsError as error:
         return Error(error)
 
