Remove what nothing reads; look for expired flows in one pass

Ruled out for now, as they change behaviour or tests: settings that are checked but not used (peer_address, stable_ms, region, data_centres, flow_lifetime_max_ms, beside the fixed REMOVED_RETENTION_MS), and a late copy of an opening packet that arrives after data, which places the flow anew until the next packet's token settles it.

--- a/src/catkinspread/deployment/state.py
+++ b/src/catkinspread/deployment/state.py
@@ -80,7 +80,6 @@
 
     Attributes:
         configuration: Configuration in force; None before the first.
-        generation: Grows with each change; a key for caches.
         has_upstreams: Whether the list of upstreams was read at least once.
     """
 
@@ -92,14 +91,12 @@
         "_services",
         "_upstreams",
         "configuration",
-        "generation",
         "has_evacuations",
         "has_upstreams",
     )
 
     def __init__(self) -> None:
         self.configuration: RoutingConfiguration | None = None
-        self.generation = 0
         self.has_upstreams = False
         self.has_evacuations = False
         self._routes: dict[ServiceAddress, Route] = {}
@@ -154,7 +151,7 @@
         self.configuration = configuration
         self._routes = {route.address: route for route in configuration.routes}
         self._services = {service.name: service for service in configuration.services}
-        self._touch()
+        self._by_service.clear()
         return ApplyOutcome(True, f"version {configuration.version}")
 
     def put_upstream(self, record: UpstreamRecord, now_ms: int) -> ApplyOutcome:
@@ -164,12 +161,12 @@
             known = KnownUpstream(record, now_ms)
             self._upstreams[record.name] = known
             self._by_token[known.token] = known
-            self._touch()
+            self._by_service.clear()
             return ApplyOutcome(True, "new")
         if known.record == record and known.missing_since_ms is None:
             return _UNCHANGED
         known.report(record, now_ms)
-        self._touch()
+        self._by_service.clear()
         return ApplyOutcome(True, "draining" if record.is_draining else "reported")
 
     def remove_upstream(self, name: str, now_ms: int) -> ApplyOutcome:
@@ -185,7 +182,7 @@
         known.missing_since_ms = now_ms
         if known.record.is_draining:
             known.is_removed = True
-        self._touch()
+        self._by_service.clear()
         return ApplyOutcome(True, "removed" if known.is_removed else "missing")
 
     def set_evacuated(self, data_centre: str, is_evacuated: bool) -> ApplyOutcome:
@@ -196,7 +193,7 @@
             self._evacuated.add(data_centre)
         else:
             self._evacuated.discard(data_centre)
-        self._touch()
+        self._by_service.clear()
         return ApplyOutcome(True, "evacuated" if is_evacuated else "taken back")
 
     def hold_cold(self, data_centre: str, until_ms: int) -> None:
@@ -226,9 +223,9 @@
                     continue
                 if now_ms - max(known.missing_since_ms, available_since_ms) >= LAPSE_GRACE_MS:
                     known.is_removed = True
-                    self._touch()
+                    self._by_service.clear()
                     ended.append(name)
-            elif known.is_removed and missing_ms >= REMOVED_RETENTION_MS:
+            elif missing_ms >= REMOVED_RETENTION_MS:
                 del self._upstreams[name]
                 if self._by_token.get(known.token) is known:
                     del self._by_token[known.token]
@@ -241,7 +238,3 @@
             and not record.is_draining
             and record.data_centre not in self._evacuated
         )
-
-    def _touch(self) -> None:
-        self.generation += 1
-        self._by_service.clear()
--- a/src/catkinspread/forwarding/cold_budget.py
+++ b/src/catkinspread/forwarding/cold_budget.py
@@ -39,9 +39,5 @@
         """Counts a flow that is opened to a cold upstream."""
         self._next_at_ms[upstream.record.name] = now_ms + self._interval_ms(rate_per_s)
 
-    def forget(self, name: str) -> None:
-        """Removes the account of an upstream that is warm or gone."""
-        self._next_at_ms.pop(name, None)
-
     def _interval_ms(self, rate_per_s: float) -> float:
         return _MS_PER_S * self.instances / rate_per_s
--- a/src/catkinspread/forwarding/flows.py
+++ b/src/catkinspread/forwarding/flows.py
@@ -113,15 +113,22 @@
         """Adds a flow in place of an earlier one with the same ends."""
         self._flows[flow.key] = flow
 
-    def list_overdue(self, now_ms: int) -> list[Flow]:
-        """Returns the flows with a request that was not answered in its time."""
-        return [flow for flow in self._flows.values() if flow.is_overdue(now_ms)]
-
     def remove_expired(self, now_ms: int, idle_timeout_ms: int) -> list[Flow]:
-        """Removes the flows of which nothing is expected and returns them."""
-        expired = [
-            flow for flow in self._flows.values() if flow.is_expired(now_ms, idle_timeout_ms)
-        ]
+        """Removes the flows of which nothing is expected.
+
+        Returns:
+            The flows whose request ends without an answer: those removed with one, and those
+            that stay but were not answered in time.
+        """
+        expired = []
+        unanswered = []
+        for flow in self._flows.values():
+            if flow.is_expired(now_ms, idle_timeout_ms):
+                expired.append(flow)
+                if flow.busy_since_ms is not None:
+                    unanswered.append(flow)
+            elif flow.is_overdue(now_ms):
+                unanswered.append(flow)
         for flow in expired:
             del self._flows[flow.key]
-        return expired
+        return unanswered
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -113,12 +113,10 @@
         """Forgets flows of which nothing is expected."""
         configuration = self._state.configuration
         idle_ms = configuration.idle_timeout_ms if configuration else IDLE_TIMEOUT_DEFAULT_MS
-        expired = self._flows.remove_expired(now_ms, idle_ms)
-        for flow in [*expired, *self._flows.list_overdue(now_ms)]:
-            if flow.busy_since_ms is not None:
-                self._end_request(flow)
-                self._log.abandoned(flow, now_ms)
-                self.counts["abandoned"] += 1
+        for flow in self._flows.remove_expired(now_ms, idle_ms):
+            self._end_request(flow)
+            self._log.abandoned(flow, now_ms)
+            self.counts["abandoned"] += 1
 
     def _handle_open(self, packet: CallerPacket, flow: Flow | None, now_ms: int) -> None:
         if flow is not None and flow.is_open and flow.next_sequence == packet.sequence + 1:
--- a/src/catkinspread/httpclient/client.py
+++ b/src/catkinspread/httpclient/client.py
@@ -38,19 +38,14 @@
 
 
 class HttpClient:
-    """Keeps connections open and shares them between callers.
+    """Keeps connections open and shares them between callers."""
 
-    Attributes:
-        call_count: Calls made since the start.
-    """
-
-    __slots__ = ("_pool", "call_count")
+    __slots__ = ("_pool",)
 
     def __init__(self) -> None:
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=_CONNECTIONS_MAX, socket_options=_KEEPALIVE_OPTIONS
         )
-        self.call_count = 0
 
     async def __aenter__(self) -> "HttpClient":
         return self
@@ -78,7 +73,6 @@
         Raises:
             HttpFailure: If there was no answer in time.
         """
-        self.call_count += 1
         connect_s = connect_timeout_ms / _MS_PER_S
         answer_s = answer_timeout_ms / _MS_PER_S
         url = f"http://{endpoint}{path}" + (f"?{urlencode(query)}" if query else "")
--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -107,9 +107,11 @@
             now_ms: Current time.
             is_sample: Whether a few random ones are enough; else those heard of last.
         """
-        contacts = sorted(self._contacts.values(), key=lambda found: -found.heard_at_ms)
+        contacts = list(self._contacts.values())
         if is_sample:
             contacts = self._rng.sample(contacts, min(MEMBERS_PER_HELLO, len(contacts)))
+        else:
+            contacts.sort(key=lambda found: -found.heard_at_ms)
         return tuple(
             KnownMember(contact.member, max(0, now_ms - contact.heard_at_ms))
             for contact in contacts[:MEMBERS_PER_REPLY]
--- a/src/catkinspread/runtime/settings.py
+++ b/src/catkinspread/runtime/settings.py
@@ -2,8 +2,6 @@
 
 import configparser
 import pathlib
-from collections.abc import Callable
-from typing import Any
 
 import msgspec
 
@@ -93,26 +91,22 @@
         raise ValueError(f"expected regions by data centre as JSON: {error}") from None
 
 
-def _field(section: str, key: str, parse: Callable[[str], Any]) -> Field:
-    return Field(section, key, parse)
-
-
 _FIELDS = [
-    _field("instance", "name", parse_name),
-    _field("instance", "data_centre", parse_name),
-    _field("instance", "region", parse_name),
-    _field("instance", "is_first_start", _parse_flag),
-    _field("instance", "data_centres", _parse_data_centres),
-    _field("instance", "packet_address", parse_endpoint),
-    _field("instance", "readiness_address", parse_endpoint),
-    _field("instance", "peer_address", _parse_optional_endpoint),
-    _field("instance", "peer_port", parse_integer(1, _PORT_MAX)),
-    _field("instance", "grace_s", _parse_seconds),
-    _field("instance", "stable_ms", parse_integer(0, _HOUR_MS)),
-    _field("instance", "flow_lifetime_max_s", _parse_seconds),
-    _field("peers", "seeds", _parse_endpoints),
-    _field("source", "address", parse_endpoint),
-    _field("source", "heartbeat_ms", parse_integer(1, _HOUR_MS)),
+    Field("instance", "name", parse_name),
+    Field("instance", "data_centre", parse_name),
+    Field("instance", "region", parse_name),
+    Field("instance", "is_first_start", _parse_flag),
+    Field("instance", "data_centres", _parse_data_centres),
+    Field("instance", "packet_address", parse_endpoint),
+    Field("instance", "readiness_address", parse_endpoint),
+    Field("instance", "peer_address", _parse_optional_endpoint),
+    Field("instance", "peer_port", parse_integer(1, _PORT_MAX)),
+    Field("instance", "grace_s", _parse_seconds),
+    Field("instance", "stable_ms", parse_integer(0, _HOUR_MS)),
+    Field("instance", "flow_lifetime_max_s", _parse_seconds),
+    Field("peers", "seeds", _parse_endpoints),
+    Field("source", "address", parse_endpoint),
+    Field("source", "heartbeat_ms", parse_integer(1, _HOUR_MS)),
 ]
 
 
