--- a/src/catkinspread/console/main.py
+++ b/src/catkinspread/console/main.py
@@ -8,7 +8,7 @@
 
 from catkinspread.console.registry import EXIT_REFUSED, list_subcommands
 
-_MODULES = ("bench", "check", "demo", "instance", "stand_ins", "statements")
+_MODULES = ("bench", "check", "demo", "instance", "soak", "stand_ins", "statements")
 
 
 def main(arguments: list[str] | None = None) -> int:
--- a/src/catkinspread/deployment/state.py
+++ b/src/catkinspread/deployment/state.py
@@ -15,8 +15,6 @@
 )
 from catkinspread.hashing import hash_text
 
-# A removed upstream may serve its open flows for this long; equals the longest life of a flow.
-REMOVED_RETENTION_MS = 60_000
 # Entries that lapsed while the source was away return within 2 s if their upstream lives.
 LAPSE_GRACE_MS = 2_300
 # Tokens have 32 bits in packets.
@@ -78,6 +76,9 @@
 class DeploymentState:
     """Routes, upstreams and evacuated data centres.
 
+    Args:
+        flow_lifetime_max_ms: Longest life of a flow; a removed upstream is known this long.
+
     Attributes:
         configuration: Configuration in force; None before the first.
         has_upstreams: Whether the list of upstreams was read at least once.
@@ -87,6 +88,7 @@
         "_by_service",
         "_by_token",
         "_evacuated",
+        "_flow_lifetime_max_ms",
         "_routes",
         "_services",
         "_upstreams",
@@ -95,7 +97,8 @@
         "has_upstreams",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, flow_lifetime_max_ms: int) -> None:
+        self._flow_lifetime_max_ms = flow_lifetime_max_ms
         self.configuration: RoutingConfiguration | None = None
         self.has_upstreams = False
         self.has_evacuations = False
@@ -225,7 +228,7 @@
                     known.is_removed = True
                     self._by_service.clear()
                     ended.append(name)
-            elif missing_ms >= REMOVED_RETENTION_MS:
+            elif missing_ms >= self._flow_lifetime_max_ms:
                 del self._upstreams[name]
                 if self._by_token.get(known.token) is known:
                     del self._by_token[known.token]
--- a/src/catkinspread/deployment/tests/test_state.py
+++ b/src/catkinspread/deployment/tests/test_state.py
@@ -31,7 +31,7 @@
 
 
 def _state(*records: UpstreamRecord) -> DeploymentState:
-    state = DeploymentState()
+    state = DeploymentState(flow_lifetime_max_ms=60_000)
     for record in records:
         state.put_upstream(record, NOW_MS)
     return state
@@ -47,7 +47,7 @@
 
 def test_configuration_never_goes_back() -> None:
     """Guards against a stale answer that brings an older configuration into force."""
-    state = DeploymentState()
+    state = DeploymentState(flow_lifetime_max_ms=60_000)
     state.put_configuration(RoutingConfiguration(5, (), (), 1))
     assert not state.put_configuration(RoutingConfiguration(4, (), (), 1)).is_changed
     assert state.configuration is not None
--- a/src/catkinspread/forwarding/tests/builders.py
+++ b/src/catkinspread/forwarding/tests/builders.py
@@ -99,7 +99,7 @@
         is_state_known: bool = True,
     ) -> None:
         self.clock = ManualClock(START_MS)
-        self.state = DeploymentState()
+        self.state = DeploymentState(flow_lifetime_max_ms=60_000)
         if is_state_known:
             self.state.put_configuration(build_configuration())
             self.state.has_upstreams = True
--- a/src/catkinspread/platform/packets.py
+++ b/src/catkinspread/platform/packets.py
@@ -13,17 +13,17 @@
 DATA_MAX_BYTES = 1_200
 # Data size, sequence, acknowledgement, token, source IP, destination port, destination IP,
 # source port, flags, padding, checksum.
-_HEAD = struct.Struct(">HIIIIHIHB5sI")
+HEAD = struct.Struct(">HIIIIHIHB5sI")
 _TOKEN = struct.Struct(">I")
 _TOKEN_OFFSET = 10
 _TOKEN_END = _TOKEN_OFFSET + _TOKEN.size
 # Names the upstream that a datagram is meant for; others at the same address ignore it.
-_UPSTREAM_KEY = struct.Struct(">Q")
+UPSTREAM_KEY = struct.Struct(">Q")
 
-_FLAG_SYN = 32
-_FLAG_ACK = 128
-_FLAG_FIN = 64
-_FLAG_RST = 4
+FLAG_SYN = 32
+FLAG_ACK = 128
+FLAG_FIN = 64
+FLAG_RST = 4
 _REQUEST_ID_HEADER = b"\r\nx-catkinspread-attempt-id:"
 
 
@@ -40,18 +40,18 @@
     if len(datagram) < HEAD_BYTES:
         raise MalformedPacket(f"{len(datagram)} bytes are fewer than a head")
     (size, sequence, acknowledged, token, source_ip, port, ip, source_port, flags, _, _) = (
-        _HEAD.unpack_from(datagram)
+        HEAD.unpack_from(datagram)
     )
     if size != len(datagram) - HEAD_BYTES or size > DATA_MAX_BYTES:
         raise MalformedPacket(f"data of {len(datagram) - HEAD_BYTES} bytes, stated are {size}")
-    is_open = bool(flags & _FLAG_SYN)
-    if is_open and flags & (_FLAG_ACK | _FLAG_FIN | _FLAG_RST):
+    is_open = bool(flags & FLAG_SYN)
+    if is_open and flags & (FLAG_ACK | FLAG_FIN | FLAG_RST):
         raise MalformedPacket(f"flags {flags:#04x} exclude each other")
     return CallerPacket(
         key=FlowKey(source_ip, source_port, ServiceAddress(ip, port)),
         is_open=is_open,
-        is_close=bool(flags & _FLAG_FIN),
-        is_reset=bool(flags & _FLAG_RST),
+        is_close=bool(flags & FLAG_FIN),
+        is_reset=bool(flags & FLAG_RST),
         sequence=sequence,
         acknowledged=acknowledged,
         token=token,
@@ -65,7 +65,7 @@
     datagram = packet.datagram
     return b"".join(
         (
-            _UPSTREAM_KEY.pack(upstream.record.key),
+            UPSTREAM_KEY.pack(upstream.record.key),
             datagram[:_TOKEN_OFFSET],
             _TOKEN.pack(upstream.token),
             datagram[_TOKEN_END:],
@@ -81,7 +81,7 @@
     """
     key = packet.key
     sequence = 0 if packet.is_open else packet.acknowledged
-    return _HEAD.pack(
+    return HEAD.pack(
         0,
         sequence,
         0,
@@ -90,7 +90,7 @@
         key.caller_port,
         key.caller_ip,
         key.address.port,
-        _FLAG_RST,
+        FLAG_RST,
         bytes(5),
         0,
     )
--- a/src/catkinspread/platform/readiness.py
+++ b/src/catkinspread/platform/readiness.py
@@ -5,7 +5,7 @@
 from catkinspread.model import Endpoint
 from catkinspread.transport.http_server import HttpAnswer, HttpRequest, HttpServer
 
-_PATH = "/catkinspread/ready"
+READINESS_PATH = "/catkinspread/ready"
 _OK = 200
 _NOT_FOUND = 404
 _UNAVAILABLE = 503
@@ -32,7 +32,7 @@
         await self._server.run(self._endpoint)
 
     async def _answer(self, request: HttpRequest) -> HttpAnswer:
-        if request.target != _PATH:
+        if request.target != READINESS_PATH:
             return HttpAnswer(_NOT_FOUND)
         return HttpAnswer(
             _OK if self._is_ready() else _UNAVAILABLE, content_type="application/json"
--- a/src/catkinspread/platform/settings.py
+++ b/src/catkinspread/platform/settings.py
@@ -6,7 +6,7 @@
 
 import os
 
-_VARIABLE = "CATKINSPREAD_CONFIG"
+SETTINGS_VARIABLE = "CATKINSPREAD_CONFIG"
 
 
 class SettingsFileUnknown(Exception):
@@ -19,7 +19,7 @@
     Raises:
         SettingsFileUnknown: If the variable that holds it is not set.
     """
-    path = os.environ.get(_VARIABLE, "")
+    path = os.environ.get(SETTINGS_VARIABLE, "")
     if not path:
-        raise SettingsFileUnknown(f"environment variable {_VARIABLE} is not set")
+        raise SettingsFileUnknown(f"environment variable {SETTINGS_VARIABLE} is not set")
     return path
--- /dev/null
+++ b/src/catkinspread/platform/stand_ins/__init__.py
@@ -0,0 +1,34 @@
+"""Stand-ins for the platform on loopback, in its own formats.
+
+Tests and the fault soak run real instances against them; instances never load them.
+"""
+
+from catkinspread.platform.stand_ins.objects import (
+    encode_configuration,
+    encode_upstream,
+    encode_upstream_name,
+)
+from catkinspread.platform.stand_ins.packets import (
+    FlowPacket,
+    PacketDamaged,
+    decode_flow_packet,
+    encode_flow_packet,
+    split_upstream_datagram,
+)
+from catkinspread.platform.stand_ins.settings import READINESS_PATH, build_environment
+from catkinspread.platform.stand_ins.store import StoreMode, StoreStandIn
+
+__all__ = [
+    "READINESS_PATH",
+    "FlowPacket",
+    "PacketDamaged",
+    "StoreMode",
+    "StoreStandIn",
+    "build_environment",
+    "decode_flow_packet",
+    "encode_configuration",
+    "encode_flow_packet",
+    "encode_upstream",
+    "encode_upstream_name",
+    "split_upstream_datagram",
+]
--- /dev/null
+++ b/src/catkinspread/platform/stand_ins/store.py
@@ -0,0 +1,144 @@
+"""A store of objects with listings, watches and the faults of the real one."""
+
+import enum
+from urllib.parse import parse_qs, urlsplit
+
+import anyio
+import anyio.abc
+import msgspec
+
+from catkinspread.model import Endpoint
+from catkinspread.platform.store import BASE_PATH
+from catkinspread.transport.http_server import HttpAnswer, HttpRequest, HttpServer
+
+_OK = 200
+_GONE = 410
+_TOO_MANY = 429
+_UNAVAILABLE = 503
+_BODY_MAX_BYTES = 1_024
+_SLOW_MS = 250
+_SILENT_MS = 20_000
+_MS_PER_S = 1_000
+
+
+class StoreMode(enum.Enum):
+    """How the store answers."""
+
+    NORMAL = "normal"
+    BUSY = "busy"
+    TOO_MANY = "too_many"
+    RESET = "reset"
+    SILENT = "silent"
+    SLOW = "slow"
+
+
+class StoreStandIn:
+    """Holds objects and answers listings and watches.
+
+    Attributes:
+        mode: How it answers from now on; watches that wait end with a change.
+        calls: Calls received.
+    """
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self._mode = StoreMode.NORMAL
+        self._revision = 1
+        self._history_floor = 0
+        self._objects: dict[tuple[str, str], dict[str, object]] = {}
+        self._events: list[tuple[int, str, dict[str, object]]] = []
+        self._changed = anyio.Event()
+
+    @property
+    def mode(self) -> StoreMode:
+        """How it answers."""
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode: StoreMode) -> None:
+        self._mode = mode
+        self._notify()
+
+    def put(self, kind: str, name: str, spec: object) -> None:
+        """Writes an object."""
+        self._revision += 1
+        written = {"meta": {"name": name, "revision": self._revision}, "spec": spec}
+        self._objects[kind, name] = written
+        self._note(kind, {"object": written, "removed": False})
+
+    def remove(self, kind: str, name: str) -> None:
+        """Removes an object; one that is not there is left alone."""
+        removed = self._objects.pop((kind, name), None)
+        if removed is not None:
+            self._revision += 1
+            self._note(kind, {"object": removed, "removed": True})
+
+    def forget_history(self) -> None:
+        """Drops all changes so far; watches from before are refused."""
+        self._history_floor = self._revision
+        self._notify()
+
+    async def answer(self, request: HttpRequest) -> HttpAnswer:
+        """Answers a call."""
+        self.calls += 1
+        failure = await self._fail()
+        if failure is not None:
+            return failure
+        target = urlsplit(request.target)
+        kind = target.path.removeprefix(BASE_PATH)
+        query = parse_qs(target.query)
+        if "watch" not in query:
+            items = [found for (of, _), found in self._objects.items() if of == kind]
+            return _encode({"items": items, "has_more": False, "at_rev": self._revision})
+        since = int(query["watch"][0])
+        mode = self._mode
+        with anyio.move_on_after(int(query["wait_ms"][0]) / _MS_PER_S):
+            while not self._ends_watch(kind, since) and self._mode is mode:
+                await self._changed.wait()
+        if since < self._history_floor:
+            return HttpAnswer(_GONE)
+        failure = await self._fail()
+        if failure is not None:
+            return failure
+        return _encode({"events": self._find_events(kind, since), "at_rev": self._revision})
+
+    async def _fail(self) -> HttpAnswer | None:
+        """Returns the answer of a store that does not serve; None if it serves."""
+        if self._mode is StoreMode.SLOW:
+            await anyio.sleep(_SLOW_MS / _MS_PER_S)
+        if self._mode is StoreMode.SILENT:
+            await anyio.sleep(_SILENT_MS / _MS_PER_S)
+        if self._mode is StoreMode.BUSY:
+            return HttpAnswer(_UNAVAILABLE)
+        if self._mode is StoreMode.TOO_MANY:
+            return HttpAnswer(_TOO_MANY)
+        is_lost = self._mode in (StoreMode.RESET, StoreMode.SILENT)
+        return HttpAnswer(_UNAVAILABLE, is_lost=True) if is_lost else None
+
+    async def run(
+        self,
+        endpoint: Endpoint = Endpoint("127.0.0.1", 0),  # noqa: B008
+        *,
+        task_status: anyio.abc.TaskStatus[Endpoint] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serves until cancelled."""
+        server = HttpServer(self.answer, _BODY_MAX_BYTES, "store stand-in")
+        await server.run(endpoint, task_status=task_status)
+
+    def _ends_watch(self, kind: str, since: int) -> bool:
+        return since < self._history_floor or bool(self._find_events(kind, since))
+
+    def _find_events(self, kind: str, since: int) -> list[dict[str, object]]:
+        return [event for at, of, event in self._events if of == kind and at > since]
+
+    def _note(self, kind: str, event: dict[str, object]) -> None:
+        self._events.append((self._revision, kind, event))
+        self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+
+def _encode(body: object) -> HttpAnswer:
+    return HttpAnswer(_OK, msgspec.json.encode(body), content_type="application/json")
--- a/src/catkinspread/platform/store.py
+++ b/src/catkinspread/platform/store.py
@@ -16,7 +16,7 @@
 from catkinspread.model import Endpoint
 from catkinspread.platform.objects import KIND_PATHS, ObjectShapeError, decode_record
 
-_BASE_PATH = "/catkinspread/objects/"
+BASE_PATH = "/catkinspread/objects/"
 _GONE = 410
 _OK = 200
 CONNECT_TIMEOUT_MS = 700
@@ -92,7 +92,7 @@
         return StateChanges(changes, watched.at_rev)
 
     async def _call(self, kind: StateKind, parameters: dict[str, str], timeout_ms: int) -> bytes:
-        path = _BASE_PATH + KIND_PATHS[kind]
+        path = BASE_PATH + KIND_PATHS[kind]
         try:
             result = await self._client.get(
                 self._endpoint, path, parameters, CONNECT_TIMEOUT_MS, timeout_ms
--- a/src/catkinspread/platform/tests/stand_ins.py
+++ b/src/catkinspread/platform/tests/stand_ins.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the platform on loopback: store, upstream and caller.
+"""Stand-ins for an upstream and a caller on loopback.
 
 Each has an address of its own in 127.0.0.0/8, because callers are reached at the port at which
 the instance takes packets.
@@ -6,20 +6,17 @@
 
 import itertools
 import socket
-import struct
-from urllib.parse import parse_qs, urlsplit
 
 import anyio
 import anyio.abc
-import msgspec
 
 from catkinspread.model import Endpoint
-from catkinspread.transport.http_server import HttpAnswer, HttpRequest, HttpServer
+from catkinspread.platform.packets import FLAG_ACK as ACK
+from catkinspread.platform.packets import FLAG_RST as RST
+from catkinspread.platform.packets import FLAG_SYN as SYN
+from catkinspread.platform.packets import HEAD
 from catkinspread.transport.udp import UdpPort
 
-HEAD = struct.Struct(">HIIIIHIHB5sI")
-SYN, ACK, FIN, RST = 32, 128, 64, 4
-_OBJECTS = "/catkinspread/objects/"
 _RECEIVE_TIMEOUT_S = 2
 
 
@@ -35,67 +32,6 @@
     return int.from_bytes(socket.inet_aton(host), "big")
 
 
-class StoreStandIn:
-    """Holds objects and answers listings and watches."""
-
-    def __init__(self) -> None:
-        self.is_down = False
-        self.calls = 0
-        self._revision = 1
-        self._objects: dict[tuple[str, str], dict[str, object]] = {}
-        self._events: list[tuple[int, str, dict[str, object]]] = []
-        self._changed = anyio.Event()
-
-    def put(self, kind: str, name: str, spec: object) -> None:
-        """Writes an object."""
-        self._revision += 1
-        written = {"meta": {"name": name, "revision": self._revision}, "spec": spec}
-        self._objects[kind, name] = written
-        self._note(kind, {"object": written, "removed": False})
-
-    def remove(self, kind: str, name: str) -> None:
-        """Removes an object."""
-        self._revision += 1
-        removed = self._objects.pop((kind, name))
-        self._note(kind, {"object": removed, "removed": True})
-
-    def _note(self, kind: str, event: dict[str, object]) -> None:
-        self._events.append((self._revision, kind, event))
-        self._changed.set()
-        self._changed = anyio.Event()
-
-    async def answer(self, request: HttpRequest) -> HttpAnswer:
-        """Answers a call."""
-        self.calls += 1
-        if self.is_down:
-            return HttpAnswer(503)
-        target = urlsplit(request.target)
-        kind = target.path.removeprefix(_OBJECTS)
-        query = parse_qs(target.query)
-        if "watch" not in query:
-            items = [found for (of, _), found in self._objects.items() if of == kind]
-            return _encode({"items": items, "has_more": False, "at_rev": self._revision})
-        since = int(query["watch"][0])
-        with anyio.move_on_after(int(query["wait_ms"][0]) / 1_000):
-            while not self._find_events(kind, since) and not self.is_down:
-                await self._changed.wait()
-        return _encode({"events": self._find_events(kind, since), "at_rev": self._revision})
-
-    def _find_events(self, kind: str, since: int) -> list[dict[str, object]]:
-        return [event for at, of, event in self._events if of == kind and at > since]
-
-    async def run(
-        self, *, task_status: anyio.abc.TaskStatus[Endpoint] = anyio.TASK_STATUS_IGNORED
-    ) -> None:
-        """Serves until cancelled."""
-        server = HttpServer(self.answer, 1_024, "store stand-in")
-        await server.run(Endpoint("127.0.0.1", 0), task_status=task_status)
-
-
-def _encode(body: object) -> HttpAnswer:
-    return HttpAnswer(200, msgspec.json.encode(body), content_type="application/json")
-
-
 class UpstreamStandIn:
     """Answers opening packets and requests directly to the caller."""
 
--- a/src/catkinspread/platform/tests/test_whole_path.py
+++ b/src/catkinspread/platform/tests/test_whole_path.py
@@ -8,10 +8,10 @@
 
 from catkinspread.clock import SystemClock
 from catkinspread.model import Endpoint
+from catkinspread.platform.packets import FLAG_RST as RST
+from catkinspread.platform.stand_ins import StoreMode, StoreStandIn
 from catkinspread.platform.tests.stand_ins import (
-    RST,
     CallerStandIn,
-    StoreStandIn,
     UpstreamStandIn,
     find_free_port,
 )
@@ -98,15 +98,11 @@
         settings = ForwardingSettings(
             name=f"instance-{number}",
             data_centre="east",
-            region="here",
             is_first_start=False,
-            data_centres=("east",),
             packet_address=Endpoint(host, self._packet_port),
             readiness_address=Endpoint(host, find_free_port()),
-            peer_address=None,
             peer_port=self._peer_port,
             grace_ms=2_000,
-            stable_ms=4_000,
             flow_lifetime_max_ms=60_000,
             seeds=tuple(Endpoint(seed, 1) for seed in INSTANCES),
             source_address=self._store_endpoint,
@@ -155,7 +151,7 @@
 
     async def scenario(deployment: Deployment) -> None:
         port, head = await deployment.caller.open(ADDRESS)
-        deployment.store.is_down = True
+        deployment.store.mode = StoreMode.BUSY
         await deployment.start_instance(1)
         deployment.caller.use_instance(INSTANCES[1])
         answer = await deployment.caller.request(ADDRESS, port, head[3])
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -105,7 +105,7 @@
         self._clock = clock
         self._rng = random.Random()
         self._events = EventLog(settings.name, writer, clock)
-        self._state = DeploymentState()
+        self._state = DeploymentState(settings.flow_lifetime_max_ms)
         self._health = SourceHealth()
         self._own_health = SourceHealth()
         self._cache = StateCache()
@@ -258,6 +258,8 @@
 
     async def _wait_for_stop(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            # Settings may have changed while no one listened.
+            self.reload()
             async for received in signals:
                 if received != signal.SIGHUP:
                     return
--- a/src/catkinspread/runtime/settings.py
+++ b/src/catkinspread/runtime/settings.py
@@ -26,15 +26,11 @@
     Attributes:
         name: Unique name of the instance.
         data_centre: Data centre it runs in.
-        region: Region of the data centre.
         is_first_start: Whether the whole deployment starts for the first time.
-        data_centres: Names of all data centres.
         packet_address: Where packets of callers arrive.
         readiness_address: Where the readiness check is answered.
-        peer_address: Where other instances reach it first; None if it is not reachable.
         peer_port: UDP port for messages between instances.
         grace_ms: Time between the request to stop and the end of the process.
-        stable_ms: Time without trouble after which bounds apply in full.
         flow_lifetime_max_ms: Flows older than this may be discarded.
         seeds: Instances that may know the others.
         source_address: Where the state of the deployment is read.
@@ -43,15 +39,11 @@
 
     name: str
     data_centre: str
-    region: str
     is_first_start: bool
-    data_centres: tuple[str, ...]
     packet_address: Endpoint
     readiness_address: Endpoint
-    peer_address: Endpoint | None
     peer_port: int
     grace_ms: int
-    stable_ms: int
     flow_lifetime_max_ms: int
     seeds: tuple[Endpoint, ...]
     source_address: Endpoint
@@ -75,34 +67,18 @@
     return text == "true"
 
 
-def _parse_optional_endpoint(text: str) -> Endpoint | None:
-    return parse_endpoint(text) if text else None
-
-
 def _parse_endpoints(text: str) -> tuple[Endpoint, ...]:
     return tuple(parse_endpoint(part.strip()) for part in text.split(",") if part.strip())
 
 
-def _parse_data_centres(text: str) -> tuple[str, ...]:
-    """Returns the keys of a JSON object of regions by data centre."""
-    try:
-        return tuple(msgspec.json.decode(text, type=dict[str, str]))
-    except msgspec.DecodeError as error:
-        raise ValueError(f"expected regions by data centre as JSON: {error}") from None
-
-
 _FIELDS = [
     Field("instance", "name", parse_name),
     Field("instance", "data_centre", parse_name),
-    Field("instance", "region", parse_name),
     Field("instance", "is_first_start", _parse_flag),
-    Field("instance", "data_centres", _parse_data_centres),
     Field("instance", "packet_address", parse_endpoint),
     Field("instance", "readiness_address", parse_endpoint),
-    Field("instance", "peer_address", _parse_optional_endpoint),
     Field("instance", "peer_port", parse_integer(1, _PORT_MAX)),
     Field("instance", "grace_s", _parse_seconds),
-    Field("instance", "stable_ms", parse_integer(0, _HOUR_MS)),
     Field("instance", "flow_lifetime_max_s", _parse_seconds),
     Field("peers", "seeds", _parse_endpoints),
     Field("source", "address", parse_endpoint),
--- a/src/catkinspread/runtime/tests/test_load_reports.py
+++ b/src/catkinspread/runtime/tests/test_load_reports.py
@@ -17,7 +17,7 @@
 
 
 def _build(name: str, peers: int = 1) -> tuple[LoadReporter, LoadBook]:
-    state = DeploymentState()
+    state = DeploymentState(flow_lifetime_max_ms=60_000)
     state.put_upstream(UpstreamRecord("i-1", 1, "pages", "east", "10.0.0.9", 1, 2, False, 0, 1), 0)
     loads = LoadBook()
     directory = PeerDirectory(Member(name, "east", "10.0.0.1", 1), random.Random(1))
--- a/src/catkinspread/runtime/tests/test_settings.py
+++ b/src/catkinspread/runtime/tests/test_settings.py
@@ -15,15 +15,11 @@
 [instance]
 name = edge-khomas-a-1
 data_centre = khomas-a
-region = khomas
 is_first_start = true
-data_centres = {"khomas-a":"khomas","khomas-b":"khomas"}
 packet_address = 10.1.0.10:8172
 readiness_address = 10.1.0.10:8167
-peer_address = 10.1.0.10:8166
 peer_port = 7720
 grace_s = 6
-stable_ms = 4000
 flow_lifetime_max_s = 60
 
 [peers]
@@ -43,17 +39,13 @@
     assert settings.grace_ms == 6_000
     assert settings.flow_lifetime_max_ms == 60_000
     assert settings.seeds[1] == Endpoint("10.2.0.40", 8166)
-    assert settings.data_centres == ("khomas-a", "khomas-b")
 
 
-def test_instance_may_have_no_seeds_and_no_peer_address() -> None:
+def test_instance_may_have_no_seeds() -> None:
     """Guards against refusing to start where the platform leaves a value empty."""
-    text = VALID.replace("10.1.0.10:8166,10.2.0.40:8166", "").replace(
-        "peer_address = 10.1.0.10:8166", "peer_address ="
-    )
+    text = VALID.replace("10.1.0.10:8166,10.2.0.40:8166", "")
     settings = build_forwarding_settings("x.ini", parse_text("x.ini", text))
     assert settings.seeds == ()
-    assert settings.peer_address is None
 
 
 @pytest.mark.parametrize(
@@ -64,7 +56,11 @@
         ("grace_s = 6", "grace_s = soon", "[instance] grace_s = soon"),
         ("heartbeat_ms = 1200", "heartbeat_ms = 0", "[source] heartbeat_ms = 0"),
         ("10.200.1.7:8169", "store:8169", "[source] address = store:8169"),
-        ('{"khomas-a":"khomas","khomas-b":"khomas"}', "[]", "[instance] data_centres = []"),
+        (
+            "flow_lifetime_max_s = 60",
+            "flow_lifetime_max_s = -1",
+            "[instance] flow_lifetime_max_s = -1",
+        ),
         ("[peers]", "[friends]", "[friends]"),
         ("is_first_start = true", "is_first_start = yes", "[instance] is_first_start = yes"),
     ],
--- /dev/null
+++ b/src/catkinspread/soak/site.py
@@ -0,0 +1,264 @@
+"""One deployment of a run: instances, stand-ins and the changes of its operator."""
+
+import pathlib
+import random
+
+import anyio
+import anyio.abc
+
+from catkinspread.clock import Clock
+from catkinspread.deployment import (
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    ServiceAddress,
+    ServiceLimits,
+    UpstreamRecord,
+)
+from catkinspread.platform.stand_ins import (
+    StoreStandIn,
+    encode_configuration,
+    encode_upstream,
+    encode_upstream_name,
+)
+from catkinspread.soak.callers import CallerHost
+from catkinspread.soak.calm import CalmBook
+from catkinspread.soak.layout import Layout, to_number
+from catkinspread.soak.processes import HEARTBEAT_MS, InstanceProcess
+from catkinspread.soak.promises import STABLE_MS, PromiseBook
+from catkinspread.soak.proxy import FaultProxy
+from catkinspread.soak.router import Router
+from catkinspread.soak.upstreams import FlowRegister, SoakUpstream, UpstreamHost
+
+DATA_CENTRES = ("east", "north", "west")
+SERVICES = ("pages", "plates")
+INSTANCES_PER_DATA_CENTRE = 3
+UPSTREAMS_PER_SERVICE = 6
+COLD_RATE_PER_S = 4.0
+FIXED_ROUTES = 3
+REQUEST_TIMEOUT_MS = 2_500
+# Deployment kinds of the store.
+_CONFIGURATION, _UPSTREAMS, _EVACUATIONS = "config", "servers", "evacuations"
+_SUPERVISE_INTERVAL_MS = 100
+_MS_PER_S = 1_000
+
+
+class Site:
+    """Everything of one run.
+
+    Args:
+        layout: Addresses.
+        directory: Takes settings and log files.
+        clock: Source of the time.
+        rng: Source of random choices.
+
+    Attributes:
+        calm: Which parts are disturbed.
+        callers: Callers by data centre.
+        clock: Source of the time.
+        configuration: Configuration in force.
+        hosts: Hosts of upstreams.
+        instances: All instances.
+        promises: What was broken.
+        proxies: Proxies in front of the store, by instance.
+        router: Spreads the packets of callers.
+        store: The store.
+    """
+
+    __slots__ = (
+        "_group",
+        "_layout",
+        "_next_key",
+        "_rng",
+        "calm",
+        "callers",
+        "clock",
+        "configuration",
+        "hosts",
+        "instances",
+        "promises",
+        "proxies",
+        "router",
+        "store",
+    )
+
+    def __init__(
+        self, layout: Layout, directory: pathlib.Path, clock: Clock, rng: random.Random
+    ) -> None:
+        self._layout = layout
+        self._rng = rng
+        self._group: anyio.abc.TaskGroup | None = None
+        self._next_key = 1
+        self.clock = clock
+        self.calm = CalmBook(STABLE_MS)
+        self.promises = PromiseBook(self.calm, clock.now_ms())
+        self.store = StoreStandIn()
+        self.instances = [
+            InstanceProcess(
+                layout, number, DATA_CENTRES[number // INSTANCES_PER_DATA_CENTRE], directory
+            )
+            for number in range(len(DATA_CENTRES) * INSTANCES_PER_DATA_CENTRE)
+        ]
+        self.proxies = [
+            FaultProxy(layout.store_proxy(instance.number), layout.store)
+            for instance in self.instances
+        ]
+        self.router = Router(self.instances)
+        register = FlowRegister()
+        self.hosts = [self._build_host(number, register) for number in range(self._count_hosts())]
+        self.callers = [
+            CallerHost(
+                data_centre,
+                layout.caller_host(number),
+                self.router,
+                register,
+                self.promises,
+                clock,
+                rng,
+            )
+            for number, data_centre in enumerate(DATA_CENTRES)
+        ]
+        self.configuration = RoutingConfiguration(0, (), (), 0)
+
+    def _count_hosts(self) -> int:
+        return len(SERVICES) * UPSTREAMS_PER_SERVICE
+
+    def _build_host(self, number: int, register: FlowRegister) -> UpstreamHost:
+        by_host = {instance.host: instance for instance in self.instances}
+        by_name = {instance.name: instance for instance in self.instances}
+        return UpstreamHost(
+            self._layout.upstream_host(number),
+            self.promises,
+            register,
+            lambda host: by_host[host].name,
+            lambda name: by_name[name].incarnation,
+            self.clock,
+        )
+
+    async def start(self, group: anyio.abc.TaskGroup) -> None:
+        """Starts the stand-ins and then all instances."""
+        self._group = group
+        await group.start(self.store.run, self._layout.store)
+        for part in (*self.proxies, *self.hosts, *self.callers):
+            await group.start(part.run)
+        self.put_routes({number: SERVICES[number % 2] for number in range(FIXED_ROUTES)})
+        for number, host in enumerate(self.hosts):
+            self.start_upstream(host, SERVICES[number % 2], DATA_CENTRES[number // 2 % 3])
+        for instance in self.instances:
+            instance.start(is_first_start=True)
+        group.start_soon(self.router.run)
+        group.start_soon(self._supervise)
+        group.start_soon(self._report_upstreams)
+
+    def close(self) -> None:
+        """Ends all processes."""
+        for instance in self.instances:
+            instance.close()
+
+    def put_routes(self, services: dict[int, str]) -> None:
+        """Puts a configuration into the store.
+
+        Args:
+            services: Service of each route by the number of the route.
+        """
+        kinds = (RequestKind.IDEMPOTENT, RequestKind.DOWNLOAD, RequestKind.NON_IDEMPOTENT)
+        routes = tuple(
+            Route(
+                name=f"route-{number}",
+                address=ServiceAddress(to_number(f"198.18.0.{number + 1}"), 443),
+                service=service,
+                kind=kinds[number % len(kinds)],
+                timeout_ms=REQUEST_TIMEOUT_MS,
+                priority=number % 3,
+            )
+            for number, service in sorted(services.items())
+        )
+        limits = tuple(ServiceLimits(name, COLD_RATE_PER_S, 2_000) for name in SERVICES)
+        version = self.configuration.version + self._rng.randint(1, 5)
+        self.configuration = RoutingConfiguration(version, routes, limits, 15_000)
+        self.store.put(_CONFIGURATION, "main", encode_configuration(self.configuration))
+        self.promises.put_configuration(self.configuration, self.clock.now_ms())
+
+    def start_upstream(
+        self, host: UpstreamHost, service: str, data_centre: str, cold_ms: int = 0, key: int = 0
+    ) -> SoakUpstream:
+        """Starts an upstream on a host and lets it report.
+
+        Args:
+            host: Where it runs.
+            service: What it serves.
+            data_centre: Where the host is.
+            cold_ms: How long it is cold.
+            key: Key of an earlier upstream that starts again; 0 for a new one.
+        """
+        if not key:
+            key = self._rng.getrandbits(60) << 4 | self._next_key % 16
+            self._next_key += 1
+        now_ms = self.clock.now_ms()
+        record = UpstreamRecord(
+            name=encode_upstream_name(key),
+            key=key,
+            service=service,
+            data_centre=data_centre,
+            host=host.endpoint.host,
+            port=host.endpoint.port,
+            work_slots=2,
+            is_draining=False,
+            cold_remaining_ms=cold_ms,
+            born_ms=now_ms,
+        )
+        upstream = SoakUpstream(record, COLD_RATE_PER_S, host)
+        upstream.cold_until_ms = now_ms + cold_ms
+        host.upstream = upstream
+        self.report(upstream)
+        return upstream
+
+    def report(self, upstream: SoakUpstream) -> None:
+        """Writes the entry of an upstream."""
+        self.store.put(_UPSTREAMS, upstream.record.name, encode_upstream(upstream.record))
+
+    def remove_entry(self, upstream: SoakUpstream) -> None:
+        """Removes the entry of an upstream."""
+        self.store.remove(_UPSTREAMS, upstream.record.name)
+
+    def put_foreign_entry(self, name: str, spec: object) -> None:
+        """Writes an entry that names no upstream."""
+        self.store.put(_UPSTREAMS, name, spec)
+
+    def set_evacuated(self, data_centre: str, is_evacuated: bool) -> None:
+        """Takes a data centre out or back."""
+        if is_evacuated:
+            self.store.put(_EVACUATIONS, data_centre, {})
+        else:
+            self.store.remove(_EVACUATIONS, data_centre)
+        since_ms = self.clock.now_ms() if is_evacuated else None
+        for upstream in self.list_upstreams():
+            if upstream.record.data_centre == data_centre:
+                upstream.evacuated_since_ms = since_ms
+
+    def list_upstreams(self) -> list[SoakUpstream]:
+        """Returns the upstreams that run."""
+        return [host.upstream for host in self.hosts if host.upstream is not None]
+
+    async def _supervise(self) -> None:
+        """Notes processes that ended by themselves, once for each process."""
+        seen: set[tuple[str, int]] = set()
+        while True:
+            for instance in self.instances:
+                fault = instance.find_fault()
+                if fault and (instance.name, instance.incarnation) not in seen:
+                    seen.add((instance.name, instance.incarnation))
+                    detail = f"{instance.name} {fault}"
+                    self.promises.break_promise("process", self.clock.now_ms(), detail)
+            await anyio.sleep(_SUPERVISE_INTERVAL_MS / _MS_PER_S)
+
+    async def _report_upstreams(self) -> None:
+        """Lets cold upstreams report that they are warm."""
+        while True:
+            await anyio.sleep(HEARTBEAT_MS / _MS_PER_S)
+            now_ms = self.clock.now_ms()
+            for upstream in self.list_upstreams():
+                remaining_ms = max(0, upstream.cold_until_ms - now_ms)
+                if upstream.record.cold_remaining_ms != remaining_ms:
+                    upstream.update(cold_remaining_ms=remaining_ms)
+                    self.report(upstream)
--- /dev/null
+++ b/src/catkinspread/soak/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak: its checks, its proxy and a short run."""
