Take a late copy of an opening packet for what it is, also after data

Cause: a copy was recognised only while the caller had sent no data, so a delayed copy after the request placed the flow anew until the token of its next packet settled it; adopted flows were not covered at all. Ruled out: comparing with the next sequence number, which moves with data. Before: test_late_copy_of_an_opening_packet_opens_nothing fails (the copy opens a flow at another upstream). After: 30 tests of forwarding pass; a port that is used again after a closed flow still opens a new one.

--- a/src/catkinspread/forwarding/flows.py
+++ b/src/catkinspread/forwarding/flows.py
@@ -24,6 +24,8 @@
         upstream: Upstream that holds it; while it is opening, the one tried last.
         tried: Upstreams that were sent the opening packet, in order.
         opening_packet: The opening packet while no upstream has answered.
+        opening_sequence: Sequence number of the opening packet; None if another instance
+            opened the flow.
         opened_at_ms: When the opening packet was sent to the upstream last.
         first_at_ms: When the first packet of the flow arrived.
         is_open: Whether an upstream has answered.
@@ -48,6 +50,7 @@
         "next_sequence",
         "opened_at_ms",
         "opening_packet",
+        "opening_sequence",
         "request_id",
         "retransmissions",
         "route",
@@ -63,6 +66,7 @@
         self.upstream = upstream
         self.tried: tuple[KnownUpstream, ...] = ()
         self.opening_packet: CallerPacket | None = None
+        self.opening_sequence: int | None = None
         self.opened_at_ms = now_ms
         self.first_at_ms = now_ms
         self.is_open = False
@@ -79,6 +83,18 @@
         waiting = self.opening_packet
         return not self.is_open and waiting is not None and waiting.sequence == packet.sequence
 
+    def is_delayed_copy(self, packet: CallerPacket, now_ms: int) -> bool:
+        """Whether an opening packet is a copy of the one that opened this flow.
+
+        The opening sequence of a flow that another instance opened is not known; its caller
+        sends copies only as long as an opening may take.
+        """
+        if not self.is_open:
+            return False
+        if self.opening_sequence is None:
+            return not self.is_closed and now_ms - self.first_at_ms < OPENING_TIMEOUT_MS
+        return packet.sequence == self.opening_sequence
+
     def is_overdue(self, now_ms: int) -> bool:
         """Whether the caller no longer waits for the answer to its request."""
         if self.busy_since_ms is None:
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -119,8 +119,7 @@
             self.counts["abandoned"] += 1
 
     def _handle_open(self, packet: CallerPacket, flow: Flow | None, now_ms: int) -> None:
-        if flow is not None and flow.is_open and flow.next_sequence == packet.sequence + 1:
-            # A delayed copy; an upstream that holds the flow ignores it.
+        if flow is not None and flow.is_delayed_copy(packet, now_ms):
             self.counts["late_copy"] += 1
             return
         if flow is not None and flow.is_opened_by(packet):
@@ -142,6 +141,7 @@
             self._refuse(packet, choice, now_ms)
             return
         flow = Flow(packet.key, route, choice.upstream, now_ms)
+        flow.opening_sequence = packet.sequence
         flow.next_sequence = (packet.sequence + 1) % _SEQUENCE_MODULUS
         self._flows.add(flow)
         self.counts["opened"] += 1
--- a/src/catkinspread/forwarding/tests/test_forwarder.py
+++ b/src/catkinspread/forwarding/tests/test_forwarder.py
@@ -41,6 +41,29 @@
     assert rig.list_targets()[-1] == first
 
 
+def test_late_copy_of_an_opening_packet_opens_nothing() -> None:
+    """Guards against a delayed copy that gives an open flow, also an adopted one, a new place."""
+    rig = Rig(build_upstream("a"), build_upstream("b"))
+    rig.send(build_open(1))
+    first = rig.list_targets()[0]
+    rig.send(build_packet(1, token=rig.find_token(first), data_bytes=10))
+    rig.send(build_open(1, copy=1))
+    rig.send(build_packet(2, token=rig.find_token("a"), data_bytes=10))
+    rig.send(build_open(2, copy=1))
+    assert rig.list_targets() == [first, first, "a"]
+    assert rig.forwarder.counts["late_copy"] == 2
+
+
+def test_caller_may_use_a_port_again() -> None:
+    """Guards against a new flow that is taken for a copy of an earlier one."""
+    rig = Rig(build_upstream("a"))
+    rig.send(build_open())
+    rig.send(build_packet(token=rig.find_token("a"), is_close=True))
+    rig.wait(1_000)
+    rig.send(build_packet(is_open=True, sequence=SEQUENCE + 500))
+    assert rig.forwarder.counts["opened"] == 2
+
+
 def test_tries_another_upstream_before_the_caller_repeats() -> None:
     """Guards against callers that wait 200 ms for an upstream that does not answer."""
     rig = Rig(build_upstream("a"), build_upstream("b"))
