--- a/src/catkinspread/deployment/__init__.py
+++ b/src/catkinspread/deployment/__init__.py
@@ -6,6 +6,7 @@
     RoutingConfiguration,
     ServiceAddress,
     ServiceLimits,
+    ServiceShare,
     StateKind,
     UpstreamRecord,
 )
@@ -43,6 +44,7 @@
     "RoutingConfiguration",
     "ServiceAddress",
     "ServiceLimits",
+    "ServiceShare",
     "SourceHealth",
     "SourceUnavailable",
     "StateApplier",
--- a/src/catkinspread/deployment/records.py
+++ b/src/catkinspread/deployment/records.py
@@ -7,6 +7,9 @@
 
 import msgspec
 
+# Steps in which the flows of a route are divided among its services.
+_SHARE_STEPS = 1 << 20
+
 
 class StateKind(enum.Enum):
     """A collection of records that changes as a whole unit of reading."""
@@ -36,13 +39,25 @@
     port: int
 
 
+class ServiceShare(msgspec.Struct, frozen=True):
+    """The part of the new flows of a route that goes to one service.
+
+    Attributes:
+        service: Name of the service.
+        weight: Its part in proportion to those of the other services, more than 0.
+    """
+
+    service: str
+    weight: float
+
+
 class Route(msgspec.Struct, frozen=True):
     """Where new flows to one address go.
 
     Attributes:
         name: Name of the route.
         address: Address that the route answers for.
-        service: Service whose upstreams take the flows.
+        shares: Services whose upstreams take the flows, at least one.
         kind: Whether its requests may be repeated.
         timeout_ms: Time after which callers give up.
         priority: 0 is the highest.
@@ -50,11 +65,33 @@
 
     name: str
     address: ServiceAddress
-    service: str
+    shares: tuple[ServiceShare, ...]
     kind: RequestKind
     timeout_ms: int
     priority: int
 
+    def rank_services(self, flow_hash: int) -> list[str]:
+        """Returns the services in the order in which a flow tries them.
+
+        Every instance gets the same order for the same flow, so that copies of an opening packet
+        go to the same service.
+
+        Args:
+            flow_hash: Number that is spread evenly over flows.
+        """
+        if len(self.shares) == 1:
+            return [self.shares[0].service]
+        position = flow_hash % _SHARE_STEPS / _SHARE_STEPS * sum(s.weight for s in self.shares)
+        end = 0.0
+        first = self.shares[-1]
+        for share in self.shares:
+            end += share.weight
+            if position < end:
+                first = share
+                break
+        others = (share.service for share in self.shares if share is not first)
+        return [first.service, *others]
+
 
 class ServiceLimits(msgspec.Struct, frozen=True):
     """What the upstreams of a service bear.
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -136,7 +136,7 @@
         if route is None:
             self._refuse(packet, Reason.NO_ROUTE, now_ms)
             return
-        choice = self._placement.choose(route, now_ms)
+        choice = self._placement.choose(route, packet.key, now_ms)
         if isinstance(choice, Reason):
             self._refuse(packet, choice, now_ms)
             return
@@ -162,7 +162,7 @@
         if route is None or len(flow.tried) >= TRIES_MAX:
             self.counts["tries_exhausted"] += 1
             return Reason.TRIES_EXHAUSTED
-        choice = self._placement.choose(route, now_ms, flow.tried)
+        choice = self._placement.choose(route, flow.key, now_ms, flow.tried)
         if isinstance(choice, Reason):
             self.counts[f"no_other_upstream_{choice.value}"] += 1
             return choice
@@ -194,7 +194,8 @@
             self._drop(packet, Reason.UNKNOWN_TOKEN, now_ms)
             return
         route = self._state.find_route(packet.key.address)
-        if route is not None and route.service != upstream.record.service:
+        services = [share.service for share in route.shares] if route else []
+        if route is not None and upstream.record.service not in services:
             # The route was pointed elsewhere; the flow stays where it was opened.
             self.counts["kept_after_change"] += 1
         flow = Flow(packet.key, route, upstream, now_ms)
--- a/src/catkinspread/forwarding/packets.py
+++ b/src/catkinspread/forwarding/packets.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from catkinspread.deployment import KnownUpstream, ServiceAddress
+from catkinspread.hashing import hash_text
 
 
 class FlowKey(msgspec.Struct, frozen=True):
@@ -21,6 +22,11 @@
     caller_port: int
     address: ServiceAddress
 
+    def compute_hash(self) -> int:
+        """Returns a 64-bit hash that is the same on all instances."""
+        address = self.address
+        return hash_text(f"{self.caller_ip}:{self.caller_port}>{address.ip}:{address.port}")
+
 
 class CallerPacket(msgspec.Struct, frozen=True):
     """A packet that a caller sent.
--- a/src/catkinspread/forwarding/placement.py
+++ b/src/catkinspread/forwarding/placement.py
@@ -13,7 +13,7 @@
 from catkinspread.deployment import DeploymentState, KnownUpstream, Route
 from catkinspread.forwarding.cold_budget import ColdBudget
 from catkinspread.forwarding.load import LoadBook
-from catkinspread.forwarding.packets import Reason
+from catkinspread.forwarding.packets import FlowKey, Reason
 
 # Added to the expected answer time of an upstream elsewhere. More than the way there, because
 # traffic between data centres is paid for and can be cut.
@@ -75,18 +75,38 @@
         self._rng = rng
 
     def choose(
-        self, route: Route, now_ms: int, excluded: tuple[KnownUpstream, ...] = ()
+        self,
+        route: Route,
+        key: FlowKey,
+        now_ms: int,
+        excluded: tuple[KnownUpstream, ...] = (),
     ) -> Choice | Reason:
         """Returns the best upstream, or why no upstream may take the flow.
 
+        A route that several services share gives the flow to one of them by its hash, and to
+        another one only while that has no upstream for it.
+
         Args:
             route: Route of the flow.
+            key: Both ends of the flow.
             now_ms: Current time.
             excluded: Upstreams that were already tried for the flow.
         """
+        flow_hash = key.compute_hash() if len(route.shares) > 1 else 0
+        reasons = []
+        for service in route.rank_services(flow_hash):
+            choice = self._choose_in(service, now_ms, excluded)
+            if isinstance(choice, Choice):
+                return choice
+            reasons.append(choice)
+        return reasons[0]
+
+    def _choose_in(
+        self, service: str, now_ms: int, excluded: tuple[KnownUpstream, ...]
+    ) -> Choice | Reason:
         candidates = [
             upstream
-            for upstream in self._state.list_open_to_new_flows(route.service)
+            for upstream in self._state.list_open_to_new_flows(service)
             if upstream not in excluded
         ]
         warm = [upstream for upstream in candidates if now_ms >= upstream.cold_until_ms]
@@ -98,7 +118,7 @@
         ]
         if answering:
             return self._choose_fastest(answering, Standing.NORMAL, now_ms)
-        rate_per_s = self._state.find_service(route.service).cold_rate_per_s
+        rate_per_s = self._state.find_service(service).cold_rate_per_s
         cold = self._find_cold_with_budget(candidates, rate_per_s, now_ms)
         if cold:
             choice = self._choose_fastest(cold, Standing.COLD, now_ms)
--- a/src/catkinspread/forwarding/tests/test_placement.py
+++ b/src/catkinspread/forwarding/tests/test_placement.py
@@ -2,6 +2,9 @@
 
 import collections
 
+import msgspec
+
+from catkinspread.deployment import ServiceShare
 from catkinspread.forwarding.tests.builders import (
     START_MS,
     Rig,
@@ -140,3 +143,38 @@
     assert rig.loads.list_in_flight() == {"a": 1}
     rig.send(build_packet(1, token=token, acknowledged=900, sequence=1_006))
     assert rig.loads.list_in_flight() == {}
+
+
+def _share_route(rig: Rig, **weights: float) -> None:
+    shares = tuple(ServiceShare(service, weight) for service, weight in weights.items())
+    current = build_configuration(version=2)
+    route = msgspec.structs.replace(current.routes[0], shares=shares)
+    rig.state.put_configuration(msgspec.structs.replace(current, routes=(route,)))
+
+
+def test_services_share_the_flows_of_a_route_by_weight() -> None:
+    """Guards against a shared route whose flows all go to one service."""
+    rig = Rig(build_upstream("a"), build_upstream("x", service="pages"))
+    _share_route(rig, orders=90.0, pages=10.0)
+    placed = _place(rig, 1_000)
+    assert 60 <= placed["x"] <= 140
+
+
+def test_copies_of_an_opening_packet_go_to_the_same_service() -> None:
+    """Guards against instances that give copies of one opening packet to different services."""
+    targets = []
+    for seed in (1, 2):
+        rig = Rig(build_upstream("a"), build_upstream("x", service="pages"), seed=seed)
+        _share_route(rig, orders=50.0, pages=50.0)
+        for port in range(1, 50):
+            rig.send(build_open(port))
+        targets.append(rig.list_targets())
+    assert targets[0] == targets[1]
+    assert set(targets[0]) == {"a", "x"}
+
+
+def test_other_service_takes_the_flows_while_one_has_no_upstream() -> None:
+    """Guards against refusing flows that another service of the route can take."""
+    rig = Rig(build_upstream("x", service="pages"))
+    _share_route(rig, orders=90.0, pages=10.0)
+    assert _place(rig, 20) == {"x": 20}
--- a/src/catkinspread/platform/objects.py
+++ b/src/catkinspread/platform/objects.py
@@ -14,6 +14,7 @@
     RoutingConfiguration,
     ServiceAddress,
     ServiceLimits,
+    ServiceShare,
     StateKind,
     UpstreamRecord,
 )
@@ -38,12 +39,19 @@
     """An object does not have the shape that its kind has."""
 
 
+class _WireBackend(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
 class _WireRoute(msgspec.Struct):
     name: str
     host: str
     path_prefix: str
     kind: str
-    service: str
+    service: str = ""
+    # Services that share the flows of the route, in place of `service`.
+    backends: list[_WireBackend] = []
     timeout_ms: int = 0
     priority: int = 0
 
@@ -117,13 +125,26 @@
     return Route(
         name=wire.name,
         address=address,
-        service=wire.service,
+        shares=_decode_shares(wire),
         kind=_REQUEST_KINDS.get(wire.kind, RequestKind.NON_IDEMPOTENT),
         timeout_ms=wire.timeout_ms,
         priority=wire.priority,
     )
 
 
+def _decode_shares(wire: _WireRoute) -> tuple[ServiceShare, ...]:
+    shares = tuple(
+        ServiceShare(backend.service, backend.weight)
+        for backend in wire.backends
+        if backend.weight > 0
+    )
+    if shares:
+        return shares
+    if not wire.service:
+        raise ValueError(f"route {wire.name!r} names no service")
+    return (ServiceShare(wire.service, 1.0),)
+
+
 def _decode_upstream(name: str, wire: _WireServer) -> UpstreamRecord:
     if wire.state not in (_READY, _DRAINING):
         raise ValueError(f"state {wire.state!r} is not known")
--- a/src/catkinspread/platform/stand_ins/objects.py
+++ b/src/catkinspread/platform/stand_ins/objects.py
@@ -39,7 +39,9 @@
                 "host": socket.inet_ntoa(route.address.ip.to_bytes(4, "big")),
                 "path_prefix": f"/{route.address.port}/",
                 "kind": _REQUEST_KINDS[route.kind],
-                "service": route.service,
+                "backends": [
+                    {"service": share.service, "weight": share.weight} for share in route.shares
+                ],
                 "timeout_ms": route.timeout_ms,
                 "priority": route.priority,
             }
--- a/src/catkinspread/platform/tests/test_objects.py
+++ b/src/catkinspread/platform/tests/test_objects.py
@@ -6,6 +6,7 @@
     RequestKind,
     RoutingConfiguration,
     ServiceAddress,
+    ServiceShare,
     StateKind,
     UpstreamRecord,
 )
@@ -58,6 +59,17 @@
     )
 
 
+def test_decodes_a_route_that_is_shared_by_services() -> None:
+    """Guards against a configuration that is ignored because one route names several services."""
+    backends = [{"service": "pages", "weight": 90}, {"service": "plates", "weight": 10}]
+    shared = {**CONFIGURATION["routes"][0], "name": "r2", "backends": backends}
+    del shared["service"]
+    routes = [CONFIGURATION["routes"][0], shared]
+    record = decode_record(StateKind.CONFIGURATION, "main", {**CONFIGURATION, "routes": routes})
+    assert record.routes[0].shares == (ServiceShare("pages", 1.0),)
+    assert record.routes[1].shares == (ServiceShare("pages", 90.0), ServiceShare("plates", 10.0))
+
+
 def test_decodes_a_configuration() -> None:
     """Guards against routes that answer for the wrong address."""
     record = decode_record(StateKind.CONFIGURATION, "main", CONFIGURATION)
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -258,13 +258,21 @@
 
     async def _wait_for_stop(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            # Settings may have changed while no one listened.
-            self.reload()
+            self._take_missed_reload()
             async for received in signals:
                 if received != signal.SIGHUP:
                     return
                 self.reload()
 
+    def _take_missed_reload(self) -> None:
+        """Reads settings that changed while the program was loaded and ignored the signal."""
+        try:
+            is_changed = self._read_settings() != self._settings
+        except SettingsError:
+            is_changed = True  # `reload` says what is wrong.
+        if is_changed:
+            self.reload()
+
     def reload(self) -> None:
         """Reads the settings again; seeds change at once, all else with the next start."""
         now_ms = self._clock.now_ms()
--- a/src/catkinspread/soak/faults.py
+++ b/src/catkinspread/soak/faults.py
@@ -209,14 +209,14 @@
 
 @register_fault("configuration")
 async def change_configuration(site: Site, rng: random.Random) -> None:
-    """Adds, drops or re-points a route beside the fixed ones."""
-    services = {
-        number: SERVICES[number % 2]
-        for number in range(FIXED_ROUTES, FIXED_ROUTES + rng.randint(0, 3))
-    }
-    services.update({number: SERVICES[number % 2] for number in range(FIXED_ROUTES)})
-    services[FIXED_ROUTES] = rng.choice(SERVICES)
-    site.put_routes(services)
+    """Adds, drops, re-points or shares a route beside the fixed ones."""
+    numbers = range(FIXED_ROUTES, FIXED_ROUTES + rng.randint(0, 3))
+    weights = {number: {SERVICES[number % 2]: 1.0} for number in numbers}
+    weights[FIXED_ROUTES] = {rng.choice(SERVICES): 1.0}
+    weights[FIXED_ROUTES + 3] = {name: float(rng.randint(0, 2)) for name in SERVICES}
+    if not any(weights[FIXED_ROUTES + 3].values()):
+        del weights[FIXED_ROUTES + 3]
+    site.put_routes(weights)
 
 
 @register_fault("configuration_storm")
--- a/src/catkinspread/soak/promises.py
+++ b/src/catkinspread/soak/promises.py
@@ -56,7 +56,7 @@
     """A configuration from its acknowledgement until the next one's."""
 
     configuration: RoutingConfiguration
-    services: dict[ServiceAddress, str]
+    services: dict[ServiceAddress, tuple[str, ...]]
     replaced_at_ms: int | None = None
 
 
@@ -100,7 +100,10 @@
         """Notes that a configuration was acknowledged."""
         if self._versions:
             self._versions[-1].replaced_at_ms = now_ms
-        services = {route.address: route.service for route in configuration.routes}
+        services = {
+            route.address: tuple(share.service for share in route.shares if share.weight > 0)
+            for route in configuration.routes
+        }
         self._versions.append(_Version(configuration, services))
 
     def judge_service(self, opening: Opening, service: str) -> None:
@@ -108,7 +111,7 @@
         allowing = [
             version
             for version in self._versions
-            if version.services.get(opening.address) == service
+            if service in version.services.get(opening.address, ())
         ]
         if not allowing:
             self.break_promise("route", opening.arrived_at_ms, f"{opening} at {service}")
--- a/src/catkinspread/soak/site.py
+++ b/src/catkinspread/soak/site.py
@@ -13,6 +13,7 @@
     RoutingConfiguration,
     ServiceAddress,
     ServiceLimits,
+    ServiceShare,
     UpstreamRecord,
 )
 from catkinspread.platform.stand_ins import (
@@ -141,7 +142,7 @@
         await group.start(self.store.run, self._layout.store)
         for part in (*self.proxies, *self.hosts, *self.callers):
             await group.start(part.run)
-        self.put_routes({number: SERVICES[number % 2] for number in range(FIXED_ROUTES)})
+        self.put_routes({})
         for number, host in enumerate(self.hosts):
             self.start_upstream(host, SERVICES[number % 2], DATA_CENTRES[number // 2 % 3])
         for instance in self.instances:
@@ -155,23 +156,25 @@
         for instance in self.instances:
             instance.close()
 
-    def put_routes(self, services: dict[int, str]) -> None:
+    def put_routes(self, extra: dict[int, dict[str, float]]) -> None:
         """Puts a configuration into the store.
 
         Args:
-            services: Service of each route by the number of the route.
+            extra: Weights by service of each route beside the fixed ones, by number.
         """
+        weights = {number: {SERVICES[number % 2]: 1.0} for number in range(FIXED_ROUTES)}
+        weights.update(extra)
         kinds = (RequestKind.IDEMPOTENT, RequestKind.DOWNLOAD, RequestKind.NON_IDEMPOTENT)
         routes = tuple(
             Route(
                 name=f"route-{number}",
                 address=ServiceAddress(to_number(f"198.18.0.{number + 1}"), 443),
-                service=service,
+                shares=tuple(ServiceShare(name, weight) for name, weight in shares.items()),
                 kind=kinds[number % len(kinds)],
                 timeout_ms=REQUEST_TIMEOUT_MS,
                 priority=number % 3,
             )
-            for number, service in sorted(services.items())
+            for number, shares in sorted(weights.items())
         )
         limits = tuple(ServiceLimits(name, COLD_RATE_PER_S, 2_000) for name in SERVICES)
         version = self.configuration.version + self._rng.randint(1, 5)
