Pass on only the latest version of a record, compressed

One feeder sends each version to all instances of its data centre, over links of 5 Mbit/s. Ruled out: upstreams (silences were spread evenly over all of them), the store (slow only later), processor time (0.08 cores at most). Change: a follower gets the last change of each record, not all of them, as deflated MessagePack that is encoded once for followers at the same revision; an instance that starts takes the state from a random holder of its data centre, not the first by name. Before: the tests of both fail (29 versions passed on; one holder asked by all). Conclusion: the cost of a change grows with records, not with versions times instances.

--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -192,7 +192,11 @@
         return None
 
     def find_any_with_state(self, now_ms: int) -> list[Member]:
-        """Returns the instances that could pass on what they know, nearest first."""
+        """Returns the instances that could pass on what they know, nearest first.
+
+        Those of one data centre are in random order, so that many instances that start at the
+        same time don't all ask one.
+        """
         found = [
             contact.member
             for contact in self._contacts.values()
@@ -201,7 +205,8 @@
             and now_ms - contact.status_at_ms < STATUS_TIMEOUT_MS
         ]
         own = self._member.data_centre
-        return sorted(found, key=lambda member: (member.data_centre != own, member.name))
+        self._rng.shuffle(found)
+        return sorted(found, key=lambda member: member.data_centre != own)
 
     def _list_remote_feeders(self) -> list[str]:
         """Returns the first feeders of the other data centres, FEEDERS at most."""
--- a/src/catkinspread/peers/feed.py
+++ b/src/catkinspread/peers/feed.py
@@ -2,8 +2,6 @@
 
 from urllib.parse import parse_qs, urlsplit
 
-import msgspec
-
 from catkinspread.deployment import (
     HistoryLost,
     SourceUnavailable,
@@ -12,6 +10,7 @@
 )
 from catkinspread.httpclient import HttpClient, HttpFailure
 from catkinspread.model import Endpoint
+from catkinspread.peers.bodies import BodyError, decode_body, encode_body
 from catkinspread.peers.state_cache import StateCache
 from catkinspread.transport.http_server import HttpAnswer, HttpRequest
 
@@ -26,9 +25,6 @@
 _ANSWER_TIMEOUT_MS = 700
 FEED_BODY_MAX_BYTES = 1_024
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(StateChanges)
-
 
 class FeedServer:
     """Answers other instances from the cache.
@@ -37,10 +33,11 @@
         cache: The records.
     """
 
-    __slots__ = ("_cache",)
+    __slots__ = ("_bodies", "_cache")
 
     def __init__(self, cache: StateCache) -> None:
         self._cache = cache
+        self._bodies: dict[StateKind, tuple[tuple[int | None, int], bytes]] = {}
 
     async def answer(self, request: HttpRequest) -> HttpAnswer:
         """Answers `GET /state/KIND`, with `after` and `wait_ms` to wait for changes."""
@@ -52,20 +49,28 @@
         query = parse_qs(target.query)
         if "after" not in query:
             listing = self._cache.list_records(kind)
-            return _encode(listing) if listing is not None else HttpAnswer(_UNAVAILABLE)
+            if listing is None:
+                return HttpAnswer(_UNAVAILABLE)
+            return self._answer_with(kind, None, listing)
         try:
             revision = int(query["after"][0])
             wait_ms = min(WAIT_MAX_MS, int(query.get("wait_ms", ["0"])[0]))
         except ValueError:
             return HttpAnswer(_BAD_REQUEST)
         try:
-            return _encode(await self._cache.wait_for_changes(kind, revision, wait_ms))
+            changes = await self._cache.wait_for_changes(kind, revision, wait_ms)
         except HistoryLost:
             return HttpAnswer(_GONE)
+        return self._answer_with(kind, revision, changes)
 
-
-def _encode(changes: StateChanges) -> HttpAnswer:
-    return HttpAnswer(_OK, _encoder.encode(changes))
+    def _answer_with(self, kind: StateKind, after: int | None, changes: StateChanges) -> HttpAnswer:
+        """Returns the answer; instances that follow closely ask for the same body."""
+        key = (after, changes.revision)
+        held = self._bodies.get(kind)
+        if held is None or held[0] != key:
+            held = (key, encode_body(changes))
+            self._bodies[kind] = held
+        return HttpAnswer(_OK, held[1])
 
 
 class PeerSource:
@@ -100,6 +105,6 @@
                 raise HistoryLost(f"{self._endpoint} has no changes of {kind.value} at {query}")
             if result.status != _OK:
                 raise SourceUnavailable(f"{self._endpoint} answered {result.status}")
-            return _decoder.decode(result.body)
-        except (HttpFailure, msgspec.DecodeError) as error:
+            return decode_body(result.body)
+        except (HttpFailure, BodyError) as error:
             raise SourceUnavailable(f"{self._endpoint}: {error}") from error
--- a/src/catkinspread/peers/state_cache.py
+++ b/src/catkinspread/peers/state_cache.py
@@ -29,6 +29,19 @@
         self.changed = anyio.Event()
 
 
+def _keep_latest(batches: list[StateChanges]) -> tuple[StateChange, ...]:
+    """Returns the last change of each record, in the order of these changes.
+
+    While a record changes in quick succession, the versions in between would fill the links.
+    """
+    latest: dict[str, StateChange] = {}
+    for batch in batches:
+        for change in batch.changes:
+            latest.pop(change.name, None)
+            latest[change.name] = change
+    return tuple(latest.values())
+
+
 class StateCache:
     """Holds all records with the revisions of the source and the latest changes."""
 
@@ -89,8 +102,7 @@
         if shelf.revision is None or revision < shelf.floor:
             raise HistoryLost(f"changes of {kind.value} since {revision} are not held")
         found = [batch for batch in shelf.history if batch.revision > revision]
-        changes = tuple(change for batch in found for change in batch.changes)
-        return StateChanges(changes, max(revision, shelf.revision))
+        return StateChanges(_keep_latest(found), max(revision, shelf.revision))
 
     def _has_later(self, shelf: _Shelf, revision: int) -> bool:
         if revision < shelf.floor:
--- /dev/null
+++ b/src/catkinspread/peers/tests/test_bodies.py
@@ -0,0 +1,47 @@
+"""Records on their way from one instance to another."""
+
+import pytest
+
+from catkinspread.deployment import (
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    ServiceAddress,
+    ServiceShare,
+    StateChange,
+    StateChanges,
+)
+from catkinspread.peers.bodies import BodyError, decode_body, encode_body
+
+ROUTES = 300
+BYTES_PER_ROUTE_MAX = 40
+
+
+def build_changes() -> StateChanges:
+    routes = tuple(
+        Route(
+            name=f"route-{number}",
+            address=ServiceAddress(0xC6120000 + number, 443),
+            shares=(ServiceShare("pages", 1.0),),
+            kind=RequestKind.IDEMPOTENT,
+            timeout_ms=1_500,
+            priority=1,
+        )
+        for number in range(ROUTES)
+    )
+    configuration = RoutingConfiguration(7, routes, (), 15_000)
+    return StateChanges((StateChange("main", configuration), StateChange("gone", None)), 9)
+
+
+def test_body_returns_what_was_put_in_and_is_small() -> None:
+    """Guards against lost fields, and against a large configuration on a small link."""
+    body = encode_body(build_changes())
+    assert decode_body(body) == build_changes()
+    assert len(body) < ROUTES * BYTES_PER_ROUTE_MAX
+
+
+@pytest.mark.parametrize("body", [b"", b"no records", encode_body(build_changes())[:100]])
+def test_damaged_body_is_an_error(body: bytes) -> None:
+    """Guards against a follower that takes half of a body for the state."""
+    with pytest.raises(BodyError):
+        decode_body(body)
--- a/src/catkinspread/peers/tests/test_shared_source.py
+++ b/src/catkinspread/peers/tests/test_shared_source.py
@@ -187,3 +187,30 @@
     listing = cache.list_records(KIND)
     assert listing is not None
     assert [change.name for change in listing.changes] == ["west"]
+
+
+def test_cache_passes_on_only_the_latest_of_many_versions() -> None:
+    """Guards against links that fill with versions that are out of date already."""
+    cache = StateCache()
+    cache.put_listing(KIND, StateChanges((), 10))
+    for revision in range(11, 40):
+        name = "east" if revision % 2 else "west"
+        cache.put_changes(KIND, StateChanges((StateChange(name, f"v{revision}"),), revision))
+    changes = anyio.run(cache.wait_for_changes, KIND, 10, 10)
+    assert [change.record for change in changes.changes] == ["v38", "v39"]
+    assert changes.revision == 39
+
+
+def test_holders_of_the_state_share_those_that_start() -> None:
+    """Guards against one instance that gets the calls of all others after a loss of power."""
+    asked = set()
+    for seed in range(20):
+        directory = PeerDirectory(Member("me", "east", "10.0.0.1", 1), random.Random(seed))
+        for number in range(4):
+            data_centre = "east" if number else "west"
+            member = Member(f"other-{number}", data_centre, f"10.0.0.{number + 2}", 1)
+            directory.take(Hello(MemberStatus(member, 10, True, False), 0), 1_000)
+        found = directory.find_any_with_state(1_000)
+        asked.add(found[0].name)
+        assert found[-1].name == "other-0"
+    assert asked == {"other-1", "other-2", "other-3"}
