Encode the frames of all protocols in one place

Ruled out: one error type for all; each layer has its own. Change: framing.FrameCodec; the three modules keep their functions.

--- a/src/catkinspread/configuration/messages.py
+++ b/src/catkinspread/configuration/messages.py
@@ -8,6 +8,8 @@
 import msgspec
 from xxhash import xxh3_64_intdigest
 
+from catkinspread.framing import FrameCodec
+
 CONFIGURATION_PROTOCOL_VERSION = 1
 # Bounds the memory of a reply; a single larger entry is still sent whole.
 ENTRIES_MAX_BYTES = 65_536
@@ -91,13 +93,22 @@
 
 ConfigurationMessage = VersionNotice | EntriesRequest | Entries | SnapshotRequest | SnapshotPart
 
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(ConfigurationMessage)
+_CODEC = FrameCodec(
+    ConfigurationMessage,
+    CONFIGURATION_PROTOCOL_VERSION,
+    FRAME_MAX_BYTES,
+    ConfigurationMessageError,
+    noun="frame",
+)
 
 
 def encode_configuration_message(message: ConfigurationMessage) -> bytes:
-    """Returns the frame of a message."""
-    return bytes([CONFIGURATION_PROTOCOL_VERSION]) + _ENCODER.encode(message)
+    """Returns the frame of a message.
+
+    Raises:
+        ConfigurationMessageError: If the frame would exceed FRAME_MAX_BYTES.
+    """
+    return _CODEC.encode(message)
 
 
 def decode_configuration_message(frame: bytes) -> ConfigurationMessage:
@@ -106,18 +117,7 @@
     Raises:
         ConfigurationMessageError: If the size, version or shape is wrong.
     """
-    if not 2 <= len(frame) <= FRAME_MAX_BYTES:
-        raise ConfigurationMessageError(
-            f"frame has {len(frame)} bytes, allowed are 2 to {FRAME_MAX_BYTES}"
-        )
-    if frame[0] != CONFIGURATION_PROTOCOL_VERSION:
-        raise ConfigurationMessageError(
-            f"protocol version is {frame[0]}, expected {CONFIGURATION_PROTOCOL_VERSION}"
-        )
-    try:
-        return _DECODER.decode(memoryview(frame)[1:])
-    except msgspec.DecodeError as error:
-        raise ConfigurationMessageError(f"frame is malformed: {error}") from error
+    return _CODEC.decode(frame)
 
 
 def hash_payload(payload: bytes) -> int:
--- /dev/null
+++ b/src/catkinspread/framing/__init__.py
@@ -0,0 +1,5 @@
+"""Messages as frames: a protocol version followed by MessagePack."""
+
+from catkinspread.framing.codec import FrameCodec
+
+__all__ = ["FrameCodec"]
--- /dev/null
+++ b/src/catkinspread/framing/tests/test_codec.py
@@ -0,0 +1,47 @@
+"""Frames of one protocol."""
+
+import msgspec
+import pytest
+
+from catkinspread.framing import FrameCodec
+
+
+class Note(msgspec.Struct, frozen=True):
+    """A message of one field."""
+
+    text: str
+
+
+class NoteError(Exception):
+    """The error of the protocol under test."""
+
+
+CODEC = FrameCodec(Note, version=3, max_bytes=40, error_type=NoteError, noun="note")
+
+
+def test_frame_returns_its_message() -> None:
+    """Guards against a version byte that is taken for a part of the message."""
+    frame = CODEC.encode(Note("hello"))
+    assert frame[0] == 3
+    assert CODEC.decode(frame) == Note("hello")
+
+
+@pytest.mark.parametrize(
+    ("frame", "message"),
+    [
+        (b"", "note has 0 bytes, allowed are 2 to 40"),
+        (bytes(41), "note has 41 bytes"),
+        (b"\x04\x80", "protocol version is 4, expected 3"),
+        (b"\x03\xff", "note is malformed"),
+    ],
+)
+def test_unusable_frame_is_an_error_of_the_protocol(frame: bytes, message: str) -> None:
+    """Guards against errors of the library that reach the layers above."""
+    with pytest.raises(NoteError, match=message):
+        CODEC.decode(frame)
+
+
+def test_message_that_is_too_large_is_not_encoded() -> None:
+    """Guards against frames that every receiver drops."""
+    with pytest.raises(NoteError, match="exceeds 40 bytes"):
+        CODEC.encode(Note("x" * 40))
--- a/src/catkinspread/membership/messages.py
+++ b/src/catkinspread/membership/messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from catkinspread.framing import FrameCodec
 from catkinspread.model import Endpoint
 
 MEMBERSHIP_PROTOCOL_VERSION = 1
@@ -196,8 +197,9 @@
     | SyncReply
 )
 
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(MembershipMessage)
+_CODEC = FrameCodec(
+    MembershipMessage, MEMBERSHIP_PROTOCOL_VERSION, MESSAGE_MAX_BYTES, MembershipMessageError
+)
 
 
 def encode_membership_message(message: MembershipMessage) -> bytes:
@@ -206,12 +208,7 @@
     Raises:
         MembershipMessageError: If the datagram would exceed MESSAGE_MAX_BYTES.
     """
-    datagram = bytes([MEMBERSHIP_PROTOCOL_VERSION]) + _ENCODER.encode(message)
-    if len(datagram) > MESSAGE_MAX_BYTES:
-        raise MembershipMessageError(
-            f"message of {len(datagram)} bytes exceeds {MESSAGE_MAX_BYTES} bytes"
-        )
-    return datagram
+    return _CODEC.encode(message)
 
 
 def decode_membership_message(datagram: bytes) -> MembershipMessage:
@@ -220,20 +217,9 @@
     Raises:
         MembershipMessageError: If the size, version or shape is wrong.
     """
-    if not 2 <= len(datagram) <= MESSAGE_MAX_BYTES:
-        raise MembershipMessageError(
-            f"datagram has {len(datagram)} bytes, allowed are 2 to {MESSAGE_MAX_BYTES}"
-        )
-    if datagram[0] != MEMBERSHIP_PROTOCOL_VERSION:
-        raise MembershipMessageError(
-            f"protocol version is {datagram[0]}, expected {MEMBERSHIP_PROTOCOL_VERSION}"
-        )
-    try:
-        return _DECODER.decode(memoryview(datagram)[1:])
-    except msgspec.DecodeError as error:
-        raise MembershipMessageError(f"datagram is malformed: {error}") from error
+    return _CODEC.decode(datagram)
 
 
 def measure_encoded_bytes(value: msgspec.Struct) -> int:
     """Returns how many bytes a part of a message takes."""
-    return len(_ENCODER.encode(value))
+    return _CODEC.measure_bytes(value)
--- a/src/catkinspread/wire/packets.py
+++ b/src/catkinspread/wire/packets.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from catkinspread.framing import FrameCodec
+
 PROTOCOL_VERSION = 1
 # Stays below the usual 1,500-byte link MTU with IP, UDP and tunnel headers.
 PACKET_MAX_BYTES = 1_400
@@ -129,8 +131,7 @@
 
 Packet = Open | Accepted | Data | Close | Reset | Request | Answer | Cancel
 
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Packet)
+_CODEC = FrameCodec(Packet, PROTOCOL_VERSION, PACKET_MAX_BYTES, PacketError)
 
 
 def encode_packet(packet: Packet) -> bytes:
@@ -139,10 +140,7 @@
     Raises:
         PacketError: If the datagram would exceed PACKET_MAX_BYTES.
     """
-    datagram = bytes([PROTOCOL_VERSION]) + _ENCODER.encode(packet)
-    if len(datagram) > PACKET_MAX_BYTES:
-        raise PacketError(f"packet of {len(datagram)} bytes exceeds {PACKET_MAX_BYTES} bytes")
-    return datagram
+    return _CODEC.encode(packet)
 
 
 def decode_packet(datagram: bytes) -> Packet:
@@ -151,16 +149,7 @@
     Raises:
         PacketError: If the size, version or shape is wrong.
     """
-    if not 2 <= len(datagram) <= PACKET_MAX_BYTES:
-        raise PacketError(
-            f"datagram has {len(datagram)} bytes, allowed are 2 to {PACKET_MAX_BYTES}"
-        )
-    if datagram[0] != PROTOCOL_VERSION:
-        raise PacketError(f"protocol version is {datagram[0]}, expected {PROTOCOL_VERSION}")
-    try:
-        packet = _DECODER.decode(memoryview(datagram)[1:])
-    except msgspec.DecodeError as error:
-        raise PacketError(f"datagram is malformed: {error}") from error
+    packet = _CODEC.decode(datagram)
     if not 0 <= packet.flow <= _HASH_MAX:
         raise PacketError(f"flow {packet.flow} is no 64-bit hash")
     return packet
