Leave the rotation while the data centre is cut off and has no upstreams

Ruled out: placing (all upstreams that may take flows are behind the cut); refusing sooner (callers come back to the same instances). Change: an instance whose data centre has no upstream for most of what callers ask for watches the feeders of the other data centres; while none answers for 1.2 s it answers the readiness check with 503, and the routers use another data centre. Either sign ends it. Before: no such state.

--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from catkinspread.forwarding.handshakes import HandshakeTimes
 from catkinspread.forwarding.histogram import LatencyHistogram
 from catkinspread.forwarding.load import LoadBook
+from catkinspread.forwarding.local_service import LocalService
 from catkinspread.forwarding.packets import CallerPacket, PacketOutput, Reason
 from catkinspread.forwarding.placement import Placement
 from catkinspread.forwarding.retry_budget import RetryBudget
@@ -38,6 +39,7 @@
         state: The deployment.
         placement: Chooses upstreams for new flows.
         loads: Load of the upstreams.
+        local_service: Told which services callers ask for.
         output: Sends packets.
         log: Takes a line for each decision that touches a request.
         read_request_id: Returns the identifier of the request that starts in a packet; empty
@@ -48,6 +50,7 @@
         "_flows",
         "_handshakes",
         "_loads",
+        "_local_service",
         "_log",
         "_output",
         "_placement",
@@ -65,6 +68,7 @@
         state: DeploymentState,
         placement: Placement,
         loads: LoadBook,
+        local_service: LocalService,
         output: PacketOutput,
         log: DecisionLog,
         read_request_id: Callable[[CallerPacket], str],
@@ -72,6 +76,7 @@
         self._state = state
         self._placement = placement
         self._loads = loads
+        self._local_service = local_service
         self._output = output
         self._log = log
         self._read_request_id = read_request_id
@@ -142,6 +147,7 @@
         if route is None:
             self._refuse(packet, Reason.NO_ROUTE, now_ms)
             return
+        self._local_service.note_opening(route.shares[0].service)
         choice = self._placement.choose(route, packet.key, now_ms)
         if isinstance(choice, Reason):
             self._refuse(packet, choice, now_ms)
--- a/src/catkinspread/forwarding/tests/builders.py
+++ b/src/catkinspread/forwarding/tests/builders.py
@@ -22,6 +22,7 @@
     FlowKey,
     Forwarder,
     LoadBook,
+    LocalService,
     Placement,
 )
 
@@ -113,11 +114,13 @@
         rng = random.Random(seed)
         self.budget = ColdBudget(instances=1, rng=rng)
         self.placement = Placement(data_centre, self.state, self.loads, self.budget, rng)
+        self.local_service = LocalService(data_centre, self.state)
         events = EventLog("one", self.lines, self.clock)
         self.forwarder = Forwarder(
             self.state,
             self.placement,
             self.loads,
+            self.local_service,
             self.output,
             DecisionLog(events, self.state),
             lambda packet: "id-1" if packet.data_bytes else "",
--- a/src/catkinspread/forwarding/tests/test_placement.py
+++ b/src/catkinspread/forwarding/tests/test_placement.py
@@ -207,3 +207,30 @@
             rig.send(build_packet(repeated, token=rig.find_token("mute"), data_bytes=10))
             due.remove((at_ms, repeated))
     assert placed["mute"] <= 50
+
+
+def test_data_centre_lacks_service_while_its_upstreams_take_no_flows() -> None:
+    """Guards against an instance that stays in rotation although it can only refuse.
+
+    The data centre is evacuated while callers still come; the verdict holds without further calls.
+    """
+    rig = Rig(build_upstream("near"), build_upstream("far", data_centre="west"))
+    _place(rig, 4)
+    rig.local_service.update(rig.now_ms)
+    assert not rig.local_service.is_lacking
+    rig.state.set_evacuated("east", True)
+    rig.local_service.update(rig.now_ms)
+    assert rig.local_service.is_lacking
+    rig.state.set_evacuated("east", False)
+    rig.local_service.update(rig.now_ms)
+    assert not rig.local_service.is_lacking
+
+
+def test_service_that_few_ask_for_does_not_make_the_data_centre_lacking() -> None:
+    """Guards against moving all flows because a rarely used service has no upstream here."""
+    rig = Rig(build_upstream("near"), build_upstream("far", data_centre="west", service="pages"))
+    for service, count in (("orders", 9), ("pages", 1)):
+        for _ in range(count):
+            rig.local_service.note_opening(service)
+    rig.local_service.update(rig.now_ms)
+    assert not rig.local_service.is_lacking
--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -57,7 +57,15 @@
         rng: Source of random choices.
     """
 
-    __slots__ = ("_contacts", "_digest", "_member", "_needs_remote", "_ranks", "_rng")
+    __slots__ = (
+        "_contacts",
+        "_digest",
+        "_member",
+        "_needs_remote",
+        "_ranks",
+        "_remote_watched_since_ms",
+        "_rng",
+    )
 
     def __init__(self, member: Member, rng: random.Random) -> None:
         self._member = member
@@ -66,8 +74,28 @@
         self._ranks: list[str] = [member.name]
         self._digest = 0
         self._needs_remote = False
+        self._remote_watched_since_ms: int | None = None
         self._renew()
 
+    def watch_remote(self, is_needed: bool, now_ms: int) -> None:
+        """Begins or ends to ask feeders of other data centres with each round."""
+        if not is_needed:
+            self._remote_watched_since_ms = None
+        elif self._remote_watched_since_ms is None:
+            self._remote_watched_since_ms = now_ms
+
+    def is_cut_off(self, now_ms: int) -> bool:
+        """Whether no instance of another data centre answers while they are watched."""
+        since_ms = self._remote_watched_since_ms
+        if since_ms is None:
+            return False
+        times = [
+            contact.status_at_ms
+            for contact in self._contacts.values()
+            if contact.member.data_centre != self._member.data_centre
+        ]
+        return bool(times) and now_ms - max(since_ms, *times) >= STATUS_TIMEOUT_MS
+
     @property
     def digest(self) -> int:
         """Digest of the names of all members, the instance itself included."""
@@ -140,7 +168,7 @@
         Those of other data centres are among them while the own one has none.
         """
         names = [name for name in self._ranks[:FEEDERS] if name != self._member.name]
-        if self._needs_remote:
+        if self._needs_remote or self._remote_watched_since_ms is not None:
             names.extend(self._list_remote_feeders())
         return [self._contacts[name].member for name in names]
 
--- a/src/catkinspread/peers/tests/test_directory.py
+++ b/src/catkinspread/peers/tests/test_directory.py
@@ -3,6 +3,7 @@
 import random
 
 from catkinspread.peers import Hello, HelloReply, Member, MemberStatus, PeerDirectory
+from catkinspread.peers.directory import STATUS_TIMEOUT_MS
 
 COUNT = 60
 SPREAD_ROUNDS = 80
@@ -120,3 +121,21 @@
     new = MemberStatus(Member("other", "east", "10.0.0.2", 2), None, False, False)
     directory.take(Hello(new, 0), 1_010)
     assert not directory.find_any_with_state(1_010)
+
+
+def test_cut_off_while_no_other_data_centre_answers_although_it_is_asked() -> None:
+    """Guards against an alarm that comes from not asking, and one that stays after the cut."""
+    directory = PeerDirectory(Member("me", "east", "10.0.0.1", 1), random.Random(1))
+    far = Member("far", "west", "10.0.0.2", 1)
+    now_ms = 1_000_000
+    directory.take(Hello(_status(far), 0), now_ms)
+    assert not directory.is_cut_off(now_ms + 60_000)
+    now_ms += 60_000
+    directory.watch_remote(True, now_ms)
+    assert far in directory.list_feeders()
+    assert not directory.is_cut_off(now_ms + STATUS_TIMEOUT_MS - 1)
+    assert directory.is_cut_off(now_ms + STATUS_TIMEOUT_MS)
+    directory.take(Hello(_status(far), 0), now_ms + 2_000)
+    assert not directory.is_cut_off(now_ms + 2_100)
+    directory.watch_remote(False, now_ms + 2_100)
+    assert far not in directory.list_feeders()
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -25,6 +25,7 @@
     DecisionLog,
     Forwarder,
     LoadBook,
+    LocalService,
     Placement,
 )
 from catkinspread.httpclient import HttpClient
@@ -81,8 +82,10 @@
         "_exchange",
         "_forwarder",
         "_health",
+        "_is_isolated",
         "_is_leaving",
         "_loads",
+        "_local_service",
         "_member",
         "_own_health",
         "_port",
@@ -111,6 +114,8 @@
         self._cache = StateCache()
         self._loads = LoadBook()
         self._is_leaving = False
+        self._is_isolated = False
+        self._local_service = LocalService(settings.data_centre, self._state)
         host = settings.packet_address.host
         self._member = Member(settings.name, settings.data_centre, host, clock.now_ms())
         self._directory = PeerDirectory(self._member, self._rng)
@@ -147,7 +152,15 @@
             self._settings.data_centre, self._state, self._loads, self._budget, self._rng
         )
         log = DecisionLog(self._events, self._state)
-        return Forwarder(self._state, placement, self._loads, self._port, log, read_request_id)
+        return Forwarder(
+            self._state,
+            placement,
+            self._loads,
+            self._local_service,
+            self._port,
+            log,
+            read_request_id,
+        )
 
     def _build_exchange(self) -> PeerExchange:
         return PeerExchange(
@@ -192,7 +205,7 @@
         self._forwarder.handle(packet, now_ms)
 
     def _is_ready(self) -> bool:
-        return self._state.is_complete and not self._is_leaving
+        return self._state.is_complete and not self._is_leaving and not self._is_isolated
 
     def _read_status(self) -> MemberStatus:
         return MemberStatus(
@@ -249,6 +262,7 @@
 
     def _sweep(self, now_ms: int) -> None:
         self._forwarder.sweep(now_ms)
+        self._check_isolation(now_ms)
         self._loads.expire_reports(now_ms)
         for name in self._state.expire(now_ms, self._health.available_since_ms):
             self._events.write("upstream_gone", now_ms, name=name)
@@ -256,6 +270,16 @@
             self._events.write("instance_lost", now_ms, name=name)
         self._budget.instances = self._directory.count_members()
 
+    def _check_isolation(self, now_ms: int) -> None:
+        """Leaves the rotation while neither the own data centre nor another one can serve."""
+        self._local_service.update(now_ms)
+        is_lacking = self._local_service.is_lacking
+        self._directory.watch_remote(is_lacking, now_ms)
+        is_isolated = is_lacking and self._directory.is_cut_off(now_ms)
+        if is_isolated != self._is_isolated:
+            self._is_isolated = is_isolated
+            self._events.write_always("isolated" if is_isolated else "isolation_ended", now_ms)
+
     async def _wait_for_stop(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             self._take_missed_reload()
