Keep instances that start behind a cut out of the rotation

Change: before its first opening an instance counts all services alike, and one that has never heard of another data centre directly is cut off until one answers; three silent rounds of 300 ms are enough. The new test of a starting instance fails on the commit before.

--- a/src/catkinspread/deployment/state.py
+++ b/src/catkinspread/deployment/state.py
@@ -122,6 +122,10 @@
         """Returns the limits of a service; those of an unknown service allow nothing cold."""
         return self._services.get(name, _SERVICE_UNKNOWN)
 
+    def list_services(self) -> tuple[str, ...]:
+        """Returns the names of all services of the configuration."""
+        return tuple(self._services)
+
     def find_by_token(self, token: int) -> KnownUpstream | None:
         """Returns the upstream that a token stands for, also if it was removed."""
         return self._by_token.get(token)
--- a/src/catkinspread/forwarding/local_service.py
+++ b/src/catkinspread/forwarding/local_service.py
@@ -40,14 +40,18 @@
         self._counts[service] += 1
 
     def update(self, now_ms: int) -> None:
-        """Decides anew for the openings since the last call; without any, for the ones before."""
+        """Decides anew for the openings since the last call; without any, for the ones before.
+
+        Before the first opening all services of the configuration count alike.
+        """
         if self._counts:
             self._mix = self._counts
             self._counts = collections.Counter()
+        mix = self._mix or collections.Counter(self._state.list_services())
         lacking = sum(
-            count for service, count in self._mix.items() if not self._has_upstream(service, now_ms)
+            count for service, count in mix.items() if not self._has_upstream(service, now_ms)
         )
-        self.is_lacking = lacking > LACKING_SHARE * self._mix.total()
+        self.is_lacking = lacking > LACKING_SHARE * mix.total()
 
     def _has_upstream(self, service: str, now_ms: int) -> bool:
         return any(
--- a/src/catkinspread/forwarding/tests/test_placement.py
+++ b/src/catkinspread/forwarding/tests/test_placement.py
@@ -226,6 +226,16 @@
     assert not rig.local_service.is_lacking
 
 
+def test_new_instance_in_an_evacuated_data_centre_is_lacking_before_callers_come() -> None:
+    """Guards against an instance that must fail callers before it knows that it can't serve."""
+    rig = Rig(build_upstream("near"), build_upstream("far", data_centre="west"))
+    rig.local_service.update(rig.now_ms)
+    assert not rig.local_service.is_lacking
+    rig.state.set_evacuated("east", True)
+    rig.local_service.update(rig.now_ms)
+    assert rig.local_service.is_lacking
+
+
 def test_service_that_few_ask_for_does_not_make_the_data_centre_lacking() -> None:
     """Guards against moving all flows because a rarely used service has no upstream here."""
     rig = Rig(build_upstream("near"), build_upstream("far", data_centre="west", service="pages"))
--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -20,6 +20,8 @@
 FEEDERS = 3
 # A status older than this does not count; four intervals of the exchange.
 STATUS_TIMEOUT_MS = 1_200
+# Without a status from other data centres for three rounds, the own one is cut off from them.
+REMOTE_SILENCE_MS = 900
 # A source that has not answered an instance for this long counts as lost to it.
 SOURCE_TIMEOUT_MS = 2_200
 # A feeder that has not answered for this long gives its place to the next one.
@@ -55,6 +57,9 @@
     Args:
         member: The instance itself.
         rng: Source of random choices.
+
+    Attributes:
+        is_watching_remote: Whether feeders of other data centres are asked with each round.
     """
 
     __slots__ = (
@@ -63,8 +68,8 @@
         "_member",
         "_needs_remote",
         "_ranks",
-        "_remote_watched_since_ms",
         "_rng",
+        "is_watching_remote",
     )
 
     def __init__(self, member: Member, rng: random.Random) -> None:
@@ -74,27 +79,22 @@
         self._ranks: list[str] = [member.name]
         self._digest = 0
         self._needs_remote = False
-        self._remote_watched_since_ms: int | None = None
+        self.is_watching_remote = False
         self._renew()
 
-    def watch_remote(self, is_needed: bool, now_ms: int) -> None:
-        """Begins or ends to ask feeders of other data centres with each round."""
-        if not is_needed:
-            self._remote_watched_since_ms = None
-        elif self._remote_watched_since_ms is None:
-            self._remote_watched_since_ms = now_ms
-
     def is_cut_off(self, now_ms: int) -> bool:
-        """Whether no instance of another data centre answers while they are watched."""
-        since_ms = self._remote_watched_since_ms
-        if since_ms is None:
+        """Whether no instance of another data centre answers while they are watched.
+
+        That holds too for an instance that has just heard of them from its neighbours.
+        """
+        if not self.is_watching_remote:
             return False
         times = [
             contact.status_at_ms
             for contact in self._contacts.values()
             if contact.member.data_centre != self._member.data_centre
         ]
-        return bool(times) and now_ms - max(since_ms, *times) >= STATUS_TIMEOUT_MS
+        return bool(times) and now_ms - max(times) >= REMOTE_SILENCE_MS
 
     @property
     def digest(self) -> int:
@@ -168,7 +168,7 @@
         Those of other data centres are among them while the own one has none.
         """
         names = [name for name in self._ranks[:FEEDERS] if name != self._member.name]
-        if self._needs_remote or self._remote_watched_since_ms is not None:
+        if self._needs_remote or self.is_watching_remote:
             names.extend(self._list_remote_feeders())
         return [self._contacts[name].member for name in names]
 
--- a/src/catkinspread/peers/tests/test_directory.py
+++ b/src/catkinspread/peers/tests/test_directory.py
@@ -2,8 +2,8 @@
 
 import random
 
-from catkinspread.peers import Hello, HelloReply, Member, MemberStatus, PeerDirectory
-from catkinspread.peers.directory import STATUS_TIMEOUT_MS
+from catkinspread.peers import Hello, HelloReply, KnownMember, Member, MemberStatus, PeerDirectory
+from catkinspread.peers.directory import REMOTE_SILENCE_MS
 
 COUNT = 60
 SPREAD_ROUNDS = 80
@@ -130,12 +130,25 @@
     now_ms = 1_000_000
     directory.take(Hello(_status(far), 0), now_ms)
     assert not directory.is_cut_off(now_ms + 60_000)
-    now_ms += 60_000
-    directory.watch_remote(True, now_ms)
+    directory.is_watching_remote = True
     assert far in directory.list_feeders()
-    assert not directory.is_cut_off(now_ms + STATUS_TIMEOUT_MS - 1)
-    assert directory.is_cut_off(now_ms + STATUS_TIMEOUT_MS)
+    assert not directory.is_cut_off(now_ms + REMOTE_SILENCE_MS - 1)
+    assert directory.is_cut_off(now_ms + REMOTE_SILENCE_MS)
     directory.take(Hello(_status(far), 0), now_ms + 2_000)
     assert not directory.is_cut_off(now_ms + 2_100)
-    directory.watch_remote(False, now_ms + 2_100)
+    directory.is_watching_remote = False
     assert far not in directory.list_feeders()
+
+
+def test_new_instance_is_cut_off_until_another_data_centre_answers() -> None:
+    """Guards against an instance that starts behind a cut and takes flows that it can't place."""
+    directory = PeerDirectory(Member("me", "east", "10.0.0.1", 1), random.Random(1))
+    near, far = Member("near", "east", "10.0.0.3", 1), Member("far", "west", "10.0.0.2", 1)
+    now_ms = 1_000_000
+    directory.is_watching_remote = True
+    directory.take(HelloReply(_status(near), ()), now_ms)
+    assert not directory.is_cut_off(now_ms)
+    directory.take(HelloReply(_status(near), (KnownMember(far, 100),)), now_ms)
+    assert directory.is_cut_off(now_ms)
+    directory.take(Hello(_status(far), 0), now_ms)
+    assert not directory.is_cut_off(now_ms)
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -274,7 +274,7 @@
         """Leaves the rotation while neither the own data centre nor another one can serve."""
         self._local_service.update(now_ms)
         is_lacking = self._local_service.is_lacking
-        self._directory.watch_remote(is_lacking, now_ms)
+        self._directory.is_watching_remote = is_lacking
         is_isolated = is_lacking and self._directory.is_cut_off(now_ms)
         if is_isolated != self._is_isolated:
             self._is_isolated = is_isolated
