Open the packet socket before the program is loaded

Ruled out: fewer modules (the HTTP client alone takes 60 ms, but a client of our own in its place is no gain for users); answering before the state is known. Change: main reads the settings, opens the socket and then loads the rest; packets wait in the socket until the state is known, one second at most. runtime and platform load their modules with the first use of a name. Copies of an opening packet that waited together count as one, not as a silent upstream. Before: the tests of the three (early datagrams, light start, copies that waited) fail. After: 144 tests of these parts pass.

--- a/deploy/instance.py
+++ b/deploy/instance.py
@@ -15,6 +15,6 @@
 if _SOURCE.is_dir():
     sys.path.insert(0, str(_SOURCE))
 
-from catkinspread.runtime import main  # noqa: E402
+from catkinspread.runtime.main import main  # noqa: E402
 
 sys.exit(main())
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -22,6 +22,8 @@
 
 # Upstreams that are tried for one opening packet, copies of the caller included.
 TRIES_MAX = 4
+# Callers send the first copy of an opening packet after 200 ms.
+COPY_INTERVAL_MIN_MS = 100
 IDLE_TIMEOUT_DEFAULT_MS = 15_000
 _SEQUENCE_MODULUS = 1 << 32
 _SEQUENCE_HALF = 1 << 31
@@ -163,6 +165,10 @@
         self._send_open(flow, packet, choice.upstream, now_ms)
 
     def _repeat_open(self, flow: Flow, packet: CallerPacket, now_ms: int) -> None:
+        if now_ms - flow.first_at_ms < COPY_INTERVAL_MIN_MS:
+            # Both waited in the socket, so the upstream had no time to answer.
+            self.counts["late_copy"] += 1
+            return
         self._loads.get(flow.upstream.record.name).note_silence(now_ms)
         reason = self._try_next(flow, packet, now_ms)
         if reason is Reason.NONE_ANSWERS:
--- a/src/catkinspread/forwarding/tests/test_forwarder.py
+++ b/src/catkinspread/forwarding/tests/test_forwarder.py
@@ -55,6 +55,16 @@
     assert rig.forwarder.counts["late_copy"] == 2
 
 
+def test_copies_that_waited_together_are_one_opening() -> None:
+    """Guards against upstreams that count as silent because packets waited for the instance."""
+    rig = Rig(build_upstream("a"), build_upstream("b"))
+    rig.send(build_open(copy=0))
+    rig.send(build_open(copy=1))
+    rig.send(build_open(copy=2))
+    assert len(rig.list_targets()) == 1
+    assert not rig.loads.get(rig.list_targets()[0]).is_silent(rig.now_ms)
+
+
 def test_caller_may_use_a_port_again() -> None:
     """Guards against a new flow that is taken for a copy of an earlier one."""
     rig = Rig(build_upstream("a"))
--- /dev/null
+++ b/src/catkinspread/lazy/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of lazy exports."""
--- a/src/catkinspread/platform/__init__.py
+++ b/src/catkinspread/platform/__init__.py
@@ -4,11 +4,7 @@
 it decides anything.
 """
 
-from catkinspread.platform.packet_port import PacketPort
-from catkinspread.platform.packets import read_request_id
-from catkinspread.platform.readiness import ReadinessServer
-from catkinspread.platform.settings import SettingsFileUnknown, find_settings_file
-from catkinspread.platform.store import StoreClient
+from catkinspread.lazy import export_lazily
 
 __all__ = [
     "PacketPort",
@@ -18,3 +14,15 @@
     "find_settings_file",
     "read_request_id",
 ]
+
+__getattr__ = export_lazily(
+    __name__,
+    {
+        "PacketPort": "packet_port",
+        "ReadinessServer": "readiness",
+        "SettingsFileUnknown": "settings",
+        "StoreClient": "store",
+        "find_settings_file": "settings",
+        "read_request_id": "packets",
+    },
+)
--- a/src/catkinspread/platform/packet_port.py
+++ b/src/catkinspread/platform/packet_port.py
@@ -1,5 +1,6 @@
 """Sends and receives packets in the format of the prepared machines."""
 
+import socket
 from collections.abc import Callable
 
 from catkinspread.clock import Clock
@@ -22,6 +23,7 @@
         endpoint: Where packets of callers arrive; callers are reached at the same port.
         handle: Called with each packet and the time.
         clock: Source of the time.
+        opened: A socket that is bound to the endpoint already; None to open one.
 
     Attributes:
         malformed_count: Datagrams that were not packets.
@@ -35,8 +37,9 @@
         endpoint: Endpoint,
         handle: Callable[[CallerPacket, int], None],
         clock: Clock,
+        opened: socket.socket | None = None,
     ) -> None:
-        self._udp = UdpPort(endpoint, self._receive, clock)
+        self._udp = UdpPort(endpoint, self._receive, clock, opened)
         self._handle = handle
         self._clock = clock
         self.malformed_count = 0
--- a/src/catkinspread/runtime/__init__.py
+++ b/src/catkinspread/runtime/__init__.py
@@ -1,7 +1,14 @@
 """The program that forwards packets: settings, wiring, start and stop."""
 
-from catkinspread.runtime.instance import ForwardingInstance
-from catkinspread.runtime.main import main
-from catkinspread.runtime.settings import ForwardingSettings, read_forwarding_settings
+from catkinspread.lazy import export_lazily
 
-__all__ = ["ForwardingInstance", "ForwardingSettings", "main", "read_forwarding_settings"]
+__all__ = ["ForwardingInstance", "ForwardingSettings", "read_forwarding_settings"]
+
+__getattr__ = export_lazily(
+    __name__,
+    {
+        "ForwardingInstance": "instance",
+        "ForwardingSettings": "settings",
+        "read_forwarding_settings": "settings",
+    },
+)
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -5,6 +5,7 @@
 
 import random
 import signal
+import socket
 from collections.abc import Callable
 
 import anyio
@@ -54,6 +55,10 @@
 # The platform kills the process at the end of its grace time.
 LEAVE_MARGIN_MS = 800
 SWEEP_INTERVAL_MS = 500
+# Packets wait in the socket this long for the state of the deployment; callers give up an opening
+# after 1.4 s.
+STATE_WAIT_MS = 1_000
+STATE_CHECK_MS = 5
 WAIT_MS = 10_000
 # Upstreams report often while many are replaced; drains and configurations have seconds.
 PAUSE_MS = 300
@@ -71,6 +76,7 @@
         read_settings: Reads the settings file again.
         clock: Source of the time.
         writer: Takes the log lines.
+        packet_socket: Bound to the packet address already; None to open one.
     """
 
     __slots__ = (
@@ -102,6 +108,7 @@
         read_settings: Callable[[], ForwardingSettings],
         clock: Clock,
         writer: LineSink,
+        packet_socket: socket.socket | None = None,
     ) -> None:
         self._settings = settings
         self._read_settings = read_settings
@@ -122,7 +129,7 @@
         self._reporter = LoadReporter(
             self._member, self._state, self._loads, self._directory, self._rng
         )
-        self._port = PacketPort(settings.packet_address, self._handle, clock)
+        self._port = PacketPort(settings.packet_address, self._handle, clock, packet_socket)
         self._exchange = self._build_exchange()
         self._budget = ColdBudget(instances=1, rng=self._rng)
         self._forwarder = self._build_forwarder()
@@ -133,7 +140,7 @@
         async with HttpClient() as client, anyio.create_task_group() as group:
             shared = self._build_shared_source(client)
             group.start_soon(self._exchange.run)
-            group.start_soon(self._port.run)
+            group.start_soon(self._run_port)
             readiness = ReadinessServer(self._settings.readiness_address, self._is_ready)
             group.start_soon(readiness.run)
             group.start_soon(self._serve_feed)
@@ -270,6 +277,13 @@
             self._events.write("instance_lost", now_ms, name=name)
         self._budget.instances = self._directory.count_members()
 
+    async def _run_port(self) -> None:
+        """Serves the packet socket once the state is known, or after a while without it."""
+        with anyio.move_on_after(STATE_WAIT_MS / _MS_PER_S):
+            while not self._state.is_complete:
+                await anyio.sleep(STATE_CHECK_MS / _MS_PER_S)
+        await self._port.run()
+
     def _check_isolation(self, now_ms: int) -> None:
         """Leaves the rotation while neither the own data centre nor another one can serve."""
         self._local_service.update(now_ms)
--- /dev/null
+++ b/src/catkinspread/sockets/tests/test_udp.py
@@ -0,0 +1,37 @@
+"""Sockets that are opened before anything reads them."""
+
+import anyio
+import pytest
+
+from catkinspread.model import Endpoint
+from catkinspread.sockets import open_udp_socket
+from catkinspread.transport import UdpPort
+
+LOOPBACK = Endpoint("127.0.0.1", 0)
+
+
+def test_datagrams_wait_until_a_port_takes_the_socket() -> None:
+    """Guards against packets that are lost between the start and the first read."""
+
+    async def scenario() -> list[bytes]:
+        received: list[bytes] = []
+        opened = open_udp_socket(LOOPBACK)
+        address = Endpoint("127.0.0.1", opened.getsockname()[1])
+        with open_udp_socket(LOOPBACK) as sender:
+            sender.sendto(b"early", (address.host, address.port))
+        port = UdpPort(address, lambda data, _: received.append(data), opened=opened)
+        async with anyio.create_task_group() as group:
+            await group.start(port.run)
+            with anyio.fail_after(20):
+                while not received:
+                    await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+        return received
+
+    assert anyio.run(scenario) == [b"early"]
+
+
+def test_address_in_use_is_an_error() -> None:
+    """Guards against a second instance that starts beside the first one unnoticed."""
+    with open_udp_socket(LOOPBACK) as opened, pytest.raises(OSError):
+        open_udp_socket(Endpoint("127.0.0.1", opened.getsockname()[1]))
--- a/src/catkinspread/transport/udp.py
+++ b/src/catkinspread/transport/udp.py
@@ -9,11 +9,11 @@
 
 from catkinspread.clock import Clock, SystemClock
 from catkinspread.model import Endpoint
+from catkinspread.sockets import open_udp_socket
 
 # Datagrams read between two turns of the event loop. anyio's own UDP sockets read one and keep
 # at most 100 waiting; in the demo they lost most packets when other tasks were busy.
 _BATCH_SIZE = 64
-_BUFFER_BYTES = 4 * 1024 * 1024
 _DATAGRAM_MAX_BYTES = 65_535
 
 
@@ -26,13 +26,22 @@
         failed_count: Datagrams whose handling raised an error.
     """
 
-    __slots__ = ("_clock", "_handler", "_socket", "dropped_count", "endpoint", "failed_count")
+    __slots__ = (
+        "_clock",
+        "_handler",
+        "_opened",
+        "_socket",
+        "dropped_count",
+        "endpoint",
+        "failed_count",
+    )
 
     def __init__(
         self,
         endpoint: Endpoint,
         handler: Callable[[bytes, Endpoint], None],
         clock: Clock | None = None,
+        opened: socket.socket | None = None,
     ) -> None:
         """Creates a port that is not open yet.
 
@@ -40,12 +49,14 @@
             endpoint: Where to bind.
             handler: Called with each datagram and its sender; it must not block.
             clock: Needed only to send with a time limit.
+            opened: A socket that is bound to the endpoint already, in place of a new one.
         """
         self.endpoint = endpoint
         self.dropped_count = 0
         self.failed_count = 0
         self._handler = handler
         self._clock = clock or SystemClock()
+        self._opened = opened
         self._socket: socket.socket | None = None
 
     def send(self, datagram: bytes, target: Endpoint, not_after_ms: int = 0) -> None:
@@ -76,11 +87,7 @@
         Raises:
             OSError: If the address cannot be bound.
         """
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as opened:
-            opened.setblocking(False)
-            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-                opened.setsockopt(socket.SOL_SOCKET, option, _BUFFER_BYTES)
-            opened.bind((self.endpoint.host, self.endpoint.port))
+        with self._opened or open_udp_socket(self.endpoint) as opened:
             self.endpoint = Endpoint(self.endpoint.host, opened.getsockname()[1])
             self._socket = opened
             try:
