Look only at flows that are due

Ruled out: a longer interval, which keeps dead requests in the load of upstreams; buckets by second, which need the same moves. Change: the table keeps the flows in the order of their next look; a change that makes a flow due earlier gives it a new place, one that makes it due later is found when the old place comes up.

--- a/src/catkinspread/forwarding/flows.py
+++ b/src/catkinspread/forwarding/flows.py
@@ -4,6 +4,8 @@
 ends return, so another instance can take over a flow that it has never seen.
 """
 
+import heapq
+
 from catkinspread.deployment import KnownUpstream, Route
 from catkinspread.forwarding.packets import CallerPacket, FlowKey
 
@@ -37,6 +39,7 @@
         request_id: Identifier of the latest request; empty if it was not seen.
         retransmissions: Packets with data that did not advance the flow.
         next_sequence: Number after the last byte that the caller sent.
+        look_at_ms: When the table looks at the flow again; set by the table.
     """
 
     __slots__ = (
@@ -47,6 +50,7 @@
         "is_open",
         "key",
         "last_at_ms",
+        "look_at_ms",
         "next_sequence",
         "opened_at_ms",
         "opening_packet",
@@ -77,6 +81,7 @@
         self.request_id = ""
         self.retransmissions = 0
         self.next_sequence = 0
+        self.look_at_ms = now_ms
 
     def is_opened_by(self, packet: CallerPacket) -> bool:
         """Whether a packet is a copy of the opening packet that still waits for an answer."""
@@ -97,10 +102,31 @@
 
     def is_overdue(self, now_ms: int) -> bool:
         """Whether the caller no longer waits for the answer to its request."""
+        overdue_at_ms = self._compute_overdue_at_ms()
+        return overdue_at_ms is not None and now_ms >= overdue_at_ms
+
+    def compute_due_ms(self, idle_timeout_ms: int, after_ms: int = 0) -> int:
+        """Returns when the flow is expired or its request overdue, if nothing more comes.
+
+        Args:
+            idle_timeout_ms: Time without packets after which an open flow is expired.
+            after_ms: A request that is overdue by this time does not count.
+        """
+        if not self.is_open:
+            return self.opened_at_ms + OPENING_TIMEOUT_MS
+        limit_ms = CLOSED_RETENTION_MS if self.is_closed else idle_timeout_ms
+        due_ms = self.last_at_ms + limit_ms
+        overdue_at_ms = self._compute_overdue_at_ms()
+        if overdue_at_ms is not None and overdue_at_ms > after_ms:
+            due_ms = min(due_ms, overdue_at_ms)
+        return due_ms
+
+    def _compute_overdue_at_ms(self) -> int | None:
         if self.busy_since_ms is None:
-            return False
-        timeout_ms = self.route.timeout_ms if self.route else REQUEST_TIMEOUT_DEFAULT_MS
-        return now_ms - self.busy_since_ms >= timeout_ms
+            return None
+        return self.busy_since_ms + (
+            self.route.timeout_ms if self.route else REQUEST_TIMEOUT_DEFAULT_MS
+        )
 
     def is_expired(self, now_ms: int, idle_timeout_ms: int) -> bool:
         """Whether nothing of the flow is expected any more."""
@@ -111,12 +137,19 @@
 
 
 class FlowTable:
-    """The flows by both ends."""
+    """The flows by both ends, and in the order in which they have to be looked at.
+
+    Each flow has one valid place in the order. A change that makes a flow due earlier gives it a new
+    place; one that makes it due later is found when its place comes up. The cost of a look
+    depends on the flows that are due, not on all that there are.
+    """
 
-    __slots__ = ("_flows",)
+    __slots__ = ("_entry_count", "_flows", "_order")
 
     def __init__(self) -> None:
         self._flows: dict[FlowKey, Flow] = {}
+        self._order: list[tuple[int, int, Flow]] = []
+        self._entry_count = 0
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -128,6 +161,13 @@
     def add(self, flow: Flow) -> None:
         """Adds a flow in place of an earlier one with the same ends."""
         self._flows[flow.key] = flow
+        self._schedule(flow, flow.opened_at_ms + OPENING_TIMEOUT_MS)
+
+    def expect_sooner(self, flow: Flow, idle_timeout_ms: int) -> None:
+        """Notes that a flow may be due earlier, because it got a request or was closed."""
+        due_ms = flow.compute_due_ms(idle_timeout_ms)
+        if due_ms < flow.look_at_ms:
+            self._schedule(flow, due_ms)
 
     def remove_expired(self, now_ms: int, idle_timeout_ms: int) -> list[Flow]:
         """Removes the flows of which nothing is expected.
@@ -136,15 +176,23 @@
             The flows whose request ends without an answer: those removed with one, and those
             that stay but were not answered in time.
         """
-        expired = []
         unanswered = []
-        for flow in self._flows.values():
-            if flow.is_expired(now_ms, idle_timeout_ms):
-                expired.append(flow)
-                if flow.busy_since_ms is not None:
-                    unanswered.append(flow)
-            elif flow.is_overdue(now_ms):
+        while self._order and self._order[0][0] <= now_ms:
+            due_ms, _, flow = heapq.heappop(self._order)
+            if flow.look_at_ms != due_ms or self._flows.get(flow.key) is not flow:
+                continue  # The flow has another place in the order, or is gone.
+            is_expired = flow.is_expired(now_ms, idle_timeout_ms)
+            if flow.is_overdue(now_ms) or (is_expired and flow.busy_since_ms is not None):
                 unanswered.append(flow)
-        for flow in expired:
-            del self._flows[flow.key]
+            if is_expired:
+                del self._flows[flow.key]
+            else:
+                # A flow that is overdue now gets its next place from the time after its request.
+                due_ms = flow.compute_due_ms(idle_timeout_ms, now_ms)
+                self._schedule(flow, max(now_ms + 1, due_ms))
         return unanswered
+
+    def _schedule(self, flow: Flow, due_ms: int) -> None:
+        flow.look_at_ms = due_ms
+        self._entry_count += 1
+        heapq.heappush(self._order, (due_ms, self._entry_count, flow))
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -124,13 +124,16 @@
 
     def sweep(self, now_ms: int) -> None:
         """Forgets flows of which nothing is expected."""
-        configuration = self._state.configuration
-        idle_ms = configuration.idle_timeout_ms if configuration else IDLE_TIMEOUT_DEFAULT_MS
-        for flow in self._flows.remove_expired(now_ms, idle_ms):
+        for flow in self._flows.remove_expired(now_ms, self._idle_timeout_ms):
             self._end_request(flow)
             self._log.abandoned(flow, now_ms)
             self.counts["abandoned"] += 1
 
+    @property
+    def _idle_timeout_ms(self) -> int:
+        configuration = self._state.configuration
+        return configuration.idle_timeout_ms if configuration else IDLE_TIMEOUT_DEFAULT_MS
+
     def _handle_open(self, packet: CallerPacket, flow: Flow | None, now_ms: int) -> None:
         if flow is not None and flow.is_delayed_copy(packet, now_ms):
             self.counts["late_copy"] += 1
@@ -274,6 +277,7 @@
             flow.request_id = request_id
             flow.busy_since_ms = now_ms
             self._log.requested(flow, now_ms)
+        self._flows.expect_sooner(flow, self._idle_timeout_ms)
 
     def _note_answered(self, flow: Flow, now_ms: int) -> None:
         took_ms = now_ms - (flow.busy_since_ms or now_ms)
@@ -290,6 +294,7 @@
             self._end_request(flow)
             self._log.given_up(flow, packet.is_reset, now_ms)
             self.counts["given_up"] += 1
+        self._flows.expect_sooner(flow, self._idle_timeout_ms)
 
     def _start_request(self, flow: Flow, now_ms: int) -> None:
         if flow.busy_since_ms is None:
