Test that packets which arrive before the program is loaded are served

Cause: the early socket was tested in parts only (the socket, the imports, the port). Change: a whole instance takes over a socket in which an opening packet waits; the caller gets its answer, and one upstream one opening. Before: not tested. Conclusion: no change of behaviour.

--- a/src/catkinspread/platform/tests/test_whole_path.py
+++ b/src/catkinspread/platform/tests/test_whole_path.py
@@ -1,6 +1,7 @@
 """Whole instances on loopback between stand-ins for the platform."""
 
 import json
+import socket
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -16,6 +17,7 @@
     find_free_port,
 )
 from catkinspread.runtime import ForwardingInstance, ForwardingSettings
+from catkinspread.sockets import open_udp_socket
 
 ADDRESS = Endpoint("198.18.0.1", 443)
 CALLER = "127.0.0.2"
@@ -92,7 +94,11 @@
         }
         self.store.put("servers", f"i-{number}a", spec)
 
-    async def start_instance(self, number: int) -> None:
+    def open_packet_socket(self, number: int) -> socket.socket:
+        """Opens the packet socket of an instance, as the program does before it loads."""
+        return open_udp_socket(Endpoint(INSTANCES[number], self._packet_port))
+
+    async def start_instance(self, number: int, packet_socket: socket.socket | None = None) -> None:
         """Starts an instance and waits until it has the state."""
         host = INSTANCES[number]
         settings = ForwardingSettings(
@@ -108,7 +114,9 @@
             source_address=self._store_endpoint,
             heartbeat_ms=1_000,
         )
-        instance = ForwardingInstance(settings, lambda: settings, SystemClock(), self.lines[number])
+        instance = ForwardingInstance(
+            settings, lambda: settings, SystemClock(), self.lines[number], packet_socket
+        )
         self._group.start_soon(instance.run)
         with anyio.fail_after(_START_TIMEOUT_S):
             while len(self.lines[number].find("state_changed")) < 3:
@@ -161,6 +169,21 @@
     _play(scenario)
 
 
+def test_packet_that_comes_before_the_program_is_loaded_is_served() -> None:
+    """Guards against callers that wait for their copies because an instance restarts."""
+
+    async def scenario(deployment: Deployment) -> None:
+        packet_socket = deployment.open_packet_socket(1)
+        deployment.caller.use_instance(INSTANCES[1])
+        async with anyio.create_task_group() as group:
+            group.start_soon(deployment.caller.open, ADDRESS)
+            await anyio.sleep(0.05)
+            await deployment.start_instance(1, packet_socket)
+        assert deployment.count_opened(0) + deployment.count_opened(1) == 1
+
+    _play(scenario)
+
+
 def test_silent_upstream_costs_the_caller_little() -> None:
     """Guards against a caller that waits for its own copy of the opening packet."""
 
