Soak: give a fault its hosts alone; repeat an answer from where it began

The upstream stand-in repeated an answer for a repeated request, but with the sequence number after it, so the caller took it for the next answer. Ruled out: the instances, which do not make packets with data; the checksum was the stand-in's own. Change: faults claim hosts; answers are repeated from their first byte; a fault that waits for a stop takes notice if another one starts the next process; SIGTERM before a process has said that it runs may end it at once; upstreams that start in an evacuated data centre are judged too.

--- a/src/catkinspread/soak/faults.py
+++ b/src/catkinspread/soak/faults.py
@@ -69,9 +69,24 @@
     return rng.sample(site.instances, count)
 
 
-def _choose_hosts(site: Site, rng: random.Random, count: int) -> list[UpstreamHost]:
-    running = [host for host in site.hosts[_SPARED_HOSTS:] if host.upstream is not None]
-    return rng.sample(running, min(count, len(running)))
+@asynccontextmanager
+async def _claim_hosts(
+    site: Site, rng: random.Random, count: int
+) -> AsyncIterator[list[UpstreamHost]]:
+    """Gives a fault hosts whose upstreams no other fault changes meanwhile."""
+    free = [
+        host
+        for host in site.hosts[_SPARED_HOSTS:]
+        if host.upstream is not None and not host.is_claimed
+    ]
+    hosts = rng.sample(free, min(count, len(free)))
+    for host in hosts:
+        host.is_claimed = True
+    try:
+        yield hosts
+    finally:
+        for host in hosts:
+            host.is_claimed = False
 
 
 async def _kill(site: Site, instances: list[InstanceProcess], down_ms: int) -> None:
@@ -119,8 +134,10 @@
         return
     async with _disturb(site, instance.name):
         instance.stop()
+        incarnation = instance.incarnation
         with anyio.move_on_after((GRACE_MS + _STOP_SLACK_MS) / _MS_PER_S) as scope:
-            while instance.is_running:
+            # Another fault may kill the process and start the next one.
+            while instance.is_running and instance.incarnation == incarnation:
                 await _sleep_ms(20)
         if scope.cancelled_caught:
             instance.kill()
@@ -230,27 +247,29 @@
 @register_fault("drain")
 async def drain_upstream(site: Site, rng: random.Random) -> None:
     """Drains an upstream, ends it and starts another one at its address."""
-    for host in _choose_hosts(site, rng, rng.randint(1, 2)):
-        upstream = host.upstream
-        upstream.update(is_draining=True)
-        site.report(upstream)
-        upstream.draining_since_ms = site.clock.now_ms()
-        await _sleep_ms(DRAIN_MS + rng.randint(300, 2_000))
-        await _replace(site, host, rng)
+    async with _claim_hosts(site, rng, rng.randint(1, 2)) as hosts:
+        for host in hosts:
+            upstream = host.upstream
+            upstream.update(is_draining=True)
+            site.report(upstream)
+            upstream.draining_since_ms = site.clock.now_ms()
+            await _sleep_ms(DRAIN_MS + rng.randint(300, 2_000))
+            await _replace(site, host, rng)
 
 
 @register_fault("crash_and_reuse")
 async def crash_upstream(site: Site, rng: random.Random) -> None:
     """Ends an upstream without notice; its address goes to the other service."""
-    for host in _choose_hosts(site, rng, 1):
-        upstream = host.upstream
-        host.upstream = None
-        upstream.forget_all()
-        await _sleep_ms(3 * HEARTBEAT_MS)
-        site.remove_entry(upstream)
-        await _sleep_ms(REUSE_AFTER_MS)
-        service = SERVICES[1 - SERVICES.index(upstream.record.service)]
-        site.start_upstream(host, service, upstream.record.data_centre)
+    async with _claim_hosts(site, rng, 1) as hosts:
+        for host in hosts:
+            upstream = host.upstream
+            host.upstream = None
+            upstream.forget_all()
+            await _sleep_ms(3 * HEARTBEAT_MS)
+            site.remove_entry(upstream)
+            await _sleep_ms(REUSE_AFTER_MS)
+            service = SERVICES[1 - SERVICES.index(upstream.record.service)]
+            site.start_upstream(host, service, upstream.record.data_centre)
 
 
 async def _replace(site: Site, host: UpstreamHost, rng: random.Random) -> None:
@@ -266,25 +285,26 @@
 @register_fault("restart_upstream")
 async def restart_upstream(site: Site, rng: random.Random) -> None:
     """Restarts an upstream under the name that it had."""
-    for host in _choose_hosts(site, rng, 1):
-        record = host.upstream.record
-        host.upstream.forget_all()
-        host.upstream = None
-        await _sleep_ms(rng.randint(200, 2_000))
-        site.start_upstream(host, record.service, record.data_centre, key=record.key)
+    async with _claim_hosts(site, rng, 1) as hosts:
+        for host in hosts:
+            record = host.upstream.record
+            host.upstream.forget_all()
+            host.upstream = None
+            await _sleep_ms(rng.randint(200, 2_000))
+            site.start_upstream(host, record.service, record.data_centre, key=record.key)
 
 
 @register_fault("silence_upstream")
 async def silence_upstream(site: Site, rng: random.Random) -> None:
     """Lets an upstream neither take nor send packets for a while."""
-    hosts = _choose_hosts(site, rng, rng.randint(1, 3))
-    names = [host.upstream.record.name for host in hosts]
-    async with _disturb(site, *names):
-        for host in hosts:
-            host.is_silent = True
-        await _sleep_ms(_draw_ms(rng))
-        for host in hosts:
-            host.is_silent = False
+    async with _claim_hosts(site, rng, rng.randint(1, 3)) as hosts:
+        names = [host.upstream.record.name for host in hosts]
+        async with _disturb(site, *names):
+            for host in hosts:
+                host.is_silent = True
+            await _sleep_ms(_draw_ms(rng))
+            for host in hosts:
+                host.is_silent = False
 
 
 @register_fault("evacuate")
--- a/src/catkinspread/soak/processes.py
+++ b/src/catkinspread/soak/processes.py
@@ -20,6 +20,7 @@
 # The interpreter runs no code of the program earlier; a signal would end the process.
 _LOADING_MS = 400
 _MS_PER_S = 1_000
+_STARTED_EVENT = b'"event":"started"'
 _SETTINGS = """[instance]
 name = {name}
 data_centre = {data_centre}
@@ -54,6 +55,7 @@
     __slots__ = (
         "_directory",
         "_is_end_expected",
+        "_is_stopped_while_loading",
         "_layout",
         "_process",
         "_started_s",
@@ -78,6 +80,7 @@
         self._layout = layout
         self._process: subprocess.Popen[bytes] | None = None
         self._is_end_expected = False
+        self._is_stopped_while_loading = False
         self._started_s = 0.0
 
     @property
@@ -98,11 +101,13 @@
                 stderr=log,
             )
         self._is_end_expected = False
+        self._is_stopped_while_loading = False
         self._started_s = time.monotonic()
         self.incarnation += 1
 
     def stop(self) -> None:
         """Asks the process to leave."""
+        self._is_stopped_while_loading = not self._is_loaded()
         self._signal(signal.SIGTERM, is_end=True)
 
     def kill(self) -> None:
@@ -128,6 +133,8 @@
         code = self._process.poll() if self._process else None
         if code is None or code == -signal.SIGKILL and self._is_end_expected:
             return ""
+        if code == -signal.SIGTERM and self._is_stopped_while_loading:
+            return ""  # It served nothing yet.
         if not self._is_end_expected:
             return f"ended by itself with status {code}"
         return f"ended with status {code} after SIGTERM" if code else ""
@@ -138,6 +145,10 @@
             self.kill()
             self._process.wait()
 
+    def _is_loaded(self) -> bool:
+        """Whether the current process has said that it runs."""
+        return self.log_path.read_bytes().count(_STARTED_EVENT) >= self.incarnation
+
     def _signal(self, number: signal.Signals, is_end: bool = False) -> None:
         if self._process is not None and self._process.poll() is None:
             self._is_end_expected |= is_end
--- a/src/catkinspread/soak/site.py
+++ b/src/catkinspread/soak/site.py
@@ -67,6 +67,7 @@
     """
 
     __slots__ = (
+        "_evacuated_since_ms",
         "_group",
         "_layout",
         "_next_key",
@@ -89,6 +90,7 @@
         self._layout = layout
         self._rng = rng
         self._group: anyio.abc.TaskGroup | None = None
+        self._evacuated_since_ms: dict[str, int | None] = {}
         self._next_key = 1
         self.clock = clock
         self.calm = CalmBook(STABLE_MS)
@@ -212,6 +214,7 @@
         )
         upstream = SoakUpstream(record, COLD_RATE_PER_S, host)
         upstream.cold_until_ms = now_ms + cold_ms
+        upstream.evacuated_since_ms = self._evacuated_since_ms.get(data_centre)
         host.upstream = upstream
         self.report(upstream)
         return upstream
@@ -235,6 +238,7 @@
         else:
             self.store.remove(_EVACUATIONS, data_centre)
         since_ms = self.clock.now_ms() if is_evacuated else None
+        self._evacuated_since_ms[data_centre] = since_ms
         for upstream in self.list_upstreams():
             if upstream.record.data_centre == data_centre:
                 upstream.evacuated_since_ms = since_ms
--- a/src/catkinspread/soak/upstreams.py
+++ b/src/catkinspread/soak/upstreams.py
@@ -58,7 +58,7 @@
         self.token = packet.token
         self.is_open = False
         self.acknowledged = sequence
-        self.answers: dict[int, bytes] = {}
+        self.answers: dict[int, tuple[int, bytes]] = {}
 
 
 class SoakUpstream:
@@ -196,7 +196,8 @@
             flow.expected = (flow.expected + len(packet.data)) % _SEQUENCE_MODULUS
             self._host.start_task(self._work, ends, flow, packet, now_ms)
         elif packet.data and packet.sequence in flow.answers:
-            self._reply(flow, flow.sequence, data=flow.answers[packet.sequence])
+            start, answer = flow.answers[packet.sequence]
+            self._reply(flow, start, data=answer)
         if packet.is_close:
             flow.expected = (flow.expected + 1) % _SEQUENCE_MODULUS
             self._reply(flow, flow.sequence, is_close=True)
@@ -211,8 +212,8 @@
         self._host.promises.note_run(name, kind.startswith(b"GET"), now_ms)
         await anyio.sleep(self._rng.randint(WORK_MIN_MS, WORK_MAX_MS) / _MS_PER_S)
         answer = b"HTTP/1.1 200 OK\r\n\r\n" + name.encode()
-        flow.answers[packet.sequence] = answer
         start = flow.sequence
+        flow.answers[packet.sequence] = (start, answer)
         flow.sequence = (start + len(answer)) % _SEQUENCE_MODULUS
         wait_ms = _RETRANSMIT_FIRST_MS
         for _ in range(_RETRANSMISSIONS):
@@ -263,6 +264,7 @@
 
     Attributes:
         upstream: The upstream that runs; None while the host is dark.
+        is_claimed: Whether a fault changes what runs here.
         is_silent: Whether nothing that arrives is taken.
     """
 
@@ -272,6 +274,7 @@
         "_group",
         "_udp",
         "find_incarnation",
+        "is_claimed",
         "is_silent",
         "promises",
         "register",
@@ -291,6 +294,7 @@
         self.register = register
         self.find_incarnation = find_incarnation
         self.upstream: SoakUpstream | None = None
+        self.is_claimed = False
         self.is_silent = False
         self._find_sender = find_sender
         self._clock = clock
