Give isolation and reloading modules of their own

Ruled out: moving start and stop too; they are what the module is for. Change: IsolationCheck and SettingsReloader; the composition root wires them. Conclusion: no change of behaviour.

--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 
 import anyio
-import msgspec
 
 from catkinspread.clock import Clock
 from catkinspread.deployment import (
@@ -30,7 +29,6 @@
     Placement,
 )
 from catkinspread.httpclient import HttpClient
-from catkinspread.ini import SettingsError
 from catkinspread.model import Endpoint
 from catkinspread.peers import (
     FEED_BODY_MAX_BYTES,
@@ -44,8 +42,10 @@
     StateCache,
 )
 from catkinspread.platform import PacketPort, ReadinessServer, StoreClient, read_request_id
+from catkinspread.runtime.isolation import IsolationCheck
 from catkinspread.runtime.load_reports import LoadReporter
 from catkinspread.runtime.metrics import METRICS_BODY_MAX_BYTES, METRICS_PORT, MetricsPage
+from catkinspread.runtime.reloader import SettingsReloader
 from catkinspread.runtime.settings import ForwardingSettings
 from catkinspread.transport.http_server import HttpServer
 
@@ -88,14 +88,14 @@
         "_exchange",
         "_forwarder",
         "_health",
-        "_is_isolated",
         "_is_leaving",
+        "_isolation",
         "_loads",
         "_local_service",
         "_member",
         "_own_health",
         "_port",
-        "_read_settings",
+        "_reloader",
         "_reporter",
         "_rng",
         "_settings",
@@ -111,7 +111,6 @@
         packet_socket: socket.socket | None = None,
     ) -> None:
         self._settings = settings
-        self._read_settings = read_settings
         self._clock = clock
         self._rng = random.Random()
         self._events = EventLog(settings.name, writer, clock)
@@ -121,7 +120,6 @@
         self._cache = StateCache()
         self._loads = LoadBook()
         self._is_leaving = False
-        self._is_isolated = False
         self._local_service = LocalService(settings.data_centre, self._state)
         host = settings.packet_address.host
         self._member = Member(settings.name, settings.data_centre, host, clock.now_ms())
@@ -131,6 +129,10 @@
         )
         self._port = PacketPort(settings.packet_address, self._handle, clock, packet_socket)
         self._exchange = self._build_exchange()
+        self._reloader = SettingsReloader(
+            settings, read_settings, self._exchange, self._events, clock
+        )
+        self._isolation = IsolationCheck(self._local_service, self._directory, self._events)
         self._budget = ColdBudget(instances=1, rng=self._rng)
         self._forwarder = self._build_forwarder()
 
@@ -212,7 +214,7 @@
         self._forwarder.handle(packet, now_ms)
 
     def _is_ready(self) -> bool:
-        return self._state.is_complete and not self._is_leaving and not self._is_isolated
+        return self._state.is_complete and not self._is_leaving and not self._isolation.is_isolated
 
     def _read_status(self) -> MemberStatus:
         return MemberStatus(
@@ -269,7 +271,7 @@
 
     def _sweep(self, now_ms: int) -> None:
         self._forwarder.sweep(now_ms)
-        self._check_isolation(now_ms)
+        self._isolation.update(now_ms)
         self._loads.expire_reports(now_ms)
         for name in self._state.expire(now_ms, self._health.available_since_ms):
             self._events.write("upstream_gone", now_ms, name=name)
@@ -284,46 +286,13 @@
                 await anyio.sleep(STATE_CHECK_MS / _MS_PER_S)
         await self._port.run()
 
-    def _check_isolation(self, now_ms: int) -> None:
-        """Leaves the rotation while neither the own data centre nor another one can serve."""
-        self._local_service.update(now_ms)
-        is_lacking = self._local_service.is_lacking
-        self._directory.is_watching_remote = is_lacking
-        is_isolated = is_lacking and self._directory.is_cut_off(now_ms)
-        if is_isolated != self._is_isolated:
-            self._is_isolated = is_isolated
-            self._events.write_always("isolated" if is_isolated else "isolation_ended", now_ms)
-
     async def _wait_for_stop(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            self._take_missed_reload()
+            self._reloader.take_missed()
             async for received in signals:
                 if received != signal.SIGHUP:
                     return
-                self.reload()
-
-    def _take_missed_reload(self) -> None:
-        """Reads settings that changed while the program was loaded and ignored the signal."""
-        try:
-            is_changed = self._read_settings() != self._settings
-        except SettingsError:
-            is_changed = True  # `reload` says what is wrong.
-        if is_changed:
-            self.reload()
-
-    def reload(self) -> None:
-        """Reads the settings again; seeds change at once, all else with the next start."""
-        now_ms = self._clock.now_ms()
-        try:
-            settings = self._read_settings()
-        except SettingsError as error:
-            self._events.write_always("reload_failed", now_ms, reason=str(error))
-            return
-        self._exchange.replace_seeds(tuple(seed.host for seed in settings.seeds))
-        fixed = msgspec.structs.replace(settings, seeds=self._settings.seeds)
-        self._events.write_always(
-            "reloaded", now_ms, needs_restart=fixed != self._settings, seeds=len(settings.seeds)
-        )
+                self._reloader.reload()
 
     async def _leave(self) -> None:
         """Tells the routers and forwards until they send nothing more."""
