Soak: let callers acknowledge the first answer at once

Both flows were sent to a second and third upstream after 52 to 59 ms without an answer. The caller took the first answer but sent its first packet later, with the token of the second answer, so the instance settled the flow at an upstream that did not hold it. The flow had not opened; no promise on open flows is concerned. Ruled out: an instance that moves an open flow (both requests are the first packets of their flows), an upstream that ended (no fault had run for 12 s). Conclusion: the race remains possible if that acknowledgement is lost; it costs a reset before the flow is open, which callers retry.

--- a/src/catkinspread/soak/callers.py
+++ b/src/catkinspread/soak/callers.py
@@ -298,6 +298,8 @@
                 flow.is_open = True
                 flow.sequence = (flow.sequence + 1) % _SEQUENCE_MODULUS
                 flow.expected = (packet.sequence + 1) % _SEQUENCE_MODULUS
+                # Sent before another upstream's answer can change the token.
+                self._send(flow, flow.sequence)
         elif packet.data and packet.sequence == flow.expected:
             flow.expected = (flow.expected + len(packet.data)) % _SEQUENCE_MODULUS
             flow.answer = packet.data
