Keep the kinds and headers of the platform inside its stand-ins

Cause: the soak named kinds of the store's objects and the header of a request's identifier, which only platform/ may know. Change: the store stand-in takes kinds of the state, requests are encoded and decoded by the packet stand-in. Before: four names outside platform/. After: none found by search; 57 tests of platform and the promises pass.

--- a/src/catkinspread/platform/objects.py
+++ b/src/catkinspread/platform/objects.py
@@ -24,7 +24,7 @@
     StateKind.UPSTREAMS: "servers",
     StateKind.EVACUATIONS: "evacuations",
 }
-_CONFIGURATION_NAME = "main"
+CONFIGURATION_NAME = "main"
 _REQUEST_KINDS = {
     "safe": RequestKind.IDEMPOTENT,
     "unsafe": RequestKind.NON_IDEMPOTENT,
@@ -99,7 +99,7 @@
             return name
         if kind is StateKind.UPSTREAMS:
             return _decode_upstream(name, msgspec.convert(spec, _WireServer))
-        if name != _CONFIGURATION_NAME:
+        if name != CONFIGURATION_NAME:
             return None
         return _decode_configuration(msgspec.convert(spec, _WireConfiguration))
     except (msgspec.ValidationError, ValueError) as error:
--- a/src/catkinspread/platform/stand_ins/__init__.py
+++ b/src/catkinspread/platform/stand_ins/__init__.py
@@ -12,7 +12,9 @@
     FlowPacket,
     PacketDamaged,
     decode_flow_packet,
+    decode_request,
     encode_flow_packet,
+    encode_request,
     split_upstream_datagram,
 )
 from catkinspread.platform.stand_ins.settings import READINESS_PATH, build_environment
@@ -26,8 +28,10 @@
     "StoreStandIn",
     "build_environment",
     "decode_flow_packet",
+    "decode_request",
     "encode_configuration",
     "encode_flow_packet",
+    "encode_request",
     "encode_upstream",
     "encode_upstream_name",
     "split_upstream_datagram",
--- a/src/catkinspread/platform/stand_ins/packets.py
+++ b/src/catkinspread/platform/stand_ins/packets.py
@@ -16,6 +16,7 @@
 
 _CHECKSUM_SEED = 0x5EED
 _PADDING = bytes(5)
+_REQUEST_ID_FIELD = "X-Catkinspread-Attempt-Id: "
 
 
 class PacketDamaged(Exception):
@@ -116,6 +117,19 @@
     return packet
 
 
+def encode_request(request_id: str, is_idempotent: bool) -> bytes:
+    """Returns the data of a request."""
+    method = "GET" if is_idempotent else "POST"
+    head = f"{method} / HTTP/1.1\r\n{_REQUEST_ID_FIELD}{request_id}\r\n\r\n"
+    return head.encode()
+
+
+def decode_request(data: bytes) -> tuple[str, bool]:
+    """Returns the identifier of a request and whether it may be repeated."""
+    method, field = data.decode().split("\r\n")[:2]
+    return field.removeprefix(_REQUEST_ID_FIELD), method.startswith("GET")
+
+
 def split_upstream_datagram(datagram: bytes) -> tuple[int, bytes]:
     """Returns the key of the upstream that a datagram is meant for, and the packet in it."""
     (key,) = UPSTREAM_KEY.unpack_from(datagram)
--- a/src/catkinspread/platform/stand_ins/store.py
+++ b/src/catkinspread/platform/stand_ins/store.py
@@ -7,7 +7,9 @@
 import anyio.abc
 import msgspec
 
+from catkinspread.deployment import StateKind
 from catkinspread.model import Endpoint
+from catkinspread.platform.objects import CONFIGURATION_NAME, KIND_PATHS
 from catkinspread.platform.store import BASE_PATH
 from catkinspread.transport.http_server import HttpAnswer, HttpRequest, HttpServer
 
@@ -59,15 +61,21 @@
         self._mode = mode
         self._notify()
 
-    def put(self, kind: str, name: str, spec: object) -> None:
+    def put_configuration(self, spec: object) -> None:
+        """Writes the configuration as the operator does."""
+        self.put(StateKind.CONFIGURATION, CONFIGURATION_NAME, spec)
+
+    def put(self, state_kind: StateKind, name: str, spec: object) -> None:
         """Writes an object."""
+        kind = KIND_PATHS[state_kind]
         self._revision += 1
         written = {"meta": {"name": name, "revision": self._revision}, "spec": spec}
         self._objects[kind, name] = written
         self._note(kind, {"object": written, "removed": False})
 
-    def remove(self, kind: str, name: str) -> None:
+    def remove(self, state_kind: StateKind, name: str) -> None:
         """Removes an object; one that is not there is left alone."""
+        kind = KIND_PATHS[state_kind]
         removed = self._objects.pop((kind, name), None)
         if removed is not None:
             self._revision += 1
--- a/src/catkinspread/platform/tests/test_whole_path.py
+++ b/src/catkinspread/platform/tests/test_whole_path.py
@@ -8,6 +8,7 @@
 import pytest
 
 from catkinspread.clock import SystemClock
+from catkinspread.deployment import StateKind
 from catkinspread.model import Endpoint
 from catkinspread.platform.packets import FLAG_RST as RST
 from catkinspread.platform.stand_ins import StoreMode, StoreStandIn
@@ -59,7 +60,7 @@
         self._store_endpoint = await self._group.start(self.store.run)
         for part in (*self.upstreams, self.caller):
             await self._group.start(part.run)
-        self.store.put("config", "main", self.build_configuration(1, "pages"))
+        self.store.put_configuration(self.build_configuration(1, "pages"))
         for number in range(len(self.upstreams)):
             self.put_upstream(number)
 
@@ -92,7 +93,7 @@
             "cold_left_ms": 0,
             "born": 1,
         }
-        self.store.put("servers", f"i-{number}a", spec)
+        self.store.put(StateKind.UPSTREAMS, f"i-{number}a", spec)
 
     def open_packet_socket(self, number: int) -> socket.socket:
         """Opens the packet socket of an instance, as the program does before it loads."""
@@ -203,7 +204,7 @@
 
     async def scenario(deployment: Deployment) -> None:
         deployment.put_upstream(0, state="draining")
-        deployment.store.put("config", "main", deployment.build_configuration(2, service))
+        deployment.store.put_configuration(deployment.build_configuration(2, service))
         await anyio.sleep(0.6)
         _, head = await deployment.caller.open(ADDRESS)
         assert deployment.count_opened(0) == 0
--- a/src/catkinspread/soak/callers.py
+++ b/src/catkinspread/soak/callers.py
@@ -16,6 +16,7 @@
     PacketDamaged,
     decode_flow_packet,
     encode_flow_packet,
+    encode_request,
 )
 from catkinspread.soak.layout import PACKET_PORT, to_number
 from catkinspread.soak.promises import PromiseBook
@@ -219,9 +220,8 @@
         return Outcome.REFUSED if flow.reset_by else Outcome.NOT_OPENED
 
     async def _exchange(self, flow: _CallerFlow, request_id: str, deadline_ms: int) -> Outcome:
-        method = b"POST" if flow.route.kind is RequestKind.NON_IDEMPOTENT else b"GET"
-        head = b" / HTTP/1.1\r\nX-Catkinspread-Attempt-Id: "
-        data = method + head + request_id.encode() + b"\r\n\r\n"
+        is_idempotent = flow.route.kind is not RequestKind.NON_IDEMPOTENT
+        data = encode_request(request_id, is_idempotent)
         flow.answer = b""
         start = flow.sequence
         flow.sequence = (start + len(data)) % _SEQUENCE_MODULUS
--- a/src/catkinspread/soak/site.py
+++ b/src/catkinspread/soak/site.py
@@ -14,6 +14,7 @@
     ServiceAddress,
     ServiceLimits,
     ServiceShare,
+    StateKind,
     UpstreamRecord,
 )
 from catkinspread.platform.stand_ins import (
@@ -38,8 +39,6 @@
 COLD_RATE_PER_S = 4.0
 FIXED_ROUTES = 3
 REQUEST_TIMEOUT_MS = 2_500
-# Deployment kinds of the store.
-_CONFIGURATION, _UPSTREAMS, _EVACUATIONS = "config", "servers", "evacuations"
 _SUPERVISE_INTERVAL_MS = 100
 _MS_PER_S = 1_000
 
@@ -181,7 +180,7 @@
         limits = tuple(ServiceLimits(name, COLD_RATE_PER_S, 2_000) for name in SERVICES)
         version = self.configuration.version + self._rng.randint(1, 5)
         self.configuration = RoutingConfiguration(version, routes, limits, 15_000)
-        self.store.put(_CONFIGURATION, "main", encode_configuration(self.configuration))
+        self.store.put_configuration(encode_configuration(self.configuration))
         self.promises.put_configuration(self.configuration, self.clock.now_ms())
 
     def start_upstream(
@@ -221,22 +220,22 @@
 
     def report(self, upstream: SoakUpstream) -> None:
         """Writes the entry of an upstream."""
-        self.store.put(_UPSTREAMS, upstream.record.name, encode_upstream(upstream.record))
+        self.store.put(StateKind.UPSTREAMS, upstream.record.name, encode_upstream(upstream.record))
 
     def remove_entry(self, upstream: SoakUpstream) -> None:
         """Removes the entry of an upstream."""
-        self.store.remove(_UPSTREAMS, upstream.record.name)
+        self.store.remove(StateKind.UPSTREAMS, upstream.record.name)
 
     def put_foreign_entry(self, name: str, spec: object) -> None:
         """Writes an entry that names no upstream."""
-        self.store.put(_UPSTREAMS, name, spec)
+        self.store.put(StateKind.UPSTREAMS, name, spec)
 
     def set_evacuated(self, data_centre: str, is_evacuated: bool) -> None:
         """Takes a data centre out or back."""
         if is_evacuated:
-            self.store.put(_EVACUATIONS, data_centre, {})
+            self.store.put(StateKind.EVACUATIONS, data_centre, {})
         else:
-            self.store.remove(_EVACUATIONS, data_centre)
+            self.store.remove(StateKind.EVACUATIONS, data_centre)
         since_ms = self.clock.now_ms() if is_evacuated else None
         self._evacuated_since_ms[data_centre] = since_ms
         for upstream in self.list_upstreams():
--- a/src/catkinspread/soak/upstreams.py
+++ b/src/catkinspread/soak/upstreams.py
@@ -14,6 +14,7 @@
     FlowPacket,
     PacketDamaged,
     decode_flow_packet,
+    decode_request,
     encode_flow_packet,
     split_upstream_datagram,
 )
@@ -207,11 +208,10 @@
         self, ends: FlowEnds, flow: _UpstreamFlow, packet: FlowPacket, now_ms: int
     ) -> None:
         """Runs a request and repeats the answer until the caller has it."""
-        kind, request_id = packet.data.split(b"\r\n")[:2]
-        name = request_id.split(b": ")[1].decode()
-        self._host.promises.note_run(name, kind.startswith(b"GET"), now_ms)
+        request_id, may_repeat = decode_request(packet.data)
+        self._host.promises.note_run(request_id, may_repeat, now_ms)
         await anyio.sleep(self._rng.randint(WORK_MIN_MS, WORK_MAX_MS) / _MS_PER_S)
-        answer = b"HTTP/1.1 200 OK\r\n\r\n" + name.encode()
+        answer = b"HTTP/1.1 200 OK\r\n\r\n" + request_id.encode()
         start = flow.sequence
         flow.answers[packet.sequence] = (start, answer)
         flow.sequence = (start + len(answer)) % _SEQUENCE_MODULUS
