Find free ports for tests in one place, for UDP and TCP

The test asked for free UDP ports and used one of them for TCP; the port lay in the range that Linux gives to outgoing connections, of which the bench and the soak open many. Ruled out: two tests that use the same port (they run one after the other); load (nothing timed out). Change: find_free_ports looks below that range and at both protocols; four copies of the search use it. No check of a test was changed. The new test of a port that TCP uses fails with the old search, which looked at UDP only.

--- a/src/catkinspread/bench/transport_cost.py
+++ b/src/catkinspread/bench/transport_cost.py
@@ -6,7 +6,6 @@
 
 import pathlib
 import resource
-import socket
 
 import anyio
 import anyio.abc
@@ -15,6 +14,7 @@
 from catkinspread.bench.registry import BenchReport, register_bench
 from catkinspread.model import Endpoint
 from catkinspread.settings import KeySettings
+from catkinspread.sockets import find_free_ports
 from catkinspread.transport.peers import PeerPort
 
 _SIZES_BYTES = (40, 200, 280, 1_000)
@@ -146,9 +146,7 @@
 
 
 def _find_free_endpoint() -> Endpoint:
-    with socket.socket() as opened:
-        opened.bind((_LOOPBACK, 0))
-        return Endpoint(_LOOPBACK, opened.getsockname()[1])
+    return Endpoint(_LOOPBACK, find_free_ports(1)[0])
 
 
 def _read_resident_bytes() -> int:
--- a/src/catkinspread/instance/tests/test_whole_path.py
+++ b/src/catkinspread/instance/tests/test_whole_path.py
@@ -1,7 +1,5 @@
 """Runs callers, fabric, instances and upstreams on loopback."""
 
-import socket
-
 import anyio
 
 from catkinspread.clock import SystemClock
@@ -31,6 +29,7 @@
 from catkinspread.objectstore import AppendLog, MemoryObjectStore
 from catkinspread.operations import AccessList
 from catkinspread.settings import InstanceSettings, KeySettings, PeerSeed
+from catkinspread.sockets import find_free_ports
 
 
 class NoDirectory:
@@ -47,13 +46,7 @@
 
 
 def reserve_endpoints(count):
-    sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
-    for opened in sockets:
-        opened.bind(("127.0.0.1", 0))
-    endpoints = [Endpoint("127.0.0.1", opened.getsockname()[1]) for opened in sockets]
-    for opened in sockets:
-        opened.close()
-    return endpoints
+    return [Endpoint("127.0.0.1", port) for port in find_free_ports(count)]
 
 
 def build_settings(name, inner, endpoints, seeds, keys):
--- a/src/catkinspread/platform/tests/stand_ins.py
+++ b/src/catkinspread/platform/tests/stand_ins.py
@@ -15,6 +15,7 @@
 from catkinspread.platform.packets import FLAG_RST as RST
 from catkinspread.platform.packets import FLAG_SYN as SYN
 from catkinspread.platform.packets import HEAD
+from catkinspread.sockets import find_free_ports
 from catkinspread.transport.udp import UdpPort
 
 _RECEIVE_TIMEOUT_S = 2
@@ -22,9 +23,7 @@
 
 def find_free_port() -> int:
     """Returns a port that no socket of this machine uses at the moment."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    return find_free_ports(1)[0]
 
 
 def to_number(host: str) -> int:
--- /dev/null
+++ b/src/catkinspread/sockets/tests/test_free_ports.py
@@ -0,0 +1,25 @@
+"""Ports for tests that start servers."""
+
+import socket
+
+import pytest
+
+from catkinspread.sockets import find_free_ports
+from catkinspread.sockets.free_ports import _is_free
+
+
+@pytest.mark.parametrize("kind", [socket.SOCK_DGRAM, socket.SOCK_STREAM])
+def test_port_in_use_by_either_protocol_is_not_free(kind: socket.SocketKind) -> None:
+    """Guards against a port that is free for UDP but not for the TCP server that gets it."""
+    (port,) = find_free_ports(1)
+    with socket.socket(socket.AF_INET, kind) as user:
+        user.bind(("127.0.0.1", port))
+        assert not _is_free(port)
+
+
+def test_ports_differ_and_are_not_those_of_outgoing_connections() -> None:
+    """Guards against a connection that takes a port between the search and its use."""
+    ports = find_free_ports(20)
+    assert len(set(ports)) == 20
+    with open("/proc/sys/net/ipv4/ip_local_port_range") as limits:
+        assert max(ports) < int(limits.read().split()[0])
--- a/src/catkinspread/transport/tests/test_peers.py
+++ b/src/catkinspread/transport/tests/test_peers.py
@@ -1,19 +1,16 @@
 """Tests of the traffic between instances."""
 
-import socket
-
 import anyio
 import zmq
 
 from catkinspread.model import Endpoint
 from catkinspread.settings import KeySettings
+from catkinspread.sockets import find_free_ports
 from catkinspread.transport.peers import PeerPort
 
 
 def free_endpoint():
-    with socket.socket() as opened:
-        opened.bind(("127.0.0.1", 0))
-        return Endpoint("127.0.0.1", opened.getsockname()[1])
+    return Endpoint("127.0.0.1", find_free_ports(1)[0])
 
 
 def new_keys():
