--- a/src/catkinspread/sockets/free_ports.py
+++ b/src/catkinspread/sockets/free_ports.py
@@ -4,7 +4,8 @@
 import random
 import socket
 
-_LOOPBACK = "127.0.0.1"
+# Binding the wildcard address fails if any local address uses the port.
+_ANY_ADDRESS = "0.0.0.0"
 # Below the ephemeral port range of Linux, from which an outgoing connection may take a free port at
 # any time.
 _FIRST_PORT = 20_000
@@ -17,7 +18,7 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Returns distinct ports that are free for both UDP and TCP on loopback.
+    """Returns distinct ports that are free for both UDP and TCP on all local addresses.
 
     The ports are not reserved; another process may bind them before the caller does.
 
@@ -34,7 +35,7 @@
             return found
     raise NoFreePortsError(
         f"found {len(found)} of {count} ports free for UDP and TCP in {_FIRST_PORT}-{_LAST_PORT}"
-        f" on {_LOOPBACK} after {_ATTEMPTS_PER_PORT * count} attempts"
+        f" on all local addresses after {_ATTEMPTS_PER_PORT * count} attempts"
     )
 
 
@@ -43,7 +44,7 @@
         try:
             for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
                 probe = probes.enter_context(socket.socket(socket.AF_INET, kind))
-                probe.bind((_LOOPBACK, port))
+                probe.bind((_ANY_ADDRESS, port))
         except OSError:
             return False  # In use for at least one of the two protocols.
     return True
--- a/src/catkinspread/sockets/tests/test_free_ports.py
+++ b/src/catkinspread/sockets/tests/test_free_ports.py
@@ -9,11 +9,12 @@
 
 
 @pytest.mark.parametrize("kind", [socket.SOCK_DGRAM, socket.SOCK_STREAM])
-def test_port_in_use_by_either_protocol_is_not_free(kind: socket.SocketKind) -> None:
-    """Guards against a port that is free for one protocol but in use for the other."""
+@pytest.mark.parametrize("host", ["127.0.0.1", "127.0.0.10"])
+def test_port_in_use_by_either_protocol_is_not_free(kind: socket.SocketKind, host: str) -> None:
+    """Guards against a port that is in use for one protocol or on one loopback address."""
     (port,) = find_free_ports(1)
     with socket.socket(socket.AF_INET, kind) as bound:
-        bound.bind(("127.0.0.1", port))
+        bound.bind((host, port))
         assert not _is_free(port)
 
 
