Reset open flows of upstreams that are gone or unreachable; hold what an unreadable record replaces

Nothing watched the upstream of an established flow: each flow to a dead upstream cost its caller one deadline.

(1) ReachabilityTracker: two unanswered packets, two failed TCP connections while one to an upstream that answers succeeds, and no answer on any flow; FlowResetter resets the flows if another upstream can take them. Instances tell eight others, which check for themselves before they believe it. (2) An upstream whose record stayed missing for the grace time is gone: its idle flows are reset, unless it answered without a record. (4) Isolation is checked at each tick, and statuses count only once other data centres are polled (a test shows that an evacuation alone could take an instance out of the rotation). (5) The first feeder waits 50 ms instead of 120 ms for a peer before it reads the source. (6) Two faults of the load count: a reopened port kept the old request in flight, an answer after a refusal took away another one's count.

--- a/src/catkinspread/deployment/source.py
+++ b/src/catkinspread/deployment/source.py
@@ -27,11 +27,13 @@
 
     Attributes:
         name: Name of the record.
-        record: Current value of the record; None if it was removed or is not usable.
+        record: Current value of the record; None if it was removed, cannot be read or is not used.
+        is_unreadable: Whether the source holds a record that cannot be read.
     """
 
     name: str
     record: StateRecord | None
+    is_unreadable: bool = False
 
 
 class StateChanges(msgspec.Struct, frozen=True):
--- a/src/catkinspread/deployment/state.py
+++ b/src/catkinspread/deployment/state.py
@@ -8,10 +8,14 @@
   record may have expired in an outage of the source although the upstream is alive.
 * Removed: it gets no new flows, but packets of its open flows are still forwarded to it. A
   draining upstream is removed as soon as it is missing, any other after MISSING_GRACE_MS.
+* Gone: its process has ended, because its record stayed missing for MISSING_GRACE_MS.
 * Deleted: the state has no data about it. A removed upstream is deleted after it has been missing
   for the maximum lifetime of a flow.
 
 A new record of a missing or removed upstream makes it available again.
+
+While the source holds a record that cannot be read, the upstream counts as missing, because
+nothing is known about it, but it does not become removed or gone.
 """
 
 import msgspec
@@ -52,25 +56,40 @@
         record: Latest record of the upstream.
         token: Number that identifies it in packets.
         cold_until_ms: End of its cold start.
-        missing_since_ms: When its record disappeared from the source; None while it exists.
+        missing_since_ms: When its record disappeared from the source or became unreadable; None
+            while there is a readable one.
+        has_unreadable_record: Whether the source holds a record of it that cannot be read.
         is_removed: Whether it is removed, as defined at the top of this module.
+        is_gone: Whether it is gone, as defined at the top of this module.
     """
 
-    __slots__ = ("cold_until_ms", "is_removed", "missing_since_ms", "record", "token")
+    __slots__ = (
+        "cold_until_ms",
+        "has_unreadable_record",
+        "is_gone",
+        "is_removed",
+        "missing_since_ms",
+        "record",
+        "token",
+    )
 
     def __init__(self, record: UpstreamRecord, now_ms: int) -> None:
         self.record = record
         self.token = compute_token(record.name)
         self.cold_until_ms = now_ms + record.cold_remaining_ms
         self.missing_since_ms: int | None = None
+        self.has_unreadable_record = False
         self.is_removed = False
+        self.is_gone = False
 
     def update(self, record: UpstreamRecord, now_ms: int) -> None:
         """Applies a newer record of the same upstream."""
         self.record = record
         self.cold_until_ms = now_ms + record.cold_remaining_ms
         self.missing_since_ms = None
+        self.has_unreadable_record = False
         self.is_removed = False
+        self.is_gone = False
 
 
 class ApplyOutcome(msgspec.Struct, frozen=True):
@@ -205,14 +224,27 @@
         `expire_upstreams` removes it.
         """
         known = self._upstreams.get(name)
-        if known is None or known.missing_since_ms is not None:
+        if known is None:
+            return _UNCHANGED
+        if known.missing_since_ms is not None and not known.has_unreadable_record:
             return _UNCHANGED
         known.missing_since_ms = now_ms
+        known.has_unreadable_record = False
         if known.record.is_draining:
             known.is_removed = True
         self._eligible_by_service.clear()
         return ApplyOutcome(True, "removed" if known.is_removed else "missing")
 
+    def mark_upstream_unreadable(self, name: str, now_ms: int) -> ApplyOutcome:
+        """Marks an upstream as missing until its record is written again or disappears."""
+        known = self._upstreams.get(name)
+        if known is None or known.missing_since_ms is not None:
+            return _UNCHANGED
+        known.missing_since_ms = now_ms
+        known.has_unreadable_record = True
+        self._eligible_by_service.clear()
+        return ApplyOutcome(True, "unreadable")
+
     def set_evacuated(self, data_centre: str, is_evacuated: bool) -> ApplyOutcome:
         """Sets whether a data centre is evacuated, so that its upstreams get no new flows."""
         if (data_centre in self._evacuated) == is_evacuated:
@@ -230,8 +262,8 @@
             if known.record.data_centre == data_centre:
                 known.cold_until_ms = max(known.cold_until_ms, until_ms)
 
-    def expire_upstreams(self, now_ms: int, available_since_ms: int | None) -> list[str]:
-        """Marks upstreams that stayed missing as removed and deletes removed ones that are due.
+    def expire_upstreams(self, now_ms: int, available_since_ms: int | None) -> list[KnownUpstream]:
+        """Marks upstreams that stayed missing as removed and gone, and deletes those that are due.
 
         Args:
             now_ms: Current time.
@@ -240,25 +272,27 @@
                 end.
 
         Returns:
-            The names of the upstreams that this call marked as removed.
+            The upstreams that this call marked as gone.
         """
-        removed = []
-        for name, known in list(self._upstreams.items()):
-            if known.missing_since_ms is None:
+        gone = []
+        for known in list(self._upstreams.values()):
+            if known.missing_since_ms is None or known.has_unreadable_record:
                 continue
-            missing_ms = now_ms - known.missing_since_ms
-            if not known.is_removed:
-                if available_since_ms is None:
-                    continue
-                if now_ms - max(known.missing_since_ms, available_since_ms) >= MISSING_GRACE_MS:
+            if known.is_removed and now_ms - known.missing_since_ms >= self._flow_lifetime_max_ms:
+                self._delete_upstream(known)
+            elif not known.is_gone and available_since_ms is not None:
+                grace_start_ms = max(known.missing_since_ms, available_since_ms)
+                if now_ms - grace_start_ms >= MISSING_GRACE_MS:
                     known.is_removed = True
+                    known.is_gone = True
                     self._eligible_by_service.clear()
-                    removed.append(name)
-            elif missing_ms >= self._flow_lifetime_max_ms:
-                del self._upstreams[name]
-                if self._by_token.get(known.token) is known:
-                    del self._by_token[known.token]
-        return removed
+                    gone.append(known)
+        return gone
+
+    def _delete_upstream(self, known: KnownUpstream) -> None:
+        del self._upstreams[known.record.name]
+        if self._by_token.get(known.token) is known:
+            del self._by_token[known.token]
 
     def _is_eligible(self, upstream: KnownUpstream) -> bool:
         record = upstream.record
--- a/src/catkinspread/deployment/synchroniser.py
+++ b/src/catkinspread/deployment/synchroniser.py
@@ -132,15 +132,19 @@
         in it end. A configuration is replaced only by a newer one: a listing without one leaves
         it as it is. Upstreams and evacuations count as loaded afterwards.
         """
-        usable = {change.name for change in listing.changes if change.record is not None}
+        listed = {
+            change.name
+            for change in listing.changes
+            if change.record is not None or change.is_unreadable
+        }
         if kind is StateKind.UPSTREAMS:
             for known in self._state.list_upstreams():
-                if known.record.name not in usable:
+                if known.record.name not in listed:
                     self._apply_change(kind, StateChange(known.record.name, None), now_ms)
             self._state.upstreams_loaded = True
         if kind is StateKind.EVACUATIONS:
             for name in self._state.list_evacuated_data_centres():
-                if name not in usable:
+                if name not in listed:
                     self._apply_change(kind, StateChange(name, None), now_ms)
             self._state.evacuations_loaded = True
         self.apply_changes(kind, listing, now_ms)
@@ -161,6 +165,8 @@
         self, kind: StateKind, change: StateChange, now_ms: int
     ) -> ApplyOutcome | None:
         record = change.record
+        if change.is_unreadable:
+            return self._apply_unreadable(kind, change.name, now_ms)
         if kind is StateKind.EVACUATIONS:
             return self._apply_evacuation(change.name, record is not None, now_ms)
         if isinstance(record, RoutingConfiguration):
@@ -171,6 +177,12 @@
             return self._state.mark_upstream_missing(change.name, now_ms)
         return None
 
+    def _apply_unreadable(self, kind: StateKind, name: str, now_ms: int) -> ApplyOutcome | None:
+        """Keeps what was read before; an upstream is used only as a last resort meanwhile."""
+        if kind is StateKind.UPSTREAMS:
+            return self._state.mark_upstream_unreadable(name, now_ms)
+        return None
+
     def _apply_evacuation(self, data_centre: str, is_evacuated: bool, now_ms: int) -> ApplyOutcome:
         outcome = self._state.set_evacuated(data_centre, is_evacuated)
         if outcome.is_changed and not is_evacuated:
--- a/src/catkinspread/forwarding/__init__.py
+++ b/src/catkinspread/forwarding/__init__.py
@@ -5,6 +5,7 @@
 
 from catkinspread.forwarding.cold_start_limiter import ColdStartLimiter
 from catkinspread.forwarding.decision_log import DecisionLog, format_ip
+from catkinspread.forwarding.flow_resets import UpstreamCheck
 from catkinspread.forwarding.flows import Flow, FlowTable
 from catkinspread.forwarding.forwarder import Forwarder
 from catkinspread.forwarding.histogram import LatencyHistogram
@@ -28,6 +29,7 @@
     "Placement",
     "RejectionReason",
     "SelectionTier",
+    "UpstreamCheck",
     "UpstreamChoice",
     "UpstreamLoad",
     "format_ip",
--- a/src/catkinspread/forwarding/decision_log.py
+++ b/src/catkinspread/forwarding/decision_log.py
@@ -7,7 +7,12 @@
 from catkinspread.deployment import DeploymentState, KnownUpstream
 from catkinspread.eventlog import EventLog
 from catkinspread.forwarding.flows import Flow
-from catkinspread.forwarding.packets import CallerPacket, FlowKey, RejectionReason
+from catkinspread.forwarding.packets import (
+    CallerPacket,
+    FlowKey,
+    RejectionReason,
+    ResetReason,
+)
 from catkinspread.forwarding.placement import UpstreamChoice
 
 _BYTE_MASK = 0xFF
@@ -123,6 +128,20 @@
         """Logs that a request timed out or its flow expired before it was answered."""
         self._write_request_end("request_abandoned", flow, now_ms, open=flow.is_established)
 
+    def log_reset(self, flow: Flow, reason: ResetReason, now_ms: int) -> None:
+        """Logs that an open flow is reset."""
+        self._events.write(
+            "flow_reset",
+            now_ms,
+            request=flow.request_id if flow.pending_since_ms is not None else "",
+            flow=format_flow(flow.key),
+            upstream=flow.upstream.record.name,
+            reason=reason.value,
+            idle_ms=now_ms - flow.last_packet_at_ms,
+            retransmissions=flow.retransmissions,
+            version=self._version(),
+        )
+
     def log_refusal(self, packet: CallerPacket, reason: RejectionReason, now_ms: int) -> None:
         """Logs that an opening packet is answered with a reset."""
         self._write_packet("flow_refused", packet, reason, now_ms)
--- a/src/catkinspread/forwarding/flows.py
+++ b/src/catkinspread/forwarding/flows.py
@@ -32,7 +32,8 @@
         last_attempt_at_ms: When the opening packet was last sent to an upstream.
         created_at_ms: When the first packet of the flow arrived at this instance.
         is_established: Whether an upstream has answered the opening packet.
-        is_closed: Whether the caller closed the flow.
+        is_closed: Whether the caller closed the flow, or this instance reset it.
+        is_reset: Whether this instance reset it.
         last_packet_at_ms: When the last packet arrived.
         pending_since_ms: Since when the upstream owes an answer: during the handshake to the
             opening packet, afterwards to a request. None if it owes none. The end of the
@@ -50,6 +51,7 @@
         "created_at_ms",
         "is_closed",
         "is_established",
+        "is_reset",
         "key",
         "last_attempt_at_ms",
         "last_packet_at_ms",
@@ -77,6 +79,7 @@
         self.created_at_ms = now_ms
         self.is_established = False
         self.is_closed = False
+        self.is_reset = False
         self.last_packet_at_ms = now_ms
         self.pending_since_ms: int | None = None
         self.acknowledged = 0
@@ -150,12 +153,15 @@
     makes a check due earlier adds a new entry. A change that makes it due later is detected when
     the existing entry is processed. The cost of expiry therefore depends on the number of due
     entries, not on the size of the table.
+
+    An index lists the flows that are open on each upstream: established and not closed.
     """
 
-    __slots__ = ("_flows", "_queue", "_queue_sequence")
+    __slots__ = ("_flows", "_open_by_upstream", "_queue", "_queue_sequence")
 
     def __init__(self) -> None:
         self._flows: dict[FlowKey, Flow] = {}
+        self._open_by_upstream: dict[str, set[Flow]] = {}
         self._queue: list[tuple[int, int, Flow]] = []
         self._queue_sequence = 0
 
@@ -168,9 +174,31 @@
 
     def add(self, flow: Flow) -> None:
         """Adds a flow and replaces an earlier one with the same key."""
+        previous = self._flows.get(flow.key)
+        if previous is not None:
+            self._remove_from_index(previous)
         self._flows[flow.key] = flow
         self._schedule(flow, flow.last_attempt_at_ms + HANDSHAKE_TIMEOUT_MS)
 
+    def mark_established(self, flow: Flow) -> None:
+        """Marks a flow as established on its current upstream, which it keeps."""
+        flow.is_established = True
+        name = flow.upstream.record.name
+        self._open_by_upstream.setdefault(name, set()).add(flow)
+
+    def mark_closed(self, flow: Flow) -> None:
+        """Marks a flow as closed; it stays in the table for CLOSED_RETENTION_MS."""
+        flow.is_closed = True
+        self._remove_from_index(flow)
+
+    def list_open_flows(self, upstream: KnownUpstream) -> list[Flow]:
+        """Returns the flows that are open on an upstream."""
+        return list(self._open_by_upstream.get(upstream.record.name, ()))
+
+    def has_open_flows(self, upstream: KnownUpstream) -> bool:
+        """Whether any flow is open on an upstream."""
+        return upstream.record.name in self._open_by_upstream
+
     def reschedule(self, flow: Flow, idle_timeout_ms: int) -> None:
         """Moves the check of a flow forward if a request or a close makes it due earlier."""
         check_at_ms = flow.compute_next_check_at_ms(idle_timeout_ms)
@@ -196,12 +224,22 @@
                 unanswered.append(flow)
             if is_expired:
                 del self._flows[flow.key]
+                self._remove_from_index(flow)
             else:
                 # The deadline of a request that is overdue now must not schedule the next check.
                 check_at_ms = flow.compute_next_check_at_ms(idle_timeout_ms, now_ms)
                 self._schedule(flow, max(now_ms + 1, check_at_ms))
         return unanswered
 
+    def _remove_from_index(self, flow: Flow) -> None:
+        name = flow.upstream.record.name
+        flows = self._open_by_upstream.get(name)
+        if flows is None:
+            return
+        flows.discard(flow)
+        if not flows:
+            del self._open_by_upstream[name]
+
     def _schedule(self, flow: Flow, check_at_ms: int) -> None:
         flow.next_check_at_ms = check_at_ms
         self._queue_sequence += 1
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -2,7 +2,8 @@
 
 An opening packet is sent to an upstream that the placement selects; later packets go to the
 upstream of their flow. If an upstream does not answer an opening packet within the handshake
-time-out, the instance sends the packet to another upstream before the caller retransmits it.
+time-out, the instance sends the packet to another upstream before the caller retransmits it. Flows
+of upstreams that no longer serve them are reset.
 """
 
 import collections
@@ -11,6 +12,7 @@
 
 from catkinspread.deployment import DeploymentState, KnownUpstream
 from catkinspread.forwarding.decision_log import DecisionLog
+from catkinspread.forwarding.flow_resets import FlowResetter, UpstreamCheck
 from catkinspread.forwarding.flows import Flow, FlowTable
 from catkinspread.forwarding.handshakes import HandshakeEstimator
 from catkinspread.forwarding.histogram import LatencyHistogram
@@ -18,7 +20,9 @@
 from catkinspread.forwarding.local_availability import LocalAvailability
 from catkinspread.forwarding.packets import CallerPacket, PacketOutput, RejectionReason
 from catkinspread.forwarding.placement import Placement
+from catkinspread.forwarding.reachability import ReachabilityTracker
 from catkinspread.forwarding.retry_budget import RetryBudget
+from catkinspread.forwarding.waiting import WaitTracker
 
 # Maximum number of upstreams that an opening packet and its retransmissions are sent to.
 ATTEMPTS_MAX = 4
@@ -66,8 +70,11 @@
             given_up: A caller closed or reset a flow whose upstream owed an answer.
             abandoned: A request timed out, or its flow expired before it was answered.
             refused_REASON: An opening packet was answered with a reset.
+            reset: An open flow was reset, because its upstream no longer serves it.
+            after_reset: A packet of a flow that was reset before was dropped.
             dropped_REASON: A packet was dropped.
         histograms: Latency histograms by name: `handshake` and `response`.
+        reachability: Tells which upstreams are unreachable.
     """
 
     __slots__ = (
@@ -79,12 +86,15 @@
         "_output",
         "_placement",
         "_read_request_id",
+        "_resetter",
         "_retries",
         "_retry_budget",
         "_retry_sequence",
         "_state",
+        "_waits",
         "counts",
         "histograms",
+        "reachability",
     )
 
     def __init__(
@@ -105,6 +115,11 @@
         self._log = log
         self._read_request_id = read_request_id
         self._flows = FlowTable()
+        self._waits = WaitTracker(loads)
+        self.reachability = ReachabilityTracker()
+        self._resetter = FlowResetter(
+            state, self._flows, self.reachability, self._waits, output, log
+        )
         self._handshakes = HandshakeEstimator()
         self._retry_budget = RetryBudget()
         self._retries: list[tuple[int, int, Flow, KnownUpstream]] = []
@@ -139,6 +154,7 @@
                 continue  # It was answered or sent to another upstream in the meantime.
             backoff_ms = self._loads.get(upstream.record.name).record_timeout(now_ms)
             self._log.log_open_timeout(flow, upstream, backoff_ms, now_ms)
+            self._record_unanswered(upstream, now_ms)
             if not self._retry_budget.try_spend():
                 self.counts["repeat_withheld"] += 1
                 continue  # The retransmission of the caller will go to another upstream.
@@ -154,10 +170,43 @@
     def expire_flows(self, now_ms: int) -> None:
         """Removes expired flows and ends requests that were not answered in time."""
         for flow in self._flows.remove_expired(now_ms, self._idle_timeout_ms):
-            self._stop_waiting(flow)
+            self._waits.stop(flow)
             self._log.log_request_timeout(flow, now_ms)
             self.counts["abandoned"] += 1
 
+    def take_due_checks(self, now_ms: int) -> list[UpstreamCheck]:
+        """Returns the checks of reachability to run now; see `FlowResetter`."""
+        return self._resetter.take_due_checks(now_ms)
+
+    def reset_flows_of_gone(self, upstream: KnownUpstream, now_ms: int) -> None:
+        """Resets the open flows of an upstream that is gone."""
+        self.counts["reset"] += self._resetter.reset_flows_of_gone(upstream, now_ms)
+
+    def reset_flows_of_unreachable(self, now_ms: int) -> list[KnownUpstream]:
+        """Resets the open flows of unreachable upstreams that others can take.
+
+        Returns:
+            The upstreams that count as unreachable since this call.
+        """
+        confirmed = self.reachability.confirm_unreachable()
+        for upstream in confirmed:
+            self._loads.get(upstream.record.name).record_timeout(now_ms)
+        self.counts["reset"] += self._resetter.reset_flows_of_unreachable(now_ms)
+        return confirmed
+
+    def record_unreachable_report(
+        self, upstream: KnownUpstream, since_ms: int, now_ms: int
+    ) -> None:
+        """Handles the report of another instance that an upstream is unreachable.
+
+        Args:
+            upstream: The upstream.
+            since_ms: Since when the other instance has had no answer.
+            now_ms: Current time.
+        """
+        if self._flows.has_open_flows(upstream):
+            self.reachability.record_report(upstream, since_ms, now_ms)
+
     @property
     def _idle_timeout_ms(self) -> int:
         configuration = self._state.configuration
@@ -186,13 +235,16 @@
         if isinstance(choice, RejectionReason):
             self._refuse(packet, choice, now_ms)
             return
+        replaced = self._flows.find(packet.key)
+        if replaced is not None:
+            self._waits.stop(replaced)
         flow = Flow(packet.key, route, choice.upstream, now_ms)
         flow.opening_sequence = packet.sequence
         flow.next_sequence = (packet.sequence + 1) % _SEQUENCE_MODULUS
         self._flows.add(flow)
         self.counts["opened"] += 1
         self._retry_budget.record_opening()
-        self._start_waiting(flow, now_ms)
+        self._waits.start(flow, now_ms)
         self._log.log_placement(flow, choice, packet.acknowledged, now_ms)
         self._send_opening_packet(flow, packet, choice.upstream, now_ms)
 
@@ -205,7 +257,7 @@
         reason = self._try_next_upstream(flow, packet, now_ms)
         # For any other reason, an upstream that was tried before may still answer.
         if reason is RejectionReason.NONE_ANSWERS:
-            self._stop_waiting(flow)
+            self._waits.stop(flow)
             self._refuse(packet, reason, now_ms)
 
     def _try_next_upstream(
@@ -224,10 +276,10 @@
         if isinstance(choice, RejectionReason):
             self.counts[f"no_other_upstream_{choice.value}"] += 1
             return choice
-        self._stop_waiting(flow)
+        self._waits.stop(flow)
         flow.route = route
         flow.upstream = choice.upstream
-        self._start_waiting(flow, now_ms)
+        self._waits.start(flow, now_ms)
         self.counts["retried"] += 1
         self._log.log_placement(flow, choice, packet.acknowledged, now_ms)
         self._send_opening_packet(flow, packet, choice.upstream, now_ms)
@@ -257,26 +309,26 @@
             # The route now leads to another service; the flow stays on its upstream.
             self.counts["kept_after_change"] += 1
         flow = Flow(packet.key, route, upstream, now_ms)
-        flow.is_established = True
         flow.acknowledged = packet.acknowledged
         flow.next_sequence = packet.sequence
         self._flows.add(flow)
+        self._flows.mark_established(flow)
         self.counts["adopted"] += 1
         self._log.log_adoption(flow, now_ms)
         self._handle_flow_packet(packet, flow, now_ms)
 
     def _handle_flow_packet(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
+        if flow.is_reset:
+            self.counts["after_reset"] += 1
+            return
         if not flow.is_established:
             self._establish(packet, flow, now_ms)
         flow.last_packet_at_ms = now_ms
-        if flow.pending_since_ms is not None and is_sequence_after(
-            packet.acknowledged, flow.acknowledged
-        ):
-            self._record_answer(flow, now_ms)
         if is_sequence_after(packet.acknowledged, flow.acknowledged):
-            flow.acknowledged = packet.acknowledged
-        if packet.payload_size_bytes:
-            self._process_data(packet, flow, now_ms)
+            self._process_acknowledgement(packet, flow, now_ms)
+        if packet.payload_size_bytes and self._process_data(packet, flow, now_ms):
+            self.counts["reset"] += 1
+            return
         if packet.is_close or packet.is_reset:
             self._close_flow(packet, flow, now_ms)
         self._output.forward(packet, flow.upstream)
@@ -295,62 +347,68 @@
             if self._loads.get(upstream.record.name).record_response(flow.last_attempt_at_ms):
                 self._log.log_recovery(flow, upstream, now_ms)
         else:
-            self._stop_waiting(flow)
+            self._waits.stop(flow)
             flow.upstream = upstream
-            self._start_waiting(flow, now_ms)
-        flow.is_established = True
+            self._waits.start(flow, now_ms)
+        self._flows.mark_established(flow)
+        self.reachability.record_answer(upstream.record.name, now_ms)
         flow.opening_packet = None
         flow.acknowledged = packet.acknowledged
+        self._waits.start(flow, now_ms)
         flow.pending_since_ms = now_ms
 
-    def _process_data(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
+    def _process_acknowledgement(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
+        """Handles an acknowledgement of data that the upstream sent."""
+        self.reachability.record_answer(flow.upstream.record.name, now_ms)
+        if flow.pending_since_ms is not None:
+            self._record_answer(flow, now_ms)
+        flow.acknowledged = packet.acknowledged
+
+    def _process_data(self, packet: CallerPacket, flow: Flow, now_ms: int) -> bool:
+        """Handles the data of a packet and returns whether it led to a reset of the flow."""
         end = (packet.sequence + packet.payload_size_bytes) % _SEQUENCE_MODULUS
         if not is_sequence_after(end, flow.next_sequence):
             flow.retransmissions += 1
             self.counts["retransmitted"] += 1
-            return
+            self._record_unanswered(flow.upstream, now_ms)
+            return self._resetter.reset_if_gone(flow, now_ms)
         flow.next_sequence = end
         if flow.pending_since_ms is None:
-            self._start_waiting(flow, now_ms)
+            self._waits.start(flow, now_ms)
         request_id = self._read_request_id(packet)
         if request_id:
             flow.request_id = request_id
             flow.pending_since_ms = now_ms
             self._log.log_request(flow, now_ms)
         self._flows.reschedule(flow, self._idle_timeout_ms)
+        return self._resetter.reset_if_unreachable(flow, now_ms)
+
+    def _record_unanswered(self, upstream: KnownUpstream, now_ms: int) -> None:
+        # Without an open flow there is nothing to reset, so the upstream need not be checked.
+        if self._flows.has_open_flows(upstream):
+            self.reachability.record_unanswered(upstream, now_ms)
 
     def _record_answer(self, flow: Flow, now_ms: int) -> None:
         response_ms = now_ms - (flow.pending_since_ms or now_ms)
         self._loads.get(flow.upstream.record.name).record_response_time(response_ms, now_ms)
         self.histograms["response"].add(response_ms)
-        self._stop_waiting(flow)
+        self._waits.stop(flow)
         self._log.log_answer(flow, response_ms, now_ms)
 
     def _close_flow(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
         if flow.is_closed:
             return
-        flow.is_closed = True
+        self._flows.mark_closed(flow)
         if flow.pending_since_ms is not None:
-            self._stop_waiting(flow)
+            self._waits.stop(flow)
             self._log.log_caller_close(flow, packet.is_reset, now_ms)
             self.counts["given_up"] += 1
         self._flows.reschedule(flow, self._idle_timeout_ms)
 
-    def _start_waiting(self, flow: Flow, now_ms: int) -> None:
-        if flow.pending_since_ms is None:
-            flow.pending_since_ms = now_ms
-            self._loads.get(flow.upstream.record.name).in_flight += 1
-
-    def _stop_waiting(self, flow: Flow) -> None:
-        if flow.pending_since_ms is not None:
-            flow.pending_since_ms = None
-            load = self._loads.get(flow.upstream.record.name)
-            load.in_flight = max(0, load.in_flight - 1)
-
     def _refuse(self, packet: CallerPacket, reason: RejectionReason, now_ms: int) -> None:
         self.counts[f"refused_{reason.value}"] += 1
         self._log.log_refusal(packet, reason, now_ms)
-        self._output.reset(packet)
+        self._output.reset(packet.key, 0)
 
     def _drop(self, packet: CallerPacket, reason: RejectionReason, now_ms: int) -> None:
         self.counts[f"dropped_{reason.value}"] += 1
--- a/src/catkinspread/forwarding/packets.py
+++ b/src/catkinspread/forwarding/packets.py
@@ -85,11 +85,26 @@
     UNKNOWN_TOKEN = "unknown_token"
 
 
+class ResetReason(enum.Enum):
+    """Why an established flow was reset."""
+
+    # The record of its upstream disappeared and was not written again in time.
+    UPSTREAM_GONE = "upstream_gone"
+    # Its upstream answers neither its flows nor connection attempts.
+    UPSTREAM_UNREACHABLE = "upstream_unreachable"
+
+
 class PacketOutput(Protocol):
     """Sends packets according to the forwarding decisions."""
 
     def forward(self, packet: CallerPacket, upstream: KnownUpstream) -> None:
         """Sends a packet to an upstream."""
 
-    def reset(self, packet: CallerPacket) -> None:
-        """Sends a reset to the caller of a packet."""
+    def reset(self, key: FlowKey, sequence: int) -> None:
+        """Sends a reset to the caller of a flow.
+
+        Args:
+            key: Key of the flow.
+            sequence: Sequence number of the reset: 0 before the flow is established, then the one
+                that the caller acknowledged last, so that the caller accepts the reset.
+        """
--- a/src/catkinspread/peers/__init__.py
+++ b/src/catkinspread/peers/__init__.py
@@ -11,6 +11,7 @@
     Member,
     MemberStatus,
     MessageError,
+    UnreachableReport,
     decode_message,
     encode_message,
 )
@@ -33,6 +34,7 @@
     "PeerSource",
     "SharedSource",
     "StateCache",
+    "UnreachableReport",
     "decode_message",
     "encode_message",
 ]
--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -25,8 +25,9 @@
 # Age at which a status is ignored: four times `exchange.HELLO_INTERVAL_MS`.
 STATUS_TIMEOUT_MS = 1_200
 # Time without a status from any instance of another data centre after which this instance counts as
-# partitioned: three times `exchange.HELLO_INTERVAL_MS`.
-REMOTE_TIMEOUT_MS = 900
+# partitioned: two lost hellos at the longest interval of `exchange.HELLO_INTERVAL_MS` with jitter,
+# and some latency.
+REMOTE_TIMEOUT_MS = 700
 # Age of the last answer of the source at which an instance is no longer used as a feeder and no
 # longer relies on its own access to the source.
 SOURCE_TIMEOUT_MS = 2_200
@@ -73,9 +74,6 @@
     Args:
         member: This instance.
         rng: Source of random choices.
-
-    Attributes:
-        is_polling_remote: Whether hellos go to feeders of other data centres in each round.
     """
 
     __slots__ = (
@@ -84,8 +82,8 @@
         "_needs_remote_feeder",
         "_peers",
         "_ranked_names",
+        "_remote_polling_since_ms",
         "_rng",
-        "is_polling_remote",
     )
 
     def __init__(self, member: Member, rng: random.Random) -> None:
@@ -95,23 +93,39 @@
         self._ranked_names: list[str] = [member.name]
         self._digest = 0
         self._needs_remote_feeder = False
-        self.is_polling_remote = False
+        self._remote_polling_since_ms: int | None = None
         self._update_ranking_and_digest()
 
+    @property
+    def is_polling_remote(self) -> bool:
+        """Whether hellos go to feeders of other data centres in each round."""
+        return self._remote_polling_since_ms is not None
+
+    def set_remote_polling(self, is_active: bool, now_ms: int) -> None:
+        """Starts or stops sending hellos to feeders of other data centres in each round."""
+        if not is_active:
+            self._remote_polling_since_ms = None
+        elif self._remote_polling_since_ms is None:
+            self._remote_polling_since_ms = now_ms
+
     def is_partitioned(self, now_ms: int) -> bool:
         """Whether no instance of another data centre answers while they are polled.
 
-        An instance that has learned of them only from local peers counts as partitioned until one
-        of them answers.
+        Statuses are rare before the polling starts, so their age counts from then on. An instance
+        that has learned of other data centres only from local peers counts as partitioned until an
+        instance of one of them answers.
         """
-        if not self.is_polling_remote:
-            return False
+        since_ms = self._remote_polling_since_ms
         times = [
             peer.status_at_ms
             for peer in self._peers.values()
             if peer.member.data_centre != self._member.data_centre
         ]
-        return bool(times) and now_ms - max(times) >= REMOTE_TIMEOUT_MS
+        if since_ms is None or not times:
+            return False
+        if not any(times):
+            return True
+        return now_ms - max(*times, since_ms) >= REMOTE_TIMEOUT_MS
 
     @property
     def digest(self) -> int:
@@ -134,6 +148,11 @@
             if peer.member.data_centre == self._member.data_centre
         ]
 
+    def choose_random_hosts(self, count: int) -> list[str]:
+        """Returns the addresses of up to `count` random instances of all data centres."""
+        peers = list(self._peers.values())
+        return [peer.member.host for peer in self._rng.sample(peers, min(count, len(peers)))]
+
     def apply_message(self, message: Hello | HelloReply, now_ms: int) -> None:
         """Applies the status of the sender and the listed members.
 
--- a/src/catkinspread/peers/exchange.py
+++ b/src/catkinspread/peers/exchange.py
@@ -17,6 +17,7 @@
     MemberStatus,
     MessageError,
     PeerMessage,
+    UnreachableReport,
     decode_message,
     encode_message,
 )
@@ -46,6 +47,8 @@
         directory: Receives the statuses and members of other instances.
         read_status: Returns the status of this instance.
         on_load_report: Called with each load report and the time of its arrival.
+        on_unreachable_report: Called with each report of an unreachable upstream and the time of
+            its arrival.
         clock: Source of the time.
         rng: Source of random choices.
 
@@ -58,6 +61,7 @@
         "_directory",
         "_member",
         "_on_load_report",
+        "_on_unreachable_report",
         "_port",
         "_random_peer_due_ms",
         "_read_status",
@@ -75,6 +79,7 @@
         directory: PeerDirectory,
         read_status: Callable[[], MemberStatus],
         on_load_report: Callable[[LoadReport, int], None],
+        on_unreachable_report: Callable[[UnreachableReport, int], None],
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -85,6 +90,7 @@
         self._directory = directory
         self._read_status = read_status
         self._on_load_report = on_load_report
+        self._on_unreachable_report = on_unreachable_report
         self._clock = clock
         self._rng = rng
         self._udp = UdpTransport(Endpoint(member.host, port), self._receive, clock)
@@ -142,8 +148,8 @@
             for host in hosts:
                 self._udp.send(datagram, Endpoint(host, self._port))
 
-    def send_load_report(self, report: LoadReport, hosts: list[str]) -> None:
-        """Sends a load report to the given addresses."""
+    def send_report(self, report: LoadReport | UnreachableReport, hosts: list[str]) -> None:
+        """Sends a report to the given addresses."""
         self._send(report, hosts)
 
     def _receive(self, datagram: bytes, sender: Endpoint) -> None:
@@ -159,6 +165,9 @@
         if isinstance(message, LoadReport):
             self._on_load_report(message, now_ms)
             return
+        if isinstance(message, UnreachableReport):
+            self._on_unreachable_report(message, now_ms)
+            return
         self._directory.apply_message(message, now_ms)
         if isinstance(message, Hello):
             digests_match = message.digest == self._directory.digest
--- a/src/catkinspread/peers/messages.py
+++ b/src/catkinspread/peers/messages.py
@@ -96,7 +96,21 @@
     in_flight: dict[int, int]
 
 
-PeerMessage = Hello | HelloReply | LoadReport
+class UnreachableReport(msgspec.Struct, frozen=True, tag="unreachable"):
+    """Tells that an upstream does not answer the sender.
+
+    Attributes:
+        sender: Name of the reporting instance.
+        token: `compute_token(name)` of the upstream.
+        unanswered_ms: Time in ms for which the upstream has not answered the sender.
+    """
+
+    sender: str
+    token: int
+    unanswered_ms: int
+
+
+PeerMessage = Hello | HelloReply | LoadReport | UnreachableReport
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
--- a/src/catkinspread/peers/shared_source.py
+++ b/src/catkinspread/peers/shared_source.py
@@ -30,7 +30,7 @@
 SOURCE_PROBE_KIND = StateKind.EVACUATIONS
 # At its start, an instance waits for a peer that has the state before it reads the source. Wait of
 # the first feeder of a data centre:
-FIRST_FEEDER_WAIT_MS = 120
+FIRST_FEEDER_WAIT_MS = 50
 # Wait of the first feeder at the first start of the whole deployment while no other instance is known.
 # It may be longer, because the first packets arrive only seconds after such a start.
 FIRST_START_WAIT_MS = 1_500
--- a/src/catkinspread/peers/state_cache.py
+++ b/src/catkinspread/peers/state_cache.py
@@ -59,11 +59,18 @@
         return all(cached.revision is not None for cached in self._cached.values())
 
     def put_listing(self, kind: StateKind, listing: StateChanges) -> None:
-        """Replaces all records of a kind and discards its history."""
+        """Replaces all records of a kind and discards its history.
+
+        A record that cannot be read keeps its previous value.
+        """
         cached = self._cached[kind]
-        cached.records = {
-            change.name: change.record for change in listing.changes if change.record is not None
-        }
+        previous = cached.records
+        cached.records = {}
+        for change in listing.changes:
+            if change.is_unreadable and change.name in previous:
+                cached.records[change.name] = previous[change.name]
+            elif change.record is not None:
+                cached.records[change.name] = change.record
         cached.revision = listing.revision
         cached.oldest_revision = listing.revision
         cached.history.clear()
@@ -73,6 +80,8 @@
         """Applies changes that follow the cached revision."""
         cached = self._cached[kind]
         for change in changes.changes:
+            if change.is_unreadable:
+                continue
             if change.record is None:
                 cached.records.pop(change.name, None)
             else:
--- a/src/catkinspread/peers/tests/test_shared_source.py
+++ b/src/catkinspread/peers/tests/test_shared_source.py
@@ -203,6 +203,17 @@
     assert changes.revision == 39
 
 
+def test_unreadable_record_keeps_its_previous_value_in_the_cache() -> None:
+    """Guards against a starting instance that lacks an upstream because of another writer."""
+    cache = StateCache()
+    cache.put_listing(KIND, StateChanges((StateChange("east", "east"),), 10))
+    unreadable = StateChanges((StateChange("east", None, is_unreadable=True),), 11)
+    cache.put_changes(KIND, unreadable)
+    assert cache.list_records(KIND).changes == (StateChange("east", "east"),)
+    cache.put_listing(KIND, unreadable)
+    assert cache.list_records(KIND).changes == (StateChange("east", "east"),)
+
+
 def test_starting_instances_are_spread_over_peers_with_state() -> None:
     """Guards against one instance that serves all others after a power failure."""
     first_choices = set()
--- a/src/catkinspread/platform/packet_port.py
+++ b/src/catkinspread/platform/packet_port.py
@@ -5,7 +5,7 @@
 
 from catkinspread.clock import Clock
 from catkinspread.deployment import KnownUpstream
-from catkinspread.forwarding import CallerPacket, format_ip
+from catkinspread.forwarding import CallerPacket, FlowKey, format_ip
 from catkinspread.model import Endpoint
 from catkinspread.platform.packets import (
     MalformedPacket,
@@ -54,10 +54,10 @@
         target = Endpoint(upstream.record.host, upstream.record.port)
         self._udp.send(encode_for_upstream(packet, upstream), target)
 
-    def reset(self, packet: CallerPacket) -> None:
-        """Tells the caller that the flow ends."""
-        caller = Endpoint(format_ip(packet.key.caller_ip), self._udp.endpoint.port)
-        self._udp.send(encode_reset(packet), caller)
+    def reset(self, key: FlowKey, sequence: int) -> None:
+        """Tells the caller that the flow ends; see `PacketOutput`."""
+        caller = Endpoint(format_ip(key.caller_ip), self._udp.endpoint.port)
+        self._udp.send(encode_reset(key, sequence), caller)
 
     def _receive(self, datagram: bytes, _: Endpoint) -> None:
         now_ms = self._clock.now_ms()
--- a/src/catkinspread/platform/packets.py
+++ b/src/catkinspread/platform/packets.py
@@ -73,14 +73,14 @@
     )
 
 
-def encode_reset(packet: CallerPacket) -> bytes:
+def encode_reset(key: FlowKey, sequence: int) -> bytes:
     """Returns the datagram that tells a caller that its flow ends.
 
-    Its sequence number is the one that the caller acknowledged last, which the caller accepts
-    on an open flow too.
+    Args:
+        key: Key of the flow.
+        sequence: On an open flow the caller accepts only a reset with a sequence number close to
+            the one that it acknowledged last.
     """
-    key = packet.key
-    sequence = 0 if packet.is_opening else packet.acknowledged
     return HEAD.pack(
         0,
         sequence,
--- a/src/catkinspread/platform/store.py
+++ b/src/catkinspread/platform/store.py
@@ -120,9 +120,11 @@
     if is_removed:
         return StateChange(name, None)
     try:
-        return StateChange(name, decode_record(kind, name, msgspec.json.decode(item.spec)))
+        # The content of an evacuation has no meaning; the object alone requests it.
+        spec = None if kind is StateKind.EVACUATIONS else msgspec.json.decode(item.spec)
+        return StateChange(name, decode_record(kind, name, spec))
     except (ObjectShapeError, msgspec.DecodeError) as error:
         logging.warning(
             "platform: object %s at revision %d is not used: %s", name, item.meta.revision, error
         )
-        return StateChange(name, None)
+        return StateChange(name, None, is_unreadable=True)
--- a/src/catkinspread/platform/tests/test_store.py
+++ b/src/catkinspread/platform/tests/test_store.py
@@ -72,6 +72,14 @@
     )
     listing = anyio.run(store.list_records, StateKind.UPSTREAMS)
     assert [change.record for change in listing.changes] == [None, None]
+    assert [change.is_unreadable for change in listing.changes] == [True, True]
+
+
+def test_evacuation_needs_no_content() -> None:
+    """Guards against an evacuation that is ignored because of what its object holds."""
+    store, _ = _client(_answer(200, {"items": [_object("east", "junk")], "at_rev": 5}))
+    listing = anyio.run(store.list_records, StateKind.EVACUATIONS)
+    assert listing.changes[0].record == "east"
 
 
 def test_reports_lost_history() -> None:
@@ -104,4 +112,5 @@
     store, _ = _client(_answer(200, {"events": [event], "at_rev": 8}))
     changes = anyio.run(store.wait_for_changes, StateKind.EVACUATIONS, 5, 100)
     assert changes.changes[0].record is None
+    assert not changes.changes[0].is_unreadable
     assert changes.revision == 8
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -40,6 +40,7 @@
     PeerSource,
     SharedSource,
     StateCache,
+    UnreachableReport,
 )
 from catkinspread.platform import PacketPort, ReadinessServer, StoreClient, read_request_id
 from catkinspread.runtime.isolation import IsolationCheck
@@ -47,6 +48,7 @@
 from catkinspread.runtime.metrics import METRICS_PORT, METRICS_REQUEST_MAX_BYTES, MetricsPage
 from catkinspread.runtime.reloader import SettingsReloader
 from catkinspread.runtime.settings import ForwardingSettings
+from catkinspread.runtime.upstream_checks import UpstreamChecker
 from catkinspread.transport.http_server import HttpServer
 
 # Minimum duration of a shutdown: routers remove an instance after two failed readiness checks,
@@ -70,6 +72,9 @@
 # Longest and shortest interval between two runs of the periodic tasks; each run costs processor time.
 LOOP_INTERVAL_MAX_MS = 40
 LOOP_INTERVAL_MIN_MS = 10
+# Recipients of the report of an unreachable upstream. Each of them reports it too once its own checks
+# fail, so the report reaches all instances in a few steps, whatever their number.
+UNREACHABLE_REPORT_RECIPIENTS = 8
 _MS_PER_S = 1_000
 
 
@@ -88,6 +93,7 @@
 
     __slots__ = (
         "_cache",
+        "_checker",
         "_clock",
         "_cold_start_limiter",
         "_direct_source_health",
@@ -146,6 +152,7 @@
         self._isolation = IsolationCheck(self._local_availability, self._directory, self._events)
         self._cold_start_limiter = ColdStartLimiter(instance_count=1, rng=self._rng)
         self._forwarder = self._build_forwarder()
+        self._checker = UpstreamChecker(self._forwarder.reachability.record_check, clock)
 
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then shuts down gracefully."""
@@ -158,6 +165,7 @@
             group.start_soon(readiness.run)
             group.start_soon(self._serve_feed)
             group.start_soon(self._serve_metrics)
+            group.start_soon(self._checker.run)
             group.start_soon(self._build_synchroniser(shared).run)
             group.start_soon(self._run_periodic_tasks, shared)
             await self._handle_signals_until_stop()
@@ -194,6 +202,7 @@
             self._directory,
             self._read_status,
             self._reporter.apply_report,
+            self._apply_unreachable_report,
             self._clock,
             self._rng,
         )
@@ -270,7 +279,9 @@
         while True:
             now_ms = self._clock.now_ms()
             self._forwarder.send_due_retries(now_ms)
+            self._check_upstreams(now_ms)
             self._send_load_report(now_ms)
+            self._isolation.update(now_ms)
             shared.update_feeder()
             if now_ms >= cleanup_due_ms:
                 self._run_cleanup(now_ms)
@@ -282,16 +293,38 @@
     def _send_load_report(self, now_ms: int) -> None:
         report = self._reporter.build_due_report(now_ms)
         if report is not None:
-            self._exchange.send_load_report(report, self._reporter.choose_recipients())
+            self._exchange.send_report(report, self._reporter.choose_recipients())
+
+    def _check_upstreams(self, now_ms: int) -> None:
+        """Requests the checks that are due and resets the flows of unreachable upstreams."""
+        reachability = self._forwarder.reachability
+        for check in self._forwarder.take_due_checks(now_ms):
+            self._checker.request(check)
+        for upstream in self._forwarder.reset_flows_of_unreachable(now_ms):
+            name = upstream.record.name
+            since_ms = reachability.find_unreachable_since_ms(name) or now_ms
+            self._events.write(
+                "upstream_unreachable", now_ms, name=name, unanswered_ms=now_ms - since_ms
+            )
+            report = UnreachableReport(self._member.name, upstream.token, now_ms - since_ms)
+            hosts = self._directory.choose_random_hosts(UNREACHABLE_REPORT_RECIPIENTS)
+            self._exchange.send_report(report, hosts)
+
+    def _apply_unreachable_report(self, report: UnreachableReport, now_ms: int) -> None:
+        upstream = self._state.find_upstream_by_token(report.token)
+        if upstream is not None:
+            since_ms = now_ms - report.unanswered_ms
+            self._forwarder.record_unreachable_report(upstream, since_ms, now_ms)
 
     def _run_cleanup(self, now_ms: int) -> None:
         self._forwarder.expire_flows(now_ms)
-        self._isolation.update(now_ms)
+        self._local_availability.update(now_ms)
         self._loads.expire_reports(now_ms)
-        for name in self._state.expire_upstreams(
+        for upstream in self._state.expire_upstreams(
             now_ms, self._synchroniser_health.available_since_ms
         ):
-            self._events.write("upstream_gone", now_ms, name=name)
+            self._events.write("upstream_gone", now_ms, name=upstream.record.name)
+            self._forwarder.reset_flows_of_gone(upstream, now_ms)
         for name in self._directory.expire_members(now_ms):
             self._events.write("instance_lost", now_ms, name=name)
         self._cold_start_limiter.instance_count = self._directory.count_members()
--- a/src/catkinspread/runtime/isolation.py
+++ b/src/catkinspread/runtime/isolation.py
@@ -34,10 +34,12 @@
         self.is_isolated = False
 
     def update(self, now_ms: int) -> None:
-        """Updates the state; polls other data centres only while the local one lacks upstreams."""
-        self._local_availability.update(now_ms)
+        """Updates the state; polls other data centres only while the local one lacks upstreams.
+
+        `LocalAvailability.update` is called separately, because it needs a longer interval.
+        """
         lacks_upstreams = self._local_availability.lacks_upstreams
-        self._directory.is_polling_remote = lacks_upstreams
+        self._directory.set_remote_polling(lacks_upstreams, now_ms)
         is_isolated = lacks_upstreams and self._directory.is_partitioned(now_ms)
         if is_isolated != self.is_isolated:
             self.is_isolated = is_isolated
--- a/src/catkinspread/runtime/tests/test_isolation.py
+++ b/src/catkinspread/runtime/tests/test_isolation.py
@@ -30,6 +30,7 @@
         self.directory.apply_message(Hello(status, 0), self.forwarding.now_ms)
 
     def update(self) -> bool:
+        self.forwarding.local_availability.update(self.forwarding.now_ms)
         self.check.update(self.forwarding.now_ms)
         return self.check.is_isolated
 
@@ -51,10 +52,21 @@
     assert harness.update() == is_isolated
 
 
+def test_old_status_does_not_isolate_when_an_evacuation_begins() -> None:
+    """Guards against leaving the rotation because other data centres were not polled before."""
+    harness = IsolationHarness()
+    harness.forwarding.clock.advance(REMOTE_TIMEOUT_MS)
+    harness.forwarding.state.set_evacuated("east", True)
+    assert not harness.update()
+    harness.forwarding.clock.advance(REMOTE_TIMEOUT_MS)
+    assert harness.update()
+
+
 def test_isolation_ends_with_the_first_remote_status_and_both_changes_are_logged() -> None:
     """Guards against an instance that stays out of the rotation after a partition has healed."""
     harness = IsolationHarness()
     harness.forwarding.state.set_evacuated("east", True)
+    harness.update()
     harness.forwarding.clock.advance(REMOTE_TIMEOUT_MS)
     assert harness.update()
     harness.receive_remote_status()
--- a/src/catkinspread/soak/callers.py
+++ b/src/catkinspread/soak/callers.py
@@ -311,5 +311,5 @@
         owner = self._register.owners.get(flow.ends)
         if packet.is_from_instance and owner is not None:
             detail = f"{flow.ends} of {owner.record.name} was reset by {sender.host}"
-            self._promises.break_promise("flow", self._clock.now_ms(), detail)
+            self._promises.judge_reset(owner.record.name, detail, self._clock.now_ms())
         flow.reset_by = sender.host
--- a/src/catkinspread/soak/promises.py
+++ b/src/catkinspread/soak/promises.py
@@ -106,6 +106,11 @@
         }
         self._versions.append(_Version(configuration, services))
 
+    def judge_reset(self, owner: str, detail: str, now_ms: int) -> None:
+        """Checks that an instance resets an open flow only if its upstream was disturbed."""
+        if self._calm.is_stable(now_ms, owner):
+            self.break_promise("flow", now_ms, detail)
+
     def judge_service(self, opening: Opening, service: str) -> None:
         """Checks that an opening packet may reach a service under some version that holds."""
         allowing = [
--- a/src/catkinspread/soak/tests/test_promises.py
+++ b/src/catkinspread/soak/tests/test_promises.py
@@ -63,6 +63,18 @@
     assert book.list_broken() == broken
 
 
+def test_reset_of_an_open_flow_needs_a_disturbed_upstream() -> None:
+    """Guards against resets of flows whose upstream serves them, which go unnoticed."""
+    book = Book()
+    book.calm.begin("i-1")
+    book.promises.judge_reset("i-1", "", START_MS)
+    book.calm.end("i-1", START_MS)
+    book.promises.judge_reset("i-1", "", START_MS + STABLE_MS - 1)
+    assert book.list_broken() == []
+    book.promises.judge_reset("i-1", "", START_MS + STABLE_MS)
+    assert book.list_broken() == ["flow"]
+
+
 def test_disturbed_instance_has_its_bound_later() -> None:
     """Guards against alarms about an instance that has just returned."""
     book = Book()
--- a/src/catkinspread/soak/upstreams.py
+++ b/src/catkinspread/soak/upstreams.py
@@ -30,6 +30,7 @@
 _RETRANSMISSIONS = 8
 _MS_PER_S = 1_000
 _SEQUENCE_MODULUS = 1 << 32
+_LISTEN_CHECK_MS = 10
 
 
 class FlowRegister:
@@ -251,6 +252,10 @@
         self._host.send(answer)
 
 
+async def _close_connection(stream: anyio.abc.SocketStream) -> None:
+    await stream.aclose()
+
+
 class UpstreamHost:
     """A host that runs one upstream at a time.
 
@@ -312,8 +317,30 @@
         """Serves until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
+            group.start_soon(self._accept_connections)
             await self._udp.run(task_status=task_status)
 
+    async def _accept_connections(self) -> None:
+        """Accepts connections while an upstream runs here and the host is not silent.
+
+        Otherwise connections are refused; a dark host would leave them unanswered.
+        """
+        while True:
+            await self._wait_until_listening(True)
+            async with (
+                await anyio.create_tcp_listener(
+                    local_host=self.endpoint.host, local_port=PACKET_PORT
+                ) as listener,
+                anyio.create_task_group() as group,
+            ):
+                group.start_soon(listener.serve, _close_connection)
+                await self._wait_until_listening(False)
+                group.cancel_scope.cancel()
+
+    async def _wait_until_listening(self, is_listening: bool) -> None:
+        while (self.upstream is not None and not self.is_silent) != is_listening:
+            await anyio.sleep(_LISTEN_CHECK_MS / _MS_PER_S)
+
     def start_task(self, work: Callable[..., object], *arguments: object) -> None:
         """Runs a coroutine of the upstream in the background."""
         if self._group is not None:
