Log the steps of a start, the traffic by purpose and the calls to the source; follow a restart after a clock step

The window after a loss of power, the bytes between data centres and the calls to the source could not be explained from the logs of an instance. And an instance that restarts after its wall clock was set back has a lower start time, so that others kept the address of its earlier process (shown by the new test, which fails without the change): its own word counts now, gossip as before. Lines state_complete, first_packet and traffic; loading_ms in started; counters of bytes by purpose.

--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -78,6 +78,7 @@
 
     __slots__ = (
         "_digest",
+        "_local_hosts",
         "_member",
         "_needs_remote_feeder",
         "_peers",
@@ -92,6 +93,7 @@
         self._peers: dict[str, _PeerRecord] = {}
         self._ranked_names: list[str] = [member.name]
         self._digest = 0
+        self._local_hosts: frozenset[str] = frozenset()
         self._needs_remote_feeder = False
         self._remote_polling_since_ms: int | None = None
         self._update_ranking_and_digest()
@@ -140,6 +142,10 @@
         """Returns the number of members, including this instance."""
         return len(self._peers) + 1
 
+    def is_remote_host(self, host: str) -> bool:
+        """Whether an address belongs to another data centre; also if it is not known."""
+        return host not in self._local_hosts
+
     def list_local_peers(self) -> list[Member]:
         """Returns the other instances of this data centre."""
         return [
@@ -163,6 +169,8 @@
         if status.member.name == self._member.name:
             return
         peer = self._record_peer(status.member, now_ms)
+        # The sender knows best; its wall clock may have been set back before it restarted.
+        peer.member = status.member
         peer.status = status
         peer.status_at_ms = now_ms
         if peer.is_unresponsive:
@@ -354,10 +362,10 @@
             self._update_ranking_and_digest()
 
     def _update_ranking_and_digest(self) -> None:
+        local_members = self.list_local_peers()
+        self._local_hosts = frozenset(member.host for member in local_members)
         responsive_names = [
-            member.name
-            for member in self.list_local_peers()
-            if not self._peers[member.name].is_unresponsive
+            member.name for member in local_members if not self._peers[member.name].is_unresponsive
         ]
         self._ranked_names = rank_by_rendezvous(_RANK_KEY, [*responsive_names, self._member.name])
         names = sorted([*self._peers, self._member.name])
--- a/src/catkinspread/peers/exchange.py
+++ b/src/catkinspread/peers/exchange.py
@@ -21,6 +21,7 @@
     decode_message,
     encode_message,
 )
+from catkinspread.transport.traffic import TrafficKind, TrafficMeter
 from catkinspread.transport.udp import UdpTransport
 
 HELLO_INTERVAL_MS = 300
@@ -49,6 +50,7 @@
         on_load_report: Called with each load report and the time of its arrival.
         on_unreachable_report: Called with each report of an unreachable upstream and the time of
             its arrival.
+        traffic: Counts the bytes sent.
         clock: Source of the time.
         rng: Source of random choices.
 
@@ -67,6 +69,7 @@
         "_read_status",
         "_rng",
         "_seeds",
+        "_traffic",
         "_udp",
         "malformed_count",
     )
@@ -80,6 +83,7 @@
         read_status: Callable[[], MemberStatus],
         on_load_report: Callable[[LoadReport, int], None],
         on_unreachable_report: Callable[[UnreachableReport, int], None],
+        traffic: TrafficMeter,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -90,6 +94,7 @@
         self._directory = directory
         self._read_status = read_status
         self._on_load_report = on_load_report
+        self._traffic = traffic
         self._on_unreachable_report = on_unreachable_report
         self._clock = clock
         self._rng = rng
@@ -145,7 +150,10 @@
     def _send(self, message: PeerMessage, hosts: list[str]) -> None:
         if hosts:
             datagram = encode_message(message)
+            is_report = isinstance(message, LoadReport | UnreachableReport)
+            kind = TrafficKind.REPORTS if is_report else TrafficKind.MEMBERSHIP
             for host in hosts:
+                self._traffic.record(kind, self._directory.is_remote_host(host), len(datagram))
                 self._udp.send(datagram, Endpoint(host, self._port))
 
     def send_report(self, report: LoadReport | UnreachableReport, hosts: list[str]) -> None:
@@ -174,5 +182,4 @@
             members: tuple[KnownMember, ...] = ()
             if message.members or not digests_match:
                 members = self._directory.list_known_members(now_ms, is_sample=digests_match)
-            reply = HelloReply(self._read_status(), members)
-            self._udp.send(encode_message(reply), Endpoint(sender.host, self._port))
+            self._send(HelloReply(self._read_status(), members), [sender.host])
--- a/src/catkinspread/peers/feed.py
+++ b/src/catkinspread/peers/feed.py
@@ -1,5 +1,6 @@
 """Server and client for the deployment records that a feeder serves over HTTP."""
 
+from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
 
 from catkinspread.deployment import (
@@ -87,13 +88,17 @@
     Args:
         client: HTTP client.
         endpoint: Address of the feed server of the other instance.
+        on_received: Called with the size in bytes of each response.
     """
 
-    __slots__ = ("_client", "_endpoint")
+    __slots__ = ("_client", "_endpoint", "_on_received")
 
-    def __init__(self, client: HttpClient, endpoint: Endpoint) -> None:
+    def __init__(
+        self, client: HttpClient, endpoint: Endpoint, on_received: Callable[[int], None]
+    ) -> None:
         self._client = client
         self._endpoint = endpoint
+        self._on_received = on_received
 
     async def list_records(self, kind: StateKind) -> StateChanges:
         """Returns all records of a kind; see `StateSource`."""
@@ -111,6 +116,7 @@
             response = await self._client.get(
                 self._endpoint, _PATH_PREFIX + kind.value, query, _RESPONSE_TIMEOUT_MS, timeout_ms
             )
+            self._on_received(len(response.body))
             if response.status == _GONE:
                 raise HistoryLost(
                     f"peer {self._endpoint} no longer holds changes of {kind.value} "
--- a/src/catkinspread/peers/tests/test_directory.py
+++ b/src/catkinspread/peers/tests/test_directory.py
@@ -123,6 +123,16 @@
     assert not directory.list_peers_with_state(1_010)
 
 
+def test_restart_after_the_wall_clock_was_set_back_is_followed() -> None:
+    """Guards against messages to an address that a restarted instance no longer has."""
+    directory = PeerDirectory(Member("me", "east", "10.0.0.1", 1), random.Random(1))
+    old = Member("other", "east", "10.0.0.2", 5_000_000)
+    new = Member("other", "east", "10.0.0.9", 2_600_000)
+    directory.apply_message(Hello(_status(old), 0), 1_000)
+    directory.apply_message(Hello(_status(new), 0), 2_000)
+    assert directory.list_local_peers() == [new]
+
+
 def test_partitioned_while_no_polled_data_centre_answers() -> None:
     """Guards against a partition reported without polling, or reported after it has healed."""
     directory = PeerDirectory(Member("me", "east", "10.0.0.1", 1), random.Random(1))
--- a/src/catkinspread/platform/packet_port.py
+++ b/src/catkinspread/platform/packet_port.py
@@ -13,6 +13,7 @@
     encode_for_upstream,
     encode_reset,
 )
+from catkinspread.transport.traffic import TrafficKind, TrafficMeter
 from catkinspread.transport.udp import UdpTransport
 
 
@@ -24,22 +25,36 @@
         handle: Called with each packet and the time.
         clock: Source of the time.
         opened: A socket that is bound to the endpoint already; None to open one.
+        data_centre: Data centre of this instance.
+        traffic: Counts the bytes sent to upstreams.
 
     Attributes:
         malformed_count: Datagrams that were not packets.
         last_packet_at_ms: When the last packet arrived.
     """
 
-    __slots__ = ("_clock", "_handle", "_udp", "last_packet_at_ms", "malformed_count")
+    __slots__ = (
+        "_clock",
+        "_data_centre",
+        "_handle",
+        "_traffic",
+        "_udp",
+        "last_packet_at_ms",
+        "malformed_count",
+    )
 
     def __init__(
         self,
         endpoint: Endpoint,
         handle: Callable[[CallerPacket, int], None],
         clock: Clock,
-        opened: socket.socket | None = None,
+        opened: socket.socket | None,
+        data_centre: str,
+        traffic: TrafficMeter,
     ) -> None:
         self._udp = UdpTransport(endpoint, self._receive, clock, opened)
+        self._data_centre = data_centre
+        self._traffic = traffic
         self._handle = handle
         self._clock = clock
         self.malformed_count = 0
@@ -51,8 +66,11 @@
 
     def forward(self, packet: CallerPacket, upstream: KnownUpstream) -> None:
         """Sends a packet to an upstream."""
-        target = Endpoint(upstream.record.host, upstream.record.port)
-        self._udp.send(encode_for_upstream(packet, upstream), target)
+        record = upstream.record
+        datagram = encode_for_upstream(packet, upstream)
+        is_remote = record.data_centre != self._data_centre
+        self._traffic.record(TrafficKind.PACKETS, is_remote, len(datagram))
+        self._udp.send(datagram, Endpoint(record.host, record.port))
 
     def reset(self, key: FlowKey, sequence: int) -> None:
         """Tells the caller that the flow ends; see `PacketOutput`."""
--- a/src/catkinspread/platform/store.py
+++ b/src/catkinspread/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's metadata store."""
 
+import collections
 from typing import TypeVar
 
 import msgspec
@@ -59,13 +60,17 @@
     Args:
         client: Makes the calls.
         endpoint: Address of the store.
+
+    Attributes:
+        call_counts: Number of calls by `list_KIND` and `watch_KIND`.
     """
 
-    __slots__ = ("_client", "_endpoint")
+    __slots__ = ("_client", "_endpoint", "call_counts")
 
     def __init__(self, client: HttpClient, endpoint: Endpoint) -> None:
         self._client = client
         self._endpoint = endpoint
+        self.call_counts: collections.Counter[str] = collections.Counter()
 
     async def list_records(self, kind: StateKind) -> StateChanges:
         """Returns all records of a kind; see `StateSource`."""
@@ -95,6 +100,7 @@
 
     async def _call(self, kind: StateKind, parameters: dict[str, str], timeout_ms: int) -> bytes:
         path = BASE_PATH + KIND_PATHS[kind]
+        self.call_counts[f"{'watch' if 'watch' in parameters else 'list'}_{kind.value}"] += 1
         try:
             result = await self._client.get(
                 self._endpoint, path, parameters, CONNECT_TIMEOUT_MS, timeout_ms
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -48,8 +48,10 @@
 from catkinspread.runtime.metrics import METRICS_PORT, METRICS_REQUEST_MAX_BYTES, MetricsPage
 from catkinspread.runtime.reloader import SettingsReloader
 from catkinspread.runtime.settings import ForwardingSettings
+from catkinspread.runtime.startup_times import StartupTimes
 from catkinspread.runtime.upstream_checks import UpstreamChecker
 from catkinspread.transport.http_server import HttpServer
+from catkinspread.transport.traffic import TrafficKind, TrafficMeter
 
 # Minimum duration of a shutdown: routers remove an instance after two failed readiness checks,
 # which run every 500 ms.
@@ -60,6 +62,8 @@
 SHUTDOWN_MARGIN_MS = 800
 SHUTDOWN_POLL_INTERVAL_MS = 40
 CLEANUP_INTERVAL_MS = 500
+# Interval between the lines with the traffic and the calls to the source so far.
+TRAFFIC_LOG_INTERVAL_MS = 10_000
 # Longest time that packets are queued in the socket while the deployment state is incomplete;
 # callers give up opening a flow after 1.4 s.
 INITIAL_STATE_WAIT_MS = 1_000
@@ -89,6 +93,7 @@
         clock: Source of the time.
         sink: Destination of the log lines.
         packet_socket: UDP socket bound to `settings.packet_address`; None to open one.
+        startup: Times of the startup; None if it begins now.
     """
 
     __slots__ = (
@@ -111,8 +116,10 @@
         "_reporter",
         "_rng",
         "_settings",
+        "_startup",
         "_state",
         "_synchroniser_health",
+        "_traffic",
     )
 
     def __init__(
@@ -122,9 +129,11 @@
         clock: Clock,
         sink: LineSink,
         packet_socket: socket.socket | None = None,
+        startup: StartupTimes | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock
+        self._startup = startup or StartupTimes(clock.now_ms())
         self._rng = random.Random()
         self._events = EventLog(settings.name, sink, clock)
         self._state = DeploymentState(settings.flow_lifetime_max_ms)
@@ -134,6 +143,7 @@
         self._direct_source_health = SourceHealth()
         self._cache = StateCache()
         self._loads = LoadTracker()
+        self._traffic = TrafficMeter()
         self._is_leaving = False
         self._local_availability = LocalAvailability(settings.data_centre, self._state)
         host = settings.packet_address.host
@@ -143,7 +153,12 @@
             self._member, self._state, self._loads, self._directory, self._rng
         )
         self._packet_port = PacketPort(
-            settings.packet_address, self._handle_packet, clock, packet_socket
+            settings.packet_address,
+            self._handle_packet,
+            clock,
+            packet_socket,
+            settings.data_centre,
+            self._traffic,
         )
         self._exchange = self._build_exchange()
         self._reloader = SettingsReloader(
@@ -156,9 +171,12 @@
 
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then shuts down gracefully."""
-        self._events.write_always("started", self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        loading_ms = now_ms - self._startup.opened_at_ms
+        self._events.write_always("started", now_ms, loading_ms=loading_ms)
         async with HttpClient() as client, anyio.create_task_group() as group:
-            shared = self._build_shared_source(client)
+            store = StoreClient(client, self._settings.source_address)
+            shared = self._build_shared_source(client, store)
             group.start_soon(self._exchange.run)
             group.start_soon(self._run_packet_port)
             readiness = ReadinessServer(self._settings.readiness_address, self._is_ready)
@@ -166,6 +184,7 @@
             group.start_soon(self._serve_feed)
             group.start_soon(self._serve_metrics)
             group.start_soon(self._checker.run)
+            group.start_soon(self._log_traffic, store)
             group.start_soon(self._build_synchroniser(shared).run)
             group.start_soon(self._run_periodic_tasks, shared)
             await self._handle_signals_until_stop()
@@ -203,16 +222,23 @@
             self._read_status,
             self._reporter.apply_report,
             self._apply_unreachable_report,
+            self._traffic,
             self._clock,
             self._rng,
         )
 
-    def _build_shared_source(self, client: HttpClient) -> SharedSource:
+    def _build_shared_source(self, client: HttpClient, store: StoreClient) -> SharedSource:
         def open_peer_source(member: Member) -> PeerSource:
-            return PeerSource(client, Endpoint(member.host, self._settings.peer_port))
+            is_remote = member.data_centre != self._settings.data_centre
+
+            def record_bytes(size_bytes: int) -> None:
+                self._traffic.record(TrafficKind.STATE, is_remote, size_bytes)
+
+            endpoint = Endpoint(member.host, self._settings.peer_port)
+            return PeerSource(client, endpoint, record_bytes)
 
         return SharedSource(
-            StoreClient(client, self._settings.source_address),
+            store,
             open_peer_source,
             self._directory,
             self._cache,
@@ -235,6 +261,7 @@
         )
 
     def _handle_packet(self, packet: CallerPacket, now_ms: int) -> None:
+        self._startup.record_packet(self._events, now_ms)
         self._forwarder.handle(packet, now_ms)
 
     def _is_ready(self) -> bool:
@@ -260,6 +287,7 @@
     def _read_counts(self) -> dict[str, int]:
         return {
             **self._forwarder.counts,
+            **{f"bytes_{name}": count for name, count in self._traffic.bytes_by_name.items()},
             "malformed_packet": self._packet_port.malformed_count,
             "malformed_message": self._exchange.malformed_count,
             "dropped_log_line": self._events.dropped_count,
@@ -329,11 +357,23 @@
             self._events.write("instance_lost", now_ms, name=name)
         self._cold_start_limiter.instance_count = self._directory.count_members()
 
+    async def _log_traffic(self, store: StoreClient) -> None:
+        """Logs the bytes sent and the calls to the source so far at regular intervals."""
+        while True:
+            await anyio.sleep(TRAFFIC_LOG_INTERVAL_MS / _MS_PER_S)
+            self._events.write(
+                "traffic",
+                self._clock.now_ms(),
+                bytes=self._traffic.bytes_by_name,
+                source_calls=store.call_counts,
+            )
+
     async def _run_packet_port(self) -> None:
         """Serves the packet socket once the state is complete, or after a time-out without it."""
         with anyio.move_on_after(INITIAL_STATE_WAIT_MS / _MS_PER_S):
             while not self._state.is_complete:
                 await anyio.sleep(INITIAL_STATE_POLL_INTERVAL_MS / _MS_PER_S)
+            self._startup.record_state(self._events, self._clock.now_ms())
         await self._packet_port.run()
 
     async def _handle_signals_until_stop(self) -> None:
--- a/src/catkinspread/runtime/main.py
+++ b/src/catkinspread/runtime/main.py
@@ -6,12 +6,14 @@
 
 import socket
 import sys
+import time
 
 from catkinspread.ini import SettingsError
 from catkinspread.platform import SettingsFileUnknown, find_settings_file
 from catkinspread.runtime.settings import ForwardingSettings, read_forwarding_settings
 from catkinspread.sockets import open_udp_socket
 
+_NANOSECONDS_PER_MS = 1_000_000
 EXIT_OK = 0
 EXIT_STARTUP_FAILED = 2
 
@@ -32,7 +34,7 @@
     except OSError as error:
         print(f"cannot open packet socket {settings.packet_address}: {error}", file=sys.stderr)
         return EXIT_STARTUP_FAILED
-    _run(settings, packet_socket)
+    _run(settings, packet_socket, time.monotonic_ns())
     return EXIT_OK
 
 
@@ -46,15 +48,19 @@
     return read_forwarding_settings(find_settings_file())
 
 
-def _run(settings: ForwardingSettings, packet_socket: socket.socket) -> None:
+def _run(settings: ForwardingSettings, packet_socket: socket.socket, opened_at_ns: int) -> None:
     # Imported here because the socket must be open first.
     import anyio
 
     from catkinspread.clock import SystemClock
     from catkinspread.eventlog import FileDescriptorSink
     from catkinspread.runtime.instance import ForwardingInstance
+    from catkinspread.runtime.startup_times import StartupTimes
 
+    clock = SystemClock()
+    loading_ms = (time.monotonic_ns() - opened_at_ns) // _NANOSECONDS_PER_MS
+    startup = StartupTimes(clock.now_ms() - loading_ms)
     instance = ForwardingInstance(
-        settings, read_settings, SystemClock(), FileDescriptorSink(), packet_socket
+        settings, read_settings, clock, FileDescriptorSink(), packet_socket, startup
     )
     anyio.run(instance.run)
