Bound the cost of membership for each instance and for the links between data centres

Read and computed: any hello whose sender knew other members than the receiver was answered with 64 members, 6.3 KB. In a large fleet digests hardly ever agree, and each instance polls three feeders every 300 ms, so a feeder with 48 followers would send about 1 MB/s on links of 10 to 100 Mbit/s, and an instance that polls remote feeders would draw 63 KB/s from other data centres. Random peers were chosen in all data centres alike: 35 remote exchanges a second for 39 instances. Polls are answered with the status alone; gossip with a sample of 32 and the newest 6; an instance that starts is told the first 8 of its data centre in rendezvous order, among which the feeders are, and the 16 heard last. All instances of a data centre together make about four exchanges with others a second. Messages above 256 bytes are compressed (32 members: 712 bytes). Feeders that are not in use are polled every third round. Ruled out by a simulation of 200 instances in 5 data centres: samples of 10 (57 to 2,459 live instances forgotten, also when chosen among the freshest, and 3 to 111 with unlimited remote exchanges); 24 (5 to 14); 32: none, at 640 in 8 data centres none either.

--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -4,7 +4,8 @@
 feeders of a data centre are its first responsive instances in rendezvous order; a follower is an
 instance that is not a feeder. Each instance exchanges statuses with the feeders and, through gossip,
 with a few random instances from which it learns of all others, so the cost per instance does not
-grow with the number of instances.
+grow with the number of instances. Most random instances are chosen in the own data centre, so that
+the cost of the links between data centres does not grow with the number of instances either.
 """
 
 import random
@@ -39,26 +40,38 @@
 MEMBER_TIMEOUT_PER_MEMBER_MS = 250
 # Members in a random sample; samples carry the times at which members were last heard from to
 # instances that never exchange messages with these members directly.
-SAMPLE_MEMBERS_MAX = 10
-# Maximum number of members in one message, which is sent as a single datagram.
-LISTED_MEMBERS_MAX = 64
+SAMPLE_MEMBERS_MAX = 32
+# Members that were added last, which are listed in addition to a sample if the digests differ.
+NEWEST_MEMBERS_MAX = 6
+# An instance that starts is told the first members of its data centre in rendezvous order, among which
+# the feeders are, and the members that were heard from last.
+RANKED_MEMBERS_MAX = 8
+RECENT_MEMBERS_MAX = 16
+# Target for the exchanges of all instances of a data centre with random ones of others, per second.
+# Small data centres do not reach it, because their instances choose among all members alike.
+REMOTE_EXCHANGES_PER_S = 4.0
+# Interval at which an instance chooses a random peer, in ms.
+RANDOM_PEER_INTERVAL_MS = 900
 _RANK_KEY = "feeders"
+_MS_PER_S = 1_000
 
 
 class _PeerRecord:
     """State of one other instance."""
 
     __slots__ = (
-        "last_heard_at_ms",
+        "added_at_ms",
         "is_unresponsive",
+        "last_heard_at_ms",
         "member",
         "polled_since_ms",
         "status",
         "status_at_ms",
     )
 
-    def __init__(self, member: Member, last_heard_at_ms: int) -> None:
+    def __init__(self, member: Member, last_heard_at_ms: int, now_ms: int) -> None:
         self.member = member
+        self.added_at_ms = now_ms
         self.polled_since_ms: int | None = None
         self.is_unresponsive = False
         self.last_heard_at_ms = last_heard_at_ms
@@ -78,6 +91,7 @@
 
     __slots__ = (
         "_digest",
+        "_feeder_name",
         "_local_hosts",
         "_member",
         "_needs_remote_feeder",
@@ -95,6 +109,8 @@
         self._digest = 0
         self._local_hosts: frozenset[str] = frozenset()
         self._needs_remote_feeder = False
+        # Name of the feeder that was selected last; empty if there was none.
+        self._feeder_name = ""
         self._remote_polling_since_ms: int | None = None
         self._update_ranking_and_digest()
 
@@ -168,7 +184,7 @@
         status = message.status
         if status.member.name == self._member.name:
             return
-        peer = self._record_peer(status.member, now_ms)
+        peer = self._record_peer(status.member, now_ms, now_ms)
         # The sender knows best; its wall clock may have been set back before it restarted.
         peer.member = status.member
         peer.status = status
@@ -178,23 +194,45 @@
             self._update_ranking_and_digest()
         for known in message.members:
             if known.member.name != self._member.name and known.age_ms < self._timeout_ms:
-                self._record_peer(known.member, now_ms - known.age_ms)
+                self._record_peer(known.member, now_ms - known.age_ms, now_ms)
 
-    def list_known_members(self, now_ms: int, is_sample: bool) -> tuple[KnownMember, ...]:
-        """Returns members to include in a message, with the time since they were last heard from.
+    def sample_members(self, now_ms: int) -> tuple[KnownMember, ...]:
+        """Returns a random sample of the members, to include in a hello."""
+        return self._describe(self._sample_peers(), now_ms)
 
-        Args:
-            now_ms: Current time.
-            is_sample: Whether to return a random sample; otherwise the most recently heard members.
+    def list_members_for_reply(self, hello: Hello, now_ms: int) -> tuple[KnownMember, ...]:
+        """Returns the members to include in the reply to a hello.
+
+        An instance without the state has just started and is told whom to read it from. A hello
+        with members is gossip and is answered with a sample. Any other one only polls the status.
         """
+        if not hello.status.has_state:
+            return self._list_members_for_start(hello.status.member.data_centre, now_ms)
+        if not hello.members:
+            return ()
+        peers = self._sample_peers()
+        if hello.digest != self._digest:
+            newest = sorted(self._peers.values(), key=lambda peer: -peer.added_at_ms)
+            peers.extend(peer for peer in newest[:NEWEST_MEMBERS_MAX] if peer not in peers)
+        return self._describe(peers, now_ms)
+
+    def _list_members_for_start(self, data_centre: str, now_ms: int) -> tuple[KnownMember, ...]:
+        local_names = [
+            name for name, peer in self._peers.items() if peer.member.data_centre == data_centre
+        ]
+        ranked = rank_by_rendezvous(_RANK_KEY, local_names)[:RANKED_MEMBERS_MAX]
+        peers = [self._peers[name] for name in ranked]
+        recent = sorted(self._peers.values(), key=lambda peer: -peer.last_heard_at_ms)
+        peers.extend(peer for peer in recent[:RECENT_MEMBERS_MAX] if peer not in peers)
+        return self._describe(peers, now_ms)
+
+    def _sample_peers(self) -> list[_PeerRecord]:
         peers = list(self._peers.values())
-        if is_sample:
-            peers = self._rng.sample(peers, min(SAMPLE_MEMBERS_MAX, len(peers)))
-        else:
-            peers.sort(key=lambda found: -found.last_heard_at_ms)
+        return self._rng.sample(peers, min(SAMPLE_MEMBERS_MAX, len(peers)))
+
+    def _describe(self, peers: list[_PeerRecord], now_ms: int) -> tuple[KnownMember, ...]:
         return tuple(
-            KnownMember(peer.member, max(0, now_ms - peer.last_heard_at_ms))
-            for peer in peers[:LISTED_MEMBERS_MAX]
+            KnownMember(peer.member, max(0, now_ms - peer.last_heard_at_ms)) for peer in peers
         )
 
     def expire_members(self, now_ms: int) -> list[str]:
@@ -214,29 +252,41 @@
             self._update_ranking_and_digest()
         return lost
 
-    def list_feeders_to_poll(self) -> list[Member]:
-        """Returns the feeders that receive a hello in each round, excluding this instance.
+    def list_feeders_to_poll(self, include_standby: bool = True) -> list[Member]:
+        """Returns the feeders that receive a hello in a round, excluding this instance.
 
         Feeders of other data centres are included if `is_polling_remote` is set, or if the last
         call of `select_feeder` found neither a local feeder nor access to the source.
+
+        Args:
+            include_standby: Whether to include the other local feeders if that call selected one.
         """
         names = [
             name
             for name in self._ranked_names[:FEEDERS_PER_DATA_CENTRE]
-            if name != self._member.name
+            if name != self._member.name and (include_standby or self._feeder_name in ("", name))
         ]
         if self._needs_remote_feeder or self.is_polling_remote:
             names.extend(self._list_remote_feeders())
         return [self._peers[name].member for name in names]
 
     def choose_random_peer(self) -> Member | None:
-        """Returns a random peer that is not a local feeder; None if there is none."""
-        others = [
-            peer.member
-            for name, peer in self._peers.items()
-            if name not in self._ranked_names[:FEEDERS_PER_DATA_CENTRE]
-        ]
-        return self._rng.choice(others) if others else None
+        """Returns a random peer that is not a local feeder; None if there is none.
+
+        In a large data centre, peers of other ones are chosen so rarely that all its instances
+        together reach REMOTE_EXCHANGES_PER_S.
+        """
+        feeders = self._ranked_names[:FEEDERS_PER_DATA_CENTRE]
+        others = [peer.member for name, peer in self._peers.items() if name not in feeders]
+        own = self._member.data_centre
+        remote = [member for member in others if member.data_centre != own]
+        local = [member for member in others if member.data_centre == own]
+        if not remote or not local:
+            return self._rng.choice(others) if others else None
+        local_count = len(self._local_hosts) + 1
+        target_share = REMOTE_EXCHANGES_PER_S * RANDOM_PEER_INTERVAL_MS / _MS_PER_S / local_count
+        remote_share = min(len(remote) / len(others), target_share)
+        return self._rng.choice(remote if self._rng.random() < remote_share else local)
 
     @property
     def _timeout_ms(self) -> int:
@@ -267,6 +317,11 @@
             The feeder; None to read the source directly, because it is available and preferred or
             because no feeder is available either.
         """
+        feeder = self._find_feeder(source_age_ms, now_ms)
+        self._feeder_name = feeder.name if feeder else ""
+        return feeder
+
+    def _find_feeder(self, source_age_ms: int | None, now_ms: int) -> Member | None:
         self._needs_remote_feeder = False
         is_source_available = source_age_ms is not None and source_age_ms < SOURCE_TIMEOUT_MS
         for name in self._ranked_names[:FEEDERS_PER_DATA_CENTRE]:
@@ -333,10 +388,10 @@
             and status.source_age_ms + status_age_ms < SOURCE_TIMEOUT_MS
         )
 
-    def _record_peer(self, member: Member, last_heard_at_ms: int) -> _PeerRecord:
+    def _record_peer(self, member: Member, last_heard_at_ms: int, now_ms: int) -> _PeerRecord:
         peer = self._peers.get(member.name)
         if peer is None:
-            peer = _PeerRecord(member, last_heard_at_ms)
+            peer = _PeerRecord(member, last_heard_at_ms, now_ms)
             self._peers[member.name] = peer
             self._update_ranking_and_digest()
             return peer
--- a/src/catkinspread/peers/exchange.py
+++ b/src/catkinspread/peers/exchange.py
@@ -7,11 +7,10 @@
 
 from catkinspread.clock import Clock
 from catkinspread.model import Endpoint
-from catkinspread.peers.directory import PeerDirectory
+from catkinspread.peers.directory import RANDOM_PEER_INTERVAL_MS, PeerDirectory
 from catkinspread.peers.messages import (
     Hello,
     HelloReply,
-    KnownMember,
     LoadReport,
     Member,
     MemberStatus,
@@ -25,8 +24,9 @@
 from catkinspread.transport.udp import UdpTransport
 
 HELLO_INTERVAL_MS = 300
-# Random peers are polled less often, as they only spread membership.
-RANDOM_PEER_INTERVAL_MS = 900
+# The feeders that are not in use are polled once in this number of rounds, so that their statuses do
+# not reach `directory.STATUS_TIMEOUT_MS`.
+STANDBY_POLL_ROUNDS = 3
 # Probability that a seed replaces the random peer, so that groups of instances that have lost contact
 # with each other find each other again.
 SEED_PROBABILITY = 0.2
@@ -68,6 +68,7 @@
         "_random_peer_due_ms",
         "_read_status",
         "_rng",
+        "_rounds",
         "_seeds",
         "_traffic",
         "_udp",
@@ -90,6 +91,7 @@
         self._member = member
         self._port = port
         self._random_peer_due_ms = 0
+        self._rounds = 0
         self._seeds: tuple[str, ...] = ()
         self._directory = directory
         self._read_status = read_status
@@ -127,11 +129,14 @@
         """
         now_ms = self._clock.now_ms()
         hello = Hello(self._read_status(), self._directory.digest)
-        self._send(hello, [feeder.host for feeder in self._directory.list_feeders_to_poll()])
+        self._rounds += 1
+        include_standby = self._rounds % STANDBY_POLL_ROUNDS == 0
+        feeders = self._directory.list_feeders_to_poll(include_standby)
+        self._send(hello, [feeder.host for feeder in feeders])
         if now_ms < self._random_peer_due_ms and self._directory.count_members() > 1:
             return
         self._random_peer_due_ms = now_ms + RANDOM_PEER_INTERVAL_MS
-        members = self._directory.list_known_members(now_ms, is_sample=True)
+        members = self._directory.sample_members(now_ms)
         self._send(Hello(hello.status, hello.digest, members), self._choose_gossip_hosts())
 
     def _choose_gossip_hosts(self) -> list[str]:
@@ -178,8 +183,5 @@
             return
         self._directory.apply_message(message, now_ms)
         if isinstance(message, Hello):
-            digests_match = message.digest == self._directory.digest
-            members: tuple[KnownMember, ...] = ()
-            if message.members or not digests_match:
-                members = self._directory.list_known_members(now_ms, is_sample=digests_match)
+            members = self._directory.list_members_for_reply(message, now_ms)
             self._send(HelloReply(self._read_status(), members), [sender.host])
--- a/src/catkinspread/peers/messages.py
+++ b/src/catkinspread/peers/messages.py
@@ -1,7 +1,22 @@
-"""UDP messages between instances, encoded as MessagePack."""
+"""UDP messages between instances, encoded as MessagePack and compressed if they are large.
+
+Messages list many members whose names are alike, so compression shrinks them to about a third.
+"""
+
+import zlib
 
 import msgspec
 
+# Smaller messages are sent as they are; compression would gain little.
+COMPRESSION_MIN_BYTES = 256
+# The fastest level; higher levels gain little.
+_COMPRESSION_LEVEL = 1
+# First byte of compressed data in the zlib format. No message starts with it, because each is a
+# MessagePack map.
+_ZLIB_FIRST_BYTE = 0x78
+# Maximum size of a decompressed message; larger ones raise MessageError.
+MESSAGE_MAX_BYTES = 64 * 1024
+
 
 class MessageError(Exception):
     """A datagram is not a valid message."""
@@ -73,8 +88,7 @@
 
     Attributes:
         status: Status of the sender.
-        members: Members that the sender knows: as many as fit if the digests differ, otherwise a
-            sample or none.
+        members: Some of the members that the sender knows; see `PeerDirectory`.
     """
 
     status: MemberStatus
@@ -118,16 +132,21 @@
 
 def encode_message(message: PeerMessage) -> bytes:
     """Encodes a message as a datagram."""
-    return _encoder.encode(message)
+    encoded = _encoder.encode(message)
+    if len(encoded) < COMPRESSION_MIN_BYTES:
+        return encoded
+    return zlib.compress(encoded, _COMPRESSION_LEVEL)
 
 
 def decode_message(datagram: bytes) -> PeerMessage:
     """Decodes a datagram.
 
     Raises:
-        MessageError: If it is not a valid message.
+        MessageError: If it is not a valid message, or larger than MESSAGE_MAX_BYTES.
     """
     try:
+        if datagram[:1] == bytes([_ZLIB_FIRST_BYTE]):
+            datagram = zlib.decompressobj().decompress(datagram, MESSAGE_MAX_BYTES)
         return _decoder.decode(datagram)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, zlib.error, ValueError) as error:
         raise MessageError(str(error)) from error
--- a/src/catkinspread/peers/tests/test_directory.py
+++ b/src/catkinspread/peers/tests/test_directory.py
@@ -3,7 +3,14 @@
 import random
 
 from catkinspread.peers import Hello, HelloReply, KnownMember, Member, MemberStatus, PeerDirectory
-from catkinspread.peers.directory import REMOTE_TIMEOUT_MS
+from catkinspread.peers.directory import (
+    NEWEST_MEMBERS_MAX,
+    RANKED_MEMBERS_MAX,
+    RECENT_MEMBERS_MAX,
+    REMOTE_EXCHANGES_PER_S,
+    REMOTE_TIMEOUT_MS,
+    SAMPLE_MEMBERS_MAX,
+)
 
 INSTANCES = 60
 GOSSIP_ROUNDS = 80
@@ -17,24 +24,28 @@
 class _Cluster:
     """Instances that exchange statuses with the feeders and one random peer in each round."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, data_centres: tuple[str, ...] = ("east",)) -> None:
         self.members = [
-            Member(f"n{number}", "east", f"10.0.0.{number}", 1) for number in range(count)
+            Member(f"n{number}", data_centres[number % len(data_centres)], f"10.0.0.{number}", 1)
+            for number in range(count)
         ]
         self.directories = {
             member.host: PeerDirectory(member, random.Random(number))
             for number, member in enumerate(self.members)
         }
         self.now_ms = 1_000_000
+        self.listed_members = 0
+        self.remote_exchanges = 0
         for member in self.members[1:]:
             self.exchange(member, self.members[0])
 
-    def exchange(self, sender: Member, receiver: Member) -> None:
+    def exchange(self, sender: Member, receiver: Member, is_gossip: bool = True) -> None:
         own, other = self.directories[sender.host], self.directories[receiver.host]
-        sample = own.list_known_members(self.now_ms, is_sample=True)
-        other.apply_message(Hello(_status(sender), own.digest, sample), self.now_ms)
-        digests_match = own.digest == other.digest
-        members = other.list_known_members(self.now_ms, is_sample=digests_match)
+        sample = own.sample_members(self.now_ms) if is_gossip else ()
+        hello = Hello(_status(sender), own.digest, sample)
+        other.apply_message(hello, self.now_ms)
+        members = other.list_members_for_reply(hello, self.now_ms)
+        self.listed_members = max(self.listed_members, len(members))
         own.apply_message(HelloReply(_status(receiver), members), self.now_ms)
 
     def run_round(self, live: list[Member]) -> list[str]:
@@ -42,10 +53,13 @@
         self.now_ms += ROUND_MS
         for member in live:
             directory = self.directories[member.host]
-            partners = [*directory.list_feeders_to_poll(), directory.choose_random_peer()]
-            for partner in partners:
-                if partner is not None and partner in live:
-                    self.exchange(member, partner)
+            for feeder in directory.list_feeders_to_poll():
+                if feeder in live:
+                    self.exchange(member, feeder, is_gossip=False)
+            partner = directory.choose_random_peer()
+            if partner is not None and partner in live:
+                self.exchange(member, partner)
+                self.remote_exchanges += partner.data_centre != member.data_centre
         for member in live:
             lost.extend(self.directories[member.host].expire_members(self.now_ms))
         return lost
@@ -59,6 +73,53 @@
     assert {cluster.directories[m.host].count_members() for m in cluster.members} == {INSTANCES}
 
 
+def test_cost_of_membership_does_not_grow_with_the_number_of_instances() -> None:
+    """Guards against feeders and links between data centres that are busy with membership.
+
+    All instances stay known although few exchanges cross between data centres.
+    """
+    cluster = _Cluster(200, ("east", "west", "north", "south", "centre"))
+    lost = [name for _ in range(GOSSIP_ROUNDS) for name in cluster.run_round(cluster.members)]
+    assert lost == []
+    assert {cluster.directories[m.host].count_members() for m in cluster.members} == {200}
+    remote_per_s = cluster.remote_exchanges * 1_000 / (GOSSIP_ROUNDS * ROUND_MS)
+    assert remote_per_s <= 1.2 * 5 * REMOTE_EXCHANGES_PER_S
+    assert cluster.listed_members <= SAMPLE_MEMBERS_MAX + NEWEST_MEMBERS_MAX
+
+
+def test_starting_instance_is_told_the_feeders_of_its_data_centre() -> None:
+    """Guards against starting instances that all read the source because they know no feeder."""
+    cluster = _Cluster(100, ("east", "west"))
+    for _ in range(GOSSIP_ROUNDS):
+        cluster.run_round(cluster.members)
+    feeders = {
+        m.name
+        for m in cluster.members
+        if m.data_centre == "east" and cluster.directories[m.host].is_feeder()
+    }
+    status = MemberStatus(Member("new", "east", "10.0.9.9", 1), None, False, False)
+    seed = next(m for m in cluster.members if m.data_centre == "west")
+    reply = cluster.directories[seed.host].list_members_for_reply(Hello(status, 0), cluster.now_ms)
+    assert feeders <= {known.member.name for known in reply}
+    assert len(reply) <= RANKED_MEMBERS_MAX + RECENT_MEMBERS_MAX
+
+
+def test_standby_feeders_are_polled_less_often() -> None:
+    """Guards against the cost of statuses that nobody uses, and against polling only one feeder."""
+    cluster = _Cluster(INSTANCES)
+    for _ in range(GOSSIP_ROUNDS):
+        cluster.run_round(cluster.members)
+    directory = next(d for d in cluster.directories.values() if not d.is_feeder())
+    feeders = directory.list_feeders_to_poll()
+    fresh = MemberStatus(feeders[0], 10, True, False)
+    directory.apply_message(Hello(fresh, 0), cluster.now_ms)
+    assert directory.select_feeder(None, cluster.now_ms) == feeders[0]
+    assert directory.list_feeders_to_poll(include_standby=False) == [feeders[0]]
+    assert directory.list_feeders_to_poll(include_standby=True) == feeders
+    directory.select_feeder(None, cluster.now_ms + 10_000)
+    assert directory.list_feeders_to_poll(include_standby=False) == feeders
+
+
 def test_dead_instance_is_removed_by_all() -> None:
     """Guards against a dead instance that gossip keeps alive."""
     cluster = _Cluster(INSTANCES)
