Check beliefs again after a pause, keep signal handlers during a stop, and keep late packets out of reopened ports

Cause, found by going through what other operators reported, each shown by a test that fails without the change: - A late packet of an earlier flow with the same port ended the handshake of the new flow at the upstream of the earlier one. The first packet of a flow must now follow its opening packet. - After the first SIGTERM the handlers were removed, so that a second one, or a SIGHUP, ended the stop at once. - An instance that starts took the state of any peer; one without the source may still hold an upstream that has left. What the feeder has after that listing is added. - After a pause, an upstream whose record was missing could count as gone before the waiting changes were read; evidence against upstreams and handshake time-outs counted the pause. A late run of the periodic tasks discards them now; the clock counts suspended time (CLOCK_BOOTTIME).

--- a/src/catkinspread/clock/clock.py
+++ b/src/catkinspread/clock/clock.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 _NANOSECONDS_PER_MS = 1_000_000
+_ELAPSED_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
 class Clock(Protocol):
@@ -20,19 +21,21 @@
 class SystemClock:
     """System clock whose readings never decrease within a process.
 
-    The wall clock is read once, at construction. Later readings add the time elapsed on the
-    monotonic clock, so that an adjustment of the wall clock does not shift timeouts.
+    The wall clock is read once, at construction. Later readings add the time elapsed on a clock
+    that is not adjusted, so that an adjustment of the wall clock does not shift timeouts. On Linux
+    it also counts the time for which the machine was suspended, so that data that was received
+    before has its true age.
     """
 
-    __slots__ = ("_monotonic_start_ns", "_wall_start_ns")
+    __slots__ = ("_elapsed_start_ns", "_wall_start_ns")
 
     def __init__(self) -> None:
         self._wall_start_ns = time.time_ns()
-        self._monotonic_start_ns = time.monotonic_ns()
+        self._elapsed_start_ns = time.clock_gettime_ns(_ELAPSED_CLOCK)
 
     def now_ms(self) -> int:
         """Returns the current time in ms since the Unix epoch."""
-        elapsed_ns = time.monotonic_ns() - self._monotonic_start_ns
+        elapsed_ns = time.clock_gettime_ns(_ELAPSED_CLOCK) - self._elapsed_start_ns
         return (self._wall_start_ns + elapsed_ns) // _NANOSECONDS_PER_MS
 
 
--- a/src/catkinspread/deployment/synchroniser.py
+++ b/src/catkinspread/deployment/synchroniser.py
@@ -94,6 +94,13 @@
         self.available_since_ms = None
         return True
 
+    def require_new_success(self) -> None:
+        """Treats the source as unavailable until the next successful call.
+
+        Used after a pause of the process, when the results of earlier calls are outdated.
+        """
+        self.available_since_ms = None
+
     def get_last_success_age_ms(self, now_ms: int) -> int | None:
         """Returns the time since the last successful call.
 
--- a/src/catkinspread/deployment/tests/test_state.py
+++ b/src/catkinspread/deployment/tests/test_state.py
@@ -7,6 +7,7 @@
     MISSING_GRACE_MS,
     DeploymentState,
     RoutingConfiguration,
+    SourceHealth,
     StateApplier,
     StateChange,
     StateChanges,
@@ -89,6 +90,20 @@
     assert _expire_names(state, available_ms + MISSING_GRACE_MS, available_ms) == ["i-1"]
 
 
+def test_grace_period_starts_again_after_a_pause_of_the_process() -> None:
+    """Guards against acting on a missing record whose new version was not read in a pause."""
+    state = _build_state(_build_upstream())
+    health = SourceHealth()
+    health.record_success(NOW_MS)
+    state.mark_upstream_missing("i-1", NOW_MS)
+    resumed_ms = NOW_MS + 8_000
+    health.require_new_success()
+    assert state.expire_upstreams(resumed_ms, health.available_since_ms) == []
+    assert health.record_success(resumed_ms)
+    available_since_ms = health.available_since_ms
+    assert state.expire_upstreams(resumed_ms + MISSING_GRACE_MS - 1, available_since_ms) == []
+
+
 def test_upstream_is_used_again_when_its_record_is_rewritten() -> None:
     """Guards against an upstream that stays removed after its record was written again."""
     state = _build_state(_build_upstream())
--- a/src/catkinspread/forwarding/flows.py
+++ b/src/catkinspread/forwarding/flows.py
@@ -14,6 +14,9 @@
 # Time after the last attempt until a handshake has failed. Callers stop opening a flow after 1.4 s;
 # the remaining 0.1 s is a margin.
 HANDSHAKE_TIMEOUT_MS = 1_500
+# Data that a caller may have in flight when a flow opens: 16 packets of 1,200 bytes, and a margin.
+FIRST_WINDOW_BYTES = 32_768
+_SEQUENCE_MODULUS = 1 << 32
 # Request time-out of flows without a route.
 REQUEST_TIMEOUT_DEFAULT_MS = 2_000
 
@@ -95,6 +98,17 @@
             not self.is_established and opening is not None and opening.sequence == packet.sequence
         )
 
+    def matches_sequence(self, packet: CallerPacket) -> bool:
+        """Whether a packet that ends the handshake has a sequence number of this flow.
+
+        Packets of an earlier flow with the same key may arrive late. The first packet of a flow
+        follows its opening packet, or comes up to FIRST_WINDOW_BYTES later if others were lost.
+        """
+        if self.opening_sequence is None:
+            return True
+        distance = (packet.sequence - self.opening_sequence) % _SEQUENCE_MODULUS
+        return 0 < distance <= FIRST_WINDOW_BYTES
+
     def is_late_retransmission(self, packet: CallerPacket, now_ms: int) -> bool:
         """Whether a packet is a retransmission of the opening packet after the handshake.
 
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -160,6 +160,17 @@
                 continue  # The retransmission of the caller will go to another upstream.
             self._try_next_upstream(flow, flow.opening_packet, now_ms)
 
+    def handle_pause(self, now_ms: int) -> None:
+        """Discards what was concluded from time-outs that ran while the process was paused.
+
+        Upstreams may have answered in the meantime, so pending opening packets get a new time-out.
+        """
+        self.reachability.discard_evidence()
+        pending = self._retries
+        self._retries = []
+        for _, _, flow, upstream in pending:
+            self._schedule_retry(flow, upstream, now_ms)
+
     def get_next_retry_at_ms(self) -> int | None:
         """Returns when the next retry is scheduled; None if there is none.
 
@@ -293,6 +304,9 @@
         flow.last_attempt_at_ms = now_ms
         flow.last_packet_at_ms = now_ms
         self._output.forward(packet, upstream)
+        self._schedule_retry(flow, upstream, now_ms)
+
+    def _schedule_retry(self, flow: Flow, upstream: KnownUpstream, now_ms: int) -> None:
         due_ms = now_ms + self._handshakes.compute_timeout_ms(upstream.record.data_centre)
         self._retry_sequence += 1
         heapq.heappush(self._retries, (due_ms, self._retry_sequence, flow, upstream))
@@ -322,6 +336,9 @@
             self.counts["after_reset"] += 1
             return
         if not flow.is_established:
+            if not flow.matches_sequence(packet):
+                self._drop(packet, RejectionReason.EARLIER_FLOW, now_ms)
+                return
             self._establish(packet, flow, now_ms)
         flow.last_packet_at_ms = now_ms
         if is_sequence_after(packet.acknowledged, flow.acknowledged):
--- a/src/catkinspread/forwarding/reachability.py
+++ b/src/catkinspread/forwarding/reachability.py
@@ -152,6 +152,10 @@
         evidence = self._evidence.get(name)
         return evidence.since_ms if evidence is not None and evidence.is_confirmed else None
 
+    def discard_evidence(self) -> None:
+        """Drops the evidence against all upstreams."""
+        self._evidence.clear()
+
     def forget(self, name: str) -> None:
         """Drops all data about an upstream that is gone."""
         self._evidence.pop(name, None)
--- a/src/catkinspread/forwarding/tests/test_flow_resets.py
+++ b/src/catkinspread/forwarding/tests/test_flow_resets.py
@@ -214,6 +214,29 @@
         harness.forwarder.reset_flows_of_gone(upstream, harness.now_ms)
 
 
+def test_evidence_from_before_a_pause_is_discarded() -> None:
+    """Guards against resets because the instance itself was paused while answers arrived."""
+    harness = ResetHarness()
+    harness.leave_unanswered()
+    harness.forwarder.handle_pause(harness.now_ms)
+    harness.answer_live()
+    harness.run_checks()
+    assert harness.checked == []
+    assert harness.output.resets == []
+
+
+def test_opening_packets_get_a_new_timeout_after_a_pause() -> None:
+    """Guards against a back-off of all upstreams because the instance itself was paused."""
+    harness = ForwarderHarness(build_upstream("a"), build_upstream("b"))
+    harness.send(build_opening_packet())
+    harness.clock.advance(3_000)
+    harness.forwarder.handle_pause(harness.now_ms)
+    harness.forwarder.send_due_retries(harness.now_ms)
+    assert len(harness.list_targets()) == 1
+    harness.wait(200)
+    assert len(harness.list_targets()) == 2
+
+
 def test_idle_flows_of_an_upstream_that_is_gone_are_reset() -> None:
     """Guards against an order that is lost on a flow whose upstream shut down long ago."""
     harness = ResetHarness()
--- a/src/catkinspread/forwarding/tests/test_forwarder.py
+++ b/src/catkinspread/forwarding/tests/test_forwarder.py
@@ -80,6 +80,32 @@
     assert harness.forwarder.counts["opened"] == 2
 
 
+def test_late_packet_of_an_earlier_flow_does_not_take_a_reopened_port() -> None:
+    """Guards against a new flow whose packets go to the upstream of an earlier one.
+
+    The earlier flow had the same port; a retransmission of it arrives during the new handshake.
+    """
+    harness = ForwarderHarness(build_upstream("a"), build_upstream("b"))
+    harness.send(build_packet(token=harness.find_token("a"), payload_size_bytes=10))
+    harness.wait(1_600)
+    opening = SEQUENCE + 1_000_000
+    harness.state.put_upstream(build_upstream("a", is_draining=True), harness.now_ms)
+    harness.send(build_packet(is_opening=True, sequence=opening))
+    harness.send(build_packet(token=harness.find_token("a"), payload_size_bytes=10))
+    harness.send(build_packet(token=harness.find_token("b"), sequence=opening + 1))
+    assert harness.list_targets() == ["a", "b", "b"]
+    assert harness.forwarder.counts["dropped_earlier_flow"] == 1
+
+
+def test_first_packets_of_a_flow_may_be_lost() -> None:
+    """Guards against dropping the data of a flow because its first packet did not arrive."""
+    harness = ForwarderHarness(build_upstream("a"))
+    harness.send(build_opening_packet())
+    sequence = SEQUENCE + 1 + 16 * 1_200
+    harness.send(build_packet(token=harness.find_token("a"), sequence=sequence))
+    assert harness.list_targets() == ["a", "a"]
+
+
 def test_tries_another_upstream_before_the_caller_retransmits() -> None:
     """Guards against callers that wait 200 ms because an upstream does not respond."""
     harness = ForwarderHarness(build_upstream("a"), build_upstream("b"))
--- a/src/catkinspread/peers/shared_source.py
+++ b/src/catkinspread/peers/shared_source.py
@@ -129,9 +129,8 @@
         peers = self._directory.list_peers_with_state(self._clock.now_ms())
         for member in peers[:LISTING_PEERS_MAX]:
             try:
-                return self._cache_listing(
-                    kind, await self._open_peer_source(member).list_records(kind)
-                )
+                listing = await self._open_peer_source(member).list_records(kind)
+                return await self._catch_up(kind, self._cache_listing(kind, listing))
             except SourceUnavailable as error:
                 self._events.write(
                     "peer_unavailable", self._clock.now_ms(), peer=member.name, reason=str(error)
@@ -142,6 +141,23 @@
             )
         return self._cache_listing(kind, await self._read_source(self._source.list_records(kind)))
 
+    async def _catch_up(self, kind: StateKind, listing: StateChanges) -> StateChanges:
+        """Adds the changes that the feeder has after the listing of another peer.
+
+        Without them, an instance that starts would use records that were removed while that peer
+        had no access to the source. If the feeder does not answer, the listing is used as it is.
+        """
+        if self._feeder is None:
+            return listing
+        try:
+            source = self._open_peer_source(self._feeder)
+            changes = await source.wait_for_changes(kind, listing.revision, 0)
+        except (SourceUnavailable, HistoryLost) as error:
+            self._events.write("catch_up_failed", self._clock.now_ms(), reason=str(error))
+            return listing
+        self._cache.put_changes(kind, changes)
+        return StateChanges(listing.changes + changes.changes, changes.revision)
+
     async def _list_after_lost_history(self, kind: StateKind) -> StateChanges:
         if self._feeder is not None:
             return await self._open_peer_source(self._feeder).list_records(kind)
--- a/src/catkinspread/peers/tests/test_shared_source.py
+++ b/src/catkinspread/peers/tests/test_shared_source.py
@@ -114,6 +114,33 @@
     assert source.list_calls == 0
 
 
+def test_starting_instance_gets_the_changes_that_its_peer_lacks() -> None:
+    """Guards against a restart after which an upstream that had left is in use again.
+
+    The peer that the state is read from has had no access to the source for a while.
+    """
+    feeder = Member("feeder", "east", "10.0.0.3", 1)
+    removal = StateChanges((StateChange("east", None),), 90)
+    sources = {"other": ScriptedSource(50), "feeder": ScriptedSource(90)}
+    harness = SharedSourceHarness(ScriptedSource(90), sources["other"])
+    harness.shared._open_peer_source = lambda member: sources[member.name]
+    harness.receive_peer_status(source_age_ms=None)
+    harness.directory.apply_message(
+        Hello(MemberStatus(feeder, 10, False, False), 0), harness.clock.now_ms()
+    )
+    harness.shared._feeder = feeder
+
+    async def wait_for_changes(kind: StateKind, revision: int, timeout_ms: int) -> StateChanges:
+        assert (revision, timeout_ms) == (50, 0)
+        return removal
+
+    sources["feeder"].wait_for_changes = wait_for_changes
+    listing = anyio.run(harness.shared.list_records, KIND)
+    assert listing.revision == 90
+    assert listing.changes[-1] == StateChange("east", None)
+    assert harness.cache.list_records(KIND) == StateChanges((), 90)
+
+
 def test_follows_the_feeder_of_its_data_centre() -> None:
     """Guards against source calls that grow with the number of instances."""
     source, peer = ScriptedSource(90), ScriptedSource(90)
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -6,7 +6,7 @@
 import random
 import signal
 import socket
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 
@@ -76,6 +76,8 @@
 # Longest and shortest interval between two runs of the periodic tasks; each run costs processor time.
 LOOP_INTERVAL_MAX_MS = 40
 LOOP_INTERVAL_MIN_MS = 10
+# A run of the periodic tasks that is late by this time shows that the process was paused.
+PAUSE_MIN_MS = 500
 # Recipients of the report of an unreachable upstream. Each of them reports it too once its own checks
 # fail, so the report reaches all instances in a few steps, whatever their number.
 UNREACHABLE_REPORT_RECIPIENTS = 8
@@ -174,6 +176,14 @@
         now_ms = self._clock.now_ms()
         loading_ms = now_ms - self._startup.opened_at_ms
         self._events.write_always("started", now_ms, loading_ms=loading_ms)
+        # The handlers stay until the end, so that further signals do not end a shutdown early.
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            await self._run_components(signals)
+        self._events.write_always(
+            "stopped", self._clock.now_ms(), dropped_lines_total=self._events.dropped_count
+        )
+
+    async def _run_components(self, signals: AsyncIterator[signal.Signals]) -> None:
         async with HttpClient() as client, anyio.create_task_group() as group:
             store = StoreClient(client, self._settings.source_address)
             shared = self._build_shared_source(client, store)
@@ -187,12 +197,9 @@
             group.start_soon(self._log_traffic, store)
             group.start_soon(self._build_synchroniser(shared).run)
             group.start_soon(self._run_periodic_tasks, shared)
-            await self._handle_signals_until_stop()
+            await self._handle_signals_until_stop(signals)
             await self._shut_down()
             group.cancel_scope.cancel()
-        self._events.write_always(
-            "stopped", self._clock.now_ms(), dropped_lines_total=self._events.dropped_count
-        )
 
     def _build_forwarder(self) -> Forwarder:
         placement = Placement(
@@ -304,8 +311,11 @@
 
     async def _run_periodic_tasks(self, shared: SharedSource) -> None:
         cleanup_due_ms = 0
+        expected_ms = self._clock.now_ms()
         while True:
             now_ms = self._clock.now_ms()
+            if now_ms - expected_ms >= PAUSE_MIN_MS:
+                self._handle_pause(now_ms, now_ms - expected_ms)
             self._forwarder.send_due_retries(now_ms)
             self._check_upstreams(now_ms)
             self._send_load_report(now_ms)
@@ -316,8 +326,19 @@
                 cleanup_due_ms = now_ms + CLEANUP_INTERVAL_MS
             due_ms = self._forwarder.get_next_retry_at_ms() or now_ms + LOOP_INTERVAL_MAX_MS
             wait_ms = max(LOOP_INTERVAL_MIN_MS, min(LOOP_INTERVAL_MAX_MS, due_ms - now_ms))
+            expected_ms = now_ms + wait_ms
             await anyio.sleep(wait_ms / _MS_PER_S)
 
+    def _handle_pause(self, now_ms: int, pause_ms: int) -> None:
+        """Discards conclusions from times in which the process was paused.
+
+        Until a call to the source succeeds, no upstream counts as gone: changes that arrived during
+        the pause may not have been read yet.
+        """
+        self._events.write_always("resumed", now_ms, pause_ms=pause_ms)
+        self._synchroniser_health.require_new_success()
+        self._forwarder.handle_pause(now_ms)
+
     def _send_load_report(self, now_ms: int) -> None:
         report = self._reporter.build_due_report(now_ms)
         if report is not None:
@@ -376,17 +397,16 @@
             self._startup.record_state(self._events, self._clock.now_ms())
         await self._packet_port.run()
 
-    async def _handle_signals_until_stop(self) -> None:
+    async def _handle_signals_until_stop(self, signals: AsyncIterator[signal.Signals]) -> None:
         """Reloads the settings at each SIGHUP; returns at SIGTERM or SIGINT.
 
         At its start it reloads them if they changed while SIGHUP was still ignored.
         """
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            self._reloader.reload_if_changed()
-            async for received in signals:
-                if received != signal.SIGHUP:
-                    return
-                self._reloader.reload()
+        self._reloader.reload_if_changed()
+        async for received in signals:
+            if received != signal.SIGHUP:
+                return
+            self._reloader.reload()
 
     async def _shut_down(self) -> None:
         """Reports that the instance is not ready and forwards until no more packets arrive."""
