Add the command explain: requests without an answer by cause, from the logs of all instances

Change. catkinspread explain reads the log lines, assigns each request without an answer to one cause from a registry and tells the story of one request. Not loaded by instances.

--- a/src/catkinspread/console/main.py
+++ b/src/catkinspread/console/main.py
@@ -9,7 +9,16 @@
 from catkinspread.console.registry import EXIT_FAILURE, list_subcommands
 
 # Imported because they register their subcommands.
-_SUBCOMMAND_MODULES = ("bench", "check", "demo", "instance", "soak", "emulators", "statements")
+_SUBCOMMAND_MODULES = (
+    "bench",
+    "check",
+    "demo",
+    "explain",
+    "instance",
+    "soak",
+    "emulators",
+    "statements",
+)
 
 
 def main(arguments: list[str] | None = None) -> int:
--- /dev/null
+++ b/src/catkinspread/explain/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of this subpackage."""
--- a/src/catkinspread/membership/messages.py
+++ b/src/catkinspread/membership/messages.py
@@ -12,7 +12,7 @@
 from catkinspread.model import Endpoint
 
 MEMBERSHIP_PROTOCOL_VERSION = 1
-# Same limit as for datagrams of callers (`PACKET_MAX_BYTES`); with headers it is below the usual
+# Same limit as for datagrams of callers (`DATAGRAM_MAX_BYTES`); with headers it is below the usual
 # MTU of 1,500 bytes.
 MESSAGE_MAX_BYTES = 1_400
 
