--- a/src/catkinspread/bench/relay_cost.py
+++ b/src/catkinspread/bench/relay_cost.py
@@ -44,7 +44,7 @@
     figures: dict[str, float] = {}
     memory_mb: list[float] = []
     for count in _FLOWS:
-        core = _build_core(2 * count)
+        core = build_core(2 * count)
         packets = [_make_packet(index, encode_packet(Open())) for index in range(count)]
         tracemalloc.start()
         for packet in packets:
@@ -83,14 +83,15 @@
     return FabricPacket(_SERVICE.host, _SERVICE.port, host, 40_000, datagram)
 
 
-def _build_core(flows_max: int) -> InstanceCore:
+def build_core(flows_max: int) -> InstanceCore:
+    """Returns an instance that routes to the upstreams of one service."""
     member = InstanceIncarnation("i1", 1)
     core = InstanceCore(
         member, flows_max, RecordStore("i1", _START_MS), random.Random(1), _START_MS
     )
     core.apply(_build_configuration(), _START_MS)
     core.set_members([MemberView("i1", 1, "dc-1", version=1)], _START_MS)
-    core.model.router.record_contact(1, _START_MS)
+    core.state.router.record_contact(1, _START_MS)
     for now_ms in range(_START_MS, _SETTLED_MS + 1, 1_000):
         core.tick(now_ms)
     return core
