--- a/src/catkinspread/forwarding/flows.py
+++ b/src/catkinspread/forwarding/flows.py
@@ -8,6 +8,7 @@
 
 from catkinspread.deployment import KnownUpstream, Route
 from catkinspread.forwarding.packets import CallerPacket, FlowKey
+from catkinspread.forwarding.sequence_numbers import compute_sequence_distance
 
 # Both ends may retransmit packets for this time after the caller closed a flow.
 CLOSED_RETENTION_MS = 4_000
@@ -16,7 +17,6 @@
 HANDSHAKE_TIMEOUT_MS = 1_500
 # Data that a caller may have in flight when a flow opens: 16 packets of 1,200 bytes, and a margin.
 FIRST_WINDOW_BYTES = 32_768
-_SEQUENCE_MODULUS = 1 << 32
 # Request time-out of flows without a route.
 REQUEST_TIMEOUT_DEFAULT_MS = 2_000
 
@@ -106,7 +106,7 @@
         """
         if self.opening_sequence is None:
             return True
-        distance = (packet.sequence - self.opening_sequence) % _SEQUENCE_MODULUS
+        distance = compute_sequence_distance(packet.sequence, self.opening_sequence)
         return 0 < distance <= FIRST_WINDOW_BYTES
 
     def is_late_retransmission(self, packet: CallerPacket, now_ms: int) -> bool:
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -7,13 +7,13 @@
 """
 
 import collections
-import heapq
 from collections.abc import Callable
 
 from catkinspread.deployment import DeploymentState, KnownUpstream
 from catkinspread.forwarding.decision_log import DecisionLog
 from catkinspread.forwarding.flow_resets import FlowResetter, UpstreamCheck
 from catkinspread.forwarding.flows import Flow, FlowTable
+from catkinspread.forwarding.handshake_timeouts import HandshakeTimeouts
 from catkinspread.forwarding.handshakes import HandshakeEstimator
 from catkinspread.forwarding.histogram import LatencyHistogram
 from catkinspread.forwarding.load import LoadTracker
@@ -22,6 +22,7 @@
 from catkinspread.forwarding.placement import Placement
 from catkinspread.forwarding.reachability import ReachabilityTracker
 from catkinspread.forwarding.retry_budget import RetryBudget
+from catkinspread.forwarding.sequence_numbers import advance_sequence, is_sequence_after
 from catkinspread.forwarding.waiting import WaitTracker
 
 # Maximum number of upstreams that an opening packet and its retransmissions are sent to.
@@ -32,13 +33,6 @@
 # buffer.
 RETRANSMISSION_INTERVAL_MIN_MS = 100
 IDLE_TIMEOUT_DEFAULT_MS = 15_000
-_SEQUENCE_MODULUS = 1 << 32
-_SEQUENCE_HALF = 1 << 31
-
-
-def is_sequence_after(sequence: int, other: int) -> bool:
-    """Whether a 32-bit sequence number comes after another, with wrap-around."""
-    return 0 < (sequence - other) % _SEQUENCE_MODULUS < _SEQUENCE_HALF
 
 
 class Forwarder:
@@ -87,10 +81,9 @@
         "_placement",
         "_read_request_id",
         "_resetter",
-        "_retries",
         "_retry_budget",
-        "_retry_sequence",
         "_state",
+        "_timeouts",
         "_waits",
         "counts",
         "histograms",
@@ -122,8 +115,7 @@
         )
         self._handshakes = HandshakeEstimator()
         self._retry_budget = RetryBudget()
-        self._retries: list[tuple[int, int, Flow, KnownUpstream]] = []
-        self._retry_sequence = 0
+        self._timeouts = HandshakeTimeouts(self._handshakes)
         self.counts: collections.Counter[str] = collections.Counter()
         self.histograms = {"handshake": LatencyHistogram(), "response": LatencyHistogram()}
 
@@ -148,10 +140,7 @@
         The upstream that did not answer gets a back-off. The packet is sent to another upstream
         unless the retry budget is used up.
         """
-        while self._retries and self._retries[0][0] <= now_ms:
-            _, _, flow, upstream = heapq.heappop(self._retries)
-            if flow.is_established or flow.upstream is not upstream or flow.opening_packet is None:
-                continue  # It was answered or sent to another upstream in the meantime.
+        for flow, upstream in self._timeouts.pop_due(now_ms):
             backoff_ms = self._loads.get(upstream.record.name).record_timeout(now_ms)
             self._log.log_open_timeout(flow, upstream, backoff_ms, now_ms)
             self._record_unanswered(upstream, now_ms)
@@ -166,17 +155,14 @@
         Upstreams may have answered in the meantime, so pending opening packets get a new time-out.
         """
         self.reachability.discard_evidence()
-        pending = self._retries
-        self._retries = []
-        for _, _, flow, upstream in pending:
-            self._schedule_retry(flow, upstream, now_ms)
+        self._timeouts.restart_all(now_ms)
 
     def get_next_retry_at_ms(self) -> int | None:
         """Returns when the next retry is scheduled; None if there is none.
 
         The result is a time in ms on the clock of `now_ms`.
         """
-        return self._retries[0][0] if self._retries else None
+        return self._timeouts.get_next_due_at_ms()
 
     def expire_flows(self, now_ms: int) -> None:
         """Removes expired flows and ends requests that were not answered in time."""
@@ -251,7 +237,7 @@
             self._waits.stop(replaced)
         flow = Flow(packet.key, route, choice.upstream, now_ms)
         flow.opening_sequence = packet.sequence
-        flow.next_sequence = (packet.sequence + 1) % _SEQUENCE_MODULUS
+        flow.next_sequence = advance_sequence(packet.sequence, 1)
         self._flows.add(flow)
         self.counts["opened"] += 1
         self._retry_budget.record_opening()
@@ -304,12 +290,7 @@
         flow.last_attempt_at_ms = now_ms
         flow.last_packet_at_ms = now_ms
         self._output.forward(packet, upstream)
-        self._schedule_retry(flow, upstream, now_ms)
-
-    def _schedule_retry(self, flow: Flow, upstream: KnownUpstream, now_ms: int) -> None:
-        due_ms = now_ms + self._handshakes.compute_timeout_ms(upstream.record.data_centre)
-        self._retry_sequence += 1
-        heapq.heappush(self._retries, (due_ms, self._retry_sequence, flow, upstream))
+        self._timeouts.schedule(flow, upstream, now_ms)
 
     def _adopt_flow(self, packet: CallerPacket, now_ms: int) -> None:
         """Takes over a flow that another instance opened."""
@@ -383,7 +364,7 @@
 
     def _process_data(self, packet: CallerPacket, flow: Flow, now_ms: int) -> bool:
         """Handles the data of a packet and returns whether it led to a reset of the flow."""
-        end = (packet.sequence + packet.payload_size_bytes) % _SEQUENCE_MODULUS
+        end = advance_sequence(packet.sequence, packet.payload_size_bytes)
         if not is_sequence_after(end, flow.next_sequence):
             flow.retransmissions += 1
             self.counts["retransmitted"] += 1
--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -11,13 +11,14 @@
 import random
 
 from catkinspread.hashing import hash_text, rank_by_rendezvous
+from catkinspread.peers.member_lists import RANK_KEY, MemberLists
 from catkinspread.peers.messages import (
     Hello,
     HelloReply,
     KnownMember,
     Member,
-    MemberStatus,
 )
+from catkinspread.peers.peer_record import PeerRecord
 
 # Feeders of a data centre: the instances that may read the source on behalf of the others.
 FEEDERS_PER_DATA_CENTRE = 3
@@ -38,47 +39,14 @@
 # other instance that is known, because gossip takes longer to reach more instances.
 MEMBER_TIMEOUT_MS = 20_000
 MEMBER_TIMEOUT_PER_MEMBER_MS = 250
-# Members in a random sample; samples carry the times at which members were last heard from to
-# instances that never exchange messages with these members directly.
-SAMPLE_MEMBERS_MAX = 32
-# Members that were added last, which are listed in addition to a sample if the digests differ.
-NEWEST_MEMBERS_MAX = 4
-# An instance that starts is told the first members of its data centre in rendezvous order, among which
-# the feeders are, and the members that were heard from last.
-RANKED_MEMBERS_MAX = 8
-RECENT_MEMBERS_MAX = 16
 # Target for the exchanges of all instances of a data centre with random ones of others, per second.
 # Small data centres do not reach it, because their instances choose among all members alike.
 REMOTE_EXCHANGES_PER_S = 4.0
 # Interval at which an instance chooses a random peer, in ms.
 RANDOM_PEER_INTERVAL_MS = 900
-_RANK_KEY = "feeders"
 _MS_PER_S = 1_000
 
 
-class _PeerRecord:
-    """State of one other instance."""
-
-    __slots__ = (
-        "added_at_ms",
-        "is_unresponsive",
-        "last_heard_at_ms",
-        "member",
-        "polled_since_ms",
-        "status",
-        "status_at_ms",
-    )
-
-    def __init__(self, member: Member, last_heard_at_ms: int, now_ms: int) -> None:
-        self.member = member
-        self.added_at_ms = now_ms
-        self.polled_since_ms: int | None = None
-        self.is_unresponsive = False
-        self.last_heard_at_ms = last_heard_at_ms
-        self.status: MemberStatus | None = None
-        self.status_at_ms = 0
-
-
 class PeerDirectory:
     """Tracks the other instances and selects feeders among them.
 
@@ -94,6 +62,7 @@
         "_feeder_name",
         "_local_hosts",
         "_member",
+        "_member_lists",
         "_needs_remote_feeder",
         "_peers",
         "_ranked_names",
@@ -104,7 +73,8 @@
     def __init__(self, member: Member, rng: random.Random) -> None:
         self._member = member
         self._rng = rng
-        self._peers: dict[str, _PeerRecord] = {}
+        self._peers: dict[str, PeerRecord] = {}
+        self._member_lists = MemberLists(self._peers, rng)
         self._ranked_names: list[str] = [member.name]
         self._digest = 0
         self._local_hosts: frozenset[str] = frozenset()
@@ -198,42 +168,11 @@
 
     def sample_members(self, now_ms: int) -> tuple[KnownMember, ...]:
         """Returns a random sample of the members, to include in a hello."""
-        return self._describe(self._sample_peers(), now_ms)
+        return self._member_lists.sample(now_ms)
 
     def list_members_for_reply(self, hello: Hello, now_ms: int) -> tuple[KnownMember, ...]:
-        """Returns the members to include in the reply to a hello.
-
-        An instance without the state has just started and is told whom to read it from. A hello
-        with members is gossip and is answered with a sample. Any other one only polls the status.
-        """
-        if not hello.status.has_state:
-            return self._list_members_for_start(hello.status.member.data_centre, now_ms)
-        if not hello.members:
-            return ()
-        peers = self._sample_peers()
-        if hello.digest != self._digest:
-            newest = sorted(self._peers.values(), key=lambda peer: -peer.added_at_ms)
-            peers.extend(peer for peer in newest[:NEWEST_MEMBERS_MAX] if peer not in peers)
-        return self._describe(peers, now_ms)
-
-    def _list_members_for_start(self, data_centre: str, now_ms: int) -> tuple[KnownMember, ...]:
-        local_names = [
-            name for name, peer in self._peers.items() if peer.member.data_centre == data_centre
-        ]
-        ranked = rank_by_rendezvous(_RANK_KEY, local_names)[:RANKED_MEMBERS_MAX]
-        peers = [self._peers[name] for name in ranked]
-        recent = sorted(self._peers.values(), key=lambda peer: -peer.last_heard_at_ms)
-        peers.extend(peer for peer in recent[:RECENT_MEMBERS_MAX] if peer not in peers)
-        return self._describe(peers, now_ms)
-
-    def _sample_peers(self) -> list[_PeerRecord]:
-        peers = list(self._peers.values())
-        return self._rng.sample(peers, min(SAMPLE_MEMBERS_MAX, len(peers)))
-
-    def _describe(self, peers: list[_PeerRecord], now_ms: int) -> tuple[KnownMember, ...]:
-        return tuple(
-            KnownMember(peer.member, max(0, now_ms - peer.last_heard_at_ms)) for peer in peers
-        )
+        """Returns the members to include in the reply to a hello; see `MemberLists`."""
+        return self._member_lists.list_for_reply(hello, self._digest, now_ms)
 
     def expire_members(self, now_ms: int) -> list[str]:
         """Removes members that have timed out and returns their names.
@@ -365,7 +304,7 @@
             if peer.member.data_centre != self._member.data_centre:
                 by_data_centre.setdefault(peer.member.data_centre, []).append(name)
         ranked = [
-            rank_by_rendezvous(_RANK_KEY, by_data_centre[data_centre])
+            rank_by_rendezvous(RANK_KEY, by_data_centre[data_centre])
             for data_centre in sorted(by_data_centre)
         ]
         interleaved = [
@@ -376,7 +315,7 @@
         ]
         return interleaved[:REMOTE_FEEDERS_MAX]
 
-    def _can_feed(self, peer: _PeerRecord, now_ms: int) -> bool:
+    def _can_feed(self, peer: PeerRecord, now_ms: int) -> bool:
         status = peer.status
         status_age_ms = now_ms - peer.status_at_ms
         return (
@@ -388,10 +327,10 @@
             and status.source_age_ms + status_age_ms < SOURCE_TIMEOUT_MS
         )
 
-    def _record_peer(self, member: Member, last_heard_at_ms: int, now_ms: int) -> _PeerRecord:
+    def _record_peer(self, member: Member, last_heard_at_ms: int, now_ms: int) -> PeerRecord:
         peer = self._peers.get(member.name)
         if peer is None:
-            peer = _PeerRecord(member, last_heard_at_ms, now_ms)
+            peer = PeerRecord(member, last_heard_at_ms, now_ms)
             self._peers[member.name] = peer
             self._update_ranking_and_digest()
             return peer
@@ -422,6 +361,6 @@
         responsive_names = [
             member.name for member in local_members if not self._peers[member.name].is_unresponsive
         ]
-        self._ranked_names = rank_by_rendezvous(_RANK_KEY, [*responsive_names, self._member.name])
+        self._ranked_names = rank_by_rendezvous(RANK_KEY, [*responsive_names, self._member.name])
         names = sorted([*self._peers, self._member.name])
         self._digest = hash_text("\n".join(names))
--- a/src/catkinspread/peers/tests/test_directory.py
+++ b/src/catkinspread/peers/tests/test_directory.py
@@ -3,12 +3,11 @@
 import random
 
 from catkinspread.peers import Hello, HelloReply, KnownMember, Member, MemberStatus, PeerDirectory
-from catkinspread.peers.directory import (
+from catkinspread.peers.directory import REMOTE_EXCHANGES_PER_S, REMOTE_TIMEOUT_MS
+from catkinspread.peers.member_lists import (
     NEWEST_MEMBERS_MAX,
     RANKED_MEMBERS_MAX,
     RECENT_MEMBERS_MAX,
-    REMOTE_EXCHANGES_PER_S,
-    REMOTE_TIMEOUT_MS,
     SAMPLE_MEMBERS_MAX,
 )
 
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -43,24 +43,17 @@
     UnreachableReport,
 )
 from catkinspread.platform import PacketPort, ReadinessServer, StoreClient, read_request_id
+from catkinspread.runtime.graceful_shutdown import wait_until_unused
 from catkinspread.runtime.isolation import IsolationCheck
 from catkinspread.runtime.load_reports import LoadReporter
 from catkinspread.runtime.metrics import METRICS_PORT, METRICS_REQUEST_MAX_BYTES, MetricsPage
 from catkinspread.runtime.reloader import SettingsReloader
 from catkinspread.runtime.settings import ForwardingSettings
 from catkinspread.runtime.startup_times import StartupTimes
-from catkinspread.runtime.upstream_checks import UpstreamChecker
+from catkinspread.runtime.upstream_monitor import UpstreamMonitor
 from catkinspread.transport.http_server import HttpServer
 from catkinspread.transport.traffic import TrafficKind, TrafficMeter
 
-# Minimum duration of a shutdown: routers remove an instance after two failed readiness checks,
-# which run every 500 ms.
-SHUTDOWN_MIN_MS = 1_300
-# Time without packets after which the shutdown ends.
-SHUTDOWN_IDLE_MS = 400
-# Time to spare before the platform kills the process at the end of its grace time.
-SHUTDOWN_MARGIN_MS = 800
-SHUTDOWN_POLL_INTERVAL_MS = 40
 CLEANUP_INTERVAL_MS = 500
 # Interval between the lines with the traffic and the calls to the source so far.
 TRAFFIC_LOG_INTERVAL_MS = 10_000
@@ -78,9 +71,6 @@
 LOOP_INTERVAL_MIN_MS = 10
 # A run of the periodic tasks that is late by this time shows that the process was paused.
 PAUSE_MIN_MS = 500
-# Recipients of the report of an unreachable upstream. Each of them reports it too once its own checks
-# fail, so the report reaches all instances in a few steps, whatever their number.
-UNREACHABLE_REPORT_RECIPIENTS = 8
 _MS_PER_S = 1_000
 
 
@@ -100,7 +90,6 @@
 
     __slots__ = (
         "_cache",
-        "_checker",
         "_clock",
         "_cold_start_limiter",
         "_direct_source_health",
@@ -122,6 +111,7 @@
         "_state",
         "_synchroniser_health",
         "_traffic",
+        "_upstream_monitor",
     )
 
     def __init__(
@@ -169,7 +159,7 @@
         self._isolation = IsolationCheck(self._local_availability, self._directory, self._events)
         self._cold_start_limiter = ColdStartLimiter(instance_count=1, rng=self._rng)
         self._forwarder = self._build_forwarder()
-        self._checker = UpstreamChecker(self._forwarder.reachability.record_check, clock)
+        self._upstream_monitor = self._build_upstream_monitor()
 
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then shuts down gracefully."""
@@ -193,7 +183,7 @@
             group.start_soon(readiness.run)
             group.start_soon(self._serve_feed)
             group.start_soon(self._serve_metrics)
-            group.start_soon(self._checker.run)
+            group.start_soon(self._upstream_monitor.run_checks)
             group.start_soon(self._log_traffic, store)
             group.start_soon(self._build_synchroniser(shared).run)
             group.start_soon(self._run_periodic_tasks, shared)
@@ -220,6 +210,21 @@
             read_request_id,
         )
 
+    def _build_upstream_monitor(self) -> UpstreamMonitor:
+        return UpstreamMonitor(
+            self._settings.name,
+            self._state,
+            self._synchroniser_health,
+            self._forwarder,
+            self._directory,
+            self._exchange,
+            self._events,
+            self._clock,
+        )
+
+    def _apply_unreachable_report(self, report: UnreachableReport, now_ms: int) -> None:
+        self._upstream_monitor.apply_report(report, now_ms)
+
     def _build_exchange(self) -> PeerExchange:
         return PeerExchange(
             self._member,
@@ -317,7 +322,7 @@
             if now_ms - expected_ms >= PAUSE_MIN_MS:
                 self._handle_pause(now_ms, now_ms - expected_ms)
             self._forwarder.send_due_retries(now_ms)
-            self._check_upstreams(now_ms)
+            self._upstream_monitor.update(now_ms)
             self._send_load_report(now_ms)
             self._isolation.update(now_ms)
             shared.update_feeder()
@@ -344,36 +349,11 @@
         if report is not None:
             self._exchange.send_report(report, self._reporter.choose_recipients())
 
-    def _check_upstreams(self, now_ms: int) -> None:
-        """Requests the checks that are due and resets the flows of unreachable upstreams."""
-        reachability = self._forwarder.reachability
-        for check in self._forwarder.take_due_checks(now_ms):
-            self._checker.request(check)
-        for upstream in self._forwarder.reset_flows_of_unreachable(now_ms):
-            name = upstream.record.name
-            since_ms = reachability.find_unreachable_since_ms(name) or now_ms
-            self._events.write(
-                "upstream_unreachable", now_ms, name=name, unanswered_ms=now_ms - since_ms
-            )
-            report = UnreachableReport(self._member.name, upstream.token, now_ms - since_ms)
-            hosts = self._directory.choose_random_hosts(UNREACHABLE_REPORT_RECIPIENTS)
-            self._exchange.send_report(report, hosts)
-
-    def _apply_unreachable_report(self, report: UnreachableReport, now_ms: int) -> None:
-        upstream = self._state.find_upstream_by_token(report.token)
-        if upstream is not None:
-            since_ms = now_ms - report.unanswered_ms
-            self._forwarder.record_unreachable_report(upstream, since_ms, now_ms)
-
     def _run_cleanup(self, now_ms: int) -> None:
         self._forwarder.expire_flows(now_ms)
         self._local_availability.update(now_ms)
         self._loads.expire_reports(now_ms)
-        for upstream in self._state.expire_upstreams(
-            now_ms, self._synchroniser_health.available_since_ms
-        ):
-            self._events.write("upstream_gone", now_ms, name=upstream.record.name)
-            self._forwarder.reset_flows_of_gone(upstream, now_ms)
+        self._upstream_monitor.expire(now_ms)
         for name in self._directory.expire_members(now_ms):
             self._events.write("instance_lost", now_ms, name=name)
         self._cold_start_limiter.instance_count = self._directory.count_members()
@@ -410,14 +390,9 @@
 
     async def _shut_down(self) -> None:
         """Reports that the instance is not ready and forwards until no more packets arrive."""
-        started_ms = self._clock.now_ms()
         self._is_leaving = True
         self._exchange.send_hello()
-        self._events.write_always("leaving", started_ms, flows=self._forwarder.flow_count)
-        end_ms = started_ms + self._settings.grace_ms - SHUTDOWN_MARGIN_MS
-        while self._clock.now_ms() < end_ms:
-            now_ms = self._clock.now_ms()
-            idle_ms = now_ms - self._packet_port.last_packet_at_ms
-            if now_ms - started_ms >= SHUTDOWN_MIN_MS and idle_ms >= SHUTDOWN_IDLE_MS:
-                return
-            await anyio.sleep(SHUTDOWN_POLL_INTERVAL_MS / _MS_PER_S)
+        self._events.write_always("leaving", self._clock.now_ms(), flows=self._forwarder.flow_count)
+        await wait_until_unused(
+            lambda: self._packet_port.last_packet_at_ms, self._settings.grace_ms, self._clock
+        )
