Hide values of mistyped settings, log datagrams that are no message, and give no time that is not known

Errors of settings name key or line and no value for them; a warning at most every 10 s with size, sender and count; 'too late'.

--- a/src/catkinspread/ini/fields.py
+++ b/src/catkinspread/ini/fields.py
@@ -155,11 +155,21 @@
     try:
         parser.read_string(text, source=file)
     except configparser.Error as error:
-        message = " ".join(str(error).split())
-        raise SettingsError((SettingsProblem(file, "", "", "", message),)) from error
+        message = _describe_syntax_error(error)
+        # The cause is left out, because it quotes lines of the file, which may hold secrets.
+        raise SettingsError((SettingsProblem(file, "", "", "", message),)) from None
     return parser
 
 
+def _describe_syntax_error(error: configparser.Error) -> str:
+    if isinstance(error, configparser.MissingSectionHeaderError):
+        return f"line {error.lineno} comes before the first section"
+    if isinstance(error, configparser.ParsingError):
+        numbers = ", ".join(str(number) for number, _ in error.errors)
+        return f"Source contains parsing errors in line {numbers}"
+    return " ".join(str(error).split())
+
+
 def read_fields(
     file: str,
     parser: configparser.ConfigParser,
@@ -214,10 +224,11 @@
             problems.append(SettingsProblem(file, section, "", "", message))
             continue
         keys = sorted(field.key for field in fields if field.section == section)
-        for key, value in parser.items(section):
+        for key in parser.options(section):
             if key not in keys:
+                # Without its value, because the key may be a misspelled one of a secret.
                 message = f"unknown key{format_suggestion(key, keys)}"
-                problems.append(SettingsProblem(file, section, key, value, message))
+                problems.append(SettingsProblem(file, section, key, "", message))
     return problems
 
 
--- a/src/catkinspread/ini/tests/__init__.py
+++ b/src/catkinspread/ini/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of catkinspread.ini."""
+"""Tests of this subpackage."""
--- a/src/catkinspread/peers/exchange.py
+++ b/src/catkinspread/peers/exchange.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import anyio
+from absl import logging
 
 from catkinspread.clock import Clock
 from catkinspread.model import Endpoint
@@ -35,6 +36,7 @@
 HELLO_JITTER = 0.1
 # An instance without the deployment state sends hellos more often.
 INITIAL_HELLO_INTERVAL_MS = 60
+MALFORMED_LOG_INTERVAL_S = 10
 _MS_PER_S = 1_000
 
 
@@ -169,8 +171,17 @@
         now_ms = self._clock.now_ms()
         try:
             message = decode_message(datagram)
-        except MessageError:
+        except MessageError as error:
             self.malformed_count += 1
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "peers: %d bytes from %s are no message (%d so far): %s",
+                MALFORMED_LOG_INTERVAL_S,
+                len(datagram),
+                sender.host,
+                self.malformed_count,
+                error,
+            )
             return
         self._handle(message, sender, now_ms)
 
--- a/src/catkinspread/records/reasons.py
+++ b/src/catkinspread/records/reasons.py
@@ -191,7 +191,8 @@
 )
 def _describe_slow_upstream(record: Record) -> str:
     upstream_ms = record.timings.upstream_ms if isinstance(record, RequestRecord) else None
-    return f"{_format_upstream(record)} responded after {upstream_ms} ms"
+    duration = "too late" if upstream_ms is None else f"after {upstream_ms} ms"
+    return f"{_format_upstream(record)} responded {duration}"
 
 
 @register_reason(
--- a/src/catkinspread/records/tests/test_reasons.py
+++ b/src/catkinspread/records/tests/test_reasons.py
@@ -56,11 +56,13 @@
 
 
 def test_description_contains_the_queue_time_and_the_share():
-    """Guards against a description without the limit that applied to the request."""
+    """Guards against a description without its figures, or with a time that is not known."""
     assert describe_record(RECORD) == (
         "it expired after 500 ms in the queue during the cold start of upstream 'rd-1'; the share "
         "of this instance is 0.56 requests per second"
     )
+    slow = msgspec.structs.replace(RECORD, reason="slow.upstream")
+    assert describe_record(slow) == "upstream 'rd-1' responded too late"
     unknown = msgspec.structs.replace(RECORD, reason="later.reason")
     assert describe_record(unknown) == "reason 'later.reason' is unknown to this release"
 
