Accept a reset with the number of the opening packet during a handshake

Cause, found in the read-through: a caller that gives up a handshake may reset it with the sequence number of its opening packet; it would have been dropped as a packet of an earlier flow, and the upstream would keep the half-open flow until its own time-out.

--- a/src/catkinspread/forwarding/flows.py
+++ b/src/catkinspread/forwarding/flows.py
@@ -102,12 +102,13 @@
         """Whether a packet that ends the handshake has a sequence number of this flow.
 
         Packets of an earlier flow with the same key may arrive late. The first packet of a flow
-        follows its opening packet, or comes up to FIRST_WINDOW_BYTES later if others were lost.
+        follows its opening packet, or comes up to FIRST_WINDOW_BYTES later if others were lost. A
+        reset may have the number of the opening packet itself.
         """
         if self.opening_sequence is None:
             return True
         distance = compute_sequence_distance(packet.sequence, self.opening_sequence)
-        return 0 < distance <= FIRST_WINDOW_BYTES
+        return distance <= FIRST_WINDOW_BYTES
 
     def is_late_retransmission(self, packet: CallerPacket, now_ms: int) -> bool:
         """Whether a packet is a retransmission of the opening packet after the handshake.
