Log the start once signals are handled, and pause the test program once its tasks run

Its log shows 'started' at 172.691 and the next line 1.07 s later: the test paused the program between that line and the first run of the periodic tasks, before there was anything to notice. The same window lets a SIGTERM right after 'started' end the process by the default action, since the handlers were installed after the line. 'started' is logged once the handlers are installed; the test waits for the first call to the source, which the running tasks make, and asks for the same.

--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -163,11 +163,11 @@
 
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then shuts down gracefully."""
-        now_ms = self._clock.now_ms()
-        loading_ms = now_ms - self._startup.opened_at_ms
-        self._events.write_always("started", now_ms, loading_ms=loading_ms)
         # The handlers stay until the end, so that further signals do not end a shutdown early.
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            now_ms = self._clock.now_ms()
+            loading_ms = now_ms - self._startup.opened_at_ms
+            self._events.write_always("started", now_ms, loading_ms=loading_ms)
             await self._run_components(signals)
         self._events.write_always(
             "stopped", self._clock.now_ms(), dropped_lines_total=self._events.dropped_count
--- a/src/catkinspread/runtime/tests/test_signals.py
+++ b/src/catkinspread/runtime/tests/test_signals.py
@@ -113,7 +113,11 @@
 
 
 def test_pause_of_the_process_is_noticed(program: RunningProgram) -> None:
-    """Guards against decisions on time-outs that ran out while the process was paused."""
+    """Guards against decisions on time-outs that ran out while the process was paused.
+
+    The first call to the source shows that the periodic tasks run, which notice the pause.
+    """
+    program.wait_for(lambda: program.has_logged("source_lost"))
     program.process.send_signal(signal.SIGSTOP)
     time.sleep(1.0)
     program.process.send_signal(signal.SIGCONT)
