Log the era and revision at which the state is listed, changed and lost

The log could not tell whether an instance missed a change because its feeder's revisions had gone back (hypothesis 1) or because it watched the store at a revision that was given out again (hypothesis 2).

state_listed is new (kind, records, era, revision); state_changed and history_lost have the revision, state_changed the era.

--- a/src/catkinspread/deployment/source.py
+++ b/src/catkinspread/deployment/source.py
@@ -46,10 +46,13 @@
     Attributes:
         changes: The items of the listing, or the changes.
         revision: Revision of the source up to which the listing or the changes are complete.
+        era: Number of times that the source was restored from a copy, which gives revisions out
+            again; 0 if the source does not tell.
     """
 
     changes: tuple[StateChange, ...]
     revision: int
+    era: int = 0
 
 
 class StateSource(Protocol):
--- a/src/catkinspread/deployment/synchroniser.py
+++ b/src/catkinspread/deployment/synchroniser.py
@@ -147,25 +147,34 @@
         if kind is StateKind.UPSTREAMS:
             for known in self._state.list_upstreams():
                 if known.record.name not in listed:
-                    self._apply_change(kind, StateChange(known.record.name, None), now_ms)
+                    self._apply_change(kind, StateChange(known.record.name, None), listing, now_ms)
             self._state.upstreams_loaded = True
         if kind is StateKind.EVACUATIONS:
             for name in self._state.list_evacuated_data_centres():
                 if name not in listed:
-                    self._apply_change(kind, StateChange(name, None), now_ms)
+                    self._apply_change(kind, StateChange(name, None), listing, now_ms)
             self._state.evacuations_loaded = True
         self.apply_changes(kind, listing, now_ms)
 
     def apply_changes(self, kind: StateKind, changes: StateChanges, now_ms: int) -> None:
         """Applies a list of changes in order."""
         for change in changes.changes:
-            self._apply_change(kind, change, now_ms)
+            self._apply_change(kind, change, changes, now_ms)
 
-    def _apply_change(self, kind: StateKind, change: StateChange, now_ms: int) -> None:
+    def _apply_change(
+        self, kind: StateKind, change: StateChange, read: StateChanges, now_ms: int
+    ) -> None:
+        """Applies a change; `read` is what it was read with, for the log."""
         outcome = self._apply_to_state(kind, change, now_ms)
         if outcome is not None and outcome.is_changed:
             self._events.write(
-                "state_changed", now_ms, kind=kind.value, name=change.name, detail=outcome.detail
+                "state_changed",
+                now_ms,
+                kind=kind.value,
+                name=change.name,
+                detail=outcome.detail,
+                era=read.era,
+                revision=read.revision,
             )
 
     def _apply_to_state(
@@ -250,7 +259,13 @@
             try:
                 revision = await self._read_once(kind, revision)
             except HistoryLost as error:
-                self._events.write("history_lost", self._clock.now_ms(), reason=str(error))
+                self._events.write(
+                    "history_lost",
+                    self._clock.now_ms(),
+                    kind=kind.value,
+                    revision=revision,
+                    reason=str(error),
+                )
                 revision = None
                 # The new listing may be outdated as well; the delay prevents a tight loop.
                 await self._sleep_with_jitter(retry_delay_ms)
@@ -271,7 +286,16 @@
         if revision is None:
             listing = await self._source.list_records(kind)
             self._record_success()
-            self._applier.apply_listing(kind, listing, self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            self._events.write(
+                "state_listed",
+                now_ms,
+                kind=kind.value,
+                records=len(listing.changes),
+                era=listing.era,
+                revision=listing.revision,
+            )
+            self._applier.apply_listing(kind, listing, now_ms)
             return listing.revision
         changes = await self._source.wait_for_changes(kind, revision, self._settings.timeout_ms)
         self._record_success()
--- a/src/catkinspread/httpclient/client.py
+++ b/src/catkinspread/httpclient/client.py
@@ -35,10 +35,23 @@
     Attributes:
         status: Status code.
         body: Content of the response.
+        headers: Names and values of the headers, as received.
     """
 
     status: int
     body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+    def find_header(self, name: bytes) -> bytes | None:
+        """Returns the value of a header; None if the response has none.
+
+        Args:
+            name: Name of the header in lower case.
+        """
+        for found, value in self.headers:
+            if found.lower() == name:
+                return value
+        return None
 
 
 class HttpClient:
@@ -102,4 +115,4 @@
                 f"GET {url} failed: {error!r} (time-outs: {connect_timeout_ms} ms to connect, "
                 f"{response_timeout_ms} ms to read the response)"
             ) from error
-        return HttpResponse(response.status, response.content)
+        return HttpResponse(response.status, response.content, tuple(response.headers))
--- a/src/catkinspread/platform/store.py
+++ b/src/catkinspread/platform/store.py
@@ -13,7 +13,7 @@
     StateChanges,
     StateKind,
 )
-from catkinspread.httpclient import HttpClient, HttpFailure
+from catkinspread.httpclient import HttpClient, HttpFailure, HttpResponse
 from catkinspread.model import Endpoint
 from catkinspread.platform.objects import KIND_PATHS, ObjectShapeError, decode_record
 
@@ -22,6 +22,8 @@
 _OK = 200
 CONNECT_TIMEOUT_MS = 700
 ANSWER_TIMEOUT_MS = 700
+# Counts how often the store was restored from a copy; part of each answer.
+_ERA_HEADER = b"store-era"
 # A listing may be large, and the store may be slow.
 LIST_TIMEOUT_MS = 1_500
 
@@ -78,14 +80,14 @@
         parameters: dict[str, str] = {}
         revision: int | None = None
         while True:
-            body = await self._call(kind, parameters, LIST_TIMEOUT_MS)
-            listing = _decode(body, _Listing)
+            answer = await self._call(kind, parameters, LIST_TIMEOUT_MS)
+            listing = _decode(answer.body, _Listing)
             changes.extend(_convert(kind, item, False) for item in listing.items)
             if revision is None:
                 # Later pages are newer; changes since the first one are asked for again.
                 revision = listing.at_rev
             if not listing.has_more or not listing.items:
-                return StateChanges(tuple(changes), revision)
+                return StateChanges(tuple(changes), revision, _read_era(answer))
             parameters = {"after": listing.items[-1].meta.name}
 
     async def wait_for_changes(
@@ -93,12 +95,14 @@
     ) -> StateChanges:
         """Returns the changes after a revision; see `StateSource`."""
         parameters = {"watch": str(revision), "wait_ms": str(timeout_ms)}
-        body = await self._call(kind, parameters, timeout_ms + ANSWER_TIMEOUT_MS)
-        watched = _decode(body, _Watched)
+        answer = await self._call(kind, parameters, timeout_ms + ANSWER_TIMEOUT_MS)
+        watched = _decode(answer.body, _Watched)
         changes = tuple(_convert(kind, event.object, event.removed) for event in watched.events)
-        return StateChanges(changes, watched.at_rev)
+        return StateChanges(changes, watched.at_rev, _read_era(answer))
 
-    async def _call(self, kind: StateKind, parameters: dict[str, str], timeout_ms: int) -> bytes:
+    async def _call(
+        self, kind: StateKind, parameters: dict[str, str], timeout_ms: int
+    ) -> HttpResponse:
         path = BASE_PATH + KIND_PATHS[kind]
         self.call_counts[f"{'watch' if 'watch' in parameters else 'list'}_{kind.value}"] += 1
         try:
@@ -111,7 +115,17 @@
             raise HistoryLost(f"no history of {kind.value} at {parameters}")
         if result.status != _OK:
             raise SourceUnavailable(f"{path} answered {result.status}")
-        return result.body
+        return result
+
+
+def _read_era(answer: HttpResponse) -> int:
+    value = answer.find_header(_ERA_HEADER)
+    if value is None:
+        return 0
+    try:
+        return int(value)
+    except ValueError as error:
+        raise SourceUnavailable(f"era {value!r} of the store is not a number") from error
 
 
 def _decode(body: bytes, shape: type[_Shape]) -> _Shape:
