--- a/src/catkinspread/platform/stand_ins/__init__.py
+++ b/src/catkinspread/platform/stand_ins/__init__.py
@@ -18,12 +18,13 @@
     split_upstream_datagram,
 )
 from catkinspread.platform.stand_ins.settings import READINESS_PATH, build_environment
-from catkinspread.platform.stand_ins.store import StoreMode, StoreStandIn
+from catkinspread.platform.stand_ins.store import StoreCopy, StoreMode, StoreStandIn
 
 __all__ = [
     "READINESS_PATH",
     "FlowPacket",
     "PacketDamaged",
+    "StoreCopy",
     "StoreMode",
     "StoreStandIn",
     "build_environment",
--- a/src/catkinspread/transport/http_server.py
+++ b/src/catkinspread/transport/http_server.py
@@ -45,12 +45,14 @@
         body: Body; it must be empty for the status 204.
         is_dropped: Whether the connection is closed without sending the response.
         content_type: Value of the header Content-Type.
+        headers: Further headers.
     """
 
     status: int
     body: bytes = b""
     is_dropped: bool = False
     content_type: str = "application/msgpack"
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 # Handles one request. Called concurrently for different connections, but for one request at a time of
@@ -242,6 +244,7 @@
         ]
         if response.status == HTTPStatus.NO_CONTENT:
             headers = []
+        headers.extend(response.headers)
         if head is None:
             headers.append(("Connection", "close"))
         response_head = h11.Response(
