Compare revisions of the source only within an era

Cause: a revision was taken for a point in one history. After a restoration the store gives revisions out again. A follower waited at 15 of before while its feeder, listed again at 14, got the new version as 15; the same holds for an instance that watches the store itself at a revision that was reached again, and for a feeder's encoded body at an equal revision.

Change: what is read has a SourcePosition, era and revision, from the header Store-Era on; the feed carries the era both ways. Changes of a later era end in HistoryLost for every kind, those of an earlier one are not used. Feeders tell their era; one that is behind, or of a version without eras, is not followed, and a starting instance lists again if its peer missed the restoration. Both versions still decode each other's messages. The set of kinds with lost history is gone: any listing but the first goes to where the changes come from.

--- a/src/catkinspread/deployment/__init__.py
+++ b/src/catkinspread/deployment/__init__.py
@@ -12,6 +12,7 @@
 )
 from catkinspread.deployment.source import (
     HistoryLost,
+    SourcePosition,
     SourceUnavailable,
     StateChange,
     StateChanges,
@@ -45,6 +46,7 @@
     "ServiceLimits",
     "ServiceShare",
     "SourceHealth",
+    "SourcePosition",
     "SourceUnavailable",
     "StateApplier",
     "StateChange",
--- a/src/catkinspread/deployment/source.py
+++ b/src/catkinspread/deployment/source.py
@@ -19,7 +19,23 @@
 
 
 class HistoryLost(Exception):
-    """The source no longer holds the changes since the requested revision."""
+    """The source does not hold the changes since the requested position."""
+
+
+class SourcePosition(msgspec.Struct, frozen=True, order=True):
+    """A point in the history of the source.
+
+    Revisions are comparable only within an era: a source that was restored from a copy gives
+    revisions out again.
+
+    Attributes:
+        era: Number of times that the source was restored, counted by the source; 0 if it does not
+            tell.
+        revision: Number of the last change; increases with each change of an era.
+    """
+
+    era: int
+    revision: int
 
 
 class StateChange(msgspec.Struct, frozen=True):
@@ -46,17 +62,21 @@
     Attributes:
         changes: The items of the listing, or the changes.
         revision: Revision of the source up to which the listing or the changes are complete.
-        era: Number of times that the source was restored from a copy, which gives revisions out
-            again; 0 if the source does not tell.
+        era: Era of the revision; see `SourcePosition`.
     """
 
     changes: tuple[StateChange, ...]
     revision: int
     era: int = 0
 
+    @property
+    def position(self) -> SourcePosition:
+        """Position of the source up to which the listing or the changes are complete."""
+        return SourcePosition(self.era, self.revision)
+
 
 class StateSource(Protocol):
-    """A linearizable source of records whose revision increases with each change."""
+    """A linearizable source of records whose position increases with each change."""
 
     async def list_records(self, kind: StateKind) -> StateChanges:
         """Returns a listing of all records of a kind.
@@ -66,17 +86,20 @@
         """
 
     async def wait_for_changes(
-        self, kind: StateKind, revision: int, timeout_ms: int
+        self, kind: StateKind, position: SourcePosition, timeout_ms: int
     ) -> StateChanges:
-        """Waits for changes after a revision and returns them in order.
+        """Waits for changes after a position and returns them in order.
+
+        The changes may be of another era than the position if the source was restored; then they
+        do not follow the position.
 
         Args:
             kind: Kind of the records.
-            revision: Revision up to which the changes are already known.
+            position: Position up to which the changes are already known.
             timeout_ms: Maximum time to wait, in ms. If nothing changes in this time, the result
                 contains no changes.
 
         Raises:
             SourceUnavailable: If the source did not return a valid response.
-            HistoryLost: If the source no longer holds the changes since the revision.
+            HistoryLost: If the source does not hold the changes since the position.
         """
--- a/src/catkinspread/deployment/synchroniser.py
+++ b/src/catkinspread/deployment/synchroniser.py
@@ -14,6 +14,7 @@
 from catkinspread.deployment.records import RoutingConfiguration, StateKind, UpstreamRecord
 from catkinspread.deployment.source import (
     HistoryLost,
+    SourcePosition,
     SourceUnavailable,
     StateChange,
     StateChanges,
@@ -252,21 +253,21 @@
                 group.start_soon(self._run_kind, kind)
 
     async def _run_kind(self, kind: StateKind) -> None:
-        revision: int | None = None
+        position: SourcePosition | None = None
         retry_delay_ms = RETRY_DELAY_INITIAL_MS
         while True:
-            was_watching = revision is not None
+            was_watching = position is not None
             try:
-                revision = await self._read_once(kind, revision)
+                position = await self._read_once(kind, position)
             except HistoryLost as error:
                 self._events.write(
                     "history_lost",
                     self._clock.now_ms(),
                     kind=kind.value,
-                    revision=revision,
+                    position=position,
                     reason=str(error),
                 )
-                revision = None
+                position = None
                 # The new listing may be outdated as well; the delay prevents a tight loop.
                 await self._sleep_with_jitter(retry_delay_ms)
                 retry_delay_ms = min(RETRY_DELAY_MAX_MS, 2 * retry_delay_ms)
@@ -282,8 +283,8 @@
     async def _sleep_with_jitter(self, duration_ms: int) -> None:
         await anyio.sleep(duration_ms * (0.5 + self._rng.random()) / _MS_PER_S)
 
-    async def _read_once(self, kind: StateKind, revision: int | None) -> int:
-        if revision is None:
+    async def _read_once(self, kind: StateKind, position: SourcePosition | None) -> SourcePosition:
+        if position is None:
             listing = await self._source.list_records(kind)
             self._record_success()
             now_ms = self._clock.now_ms()
@@ -296,13 +297,13 @@
                 revision=listing.revision,
             )
             self._applier.apply_listing(kind, listing, now_ms)
-            return listing.revision
-        changes = await self._source.wait_for_changes(kind, revision, self._settings.timeout_ms)
+            return listing.position
+        changes = await self._source.wait_for_changes(kind, position, self._settings.timeout_ms)
         self._record_success()
         self._applier.apply_changes(kind, changes, self._clock.now_ms())
         if changes.changes and self._settings.batching_delay_ms:
             await anyio.sleep(self._settings.batching_delay_ms / _MS_PER_S)
-        return changes.revision
+        return changes.position
 
     def _record_success(self) -> None:
         now_ms = self._clock.now_ms()
--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -10,6 +10,8 @@
 
 import random
 
+import msgspec
+
 from catkinspread.hashing import hash_text, rank_by_rendezvous
 from catkinspread.peers.member_lists import RANK_KEY, MemberLists
 from catkinspread.peers.messages import (
@@ -68,6 +70,7 @@
         "_ranked_names",
         "_remote_polling_since_ms",
         "_rng",
+        "_source_era",
     )
 
     def __init__(self, member: Member, rng: random.Random) -> None:
@@ -82,8 +85,23 @@
         # Name of the feeder that was selected last; empty if there was none.
         self._feeder_name = ""
         self._remote_polling_since_ms: int | None = None
+        # Feeders of an earlier era of the source are not selected.
+        self._source_era = 0
         self._update_ranking_and_digest()
 
+    def record_source_era(self, era: int, feeder: Member | None) -> None:
+        """Notes that the source is in a later era.
+
+        Args:
+            era: The era.
+            feeder: Instance that told of it; None if it was the source.
+        """
+        self._source_era = era
+        peer = self._peers.get(feeder.name) if feeder else None
+        if peer is not None and peer.status is not None:
+            # Its last status may be older than the restoration.
+            peer.status = msgspec.structs.replace(peer.status, source_era=era)
+
     @property
     def is_polling_remote(self) -> bool:
         """Whether hellos go to feeders of other data centres in each round."""
@@ -278,13 +296,14 @@
         return None
 
     def list_peers_with_state(self, now_ms: int) -> list[Member]:
-        """Returns the peers that hold the deployment state, those of this data centre first.
+        """Returns the peers that hold the deployment state, in the order in which to ask them.
 
+        Peers that know of the latest era of the source come first, then those of this data centre.
         Within each group the order is random, so that instances that start at the same time do not
         all read from the same peer.
         """
         found = [
-            peer.member
+            (peer.status.source_era or 0, peer.member)
             for peer in self._peers.values()
             if peer.status is not None
             and peer.status.has_state
@@ -292,7 +311,8 @@
         ]
         own = self._member.data_centre
         self._rng.shuffle(found)
-        return sorted(found, key=lambda member: member.data_centre != own)
+        found.sort(key=lambda entry: (-entry[0], entry[1].data_centre != own))
+        return [member for _, member in found]
 
     def _list_remote_feeders(self) -> list[str]:
         """Returns up to REMOTE_FEEDERS_MAX feeders of other data centres.
@@ -322,6 +342,8 @@
             status is not None
             and status.has_state
             and not status.is_leaving
+            and status.source_era is not None
+            and status.source_era >= self._source_era
             and status.source_age_ms is not None
             and status_age_ms < STATUS_TIMEOUT_MS
             and status.source_age_ms + status_age_ms < SOURCE_TIMEOUT_MS
--- a/src/catkinspread/peers/feed.py
+++ b/src/catkinspread/peers/feed.py
@@ -5,6 +5,7 @@
 
 from catkinspread.deployment import (
     HistoryLost,
+    SourcePosition,
     SourceUnavailable,
     StateChanges,
     StateKind,
@@ -33,6 +34,10 @@
 FEED_REQUEST_MAX_BYTES = 1_024
 
 
+# Position that a reader asked from, None for a listing, and position of the answer.
+_BodyKey = tuple[SourcePosition | None, SourcePosition]
+
+
 class FeedServer:
     """Serves the cached records to other instances.
 
@@ -44,10 +49,10 @@
 
     def __init__(self, cache: StateCache) -> None:
         self._cache = cache
-        self._encoded_bodies: dict[StateKind, tuple[tuple[int | None, int], bytes]] = {}
+        self._encoded_bodies: dict[StateKind, tuple[_BodyKey, bytes]] = {}
 
     async def answer(self, request: HttpRequest) -> HttpServerResponse:
-        """Answers `GET /state/KIND`; with `after` and `wait_ms`, a long poll for changes."""
+        """Answers `GET /state/KIND`; with `era`, `after` and `wait_ms`, a long poll for changes."""
         target = urlsplit(request.target)
         try:
             kind = StateKind(target.path.removeprefix(_PATH_PREFIX))
@@ -60,21 +65,42 @@
                 return HttpServerResponse(_UNAVAILABLE)
             return self._build_answer(kind, None, listing)
         try:
-            revision = int(query["after"][0])
+            position = self._read_position(kind, query)
             wait_ms = min(WAIT_MAX_MS, int(query.get("wait_ms", ["0"])[0]))
         except ValueError:
             return HttpServerResponse(_BAD_REQUEST)
+        if position is None:
+            return HttpServerResponse(_GONE)
         try:
-            changes = await self._cache.wait_for_changes(kind, revision, wait_ms)
+            changes = await self._cache.wait_for_changes(kind, position, wait_ms)
         except HistoryLost:
             return HttpServerResponse(_GONE)
-        return self._build_answer(kind, revision, changes)
+        except SourceUnavailable:
+            return HttpServerResponse(_UNAVAILABLE)
+        return self._build_answer(kind, position, changes)
+
+    def _read_position(self, kind: StateKind, query: dict[str, list[str]]) -> SourcePosition | None:
+        """Returns the position of the reader; None if it has to list the records again.
+
+        Readers of an earlier version of this program tell no era. Theirs is taken to be that of the
+        cache, unless their revision is not reached in it.
+
+        Raises:
+            ValueError: If a parameter is not a number.
+        """
+        revision = int(query["after"][0])
+        if "era" in query:
+            return SourcePosition(int(query["era"][0]), revision)
+        cached = self._cache.get_position(kind)
+        if cached is None or revision > cached.revision:
+            return None
+        return SourcePosition(cached.era, revision)
 
     def _build_answer(
-        self, kind: StateKind, after: int | None, changes: StateChanges
+        self, kind: StateKind, after: SourcePosition | None, changes: StateChanges
     ) -> HttpServerResponse:
-        """Returns the answer; its body is encoded once for all readers at the same revision."""
-        key = (after, changes.revision)
+        """Returns the answer; its body is encoded once for all readers at the same position."""
+        key = (after, changes.position)
         cached = self._encoded_bodies.get(kind)
         if cached is None or cached[0] != key:
             cached = (key, encode_state_changes(changes))
@@ -105,10 +131,14 @@
         return await self._get(kind, {}, _RESPONSE_TIMEOUT_MS)
 
     async def wait_for_changes(
-        self, kind: StateKind, revision: int, timeout_ms: int
+        self, kind: StateKind, position: SourcePosition, timeout_ms: int
     ) -> StateChanges:
-        """Returns the changes after a revision; see `StateSource`."""
-        query = {"after": str(revision), "wait_ms": str(timeout_ms)}
+        """Returns the changes after a position; see `StateSource`."""
+        query = {
+            "era": str(position.era),
+            "after": str(position.revision),
+            "wait_ms": str(timeout_ms),
+        }
         return await self._get(kind, query, timeout_ms + _RESPONSE_TIMEOUT_MS)
 
     async def _get(self, kind: StateKind, query: dict[str, str], timeout_ms: int) -> StateChanges:
@@ -120,7 +150,7 @@
             if response.status == _GONE:
                 raise HistoryLost(
                     f"peer {self._endpoint} no longer holds changes of {kind.value} "
-                    f"after revision {query.get('after')}"
+                    f"after revision {query.get('after')} of era {query.get('era')}"
                 )
             if response.status != _OK:
                 raise SourceUnavailable(
--- a/src/catkinspread/peers/messages.py
+++ b/src/catkinspread/peers/messages.py
@@ -48,12 +48,15 @@
             `OUTAGE_THRESHOLD_MS` of `catkinspread.deployment.synchroniser`.
         has_state: Whether it holds the complete deployment state and can serve it to others.
         is_leaving: Whether it is shutting down.
+        source_era: Highest era of the source that it knows of; None from an instance of a version
+            that does not tell.
     """
 
     member: Member
     source_age_ms: int | None
     has_state: bool
     is_leaving: bool
+    source_era: int | None = None
 
 
 class KnownMember(msgspec.Struct, frozen=True, array_like=True):
--- a/src/catkinspread/peers/shared_source.py
+++ b/src/catkinspread/peers/shared_source.py
@@ -1,8 +1,8 @@
 """State source that reads through a feeder if there is one, and otherwise from the source itself.
 
-The source is the service that stores the deployment state. Feeders serve the revisions of the
+The source is the service that stores the deployment state. Feeders serve the positions of the
 source, so an instance can switch between the source and a feeder at any call without missing a
-change.
+change. Positions of an era that has ended are of no use: the records are listed again.
 """
 
 from collections.abc import Awaitable, Callable
@@ -13,6 +13,7 @@
 from catkinspread.deployment import (
     HistoryLost,
     SourceHealth,
+    SourcePosition,
     SourceUnavailable,
     StateChanges,
     StateKind,
@@ -72,7 +73,6 @@
         "_feeder",
         "_interrupted",
         "_is_first_start",
-        "_kinds_with_lost_history",
         "_open_peer_source",
         "_source",
         "_source_health",
@@ -99,7 +99,6 @@
         self._clock = clock
         self._feeder: Member | None = None
         self._interrupted = anyio.Event()
-        self._kinds_with_lost_history: set[StateKind] = set()
 
     def update_feeder(self) -> None:
         """Selects the feeder again; a change interrupts the calls that are waiting."""
@@ -116,21 +115,19 @@
     async def list_records(self, kind: StateKind) -> StateChanges:
         """Returns all records of a kind; see `StateSource`.
 
-        A peer with the state is preferred, because the source may be unavailable. After
-        HistoryLost, the records are read from the current feeder or the source, from which the
-        changes were requested, because the cache of another peer may be as far behind as this
+        For the first listing, a peer with the state is preferred, because the source may be
+        unavailable. Later ones are read from the current feeder or the source, from which the
+        changes are requested, because the cache of another peer may be as far behind as this
         instance.
         """
-        if kind in self._kinds_with_lost_history:
-            listing = await self._list_after_lost_history(kind)
-            self._kinds_with_lost_history.discard(kind)
-            return self._cache_listing(kind, listing)
+        if self._cache.get_position(kind) is not None:
+            return await self._list_again(kind)
         await self._wait_for_peer_with_state()
         peers = self._directory.list_peers_with_state(self._clock.now_ms())
         for member in peers[:LISTING_PEERS_MAX]:
             try:
                 listing = await self._open_peer_source(member).list_records(kind)
-                return await self._catch_up(kind, self._cache_listing(kind, listing))
+                return await self._catch_up(kind, self._cache_listing(kind, listing, member))
             except SourceUnavailable as error:
                 self._events.write(
                     "peer_unavailable", self._clock.now_ms(), peer=member.name, reason=str(error)
@@ -139,7 +136,8 @@
             raise SourceUnavailable(
                 f"listing of {kind.value} not requested because the last call to the source failed"
             )
-        return self._cache_listing(kind, await self._read_source(self._source.list_records(kind)))
+        listing = await self._read_source(self._source.list_records(kind))
+        return self._cache_listing(kind, listing, None)
 
     async def _catch_up(self, kind: StateKind, listing: StateChanges) -> StateChanges:
         """Adds the changes that the feeder has after the listing of another peer.
@@ -147,50 +145,101 @@
         Without them, an instance that starts would use records that were removed while that peer
         had no access to the source. If the feeder does not answer, the listing is used as it is.
         """
-        if self._feeder is None:
+        feeder = self._feeder
+        if feeder is None:
             return listing
+        source = self._open_peer_source(feeder)
         try:
-            source = self._open_peer_source(self._feeder)
-            changes = await source.wait_for_changes(kind, listing.revision, 0)
+            changes = await source.wait_for_changes(kind, listing.position, 0)
+            self._check_era(kind, listing.position, changes, feeder)
         except (SourceUnavailable, HistoryLost) as error:
             self._events.write("catch_up_failed", self._clock.now_ms(), reason=str(error))
-            return listing
+            is_lost = isinstance(error, HistoryLost)
+            return await self._list_again(kind) if is_lost else listing
         self._cache.put_changes(kind, changes)
-        return StateChanges(listing.changes + changes.changes, changes.revision)
+        return StateChanges(listing.changes + changes.changes, changes.revision, changes.era)
 
-    async def _list_after_lost_history(self, kind: StateKind) -> StateChanges:
-        if self._feeder is not None:
-            return await self._open_peer_source(self._feeder).list_records(kind)
-        return await self._read_source(self._source.list_records(kind))
+    async def _list_again(self, kind: StateKind) -> StateChanges:
+        """Returns all records of a kind from the feeder or, without one, from the source."""
+        feeder = self._feeder
+        if feeder is not None:
+            listing = await self._open_peer_source(feeder).list_records(kind)
+        else:
+            listing = await self._read_source(self._source.list_records(kind))
+        return self._cache_listing(kind, listing, feeder)
 
     async def wait_for_changes(
-        self, kind: StateKind, revision: int, timeout_ms: int
-    ) -> StateChanges:
-        """Returns the changes after a revision; see `StateSource`."""
-        try:
-            return await self._poll_feeder_or_source(kind, revision, timeout_ms)
-        except HistoryLost:
-            self._kinds_with_lost_history.add(kind)
-            raise
-
-    async def _poll_feeder_or_source(
-        self, kind: StateKind, revision: int, timeout_ms: int
+        self, kind: StateKind, position: SourcePosition, timeout_ms: int
     ) -> StateChanges:
-        if self._feeder is None:
-            if not await self._wait_before_source_call(kind):
-                return StateChanges((), revision)
-            if kind is SOURCE_PROBE_KIND:
-                timeout_ms = min(timeout_ms, SOURCE_PROBE_WAIT_MS)
-            call = self._source.wait_for_changes(kind, revision, timeout_ms)
-            changes = await self._run_interruptible(self._read_source(call))
-        else:
-            call = self._open_peer_source(self._feeder).wait_for_changes(kind, revision, timeout_ms)
-            changes = await self._run_interruptible(call)
+        """Returns the changes after a position, all of its era; see `StateSource`."""
+        if position.era < self._cache.era:
+            raise HistoryLost(f"{position} is of an earlier era than {self._cache.era}")
+        feeder = self._feeder
+        changes = await self._poll_feeder_or_source(feeder, kind, position, timeout_ms)
         if changes is None:
-            return StateChanges((), revision)
+            return StateChanges((), position.revision, position.era)
+        self._check_era(kind, position, changes, feeder)
         self._cache.put_changes(kind, changes)
         return changes
 
+    async def _poll_feeder_or_source(
+        self, feeder: Member | None, kind: StateKind, position: SourcePosition, timeout_ms: int
+    ) -> StateChanges | None:
+        """Returns the changes after a position; None if the call was interrupted or is not due."""
+        if feeder is not None:
+            source = self._open_peer_source(feeder)
+            return await self._run_interruptible(
+                source.wait_for_changes(kind, position, timeout_ms)
+            )
+        if not await self._wait_before_source_call(kind):
+            return None
+        if kind is SOURCE_PROBE_KIND:
+            timeout_ms = min(timeout_ms, SOURCE_PROBE_WAIT_MS)
+        call = self._source.wait_for_changes(kind, position, timeout_ms)
+        return await self._run_interruptible(self._read_source(call))
+
+    def _check_era(
+        self,
+        kind: StateKind,
+        position: SourcePosition,
+        changes: StateChanges,
+        feeder: Member | None,
+    ) -> None:
+        """Checks that changes follow a position.
+
+        Args:
+            kind: Kind of the changes.
+            position: Position that they were requested after.
+            changes: What was read.
+            feeder: Peer that it was read from; None for the source.
+
+        Raises:
+            HistoryLost: If the changes are of a later era.
+            SourceUnavailable: If they are of an earlier era.
+        """
+        self._require_current_era(kind, changes, feeder)
+        if changes.era != position.era:
+            raise HistoryLost(
+                f"{kind.value} are at {changes.position}, not of the era of {position}"
+            )
+
+    def _require_current_era(
+        self, kind: StateKind, read: StateChanges, feeder: Member | None
+    ) -> None:
+        """Notes the era of what was read; raises SourceUnavailable if it is not the latest one."""
+        era = self._cache.era
+        if read.era < era:
+            raise SourceUnavailable(f"{kind.value} are at {read.position}, before era {era}")
+        if read.era == era:
+            return
+        self._cache.era = read.era
+        self._directory.record_source_era(read.era, feeder)
+        self._events.write_always(
+            "source_era_changed", self._clock.now_ms(), era=read.era, previous_era=era
+        )
+        # The other kinds may be waiting at positions of the earlier era.
+        self._interrupt_calls()
+
     async def _wait_before_source_call(self, kind: StateKind) -> bool:
         """Waits for a feeder if necessary and returns whether to call the source now.
 
@@ -224,7 +273,10 @@
             return True
         return False
 
-    def _cache_listing(self, kind: StateKind, listing: StateChanges) -> StateChanges:
+    def _cache_listing(
+        self, kind: StateKind, listing: StateChanges, peer: Member | None
+    ) -> StateChanges:
+        self._require_current_era(kind, listing, peer)
         self._cache.put_listing(kind, listing)
         return listing
 
--- a/src/catkinspread/peers/state_cache.py
+++ b/src/catkinspread/peers/state_cache.py
@@ -6,6 +6,8 @@
 
 from catkinspread.deployment import (
     HistoryLost,
+    SourcePosition,
+    SourceUnavailable,
     StateChange,
     StateChanges,
     StateKind,
@@ -19,14 +21,15 @@
 class _CachedKind:
     """Records and recent changes of one kind.
 
-    Changes after `oldest_revision` are in the history; older ones have been discarded.
+    Changes of the era of `position` after `oldest_revision` are in the history; older ones have been
+    discarded.
     """
 
-    __slots__ = ("changed", "history", "oldest_revision", "records", "revision")
+    __slots__ = ("changed", "history", "oldest_revision", "position", "records")
 
     def __init__(self) -> None:
         self.records: dict[str, StateRecord] = {}
-        self.revision: int | None = None
+        self.position: SourcePosition | None = None
         self.oldest_revision = 0
         self.history: collections.deque[StateChanges] = collections.deque(maxlen=HISTORY_BATCHES)
         self.changed = anyio.Event()
@@ -46,17 +49,26 @@
 
 
 class StateCache:
-    """Holds the records at the revisions of the source, and their recent changes."""
+    """Holds the records at the positions of the source, and their recent changes.
 
-    __slots__ = ("_cached",)
+    Attributes:
+        era: Highest era of the source that this instance knows of.
+    """
+
+    __slots__ = ("_cached", "era")
 
     def __init__(self) -> None:
         self._cached = {kind: _CachedKind() for kind in StateKind}
+        self.era = 0
 
     @property
     def is_complete(self) -> bool:
         """Whether the records of every kind have been read."""
-        return all(cached.revision is not None for cached in self._cached.values())
+        return all(cached.position is not None for cached in self._cached.values())
+
+    def get_position(self, kind: StateKind) -> SourcePosition | None:
+        """Returns the position of the records of a kind; None if they have not been read yet."""
+        return self._cached[kind].position
 
     def put_listing(self, kind: StateKind, listing: StateChanges) -> None:
         """Replaces all records of a kind and discards its history.
@@ -71,13 +83,13 @@
                 cached.records[change.name] = previous[change.name]
             elif change.record is not None:
                 cached.records[change.name] = change.record
-        cached.revision = listing.revision
+        cached.position = listing.position
         cached.oldest_revision = listing.revision
         cached.history.clear()
         self._notify_waiters(cached)
 
     def put_changes(self, kind: StateKind, changes: StateChanges) -> None:
-        """Applies changes that follow the cached revision."""
+        """Applies changes that follow the cached position, in the same era."""
         cached = self._cached[kind]
         for change in changes.changes:
             if change.is_unreadable:
@@ -86,7 +98,7 @@
                 cached.records.pop(change.name, None)
             else:
                 cached.records[change.name] = change.record
-        cached.revision = max(cached.revision or 0, changes.revision)
+        cached.position = max(cached.position or changes.position, changes.position)
         if changes.changes:
             if len(cached.history) == HISTORY_BATCHES:
                 cached.oldest_revision = cached.history[0].revision
@@ -96,36 +108,47 @@
     def list_records(self, kind: StateKind) -> StateChanges | None:
         """Returns all records of a kind; None if they have not been read yet."""
         cached = self._cached[kind]
-        if cached.revision is None:
+        if cached.position is None:
             return None
         changes = tuple(StateChange(name, record) for name, record in cached.records.items())
-        return StateChanges(changes, cached.revision)
+        return StateChanges(changes, cached.position.revision, cached.position.era)
 
     async def wait_for_changes(
-        self, kind: StateKind, revision: int, timeout_ms: int
+        self, kind: StateKind, position: SourcePosition, timeout_ms: int
     ) -> StateChanges:
-        """Returns the changes after a revision; empty if there are none within the wait time.
+        """Returns the changes after a position; empty if there are none within the wait time.
 
         Raises:
-            HistoryLost: If the changes after the revision are no longer cached; after the wait time,
-                also if no records of the kind have been read yet.
+            SourceUnavailable: If the cached records are of an earlier era than the position.
+            HistoryLost: If the changes after the position are not cached because they were
+                discarded or the position is of an earlier era; after the wait time, also if no
+                records of the kind have been read yet.
         """
         cached = self._cached[kind]
+        if cached.position is not None and cached.position.era < position.era:
+            raise SourceUnavailable(
+                f"{kind.value} are cached at {cached.position}, of an earlier era than {position}"
+            )
         with anyio.move_on_after(timeout_ms / 1_000):
-            while not self._has_newer(cached, revision):
+            while not self._has_newer(cached, position):
                 await cached.changed.wait()
-        if cached.revision is None or revision < cached.oldest_revision:
+        if cached.position is None or self._is_history_lost(cached, position):
             raise HistoryLost(
-                f"changes of {kind.value} after revision {revision} are not cached "
-                f"(cache at revision {cached.revision}, with changes after {cached.oldest_revision})"
+                f"changes of {kind.value} after {position} are not cached "
+                f"(cache at {cached.position}, with changes after {cached.oldest_revision})"
             )
-        found = [batch for batch in cached.history if batch.revision > revision]
-        return StateChanges(_coalesce(found), max(revision, cached.revision))
+        found = [batch for batch in cached.history if batch.revision > position.revision]
+        latest = max(position, cached.position)
+        return StateChanges(_coalesce(found), latest.revision, latest.era)
+
+    def _is_history_lost(self, cached: _CachedKind, position: SourcePosition) -> bool:
+        is_other_era = cached.position is not None and cached.position.era != position.era
+        return is_other_era or position.revision < cached.oldest_revision
 
-    def _has_newer(self, cached: _CachedKind, revision: int) -> bool:
-        if revision < cached.oldest_revision:
+    def _has_newer(self, cached: _CachedKind, position: SourcePosition) -> bool:
+        if self._is_history_lost(cached, position):
             return True
-        return bool(cached.history) and cached.history[-1].revision > revision
+        return bool(cached.history) and cached.history[-1].position > position
 
     def _notify_waiters(self, cached: _CachedKind) -> None:
         cached.changed.set()
--- a/src/catkinspread/peers/tests/test_directory.py
+++ b/src/catkinspread/peers/tests/test_directory.py
@@ -17,7 +17,7 @@
 
 
 def _status(member: Member) -> MemberStatus:
-    return MemberStatus(member, None, True, False)
+    return MemberStatus(member, None, True, False, 0)
 
 
 class _Cluster:
@@ -96,7 +96,7 @@
         for m in cluster.members
         if m.data_centre == "east" and cluster.directories[m.host].is_feeder()
     }
-    status = MemberStatus(Member("new", "east", "10.0.9.9", 1), None, False, False)
+    status = MemberStatus(Member("new", "east", "10.0.9.9", 1), None, False, False, 0)
     seed = next(m for m in cluster.members if m.data_centre == "west")
     reply = cluster.directories[seed.host].list_members_for_reply(Hello(status, 0), cluster.now_ms)
     assert feeders <= {known.member.name for known in reply}
@@ -110,7 +110,7 @@
         cluster.run_round(cluster.members)
     directory = next(d for d in cluster.directories.values() if not d.is_feeder())
     feeders = directory.list_feeders_to_poll()
-    fresh = MemberStatus(feeders[0], 10, True, False)
+    fresh = MemberStatus(feeders[0], 10, True, False, 0)
     directory.apply_message(Hello(fresh, 0), cluster.now_ms)
     assert directory.select_feeder(None, cluster.now_ms) == feeders[0]
     assert directory.list_feeders_to_poll(include_standby=False) == [feeders[0]]
@@ -166,7 +166,7 @@
     directory.select_feeder(None, 1_000)
     polled = directory.list_feeders_to_poll()
     assert 1 <= len(polled) <= 3
-    status = MemberStatus(polled[0], 50, True, False)
+    status = MemberStatus(polled[0], 50, True, False, 0)
     directory.apply_message(HelloReply(status, ()), 1_100)
     assert directory.select_feeder(None, 1_100) == polled[0]
     assert directory.list_feeders_to_poll() == polled
@@ -175,10 +175,10 @@
 def test_restart_discards_the_old_status() -> None:
     """Guards against following an instance because of the status of its previous process."""
     directory = PeerDirectory(Member("me", "east", "10.0.0.1", 1), random.Random(1))
-    old = MemberStatus(Member("other", "east", "10.0.0.2", 1), 10, True, False)
+    old = MemberStatus(Member("other", "east", "10.0.0.2", 1), 10, True, False, 0)
     directory.apply_message(Hello(old, 0), 1_000)
     assert directory.list_peers_with_state(1_000)
-    new = MemberStatus(Member("other", "east", "10.0.0.2", 2), None, False, False)
+    new = MemberStatus(Member("other", "east", "10.0.0.2", 2), None, False, False, 0)
     directory.apply_message(Hello(new, 0), 1_010)
     assert not directory.list_peers_with_state(1_010)
 
--- a/src/catkinspread/peers/tests/test_messages.py
+++ b/src/catkinspread/peers/tests/test_messages.py
@@ -21,7 +21,7 @@
     KnownMember(Member(f"edge-{number}", "khomas-a", f"10.1.0.{number}", 1_772_510_508_150), number)
     for number in range(16)
 )
-STATUS = MemberStatus(MEMBERS[0].member, 120, True, False)
+STATUS = MemberStatus(MEMBERS[0].member, 120, True, False, 0)
 
 
 @pytest.mark.parametrize(
--- a/src/catkinspread/peers/tests/test_shared_source.py
+++ b/src/catkinspread/peers/tests/test_shared_source.py
@@ -8,6 +8,7 @@
 from catkinspread.deployment import (
     HistoryLost,
     SourceHealth,
+    SourcePosition,
     SourceUnavailable,
     StateChange,
     StateChanges,
@@ -29,8 +30,9 @@
 class ScriptedSource:
     """A source whose answers are set by the test."""
 
-    def __init__(self, revision: int, oldest_revision: int = 0) -> None:
+    def __init__(self, revision: int, oldest_revision: int = 0, era: int = 0) -> None:
         self.revision = revision
+        self.era = era
         self.oldest_revision = oldest_revision
         self.is_down = False
         self.list_calls = 0
@@ -40,17 +42,17 @@
         self.list_calls += 1
         if self.is_down:
             raise SourceUnavailable("down")
-        return StateChanges((StateChange("east", "east"),), self.revision)
+        return StateChanges((StateChange("east", "east"),), self.revision, self.era)
 
     async def wait_for_changes(
-        self, kind: StateKind, revision: int, timeout_ms: int
+        self, kind: StateKind, position: SourcePosition, timeout_ms: int
     ) -> StateChanges:
         self.wait_calls += 1
         if self.is_down:
             raise SourceUnavailable("down")
-        if revision < self.oldest_revision:
-            raise HistoryLost(str(revision))
-        return StateChanges((), self.revision)
+        if position.revision < self.oldest_revision:
+            raise HistoryLost(str(position))
+        return StateChanges((), self.revision, self.era)
 
 
 class NullSink:
@@ -78,10 +80,12 @@
             self.clock,
         )
 
-    def receive_peer_status(self, source_age_ms: int | None, data_centre: str = "east") -> None:
+    def receive_peer_status(
+        self, source_age_ms: int | None, data_centre: str = "east", source_era: int | None = 0
+    ) -> None:
         """Delivers a status of the peer that reports state."""
         member = Member("other", data_centre, "10.0.0.2", 1)
-        status = MemberStatus(member, source_age_ms, True, False)
+        status = MemberStatus(member, source_age_ms, True, False, source_era)
         self.directory.apply_message(Hello(status, 0), self.clock.now_ms())
         self.shared.update_feeder()
 
@@ -95,7 +99,7 @@
     async def read() -> StateChanges:
         first = await harness.shared.list_records(KIND)
         try:
-            await harness.shared.wait_for_changes(KIND, first.revision, 100)
+            await harness.shared.wait_for_changes(KIND, first.position, 100)
         except HistoryLost:
             return await harness.shared.list_records(KIND)
         raise AssertionError("the history was not lost")
@@ -126,12 +130,14 @@
     harness.shared._open_peer_source = lambda member: sources[member.name]
     harness.receive_peer_status(source_age_ms=None)
     harness.directory.apply_message(
-        Hello(MemberStatus(feeder, 10, False, False), 0), harness.clock.now_ms()
+        Hello(MemberStatus(feeder, 10, False, False, 0), 0), harness.clock.now_ms()
     )
     harness.shared._feeder = feeder
 
-    async def wait_for_changes(kind: StateKind, revision: int, timeout_ms: int) -> StateChanges:
-        assert (revision, timeout_ms) == (50, 0)
+    async def wait_for_changes(
+        kind: StateKind, position: SourcePosition, timeout_ms: int
+    ) -> StateChanges:
+        assert (position, timeout_ms) == (SourcePosition(0, 50), 0)
         return removal
 
     sources["feeder"].wait_for_changes = wait_for_changes
@@ -147,7 +153,7 @@
     harness = SharedSourceHarness(source, peer)
     harness.directory._ranked_names = ["other", "me"]
     harness.receive_peer_status(source_age_ms=100)
-    anyio.run(harness.shared.wait_for_changes, KIND, 90, 10)
+    anyio.run(harness.shared.wait_for_changes, KIND, SourcePosition(0, 90), 10)
     assert (source.wait_calls, peer.wait_calls) == (0, 1)
 
 
@@ -158,7 +164,7 @@
     harness.directory._ranked_names = ["other", "me"]
     harness.receive_peer_status(source_age_ms=100)
     harness.receive_peer_status(source_age_ms=None)
-    anyio.run(harness.shared.wait_for_changes, KIND, 90, 10)
+    anyio.run(harness.shared.wait_for_changes, KIND, SourcePosition(0, 90), 10)
     assert (source.wait_calls, peer.wait_calls) == (1, 0)
 
 
@@ -169,7 +175,9 @@
     harness = SharedSourceHarness(source, peer)
     harness.health.record_failure(harness.clock.now_ms() - 1_000)
     harness.receive_peer_status(source_age_ms=100, data_centre="west")
-    assert anyio.run(harness.shared.wait_for_changes, KIND, 90, 10).revision == 95
+    assert (
+        anyio.run(harness.shared.wait_for_changes, KIND, SourcePosition(0, 90), 10).revision == 95
+    )
 
 
 def test_single_failed_call_is_not_an_outage() -> None:
@@ -202,9 +210,9 @@
     cache.put_changes(KIND, StateChanges((StateChange("east", None),), 15))
 
     async def read() -> tuple[StateChanges, bool]:
-        changes = await cache.wait_for_changes(KIND, 10, 10)
+        changes = await cache.wait_for_changes(KIND, SourcePosition(0, 10), 10)
         try:
-            await cache.wait_for_changes(KIND, 5, 10)
+            await cache.wait_for_changes(KIND, SourcePosition(0, 5), 10)
         except HistoryLost:
             return changes, True
         return changes, False
@@ -225,7 +233,7 @@
     for revision in range(11, 40):
         name = "east" if revision % 2 else "west"
         cache.put_changes(KIND, StateChanges((StateChange(name, f"v{revision}"),), revision))
-    changes = anyio.run(cache.wait_for_changes, KIND, 10, 10)
+    changes = anyio.run(cache.wait_for_changes, KIND, SourcePosition(0, 10), 10)
     assert [change.record for change in changes.changes] == ["v38", "v39"]
     assert changes.revision == 39
 
@@ -249,7 +257,7 @@
         for number in range(4):
             data_centre = "east" if number else "west"
             member = Member(f"other-{number}", data_centre, f"10.0.0.{number + 2}", 1)
-            directory.apply_message(Hello(MemberStatus(member, 10, True, False), 0), 1_000)
+            directory.apply_message(Hello(MemberStatus(member, 10, True, False, 0), 0), 1_000)
         found = directory.list_peers_with_state(1_000)
         first_choices.add(found[0].name)
         assert found[-1].name == "other-0"
--- a/src/catkinspread/platform/store.py
+++ b/src/catkinspread/platform/store.py
@@ -8,6 +8,7 @@
 
 from catkinspread.deployment import (
     HistoryLost,
+    SourcePosition,
     SourceUnavailable,
     StateChange,
     StateChanges,
@@ -78,23 +79,26 @@
         """Returns all records of a kind; see `StateSource`."""
         changes: list[StateChange] = []
         parameters: dict[str, str] = {}
-        revision: int | None = None
+        first: SourcePosition | None = None
         while True:
             answer = await self._call(kind, parameters, LIST_TIMEOUT_MS)
             listing = _decode(answer.body, _Listing)
             changes.extend(_convert(kind, item, False) for item in listing.items)
-            if revision is None:
+            position = SourcePosition(_read_era(answer), listing.at_rev)
+            if first is None:
                 # Later pages are newer; changes since the first one are asked for again.
-                revision = listing.at_rev
+                first = position
+            if position.era != first.era:
+                raise SourceUnavailable(f"{kind.value}: the store was restored between two pages")
             if not listing.has_more or not listing.items:
-                return StateChanges(tuple(changes), revision, _read_era(answer))
+                return StateChanges(tuple(changes), first.revision, first.era)
             parameters = {"after": listing.items[-1].meta.name}
 
     async def wait_for_changes(
-        self, kind: StateKind, revision: int, timeout_ms: int
+        self, kind: StateKind, position: SourcePosition, timeout_ms: int
     ) -> StateChanges:
-        """Returns the changes after a revision; see `StateSource`."""
-        parameters = {"watch": str(revision), "wait_ms": str(timeout_ms)}
+        """Returns the changes after a position; see `StateSource`."""
+        parameters = {"watch": str(position.revision), "wait_ms": str(timeout_ms)}
         answer = await self._call(kind, parameters, timeout_ms + ANSWER_TIMEOUT_MS)
         watched = _decode(answer.body, _Watched)
         changes = tuple(_convert(kind, event.object, event.removed) for event in watched.events)
--- a/src/catkinspread/platform/tests/test_store.py
+++ b/src/catkinspread/platform/tests/test_store.py
@@ -4,7 +4,7 @@
 import msgspec
 import pytest
 
-from catkinspread.deployment import HistoryLost, SourceUnavailable, StateKind
+from catkinspread.deployment import HistoryLost, SourcePosition, SourceUnavailable, StateKind
 from catkinspread.httpclient import HttpFailure, HttpResponse
 from catkinspread.model import Endpoint
 from catkinspread.platform import StoreClient
@@ -32,8 +32,9 @@
         return answer
 
 
-def _answer(status: int, body: object) -> HttpResponse:
-    return HttpResponse(status, msgspec.json.encode(body))
+def _answer(status: int, body: object, era: int | None = None) -> HttpResponse:
+    headers = () if era is None else ((b"Store-Era", str(era).encode()),)
+    return HttpResponse(status, msgspec.json.encode(body), headers)
 
 
 def _object(name: str, spec: object = None) -> dict[str, object]:
@@ -65,6 +66,21 @@
     assert anyio.run(store.list_records, StateKind.EVACUATIONS).revision == 5
 
 
+def test_listing_across_a_restoration_is_not_used() -> None:
+    """Guards against a listing whose pages are from before and after a restoration."""
+    pages = [{"items": [_object(name, {})], "has_more": True, "at_rev": 5} for name in ("a", "b")]
+    store, _ = _client(_answer(200, pages[0], era=1), _answer(200, pages[1], era=2))
+    with pytest.raises(SourceUnavailable):
+        anyio.run(store.list_records, StateKind.EVACUATIONS)
+
+
+def test_answers_have_the_era_of_the_store() -> None:
+    """Guards against a revision that was given out twice and counts as the same."""
+    store, _ = _client(_answer(200, {"items": [], "at_rev": 5}, era=3))
+    listing = anyio.run(store.list_records, StateKind.EVACUATIONS)
+    assert listing.position == SourcePosition(3, 5)
+
+
 def test_bad_entry_does_not_hide_the_others() -> None:
     """Guards against one entry of another writer that empties the list of upstreams."""
     store, _ = _client(
@@ -86,7 +102,7 @@
     """Guards against waiting at a revision that the store no longer has."""
     store, _ = _client(_answer(410, {}))
     with pytest.raises(HistoryLost):
-        anyio.run(store.wait_for_changes, StateKind.UPSTREAMS, 5, 100)
+        anyio.run(store.wait_for_changes, StateKind.UPSTREAMS, SourcePosition(0, 5), 100)
 
 
 @pytest.mark.parametrize(
@@ -110,7 +126,7 @@
     """Guards against an evacuation that lasts after it was taken back."""
     event = {"removed": True, "object": _object("east", {})}
     store, _ = _client(_answer(200, {"events": [event], "at_rev": 8}))
-    changes = anyio.run(store.wait_for_changes, StateKind.EVACUATIONS, 5, 100)
+    changes = anyio.run(store.wait_for_changes, StateKind.EVACUATIONS, SourcePosition(0, 5), 100)
     assert changes.changes[0].record is None
     assert not changes.changes[0].is_unreadable
     assert changes.revision == 8
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -285,6 +285,7 @@
             self._direct_source_health.get_last_success_age_ms(self._clock.now_ms()),
             self._cache.is_complete,
             self._is_leaving,
+            self._cache.era,
         )
 
     async def _serve_feed(self) -> None:
@@ -312,6 +313,7 @@
             "members": self._directory.count_members(),
             "upstreams": len(self._state.list_upstreams()),
             "configuration_version": configuration.version if configuration else 0,
+            "source_era": self._cache.era,
         }
 
     async def _run_periodic_tasks(self, shared: SharedSource) -> None:
--- a/src/catkinspread/runtime/tests/test_isolation.py
+++ b/src/catkinspread/runtime/tests/test_isolation.py
@@ -26,7 +26,7 @@
         self.receive_remote_status()
 
     def receive_remote_status(self) -> None:
-        status = MemberStatus(REMOTE_MEMBER, None, True, False)
+        status = MemberStatus(REMOTE_MEMBER, None, True, False, 0)
         self.directory.apply_message(Hello(status, 0), self.forwarding.now_ms)
 
     def update(self) -> bool:
--- a/src/catkinspread/runtime/tests/test_load_reports.py
+++ b/src/catkinspread/runtime/tests/test_load_reports.py
@@ -28,7 +28,7 @@
     directory = PeerDirectory(Member(name, "east", "10.0.0.1", 1), random.Random(1))
     for number in range(peers):
         member = Member(f"peer-{number}", "east", f"10.0.1.{number}", 1)
-        directory.apply_message(Hello(MemberStatus(member, None, True, False), 0), 0)
+        directory.apply_message(Hello(MemberStatus(member, None, True, False, 0), 0), 0)
     return LoadReporter(directory._member, state, loads, directory, random.Random(1)), loads
 
 
