Merge a restored source with what is known until it is complete again

What callers would see: after the store came back from a copy, new flows to an upstream that had left or was draining, or to a data centre that was evacuated, until upstreams and operator have written again; an instance that starts then would serve an older configuration.

Change: for four heartbeats after the first listing of a new era, reports of upstreams older than the known one (start time, then report number), and those of upstreams that were missing before, are ignored, and evacuations that the copy lacks go on. Then all is listed again and applied as it is, so a wrong guess, such as of a clock that was set back, ends there. The cache that other instances start from keeps the newest configuration. An upstream that the copy lacks is used last as before until it reports.

--- a/src/catkinspread/deployment/records.py
+++ b/src/catkinspread/deployment/records.py
@@ -131,6 +131,10 @@
     services: tuple[ServiceLimits, ...]
     idle_timeout_ms: int
 
+    def is_newer_than(self, other: "RoutingConfiguration | None") -> bool:
+        """Whether this version replaces another one; any version replaces None."""
+        return other is None or self.version > other.version
+
 
 class UpstreamRecord(msgspec.Struct, frozen=True, tag="upstream"):
     """The state of an upstream, as it writes it to the source.
@@ -147,6 +151,7 @@
         is_draining: Whether it is shutting down and accepts no new flows.
         cold_remaining_ms: Remaining time of its cold start when the record was written.
         born_ms: Start time of its process, in ms since the epoch.
+        report_number: Number of this report; increases with each report of a process.
     """
 
     name: str
@@ -159,3 +164,11 @@
     is_draining: bool
     cold_remaining_ms: int
     born_ms: int
+    report_number: int = 0
+
+    def is_older_than(self, other: "UpstreamRecord") -> bool:
+        """Whether the upstream wrote this record before another one of the same name.
+
+        Clocks that were set back between two starts make the result wrong.
+        """
+        return (self.born_ms, self.report_number) < (other.born_ms, other.report_number)
--- a/src/catkinspread/deployment/state.py
+++ b/src/catkinspread/deployment/state.py
@@ -164,6 +164,10 @@
         """Returns the names of all services in the configuration."""
         return tuple(self._services)
 
+    def find_upstream(self, name: str) -> KnownUpstream | None:
+        """Returns the upstream with a name, including removed ones; None if there is none."""
+        return self._upstreams.get(name)
+
     def find_upstream_by_token(self, token: int) -> KnownUpstream | None:
         """Returns the upstream with a token, including removed ones; None if there is none."""
         return self._by_token.get(token)
@@ -193,8 +197,7 @@
 
     def put_configuration(self, configuration: RoutingConfiguration) -> ApplyOutcome:
         """Replaces the configuration unless the given one is not newer."""
-        current = self.configuration
-        if current is not None and configuration.version <= current.version:
+        if not configuration.is_newer_than(self.configuration):
             return _UNCHANGED
         self.configuration = configuration
         self._routes = {route.address: route for route in configuration.routes}
--- a/src/catkinspread/deployment/synchroniser.py
+++ b/src/catkinspread/deployment/synchroniser.py
@@ -3,6 +3,10 @@
 One task per kind lists all records once and then waits for changes. An outage of the source does
 not change the state: the instance continues with the state that it has and retries with
 exponential back-off.
+
+A source may be restored from a copy that lacks the latest changes, which begins a new era. Their
+writers write them again within seconds. Until then the records of the source are merged with those
+that are known; afterwards all records are listed again, and that listing counts as complete.
 """
 
 import random
@@ -32,6 +36,9 @@
 # this is the time after which they treat the source of this instance as unavailable.
 OUTAGE_THRESHOLD_MS = 600
 _MS_PER_S = 1_000
+# Intervals between the reports of upstreams after which a restored source counts as complete. The
+# record of an upstream that has left, which the copy may hold, expires after three of them.
+SETTLING_HEARTBEATS = 4
 
 
 class SynchroniserSettings(msgspec.Struct, frozen=True):
@@ -48,6 +55,45 @@
     batching_delay_ms: int
     heartbeat_ms: int
 
+    @property
+    def settling_ms(self) -> int:
+        """Time after which a restored source counts as complete."""
+        return SETTLING_HEARTBEATS * self.heartbeat_ms
+
+
+class _KindProgress:
+    """How far the records of a kind have been read.
+
+    Attributes:
+        position: Position up to which they are known; None if they have to be listed.
+        restored_at_ms: When the first listing of a restored source was read; None once a later
+            listing counts as complete.
+        retry_delay_ms: Delay after the next failed call, before jitter.
+    """
+
+    __slots__ = ("_era", "position", "restored_at_ms", "retry_delay_ms")
+
+    def __init__(self) -> None:
+        self._era: int | None = None
+        self.position: SourcePosition | None = None
+        self.restored_at_ms: int | None = None
+        self.retry_delay_ms = RETRY_DELAY_INITIAL_MS
+
+    def record_listing(self, position: SourcePosition, now_ms: int, settling_ms: int) -> None:
+        """Notes that the records were listed at a position."""
+        if self._era is not None and position.era > self._era:
+            self.restored_at_ms = now_ms
+        elif self.get_settling_ms(now_ms, settling_ms) == 0:
+            self.restored_at_ms = None
+        self._era = position.era
+        self.position = position
+
+    def get_settling_ms(self, now_ms: int, settling_ms: int) -> int | None:
+        """Returns the time until the source counts as complete; None if it was not restored."""
+        if self.restored_at_ms is None:
+            return None
+        return max(0, self.restored_at_ms + settling_ms - now_ms)
+
 
 class SourceHealth:
     """Availability of the source.
@@ -133,12 +179,26 @@
         self._events = events
         self._heartbeat_ms = heartbeat_ms
 
-    def apply_listing(self, kind: StateKind, listing: StateChanges, now_ms: int) -> None:
+    def apply_listing(
+        self,
+        kind: StateKind,
+        listing: StateChanges,
+        now_ms: int,
+        restored_at_ms: int | None = None,
+    ) -> None:
         """Applies a listing of all records of a kind.
 
         Upstreams that are not in the listing are marked as missing, and evacuations that are not
-        in it end. A configuration is replaced only by a newer one: a listing without one leaves
-        it as it is. Upstreams and evacuations count as loaded afterwards.
+        in it end, unless the source has been restored and may lack them. A configuration is
+        replaced only by a newer one: a listing without one leaves it as it is. Upstreams and
+        evacuations count as loaded afterwards.
+
+        Args:
+            kind: Kind of the records.
+            listing: The listing.
+            now_ms: Current time.
+            restored_at_ms: When a restoration of the source was noticed; None if the listing is
+                complete.
         """
         listed = {
             change.name
@@ -152,16 +212,47 @@
             self._state.upstreams_loaded = True
         if kind is StateKind.EVACUATIONS:
             for name in self._state.list_evacuated_data_centres():
-                if name not in listed:
+                if name not in listed and restored_at_ms is None:
                     self._apply_change(kind, StateChange(name, None), listing, now_ms)
             self._state.evacuations_loaded = True
-        self.apply_changes(kind, listing, now_ms)
+        self.apply_changes(kind, listing, now_ms, restored_at_ms)
 
-    def apply_changes(self, kind: StateKind, changes: StateChanges, now_ms: int) -> None:
-        """Applies a list of changes in order."""
+    def apply_changes(
+        self,
+        kind: StateKind,
+        changes: StateChanges,
+        now_ms: int,
+        restored_at_ms: int | None = None,
+    ) -> None:
+        """Applies a list of changes in order.
+
+        Args:
+            kind: Kind of the records.
+            changes: The changes.
+            now_ms: Current time.
+            restored_at_ms: When a restoration of the source was noticed, from when on outdated
+                records of upstreams are ignored; None to apply all.
+        """
         for change in changes.changes:
+            if restored_at_ms is not None and self._is_outdated(change, restored_at_ms):
+                self._events.write(
+                    "outdated_record", now_ms, kind=kind.value, name=change.name, era=changes.era
+                )
+                continue
             self._apply_change(kind, change, changes, now_ms)
 
+    def _is_outdated(self, change: StateChange, restored_at_ms: int) -> bool:
+        """Whether a restored source holds a record of an upstream that was replaced or removed."""
+        record = change.record
+        if not isinstance(record, UpstreamRecord):
+            return False
+        known = self._state.find_upstream(record.name)
+        if known is None or known.record.is_older_than(record):
+            return False
+        if record.is_older_than(known.record):
+            return True
+        return known.missing_since_ms is not None and known.missing_since_ms < restored_at_ms
+
     def _apply_change(
         self, kind: StateKind, change: StateChange, read: StateChanges, now_ms: int
     ) -> None:
@@ -253,57 +344,64 @@
                 group.start_soon(self._run_kind, kind)
 
     async def _run_kind(self, kind: StateKind) -> None:
-        position: SourcePosition | None = None
-        retry_delay_ms = RETRY_DELAY_INITIAL_MS
+        progress = _KindProgress()
         while True:
-            was_watching = position is not None
+            was_watching = progress.position is not None
             try:
-                position = await self._read_once(kind, position)
+                await self._read_once(kind, progress)
             except HistoryLost as error:
                 self._events.write(
                     "history_lost",
                     self._clock.now_ms(),
                     kind=kind.value,
-                    position=position,
+                    position=progress.position,
                     reason=str(error),
                 )
-                position = None
+                progress.position = None
                 # The new listing may be outdated as well; the delay prevents a tight loop.
-                await self._sleep_with_jitter(retry_delay_ms)
-                retry_delay_ms = min(RETRY_DELAY_MAX_MS, 2 * retry_delay_ms)
+                await self._back_off(progress)
             except SourceUnavailable as error:
                 self._record_failure(kind, error)
-                await self._sleep_with_jitter(retry_delay_ms)
-                retry_delay_ms = min(RETRY_DELAY_MAX_MS, 2 * retry_delay_ms)
+                await self._back_off(progress)
             else:
                 # A successful listing does not reset the delay: the next watch may fail again.
                 if was_watching:
-                    retry_delay_ms = RETRY_DELAY_INITIAL_MS
-
-    async def _sleep_with_jitter(self, duration_ms: int) -> None:
-        await anyio.sleep(duration_ms * (0.5 + self._rng.random()) / _MS_PER_S)
-
-    async def _read_once(self, kind: StateKind, position: SourcePosition | None) -> SourcePosition:
-        if position is None:
-            listing = await self._source.list_records(kind)
-            self._record_success()
-            now_ms = self._clock.now_ms()
-            self._events.write(
-                "state_listed",
-                now_ms,
-                kind=kind.value,
-                records=len(listing.changes),
-                era=listing.era,
-                revision=listing.revision,
-            )
-            self._applier.apply_listing(kind, listing, now_ms)
-            return listing.position
-        changes = await self._source.wait_for_changes(kind, position, self._settings.timeout_ms)
+                    progress.retry_delay_ms = RETRY_DELAY_INITIAL_MS
+
+    async def _back_off(self, progress: _KindProgress) -> None:
+        await anyio.sleep(progress.retry_delay_ms * (0.5 + self._rng.random()) / _MS_PER_S)
+        progress.retry_delay_ms = min(RETRY_DELAY_MAX_MS, 2 * progress.retry_delay_ms)
+
+    async def _read_once(self, kind: StateKind, progress: _KindProgress) -> None:
+        settling_ms = progress.get_settling_ms(self._clock.now_ms(), self._settings.settling_ms)
+        if progress.position is None or settling_ms == 0:
+            await self._list(kind, progress)
+            return
+        timeout_ms = self._settings.timeout_ms
+        if settling_ms is not None:
+            timeout_ms = min(timeout_ms, settling_ms)
+        changes = await self._source.wait_for_changes(kind, progress.position, timeout_ms)
         self._record_success()
-        self._applier.apply_changes(kind, changes, self._clock.now_ms())
+        self._applier.apply_changes(kind, changes, self._clock.now_ms(), progress.restored_at_ms)
+        progress.position = changes.position
         if changes.changes and self._settings.batching_delay_ms:
             await anyio.sleep(self._settings.batching_delay_ms / _MS_PER_S)
-        return changes.position
+
+    async def _list(self, kind: StateKind, progress: _KindProgress) -> None:
+        listing = await self._source.list_records(kind)
+        self._record_success()
+        now_ms = self._clock.now_ms()
+        progress.record_listing(listing.position, now_ms, self._settings.settling_ms)
+        self._events.write(
+            "state_listed",
+            now_ms,
+            kind=kind.value,
+            records=len(listing.changes),
+            era=listing.era,
+            revision=listing.revision,
+            is_complete=progress.restored_at_ms is None,
+        )
+        self._applier.apply_listing(kind, listing, now_ms, progress.restored_at_ms)
 
     def _record_success(self) -> None:
         now_ms = self._clock.now_ms()
--- a/src/catkinspread/peers/state_cache.py
+++ b/src/catkinspread/peers/state_cache.py
@@ -6,6 +6,7 @@
 
 from catkinspread.deployment import (
     HistoryLost,
+    RoutingConfiguration,
     SourcePosition,
     SourceUnavailable,
     StateChange,
@@ -51,6 +52,9 @@
 class StateCache:
     """Holds the records at the positions of the source, and their recent changes.
 
+    A configuration is replaced only by a newer one, so that an instance that starts does not get the
+    older one of a source that was restored from a copy.
+
     Attributes:
         era: Highest era of the source that this instance knows of.
     """
@@ -77,12 +81,16 @@
         """
         cached = self._cached[kind]
         previous = cached.records
-        cached.records = {}
+        cached.records = {
+            name: record
+            for name, record in previous.items()
+            if isinstance(record, RoutingConfiguration)
+        }
         for change in listing.changes:
             if change.is_unreadable and change.name in previous:
                 cached.records[change.name] = previous[change.name]
             elif change.record is not None:
-                cached.records[change.name] = change.record
+                _put_record(cached.records, change.name, change.record)
         cached.position = listing.position
         cached.oldest_revision = listing.revision
         cached.history.clear()
@@ -97,7 +105,7 @@
             if change.record is None:
                 cached.records.pop(change.name, None)
             else:
-                cached.records[change.name] = change.record
+                _put_record(cached.records, change.name, change.record)
         cached.position = max(cached.position or changes.position, changes.position)
         if changes.changes:
             if len(cached.history) == HISTORY_BATCHES:
@@ -153,3 +161,11 @@
     def _notify_waiters(self, cached: _CachedKind) -> None:
         cached.changed.set()
         cached.changed = anyio.Event()
+
+
+def _put_record(records: dict[str, StateRecord], name: str, record: StateRecord) -> None:
+    if isinstance(record, RoutingConfiguration):
+        current = records.get(name)
+        if isinstance(current, RoutingConfiguration) and not record.is_newer_than(current):
+            return
+    records[name] = record
--- a/src/catkinspread/peers/tests/test_shared_source.py
+++ b/src/catkinspread/peers/tests/test_shared_source.py
@@ -7,6 +7,7 @@
 from catkinspread.clock import ManualClock
 from catkinspread.deployment import (
     HistoryLost,
+    RoutingConfiguration,
     SourceHealth,
     SourcePosition,
     SourceUnavailable,
@@ -249,6 +250,19 @@
     assert cache.list_records(KIND).changes == (StateChange("east", "east"),)
 
 
+def test_cache_keeps_the_newest_configuration() -> None:
+    """Guards against a starting instance that gets an older version from a restored source."""
+    kind, cache = StateKind.CONFIGURATION, StateCache()
+    newest = StateChange("main", RoutingConfiguration(13, (), (), 1))
+    older = StateChange("main", RoutingConfiguration(10, (), (), 1))
+    cache.put_listing(kind, StateChanges((newest,), 15, 1))
+    cache.put_listing(kind, StateChanges((older,), 8, 2))
+    cache.put_changes(kind, StateChanges((older,), 9, 2))
+    assert cache.list_records(kind) == StateChanges((newest,), 9, 2)
+    cache.put_listing(kind, StateChanges((), 10, 2))
+    assert cache.list_records(kind) == StateChanges((newest,), 10, 2)
+
+
 def test_starting_instances_are_spread_over_peers_with_state() -> None:
     """Guards against one instance that serves all others after a power failure."""
     first_choices = set()
--- a/src/catkinspread/platform/objects.py
+++ b/src/catkinspread/platform/objects.py
@@ -81,6 +81,8 @@
     slots: int = 2
     cold_left_ms: float = 0
     born: int = 0
+    # Counts the reports of one process, not the changes of the object.
+    seq: int = 0
 
 
 def decode_record(kind: StateKind, name: str, spec: object) -> StateRecord | None:
@@ -160,6 +162,7 @@
         is_draining=wire.state == _DRAINING,
         cold_remaining_ms=max(0, round(wire.cold_left_ms)),
         born_ms=wire.born,
+        report_number=wire.seq,
     )
 
 
--- a/src/catkinspread/platform/stand_ins/objects.py
+++ b/src/catkinspread/platform/stand_ins/objects.py
@@ -26,6 +26,7 @@
         "slots": record.work_slots,
         "cold_left_ms": record.cold_remaining_ms,
         "born": record.born_ms,
+        "seq": record.report_number,
     }
 
 
--- a/src/catkinspread/platform/tests/test_objects.py
+++ b/src/catkinspread/platform/tests/test_objects.py
@@ -56,6 +56,7 @@
         is_draining=False,
         cold_remaining_ms=1_200,
         born_ms=1_790_000_000_000,
+        report_number=4,
     )
 
 
