--- a/src/catkinspread/platform/stand_ins/store.py
+++ b/src/catkinspread/platform/stand_ins/store.py
@@ -96,6 +96,11 @@
             self._revision += 1
             self._note(kind, {"object": removed, "removed": True})
 
+    def list_names(self, state_kind: StateKind) -> list[str]:
+        """Returns the names of all objects of a kind."""
+        kind = KIND_PATHS[state_kind]
+        return [name for of, name in self._objects if of == kind]
+
     def forget_history(self) -> None:
         """Drops all changes so far; watches from before are refused."""
         self._history_floor = self._revision
--- a/src/catkinspread/soak/faults.py
+++ b/src/catkinspread/soak/faults.py
@@ -206,6 +206,22 @@
         await change_configuration(site, rng)
 
 
+@register_fault("store_restored")
+async def restore_store(site: Site, rng: random.Random) -> None:
+    """Takes the store down and brings it back from a copy, to which everything is written again."""
+    copy = site.store.take_copy()
+    await _sleep_ms(_draw_ms(rng))
+    async with _disturb(site, STORE):
+        site.store.mode = rng.choice((StoreMode.BUSY, StoreMode.RESET, StoreMode.SILENT))
+        await _sleep_ms(rng.randint(100, 2_000))
+        site.store.restore(copy)
+        site.store.mode = StoreMode.NORMAL
+        await _sleep_ms(rng.randint(0, 1_500))
+        site.write_again()
+        await _sleep_ms(3 * HEARTBEAT_MS)
+        site.remove_stale_entries()
+
+
 @register_fault("store_cut")
 async def cut_from_store(site: Site, rng: random.Random) -> None:
     """Delays, resets, silences or cuts one way the store connections of some instances."""
--- a/src/catkinspread/soak/site.py
+++ b/src/catkinspread/soak/site.py
@@ -220,28 +220,47 @@
 
     def report(self, upstream: SoakUpstream) -> None:
         """Writes the entry of an upstream."""
+        upstream.update(report_number=upstream.record.report_number + 1)
         self.store.put(StateKind.UPSTREAMS, upstream.record.name, encode_upstream(upstream.record))
 
     def remove_entry(self, upstream: SoakUpstream) -> None:
         """Removes the entry of an upstream."""
         self.store.remove(StateKind.UPSTREAMS, upstream.record.name)
 
+    def write_again(self) -> None:
+        """Writes what a restored store may lack, as the operator and the upstreams do."""
+        self.store.put_configuration(encode_configuration(self.configuration))
+        for upstream in self.list_upstreams():
+            self.report(upstream)
+        for data_centre, since_ms in self._evacuated_since_ms.items():
+            self._write_evacuation(data_centre, since_ms is not None)
+
+    def remove_stale_entries(self) -> None:
+        """Removes entries of upstreams that do not run, as the store does when they are silent."""
+        running = {upstream.record.name for upstream in self.list_upstreams()}
+        for name in self.store.list_names(StateKind.UPSTREAMS):
+            if name not in running:
+                self.store.remove(StateKind.UPSTREAMS, name)
+
     def put_foreign_entry(self, name: str, spec: object) -> None:
         """Writes an entry that names no upstream."""
         self.store.put(StateKind.UPSTREAMS, name, spec)
 
     def set_evacuated(self, data_centre: str, is_evacuated: bool) -> None:
         """Takes a data centre out or back."""
-        if is_evacuated:
-            self.store.put(StateKind.EVACUATIONS, data_centre, {})
-        else:
-            self.store.remove(StateKind.EVACUATIONS, data_centre)
+        self._write_evacuation(data_centre, is_evacuated)
         since_ms = self.clock.now_ms() if is_evacuated else None
         self._evacuated_since_ms[data_centre] = since_ms
         for upstream in self.list_upstreams():
             if upstream.record.data_centre == data_centre:
                 upstream.evacuated_since_ms = since_ms
 
+    def _write_evacuation(self, data_centre: str, is_evacuated: bool) -> None:
+        if is_evacuated:
+            self.store.put(StateKind.EVACUATIONS, data_centre, {})
+        else:
+            self.store.remove(StateKind.EVACUATIONS, data_centre)
+
     def list_upstreams(self) -> list[SoakUpstream]:
         """Returns the upstreams that run."""
         return [host.upstream for host in self.hosts if host.upstream is not None]
