Keep the records of a restored source merged for instances that start

What callers would see: an instance that starts within the seconds after the store came back from a copy sends new flows to an upstream that has left or drains, or to an evacuated data centre, although its peers know better.

Cause: only the state of an instance was merged with what was known; its cache, from which others start and which feeds followers, held the copy as listed.

Change: the cache merges a listing of a restored source itself, with what it holds and with the last records of removed upstreams, and marks the listing as incomplete. The mark goes along to readers, so a follower or a starting instance lists again until its feeder has a complete listing. The synchroniser no longer knows of restorations: it repeats incomplete listings. An encoded body is not used for both kinds of listing at one position. An older configuration that is read is logged (outdated_configuration), and so is by how many records a merged listing differs (listing_merged, in place of a line for each record).

--- a/src/catkinspread/deployment/source.py
+++ b/src/catkinspread/deployment/source.py
@@ -63,11 +63,14 @@
         changes: The items of the listing, or the changes.
         revision: Revision of the source up to which the listing or the changes are complete.
         era: Era of the revision; see `SourcePosition`.
+        is_complete: Whether a listing holds all records. False for some time after the source was
+            restored from a copy, until the writers of lost records have written them again.
     """
 
     changes: tuple[StateChange, ...]
     revision: int
     era: int = 0
+    is_complete: bool = True
 
     @property
     def position(self) -> SourcePosition:
--- a/src/catkinspread/deployment/synchroniser.py
+++ b/src/catkinspread/deployment/synchroniser.py
@@ -4,9 +4,9 @@
 not change the state: the instance continues with the state that it has and retries with
 exponential back-off.
 
-A source may be restored from a copy that lacks the latest changes, which begins a new era. Their
-writers write them again within seconds. Until then the records of the source are merged with those
-that are known; afterwards all records are listed again, and that listing counts as complete.
+A source that was restored from a copy lacks the latest changes until their writers write them again,
+which takes seconds. Its listings are marked as incomplete for that time; after it, all records are
+listed again.
 """
 
 import random
@@ -36,9 +36,6 @@
 # this is the time after which they treat the source of this instance as unavailable.
 OUTAGE_THRESHOLD_MS = 600
 _MS_PER_S = 1_000
-# Intervals between the reports of upstreams after which a restored source counts as complete. The
-# record of an upstream that has left, which the copy may hold, expires after three of them.
-SETTLING_HEARTBEATS = 4
 
 
 class SynchroniserSettings(msgspec.Struct, frozen=True):
@@ -48,17 +45,12 @@
         timeout_ms: Maximum time that one call waits for changes, in ms.
         batching_delay_ms: Delay after changes before the next call, so that one call returns
             several changes that occur close together.
-        heartbeat_ms: Interval at which upstreams write their records.
+        settling_ms: Time after an incomplete listing until all records are listed again, in ms.
     """
 
     timeout_ms: int
     batching_delay_ms: int
-    heartbeat_ms: int
-
-    @property
-    def settling_ms(self) -> int:
-        """Time after which a restored source counts as complete."""
-        return SETTLING_HEARTBEATS * self.heartbeat_ms
+    settling_ms: int
 
 
 class _KindProgress:
@@ -66,33 +58,21 @@
 
     Attributes:
         position: Position up to which they are known; None if they have to be listed.
-        restored_at_ms: When the first listing of a restored source was read; None once a later
-            listing counts as complete.
+        list_again_at_ms: When to list them again because the last listing was incomplete; None if
+            it was complete.
         retry_delay_ms: Delay after the next failed call, before jitter.
     """
 
-    __slots__ = ("_era", "position", "restored_at_ms", "retry_delay_ms")
+    __slots__ = ("list_again_at_ms", "position", "retry_delay_ms")
 
     def __init__(self) -> None:
-        self._era: int | None = None
         self.position: SourcePosition | None = None
-        self.restored_at_ms: int | None = None
+        self.list_again_at_ms: int | None = None
         self.retry_delay_ms = RETRY_DELAY_INITIAL_MS
 
-    def record_listing(self, position: SourcePosition, now_ms: int, settling_ms: int) -> None:
-        """Notes that the records were listed at a position."""
-        if self._era is not None and position.era > self._era:
-            self.restored_at_ms = now_ms
-        elif self.get_settling_ms(now_ms, settling_ms) == 0:
-            self.restored_at_ms = None
-        self._era = position.era
-        self.position = position
-
-    def get_settling_ms(self, now_ms: int, settling_ms: int) -> int | None:
-        """Returns the time until the source counts as complete; None if it was not restored."""
-        if self.restored_at_ms is None:
-            return None
-        return max(0, self.restored_at_ms + settling_ms - now_ms)
+    def is_listing_due(self, now_ms: int) -> bool:
+        """Whether an incomplete listing has to be repeated."""
+        return self.list_again_at_ms is not None and now_ms >= self.list_again_at_ms
 
 
 class SourceHealth:
@@ -179,26 +159,12 @@
         self._events = events
         self._heartbeat_ms = heartbeat_ms
 
-    def apply_listing(
-        self,
-        kind: StateKind,
-        listing: StateChanges,
-        now_ms: int,
-        restored_at_ms: int | None = None,
-    ) -> None:
+    def apply_listing(self, kind: StateKind, listing: StateChanges, now_ms: int) -> None:
         """Applies a listing of all records of a kind.
 
         Upstreams that are not in the listing are marked as missing, and evacuations that are not
-        in it end, unless the source has been restored and may lack them. A configuration is
-        replaced only by a newer one: a listing without one leaves it as it is. Upstreams and
-        evacuations count as loaded afterwards.
-
-        Args:
-            kind: Kind of the records.
-            listing: The listing.
-            now_ms: Current time.
-            restored_at_ms: When a restoration of the source was noticed; None if the listing is
-                complete.
+        in it end. A configuration is replaced only by a newer one: a listing without one leaves it
+        as it is. Upstreams and evacuations count as loaded afterwards.
         """
         listed = {
             change.name
@@ -212,47 +178,16 @@
             self._state.upstreams_loaded = True
         if kind is StateKind.EVACUATIONS:
             for name in self._state.list_evacuated_data_centres():
-                if name not in listed and restored_at_ms is None:
+                if name not in listed:
                     self._apply_change(kind, StateChange(name, None), listing, now_ms)
             self._state.evacuations_loaded = True
-        self.apply_changes(kind, listing, now_ms, restored_at_ms)
+        self.apply_changes(kind, listing, now_ms)
 
-    def apply_changes(
-        self,
-        kind: StateKind,
-        changes: StateChanges,
-        now_ms: int,
-        restored_at_ms: int | None = None,
-    ) -> None:
-        """Applies a list of changes in order.
-
-        Args:
-            kind: Kind of the records.
-            changes: The changes.
-            now_ms: Current time.
-            restored_at_ms: When a restoration of the source was noticed, from when on outdated
-                records of upstreams are ignored; None to apply all.
-        """
+    def apply_changes(self, kind: StateKind, changes: StateChanges, now_ms: int) -> None:
+        """Applies a list of changes in order."""
         for change in changes.changes:
-            if restored_at_ms is not None and self._is_outdated(change, restored_at_ms):
-                self._events.write(
-                    "outdated_record", now_ms, kind=kind.value, name=change.name, era=changes.era
-                )
-                continue
             self._apply_change(kind, change, changes, now_ms)
 
-    def _is_outdated(self, change: StateChange, restored_at_ms: int) -> bool:
-        """Whether a restored source holds a record of an upstream that was replaced or removed."""
-        record = change.record
-        if not isinstance(record, UpstreamRecord):
-            return False
-        known = self._state.find_upstream(record.name)
-        if known is None or known.record.is_older_than(record):
-            return False
-        if record.is_older_than(known.record):
-            return True
-        return known.missing_since_ms is not None and known.missing_since_ms < restored_at_ms
-
     def _apply_change(
         self, kind: StateKind, change: StateChange, read: StateChanges, now_ms: int
     ) -> None:
@@ -278,13 +213,27 @@
         if kind is StateKind.EVACUATIONS:
             return self._apply_evacuation(change.name, record is not None, now_ms)
         if isinstance(record, RoutingConfiguration):
-            return self._state.put_configuration(record)
+            return self._apply_configuration(record, now_ms)
         if isinstance(record, UpstreamRecord):
             return self._state.put_upstream(record, now_ms)
         if kind is StateKind.UPSTREAMS:
             return self._state.mark_upstream_missing(change.name, now_ms)
         return None
 
+    def _apply_configuration(
+        self, configuration: RoutingConfiguration, now_ms: int
+    ) -> ApplyOutcome:
+        """Applies a configuration; an older one than the current one is logged and ignored."""
+        current = self._state.configuration
+        if current is not None and current.is_newer_than(configuration):
+            self._events.write(
+                "outdated_configuration",
+                now_ms,
+                version=configuration.version,
+                current_version=current.version,
+            )
+        return self._state.put_configuration(configuration)
+
     def _apply_unreadable(self, kind: StateKind, name: str, now_ms: int) -> ApplyOutcome | None:
         """Keeps what was read before; an upstream is used only as a last resort meanwhile."""
         if kind is StateKind.UPSTREAMS:
@@ -373,16 +322,16 @@
         progress.retry_delay_ms = min(RETRY_DELAY_MAX_MS, 2 * progress.retry_delay_ms)
 
     async def _read_once(self, kind: StateKind, progress: _KindProgress) -> None:
-        settling_ms = progress.get_settling_ms(self._clock.now_ms(), self._settings.settling_ms)
-        if progress.position is None or settling_ms == 0:
+        now_ms = self._clock.now_ms()
+        if progress.position is None or progress.is_listing_due(now_ms):
             await self._list(kind, progress)
             return
         timeout_ms = self._settings.timeout_ms
-        if settling_ms is not None:
-            timeout_ms = min(timeout_ms, settling_ms)
+        if progress.list_again_at_ms is not None:
+            timeout_ms = min(timeout_ms, progress.list_again_at_ms - now_ms)
         changes = await self._source.wait_for_changes(kind, progress.position, timeout_ms)
         self._record_success()
-        self._applier.apply_changes(kind, changes, self._clock.now_ms(), progress.restored_at_ms)
+        self._applier.apply_changes(kind, changes, self._clock.now_ms())
         progress.position = changes.position
         if changes.changes and self._settings.batching_delay_ms:
             await anyio.sleep(self._settings.batching_delay_ms / _MS_PER_S)
@@ -391,7 +340,10 @@
         listing = await self._source.list_records(kind)
         self._record_success()
         now_ms = self._clock.now_ms()
-        progress.record_listing(listing.position, now_ms, self._settings.settling_ms)
+        progress.position = listing.position
+        progress.list_again_at_ms = None
+        if not listing.is_complete:
+            progress.list_again_at_ms = now_ms + self._settings.settling_ms
         self._events.write(
             "state_listed",
             now_ms,
@@ -399,9 +351,9 @@
             records=len(listing.changes),
             era=listing.era,
             revision=listing.revision,
-            is_complete=progress.restored_at_ms is None,
+            is_complete=listing.is_complete,
         )
-        self._applier.apply_listing(kind, listing, now_ms, progress.restored_at_ms)
+        self._applier.apply_listing(kind, listing, now_ms)
 
     def _record_success(self) -> None:
         now_ms = self._clock.now_ms()
--- a/src/catkinspread/peers/feed.py
+++ b/src/catkinspread/peers/feed.py
@@ -34,8 +34,9 @@
 FEED_REQUEST_MAX_BYTES = 1_024
 
 
-# Position that a reader asked from, None for a listing, and position of the answer.
-_BodyKey = tuple[SourcePosition | None, SourcePosition]
+# Position that a reader asked from, None for a listing; position of the answer; whether it is a
+# complete listing, which may differ from an incomplete one at the same position.
+_BodyKey = tuple[SourcePosition | None, SourcePosition, bool]
 
 
 class FeedServer:
@@ -100,7 +101,7 @@
         self, kind: StateKind, after: SourcePosition | None, changes: StateChanges
     ) -> HttpServerResponse:
         """Returns the answer; its body is encoded once for all readers at the same position."""
-        key = (after, changes.position)
+        key = (after, changes.position, changes.is_complete)
         cached = self._encoded_bodies.get(kind)
         if cached is None or cached[0] != key:
             cached = (key, encode_state_changes(changes))
--- a/src/catkinspread/peers/shared_source.py
+++ b/src/catkinspread/peers/shared_source.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable, Callable
 
 import anyio
+import msgspec
 
 from catkinspread.clock import Clock
 from catkinspread.deployment import (
@@ -157,7 +158,9 @@
             is_lost = isinstance(error, HistoryLost)
             return await self._list_again(kind) if is_lost else listing
         self._cache.put_changes(kind, changes)
-        return StateChanges(listing.changes + changes.changes, changes.revision, changes.era)
+        return msgspec.structs.replace(
+            changes, changes=listing.changes + changes.changes, is_complete=listing.is_complete
+        )
 
     async def _list_again(self, kind: StateKind) -> StateChanges:
         """Returns all records of a kind from the feeder or, without one, from the source."""
@@ -277,8 +280,26 @@
         self, kind: StateKind, listing: StateChanges, peer: Member | None
     ) -> StateChanges:
         self._require_current_era(kind, listing, peer)
-        self._cache.put_listing(kind, listing)
-        return listing
+        now_ms = self._clock.now_ms()
+        cached = self._cache.put_listing(kind, listing, now_ms)
+        if not cached.is_complete:
+            self._log_merged(kind, listing, cached, now_ms)
+        return cached
+
+    def _log_merged(
+        self, kind: StateKind, listing: StateChanges, merged: StateChanges, now_ms: int
+    ) -> None:
+        """Logs by how many records a listing of a restored source differs from what is used."""
+        dropped = set(listing.changes).difference(merged.changes)
+        added = set(merged.changes).difference(listing.changes)
+        self._events.write_always(
+            "listing_merged",
+            now_ms,
+            kind=kind.value,
+            era=listing.era,
+            outdated=len(dropped),
+            kept=len(added),
+        )
 
     async def _read_source(self, call: Awaitable[StateChanges]) -> StateChanges:
         try:
--- a/src/catkinspread/peers/tests/test_shared_source.py
+++ b/src/catkinspread/peers/tests/test_shared_source.py
@@ -26,6 +26,8 @@
 )
 
 KIND = StateKind.EVACUATIONS
+NOW_MS = 1_000_000
+SETTLING_MS = 4_800
 
 
 class ScriptedSource:
@@ -67,10 +69,10 @@
     """A shared source with a single peer."""
 
     def __init__(self, source: ScriptedSource, peer: ScriptedSource) -> None:
-        self.clock = ManualClock(1_000_000)
+        self.clock = ManualClock(NOW_MS)
         self.directory = PeerDirectory(Member("me", "east", "10.0.0.1", 1), random.Random(1))
         self.health = SourceHealth()
-        self.cache = StateCache()
+        self.cache = StateCache(SETTLING_MS)
         self.shared = SharedSource(
             source,
             lambda member: peer,
@@ -205,8 +207,8 @@
 
 def test_cache_returns_changes_in_order_and_reports_lost_history() -> None:
     """Guards against an instance that misses a change when it switches to a feeder."""
-    cache = StateCache()
-    cache.put_listing(KIND, StateChanges((StateChange("east", "east"),), 10))
+    cache = StateCache(SETTLING_MS)
+    cache.put_listing(KIND, StateChanges((StateChange("east", "east"),), 10), NOW_MS)
     cache.put_changes(KIND, StateChanges((StateChange("west", "west"),), 12))
     cache.put_changes(KIND, StateChanges((StateChange("east", None),), 15))
 
@@ -229,8 +231,8 @@
 
 def test_cache_coalesces_versions_of_a_record() -> None:
     """Guards against bandwidth spent on versions that are already superseded."""
-    cache = StateCache()
-    cache.put_listing(KIND, StateChanges((), 10))
+    cache = StateCache(SETTLING_MS)
+    cache.put_listing(KIND, StateChanges((), 10), NOW_MS)
     for revision in range(11, 40):
         name = "east" if revision % 2 else "west"
         cache.put_changes(KIND, StateChanges((StateChange(name, f"v{revision}"),), revision))
@@ -241,25 +243,25 @@
 
 def test_unreadable_record_keeps_its_previous_value_in_the_cache() -> None:
     """Guards against a starting instance that lacks an upstream because of another writer."""
-    cache = StateCache()
-    cache.put_listing(KIND, StateChanges((StateChange("east", "east"),), 10))
+    cache = StateCache(SETTLING_MS)
+    cache.put_listing(KIND, StateChanges((StateChange("east", "east"),), 10), NOW_MS)
     unreadable = StateChanges((StateChange("east", None, is_unreadable=True),), 11)
     cache.put_changes(KIND, unreadable)
     assert cache.list_records(KIND).changes == (StateChange("east", "east"),)
-    cache.put_listing(KIND, unreadable)
+    cache.put_listing(KIND, unreadable, NOW_MS)
     assert cache.list_records(KIND).changes == (StateChange("east", "east"),)
 
 
 def test_cache_keeps_the_newest_configuration() -> None:
     """Guards against a starting instance that gets an older version from a restored source."""
-    kind, cache = StateKind.CONFIGURATION, StateCache()
+    kind, cache = StateKind.CONFIGURATION, StateCache(SETTLING_MS)
     newest = StateChange("main", RoutingConfiguration(13, (), (), 1))
     older = StateChange("main", RoutingConfiguration(10, (), (), 1))
-    cache.put_listing(kind, StateChanges((newest,), 15, 1))
-    cache.put_listing(kind, StateChanges((older,), 8, 2))
+    cache.put_listing(kind, StateChanges((newest,), 15, 1), NOW_MS)
+    cache.put_listing(kind, StateChanges((older,), 8, 2), NOW_MS)
     cache.put_changes(kind, StateChanges((older,), 9, 2))
-    assert cache.list_records(kind) == StateChanges((newest,), 9, 2)
-    cache.put_listing(kind, StateChanges((), 10, 2))
+    assert cache.list_records(kind) == StateChanges((newest,), 9, 2, is_complete=False)
+    cache.put_listing(kind, StateChanges((), 10, 2), NOW_MS + SETTLING_MS)
     assert cache.list_records(kind) == StateChanges((newest,), 10, 2)
 
 
--- a/src/catkinspread/peers/tests/test_source_eras.py
+++ b/src/catkinspread/peers/tests/test_source_eras.py
@@ -18,6 +18,8 @@
 from catkinspread.peers.tests.test_messages import STATUS
 from catkinspread.peers.tests.test_shared_source import (
     KIND,
+    NOW_MS,
+    SETTLING_MS,
     ScriptedSource,
     SharedSourceHarness,
 )
@@ -42,16 +44,16 @@
     digest: int
 
 
-def _list(cache: StateCache, era: int, revision: int, *names: str) -> None:
+def _list(cache: StateCache, era: int, revision: int, *names: str, now_ms: int = NOW_MS) -> None:
     changes = tuple(StateChange(name, name) for name in names)
-    cache.put_listing(KIND, StateChanges(changes, revision, era))
+    cache.put_listing(KIND, StateChanges(changes, revision, era), now_ms)
 
 
 def _build_started(source: ScriptedSource, peer: ScriptedSource) -> SharedSourceHarness:
     """Returns a shared source that has listed two kinds from the source."""
     harness = SharedSourceHarness(source, peer)
     for kind in (KIND, OTHER_KIND):
-        harness.cache.put_listing(kind, StateChanges((), 1))
+        harness.cache.put_listing(kind, StateChanges((), 1), NOW_MS)
         anyio.run(harness.shared.list_records, kind)
     return harness
 
@@ -63,7 +65,7 @@
 
 def test_follower_of_an_earlier_era_lists_again_from_its_feeder() -> None:
     """Guards against a follower that is stuck at a revision that its feeder has yet to reach."""
-    cache = StateCache()
+    cache = StateCache(SETTLING_MS)
     _list(cache, 2, 14, "east")
     assert _ask_feed(cache, "?era=1&after=15&wait_ms=50").status == GONE
     assert _ask_feed(cache, "?era=1&after=14&wait_ms=50").status == GONE
@@ -72,7 +74,7 @@
 
 def test_waiting_follower_is_told_of_a_new_era_at_the_same_revision() -> None:
     """Guards against a wait that goes on because the revision of the feeder did not change."""
-    cache = StateCache()
+    cache = StateCache(SETTLING_MS)
     _list(cache, 1, 14, "east")
 
     async def list_in_new_era() -> None:
@@ -89,27 +91,29 @@
 
 
 def test_feeder_does_not_serve_a_body_of_an_earlier_era() -> None:
-    """Guards against a listing that was encoded before the restoration, at the same revision."""
-    cache = StateCache()
+    """Guards against a listing that was encoded before it changed, at the same revision."""
+    cache = StateCache(SETTLING_MS)
     server = FeedServer(cache)
     request = HttpRequest("GET", f"/state/{KIND.value}", {}, b"")
     _list(cache, 1, 14, "east")
     anyio.run(server.answer, request)
-    _list(cache, 2, 14, "west")
-    listing = decode_state_changes(anyio.run(server.answer, request).body)
-    assert [change.name for change in listing.changes] == ["west"]
+    for now_ms, names in ((NOW_MS, ["east", "west"]), (NOW_MS + SETTLING_MS, ["west"])):
+        _list(cache, 2, 14, "west", now_ms=now_ms)
+        listing = decode_state_changes(anyio.run(server.answer, request).body)
+        assert listing.position == SourcePosition(2, 14)
+        assert sorted(change.name for change in listing.changes) == names
 
 
 def test_feeder_that_missed_the_restoration_serves_no_reader_of_the_new_era() -> None:
     """Guards against changes of before the restoration that are applied after it."""
-    cache = StateCache()
+    cache = StateCache(SETTLING_MS)
     _list(cache, 1, 30, "east")
     assert _ask_feed(cache, "?era=2&after=14&wait_ms=50").status == UNAVAILABLE
 
 
 def test_reader_of_an_earlier_version_is_not_left_beyond_the_feeder() -> None:
     """Guards against an instance of the old program that waits for a revision of before."""
-    cache = StateCache()
+    cache = StateCache(SETTLING_MS)
     _list(cache, 2, 14, "east")
     assert _ask_feed(cache, "?after=15&wait_ms=50").status == GONE
     assert _ask_feed(cache, "?after=14&wait_ms=0").status == 200
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -66,6 +66,9 @@
 # upstreams report often while many of them are replaced. The delay is acceptable, because drains and
 # configuration changes may take seconds to apply.
 SYNC_PAUSE_MS = 300
+# Intervals between the reports of upstreams after which a restored source counts as complete. The
+# record of an upstream that has left, which the copy may hold, expires after three of them.
+SETTLING_HEARTBEATS = 4
 # Longest and shortest interval between two runs of the periodic tasks; each run costs processor time.
 LOOP_INTERVAL_MAX_MS = 40
 LOOP_INTERVAL_MIN_MS = 10
@@ -107,6 +110,7 @@
         "_reporter",
         "_rng",
         "_settings",
+        "_settling_ms",
         "_startup",
         "_state",
         "_synchroniser_health",
@@ -133,7 +137,8 @@
         self._synchroniser_health = SourceHealth()
         # Health of the calls to the source itself.
         self._direct_source_health = SourceHealth()
-        self._cache = StateCache()
+        self._settling_ms = SETTLING_HEARTBEATS * settings.heartbeat_ms
+        self._cache = StateCache(self._settling_ms)
         self._loads = LoadTracker()
         self._traffic = TrafficMeter()
         self._is_leaving = False
@@ -266,7 +271,7 @@
             source,
             StateApplier(self._state, self._events, heartbeat_ms),
             self._synchroniser_health,
-            SynchroniserSettings(LONG_POLL_WAIT_MS, SYNC_PAUSE_MS, heartbeat_ms),
+            SynchroniserSettings(LONG_POLL_WAIT_MS, SYNC_PAUSE_MS, self._settling_ms),
             self._events,
             self._clock,
             self._rng,
