--- a/src/catkinspread/deployment/state.py
+++ b/src/catkinspread/deployment/state.py
@@ -164,10 +164,6 @@
         """Returns the names of all services in the configuration."""
         return tuple(self._services)
 
-    def find_upstream(self, name: str) -> KnownUpstream | None:
-        """Returns the upstream with a name, including removed ones; None if there is none."""
-        return self._upstreams.get(name)
-
     def find_upstream_by_token(self, token: int) -> KnownUpstream | None:
         """Returns the upstream with a token, including removed ones; None if there is none."""
         return self._by_token.get(token)
--- a/src/catkinspread/peers/tests/test_restored_listing.py
+++ b/src/catkinspread/peers/tests/test_restored_listing.py
@@ -122,7 +122,8 @@
     instance.read(RECORD)
     instance.restore()
     instance.restore(RECORD, at_ms=RESTORED_AT_MS + 900)
-    assert instance.state.find_upstream("i-1").missing_since_ms is None
+    (known,) = instance.state.list_upstreams()
+    assert known.missing_since_ms is None
 
 
 def test_wrong_guess_about_an_older_record_ends_with_the_complete_listing() -> None:
@@ -166,6 +167,22 @@
         assert read.is_complete == is_complete
 
 
+class _EarlierChanges(msgspec.Struct, frozen=True):
+    """State changes in messages of a version that knows neither eras nor completeness."""
+
+    changes: tuple[StateChange, ...]
+    revision: int
+
+
+def test_state_changes_are_read_by_and_from_an_earlier_version() -> None:
+    """Guards against instances that cannot follow each other while the program is replaced."""
+    sent = StateChanges((EAST,), 9, 2, is_complete=False)
+    earlier = msgspec.msgpack.decode(msgspec.msgpack.encode(sent), type=_EarlierChanges)
+    assert earlier == _EarlierChanges((EAST,), 9)
+    received = msgspec.msgpack.decode(msgspec.msgpack.encode(earlier), type=StateChanges)
+    assert received == StateChanges((EAST,), 9)
+
+
 class _EvacuationSource(ScriptedSource):
     """Lists an evacuation that it loses at its restoration and never gets back."""
 
--- a/src/catkinspread/platform/tests/deployment.py
+++ b/src/catkinspread/platform/tests/deployment.py
@@ -96,8 +96,10 @@
         """Opens the packet socket of an instance, as the program does before it loads."""
         return open_udp_socket(Endpoint(INSTANCES[number], self._packet_port))
 
-    async def start_instance(self, number: int, packet_socket: socket.socket | None = None) -> None:
-        """Starts an instance and waits until it has the state."""
+    async def start_instance(
+        self, number: int, packet_socket: socket.socket | None = None, upstreams: int = 2
+    ) -> None:
+        """Starts an instance and waits until it knows the configuration and some upstreams."""
         host = INSTANCES[number]
         settings = ForwardingSettings(
             name=f"instance-{number}",
@@ -117,7 +119,7 @@
         )
         self._group.start_soon(instance.run)
         with anyio.fail_after(START_TIMEOUT_S):
-            while len(self.lines[number].find("state_changed")) < 3:
+            while len(self.lines[number].find("state_changed")) < 1 + upstreams:
                 await anyio.sleep(0.02)
         await anyio.sleep(0.1)
 
