Count a missing upstream as gone only once the source has answered its reader

What callers saw: open flows of a live upstream reset.

Cause: a missing upstream counts as gone after 2.3 s in which the source was available, and for a follower any answer of its feeder counted, also one from the records of a feeder that has no access to the source itself, or a call that was only interrupted. So a belief with a limited life was acted on after it.

Ruled out: the merging of restored records (era 1 all the time).

Change: the 2.3 s count from when the reader (the feeder, or the instance itself) was selected, until the source last answered the reader, as its status tells; not until now. An upstream that is really gone is noticed up to one probe of the source (1.2 s) and one status (0.3 s) later.

--- a/src/catkinspread/deployment/state.py
+++ b/src/catkinspread/deployment/state.py
@@ -261,7 +261,9 @@
             if known.record.data_centre == data_centre:
                 known.cold_until_ms = max(known.cold_until_ms, until_ms)
 
-    def expire_upstreams(self, now_ms: int, available_since_ms: int | None) -> list[KnownUpstream]:
+    def expire_upstreams(
+        self, now_ms: int, available_since_ms: int | None, answered_at_ms: int | None = None
+    ) -> list[KnownUpstream]:
         """Marks upstreams that stayed missing as removed and gone, and deletes those that are due.
 
         Args:
@@ -269,11 +271,14 @@
             available_since_ms: When the source became available; None during an outage. Records
                 that expired in an outage must be written again within MISSING_GRACE_MS of its
                 end.
+            answered_at_ms: When the source last answered, which the changes that are known depend
+                on; None if it is the current time.
 
         Returns:
             The upstreams that this call marked as gone.
         """
         gone = []
+        known_until_ms = now_ms if answered_at_ms is None else answered_at_ms
         for known in list(self._upstreams.values()):
             if known.missing_since_ms is None or known.has_unreadable_record:
                 continue
@@ -281,7 +286,7 @@
                 self._delete_upstream(known)
             elif not known.is_gone and available_since_ms is not None:
                 grace_start_ms = max(known.missing_since_ms, available_since_ms)
-                if now_ms - grace_start_ms >= MISSING_GRACE_MS:
+                if known_until_ms - grace_start_ms >= MISSING_GRACE_MS:
                     known.is_removed = True
                     known.is_gone = True
                     self._eligible_by_service.clear()
--- a/src/catkinspread/peers/__init__.py
+++ b/src/catkinspread/peers/__init__.py
@@ -15,12 +15,13 @@
     decode_message,
     encode_message,
 )
-from catkinspread.peers.shared_source import SharedSource
+from catkinspread.peers.shared_source import AnsweredSpan, SharedSource
 from catkinspread.peers.state_cache import StateCache
 
 __all__ = [
     "FEEDERS_PER_DATA_CENTRE",
     "FEED_REQUEST_MAX_BYTES",
+    "AnsweredSpan",
     "FeedServer",
     "Hello",
     "HelloReply",
--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -295,6 +295,16 @@
                 return self._peers[name].member
         return None
 
+    def find_source_answer_at_ms(self, name: str) -> int | None:
+        """Returns when the source last answered an instance, as its last status tells.
+
+        Returns None if the source does not answer it or no status of it has arrived.
+        """
+        peer = self._peers.get(name)
+        if peer is None or peer.status is None or peer.status.source_age_ms is None:
+            return None
+        return peer.status_at_ms - peer.status.source_age_ms
+
     def list_peers_with_state(self, now_ms: int) -> list[Member]:
         """Returns the peers that hold the deployment state, in the order in which to ask them.
 
--- a/src/catkinspread/peers/shared_source.py
+++ b/src/catkinspread/peers/shared_source.py
@@ -52,6 +52,18 @@
 _MS_PER_S = 1_000
 
 
+class AnsweredSpan(msgspec.Struct, frozen=True):
+    """Time in which the source answered the instance that the state is read from.
+
+    Attributes:
+        since_ms: When that instance was selected.
+        until_ms: When the source last answered it.
+    """
+
+    since_ms: int
+    until_ms: int
+
+
 class SharedSource:
     """Decides for each call whether to read from the source itself or from a feeder.
 
@@ -75,6 +87,7 @@
         "_interrupted",
         "_is_first_start",
         "_open_peer_source",
+        "_reader_since_ms",
         "_source",
         "_source_health",
     )
@@ -99,6 +112,8 @@
         self._events = events
         self._clock = clock
         self._feeder: Member | None = None
+        # When it was decided whom the state is read from.
+        self._reader_since_ms = clock.now_ms()
         self._interrupted = anyio.Event()
 
     def update_feeder(self) -> None:
@@ -109,10 +124,25 @@
         if feeder == self._feeder:
             return
         self._feeder = feeder
+        self._reader_since_ms = now_ms
         name = feeder.name if feeder else ""
         self._events.write("feeder_changed", now_ms, feeder=name, own_source_age_ms=age_ms)
         self._interrupt_calls()
 
+    def find_answered_span(self) -> AnsweredSpan | None:
+        """Returns the time in which the source answered the feeder or, without one, this instance.
+
+        A feeder goes on serving its records while it has no access to the source. Returns None if
+        the source does not answer.
+        """
+        if self._feeder is not None:
+            until_ms = self._directory.find_source_answer_at_ms(self._feeder.name)
+        else:
+            now_ms = self._clock.now_ms()
+            age_ms = self._source_health.get_last_success_age_ms(now_ms)
+            until_ms = None if age_ms is None else now_ms - age_ms
+        return None if until_ms is None else AnsweredSpan(self._reader_since_ms, until_ms)
+
     async def list_records(self, kind: StateKind) -> StateChanges:
         """Returns all records of a kind; see `StateSource`.
 
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -32,6 +32,7 @@
 from catkinspread.model import Endpoint
 from catkinspread.peers import (
     FEED_REQUEST_MAX_BYTES,
+    AnsweredSpan,
     FeedServer,
     Member,
     MemberStatus,
@@ -334,7 +335,7 @@
             self._isolation.update(now_ms)
             shared.update_feeder()
             if now_ms >= cleanup_due_ms:
-                self._run_cleanup(now_ms)
+                self._run_cleanup(now_ms, shared.find_answered_span())
                 cleanup_due_ms = now_ms + CLEANUP_INTERVAL_MS
             due_ms = self._forwarder.get_next_retry_at_ms() or now_ms + LOOP_INTERVAL_MAX_MS
             wait_ms = max(LOOP_INTERVAL_MIN_MS, min(LOOP_INTERVAL_MAX_MS, due_ms - now_ms))
@@ -356,11 +357,11 @@
         if report is not None:
             self._exchange.send_report(report, self._reporter.choose_recipients())
 
-    def _run_cleanup(self, now_ms: int) -> None:
+    def _run_cleanup(self, now_ms: int, answered: AnsweredSpan | None) -> None:
         self._forwarder.expire_flows(now_ms)
         self._local_availability.update(now_ms)
         self._loads.expire_reports(now_ms)
-        self._upstream_monitor.expire(now_ms)
+        self._upstream_monitor.expire(now_ms, answered)
         for name in self._directory.expire_members(now_ms):
             self._events.write("instance_lost", now_ms, name=name)
         self._cold_start_limiter.instance_count = self._directory.count_members()
--- a/src/catkinspread/runtime/upstream_monitor.py
+++ b/src/catkinspread/runtime/upstream_monitor.py
@@ -4,7 +4,7 @@
 from catkinspread.deployment import DeploymentState, SourceHealth
 from catkinspread.eventlog import EventLog
 from catkinspread.forwarding import Forwarder
-from catkinspread.peers import PeerDirectory, PeerExchange, UnreachableReport
+from catkinspread.peers import AnsweredSpan, PeerDirectory, PeerExchange, UnreachableReport
 from catkinspread.runtime.upstream_checks import UpstreamChecker
 
 # Recipients of the report of an unreachable upstream. Each of them reports it too once its own checks
@@ -77,10 +77,21 @@
                 report, self._directory.choose_random_hosts(REPORT_RECIPIENTS)
             )
 
-    def expire(self, now_ms: int) -> None:
-        """Resets the flows of upstreams that are gone since the last call."""
-        available_since_ms = self._source_health.available_since_ms
-        for upstream in self._state.expire_upstreams(now_ms, available_since_ms):
+    def expire(self, now_ms: int, answered: AnsweredSpan | None) -> None:
+        """Resets the flows of upstreams that are gone since the last call.
+
+        Args:
+            now_ms: Current time.
+            answered: Time in which the source is known to have answered; None if it does not.
+        """
+        since_ms = self._source_health.available_since_ms
+        until_ms = now_ms
+        if answered is None:
+            since_ms = None
+        elif since_ms is not None:
+            since_ms = max(since_ms, answered.since_ms)
+            until_ms = answered.until_ms
+        for upstream in self._state.expire_upstreams(now_ms, since_ms, until_ms):
             self._events.write("upstream_gone", now_ms, name=upstream.record.name)
             self._forwarder.reset_flows_of_gone(upstream, now_ms)
 
