Explain each packet of the demo at an upstream that does not hold its flow

The table counted such packets, and nothing told which one it was. They are printed before the table, at most 20.

No check changed.

--- a/src/catkinspread/demo/scenario.py
+++ b/src/catkinspread/demo/scenario.py
@@ -53,6 +53,8 @@
             await self._race()
             self._say("waiting for the long flows to end")
         await self._ask()
+        for explanation in self._site.misrouted:
+            self._say(f"packet at an upstream without the flow:\n{_indent(explanation)}")
         reports = [getattr(self._report, name) for name in self._report.__struct_fields__]
         return judge(self._findings, reports, self._site)
 
--- a/src/catkinspread/demo/site.py
+++ b/src/catkinspread/demo/site.py
@@ -1,13 +1,17 @@
 """All processes of a deployment as tasks of one process."""
 
+import functools
+
 import anyio
 import anyio.abc
 import msgspec
 
 from catkinspread.clock import SystemClock
+from catkinspread.demo.misrouted import explain_misrouted_packet
 from catkinspread.emulator import (
     Fabric,
     FabricFaults,
+    UnknownFlowPacket,
     UpstreamModel,
     UpstreamOptions,
     run_fabric,
@@ -36,6 +40,7 @@
 WARMUP_MS = 3_000
 COLD_RATE_PER_S = 20
 WARM_RATE_PER_S = 400
+_EXPLANATIONS_MAX = 20
 
 
 class StatementRefused(Exception):
@@ -59,6 +64,7 @@
         fabric: The fabric and its faults.
         upstreams: Stand-in of each upstream by name.
         instances: Running instances by name.
+        misrouted: Explanations of packets at upstreams that do not hold their flow.
     """
 
     __slots__ = (
@@ -72,6 +78,7 @@
         "clock",
         "deployment",
         "fabric",
+        "misrouted",
         "plan",
         "store",
         "upstreams",
@@ -84,6 +91,7 @@
         self.store = MemoryObjectStore()
         self.fabric = Fabric(FabricFaults(loss=0.001, duplication=0.01, delay_max_ms=3), seed)
         self.upstreams: dict[str, UpstreamModel] = {}
+        self.misrouted: list[str] = []
         self._running: dict[str, _Running] = {}
         self._keys = _make_keys(make_key_pair(), make_key_pair())
         team = deployment.services[0].team
@@ -135,7 +143,7 @@
         data_centre = self.deployment.data_centres[index % len(self.deployment.data_centres)]
         endpoint = self.plan.upstream(service_index, index)
         model = UpstreamModel(options, self.clock.now_ms())
-        self.upstreams[name] = model
+        self.watch_upstream(name, model)
         await self._group.start(run_upstream, endpoint, model, self.clock)
         return await self.state(
             f"add upstream {name} to {service.name} in {data_centre} at {endpoint}"
@@ -151,6 +159,23 @@
         self.fabric.instances[name] = settings.fabric_address
         return name
 
+    def watch_upstream(self, name: str, model: UpstreamModel) -> None:
+        """Adds a stand-in upstream to those whose packets are judged."""
+        model.on_unknown_flow = functools.partial(self._explain_misrouted, name)
+        self.upstreams[name] = model
+
+    def find_instance(self, sender: Endpoint) -> str:
+        """Returns the name of the instance that sends to upstreams from an address."""
+        names = [name for name, _ in self.deployment.list_instances()]
+        for index, name in enumerate(names):
+            if sender == self.plan.instance(index)[1]:
+                return name
+        return f"unknown sender {sender}"
+
+    def _explain_misrouted(self, upstream: str, packet: UnknownFlowPacket) -> None:
+        if len(self.misrouted) < _EXPLANATIONS_MAX:
+            self.misrouted.append(explain_misrouted_packet(self, upstream, packet))
+
     def kill_instance(self, name: str) -> None:
         """Ends an instance at once; the fabric goes on sending to it for a while."""
         self._running.pop(name).scope.cancel()
--- a/src/catkinspread/emulator/__init__.py
+++ b/src/catkinspread/emulator/__init__.py
@@ -2,13 +2,19 @@
 
 from catkinspread.emulator.callers import CallerLoad, CallerReport, run_callers
 from catkinspread.emulator.fabric import Fabric, FabricFaults, run_fabric
-from catkinspread.emulator.upstream import UpstreamModel, UpstreamOptions, run_upstream
+from catkinspread.emulator.upstream import (
+    UnknownFlowPacket,
+    UpstreamModel,
+    UpstreamOptions,
+    run_upstream,
+)
 
 __all__ = [
     "CallerLoad",
     "CallerReport",
     "Fabric",
     "FabricFaults",
+    "UnknownFlowPacket",
     "UpstreamModel",
     "UpstreamOptions",
     "run_callers",
--- a/src/catkinspread/emulator/upstream.py
+++ b/src/catkinspread/emulator/upstream.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Callable
 
 import anyio
 import anyio.abc
@@ -53,6 +54,26 @@
     answer_bytes: int = 200
 
 
+class UnknownFlowPacket(msgspec.Struct, frozen=True):
+    """A packet of a flow that the upstream has never held.
+
+    Attributes:
+        kind: Name of its type.
+        flow: Hash of the flow.
+        sender: Instance that sent it.
+        at_ms: When it arrived.
+    """
+
+    kind: str
+    flow: int
+    sender: Endpoint
+    at_ms: int
+
+
+def _ignore(packet: UnknownFlowPacket) -> None:
+    """Does nothing."""
+
+
 class UpstreamModel:
     """State and decisions of the stand-in, without sockets.
 
@@ -64,12 +85,14 @@
         closed: Hashes of flows that were closed; delayed duplicates of their packets are normal.
         unknown_flow_packets: Packets of flows that it has never held.
         opened_at_ms: When each flow was opened last.
+        on_unknown_flow: Called with each packet of a flow that it has never held.
     """
 
     __slots__ = (
         "closed",
         "flows",
         "last_packet_ms",
+        "on_unknown_flow",
         "opened_at_ms",
         "options",
         "queue",
@@ -89,6 +112,7 @@
         self.starts_ms: list[int] = []
         self.last_packet_ms = 0
         self.unknown_flow_packets = 0
+        self.on_unknown_flow: Callable[[UnknownFlowPacket], None] = _ignore
         self.queue: collections.deque[tuple[Request, Endpoint]] = collections.deque()
 
     def turn_cold(self, now_ms: int) -> None:
@@ -113,6 +137,8 @@
                 return [Reset(flow, "flow is closed")]
             case Data(flow) | Request(flow) if flow not in self.flows:
                 self.unknown_flow_packets += 1
+                kind = type(packet).__name__
+                self.on_unknown_flow(UnknownFlowPacket(kind, flow, sender, now_ms))
                 return [Reset(flow, "flow is unknown")]
             case Data(flow, body):
                 return [Data(flow, body)]
