--- a/src/catkinspread/soak/processes.py
+++ b/src/catkinspread/soak/processes.py
@@ -20,6 +20,7 @@
 # The interpreter runs no code of the program earlier; a signal would end the process.
 _LOADING_MS = 400
 _MS_PER_S = 1_000
+_NS_PER_MS = 1_000_000
 _STARTED_EVENT = b'"event":"started"'
 _SETTINGS = """[instance]
 name = {name}
@@ -58,6 +59,7 @@
         "_is_stopped_while_loading",
         "_layout",
         "_process",
+        "_run_log_path",
         "_started_s",
         "data_centre",
         "host",
@@ -77,6 +79,7 @@
         self.incarnation = 0
         self.log_path = directory / f"{self.name}.log"
         self._directory = directory
+        self._run_log_path = directory / "run.log"
         self._layout = layout
         self._process: subprocess.Popen[bytes] | None = None
         self._is_end_expected = False
@@ -104,6 +107,7 @@
         self._is_stopped_while_loading = False
         self._started_s = time.monotonic()
         self.incarnation += 1
+        self._note("start")
 
     def stop(self) -> None:
         """Asks the process to leave."""
@@ -153,6 +157,14 @@
         if self._process is not None and self._process.poll() is None:
             self._is_end_expected |= is_end
             self._process.send_signal(number)
+            self._note(number.name)
+
+    def _note(self, action: str) -> None:
+        """Writes what was done to the process, and when, to the log of the run."""
+        at_ms = time.time_ns() // _NS_PER_MS
+        line = f"{at_ms} {self.name} {action} process {self._process.pid}\n"
+        with self._run_log_path.open("a") as log:
+            log.write(line)
 
     def _format_settings(self, is_first_start: bool) -> str:
         seeds = ", ".join(f"{self._layout.instance_host(number)}:1" for number in range(3))
