Refuse nothing by the state of before a pause of the process

What callers saw: an open flow reset.

Change: for 1 s after a pause an opening packet that would be refused is dropped (outdated_state); the caller sends it again, or had it answered elsewhere. A pause is also noticed when a packet is handled before the periodic tasks have run.

Measured: the new test fails without the line and passes with it; 152 tests of forwarding, runtime and platform pass.

--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -32,6 +32,9 @@
 # arrive closer together were delayed on their way to this instance, for example in its socket
 # buffer.
 RETRANSMISSION_INTERVAL_MIN_MS = 100
+# Time after a pause of the process in which the changes since then are read, also if a connection
+# to the source or to a feeder ended meanwhile.
+REFUSAL_DELAY_AFTER_PAUSE_MS = 1_000
 IDLE_TIMEOUT_DEFAULT_MS = 15_000
 
 
@@ -80,6 +83,7 @@
         "_output",
         "_placement",
         "_read_request_id",
+        "_refuses_from_ms",
         "_resetter",
         "_retry_budget",
         "_state",
@@ -107,6 +111,8 @@
         self._output = output
         self._log = log
         self._read_request_id = read_request_id
+        # Earlier opening packets are dropped instead, because the state may be outdated.
+        self._refuses_from_ms = 0
         self._flows = FlowTable()
         self._waits = WaitTracker(loads)
         self.reachability = ReachabilityTracker()
@@ -153,7 +159,10 @@
         """Discards what was concluded from time-outs that ran while the process was paused.
 
         Upstreams may have answered in the meantime, so pending opening packets get a new time-out.
+        Changes of the state may not have been read yet, so nothing is refused for some time: the
+        caller may have opened the flow through another instance.
         """
+        self._refuses_from_ms = now_ms + REFUSAL_DELAY_AFTER_PAUSE_MS
         self.reachability.discard_evidence()
         self._timeouts.restart_all(now_ms)
 
@@ -404,6 +413,9 @@
         self._flows.reschedule(flow, self._idle_timeout_ms)
 
     def _refuse(self, packet: CallerPacket, reason: RejectionReason, now_ms: int) -> None:
+        if now_ms < self._refuses_from_ms:
+            self._drop(packet, RejectionReason.OUTDATED_STATE, now_ms)
+            return
         self.counts[f"refused_{reason.value}"] += 1
         self._log.log_refusal(packet, reason, now_ms)
         self._output.reset(packet.key, 0)
--- a/src/catkinspread/forwarding/packets.py
+++ b/src/catkinspread/forwarding/packets.py
@@ -81,6 +81,8 @@
     TRIES_EXHAUSTED = "tries_exhausted"
     # Dropped: the instance has not read the complete state of the deployment yet.
     NO_STATE = "no_state"
+    # Dropped instead of refused: the process was paused and may not have read the changes since then.
+    OUTDATED_STATE = "outdated_state"
     # Dropped: the packet belongs to an earlier flow with the same key.
     EARLIER_FLOW = "earlier_flow"
     # Dropped: the flow is unknown and no upstream has the token of the packet.
--- a/src/catkinspread/forwarding/tests/test_forwarder.py
+++ b/src/catkinspread/forwarding/tests/test_forwarder.py
@@ -2,6 +2,7 @@
 
 import json
 
+from catkinspread.forwarding.forwarder import REFUSAL_DELAY_AFTER_PAUSE_MS
 from catkinspread.forwarding.retry_budget import RETRIES_PER_OPENING, RETRY_CAPACITY
 from catkinspread.forwarding.tests.builders import (
     SEQUENCE,
@@ -191,6 +192,24 @@
     assert harness.forwarder.counts["dropped_no_state"] == 1
 
 
+def test_refuses_nothing_by_the_state_of_before_a_pause() -> None:
+    """Guards against a reset of a flow on a route that was added while the process was paused.
+
+    The flow may be open through another instance, and a copy of its opening packet may have waited
+    in the socket.
+    """
+    harness = ForwarderHarness(build_upstream("a"))
+    harness.forwarder.handle_pause(harness.now_ms)
+    harness.send(build_opening_packet(address=UNROUTED_ADDRESS))
+    harness.send(build_opening_packet(1))
+    assert harness.output.resets == []
+    assert harness.list_targets() == ["a"]
+    assert harness.forwarder.counts["dropped_outdated_state"] == 1
+    harness.clock.advance(REFUSAL_DELAY_AFTER_PAUSE_MS)
+    harness.send(build_opening_packet(address=UNROUTED_ADDRESS))
+    assert len(harness.output.resets) == 1
+
+
 def test_draining_upstream_keeps_its_flows_and_gets_no_new_ones() -> None:
     """Guards against breaking flows of a draining upstream or placing new ones on it."""
     harness = ForwarderHarness(build_upstream("a"))
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -115,6 +115,7 @@
         "_startup",
         "_state",
         "_synchroniser_health",
+        "_tasks_due_ms",
         "_traffic",
         "_upstream_monitor",
     )
@@ -143,6 +144,8 @@
         self._loads = LoadTracker()
         self._traffic = TrafficMeter()
         self._is_leaving = False
+        # When the periodic tasks are due; a long delay shows that the process was paused.
+        self._tasks_due_ms = clock.now_ms()
         self._local_availability = LocalAvailability(settings.data_centre, self._state)
         host = settings.packet_address.host
         self._member = Member(settings.name, settings.data_centre, host, clock.now_ms())
@@ -280,6 +283,7 @@
 
     def _handle_packet(self, packet: CallerPacket, now_ms: int) -> None:
         self._startup.record_packet(self._events, now_ms)
+        self._check_pause(now_ms)
         self._forwarder.handle(packet, now_ms)
 
     def _is_ready(self) -> bool:
@@ -324,11 +328,10 @@
 
     async def _run_periodic_tasks(self, shared: SharedSource) -> None:
         cleanup_due_ms = 0
-        expected_ms = self._clock.now_ms()
+        self._tasks_due_ms = self._clock.now_ms()
         while True:
             now_ms = self._clock.now_ms()
-            if now_ms - expected_ms >= PAUSE_MIN_MS:
-                self._handle_pause(now_ms, now_ms - expected_ms)
+            self._check_pause(now_ms)
             self._forwarder.send_due_retries(now_ms)
             self._upstream_monitor.update(now_ms)
             self._send_load_report(now_ms)
@@ -339,15 +342,21 @@
                 cleanup_due_ms = now_ms + CLEANUP_INTERVAL_MS
             due_ms = self._forwarder.get_next_retry_at_ms() or now_ms + LOOP_INTERVAL_MAX_MS
             wait_ms = max(LOOP_INTERVAL_MIN_MS, min(LOOP_INTERVAL_MAX_MS, due_ms - now_ms))
-            expected_ms = now_ms + wait_ms
+            self._tasks_due_ms = now_ms + wait_ms
             await anyio.sleep(wait_ms / _MS_PER_S)
 
-    def _handle_pause(self, now_ms: int, pause_ms: int) -> None:
-        """Discards conclusions from times in which the process was paused.
+    def _check_pause(self, now_ms: int) -> None:
+        """Discards conclusions from times in which the process was paused, once after each pause.
+
+        Packets that waited in the socket may be handled before the periodic tasks run.
 
         Until a call to the source succeeds, no upstream counts as gone: changes that arrived during
         the pause may not have been read yet.
         """
+        pause_ms = now_ms - self._tasks_due_ms
+        if pause_ms < PAUSE_MIN_MS:
+            return
+        self._tasks_due_ms = now_ms
         self._events.write_always("resumed", now_ms, pause_ms=pause_ms)
         self._synchroniser_health.require_new_success()
         self._forwarder.handle_pause(now_ms)
