Start killed instances of a soak again only once their process has ended

On a busy machine killed processes wait for a processor before they end; after kill_many nobody else starts them. The same after a process that outlived its grace time.

Change: wait for the end of the process that was killed, then start it, unless another fault has done so.

--- a/src/catkinspread/soak/faults.py
+++ b/src/catkinspread/soak/faults.py
@@ -22,6 +22,7 @@
 REUSE_AFTER_MS = 2_000
 COLD_MS = 2_000
 _STOP_SLACK_MS = 500
+_END_CHECK_INTERVAL_MS = 20
 _LONGEST_MS = 4_000
 _MS_PER_S = 1_000
 # Hosts of upstreams that faults leave alone, so that each service keeps some.
@@ -89,14 +90,27 @@
             host.is_claimed = False
 
 
+async def _wait_for_end(instance: InstanceProcess, incarnation: int) -> None:
+    """Waits until a process has ended; another fault may have started the next one meanwhile."""
+    while instance.is_running and instance.incarnation == incarnation:
+        await _sleep_ms(_END_CHECK_INTERVAL_MS)
+
+
+async def _start_after_end(instance: InstanceProcess, incarnation: int) -> None:
+    """Starts an instance once its process has ended, unless another fault has started it."""
+    await _wait_for_end(instance, incarnation)
+    if not instance.is_running:
+        instance.start()
+
+
 async def _kill(site: Site, instances: list[InstanceProcess], down_ms: int) -> None:
     async with _disturb(site, *(instance.name for instance in instances)):
+        incarnations = [instance.incarnation for instance in instances]
         for instance in instances:
             instance.kill()
         await _sleep_ms(down_ms)
-        for instance in instances:
-            if not instance.is_running:
-                instance.start()
+        for instance, incarnation in zip(instances, incarnations, strict=True):
+            await _start_after_end(instance, incarnation)
         await _sleep_ms(_STOP_SLACK_MS)
 
 
@@ -136,16 +150,12 @@
         instance.stop()
         incarnation = instance.incarnation
         with anyio.move_on_after((GRACE_MS + _STOP_SLACK_MS) / _MS_PER_S) as scope:
-            # Another fault may kill the process and start the next one.
-            while instance.is_running and instance.incarnation == incarnation:
-                await _sleep_ms(20)
+            await _wait_for_end(instance, incarnation)
         if scope.cancelled_caught:
             instance.kill()
             now_ms = site.clock.now_ms()
             site.promises.break_promise("stop", now_ms, f"{instance.name} outlived its grace time")
-            await _sleep_ms(_STOP_SLACK_MS)
-        if not instance.is_running:
-            instance.start()
+        await _start_after_end(instance, incarnation)
         await _sleep_ms(_STOP_SLACK_MS)
 
 
