--- a/src/catkinspread/soak/callers.py
+++ b/src/catkinspread/soak/callers.py
@@ -18,8 +18,8 @@
     encode_flow_packet,
     encode_request,
 )
+from catkinspread.soak.guarantees import GuaranteeChecker
 from catkinspread.soak.layout import PACKET_PORT, to_number
-from catkinspread.soak.promises import PromiseBook
 from catkinspread.soak.router import Router
 from catkinspread.soak.upstreams import FlowRegister
 from catkinspread.transport.udp import UdpTransport
@@ -105,7 +105,7 @@
         host: Their address.
         router: Takes their packets.
         register: Knows where flows are open.
-        promises: Judges what arrives.
+        guarantees: Checks what arrives.
         clock: Source of the time.
         rng: Source of random choices.
 
@@ -120,7 +120,7 @@
         "_host",
         "_ids",
         "_ports",
-        "_promises",
+        "_guarantees",
         "_register",
         "_rng",
         "_router",
@@ -134,7 +134,7 @@
         host: str,
         router: Router,
         register: FlowRegister,
-        promises: PromiseBook,
+        guarantees: GuaranteeChecker,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -142,7 +142,7 @@
         self._host = host
         self._router = router
         self._register = register
-        self._promises = promises
+        self._guarantees = guarantees
         self._clock = clock
         self._rng = rng
         self._flows: dict[int, _CallerFlow] = {}
@@ -171,7 +171,7 @@
                 outcome = await self._exchange(flow, request_id, deadline_ms)
             self._end(flow)
             if outcome in (Outcome.REFUSED, Outcome.NOT_OPENED):
-                self._promises.judge_refusal(request_id, self._clock.now_ms())
+                self._guarantees.check_refusal(request_id, self._clock.now_ms())
             is_over = attempts >= TRIES or self._clock.now_ms() >= deadline_ms
             if is_over or not self._may_retry(route, outcome):
                 break
@@ -237,7 +237,7 @@
             return Outcome.BROKEN
         if not flow.answer.endswith(b"\n" + request_id.encode()):
             detail = f"{request_id} got {flow.answer!r}"
-            self._promises.break_promise("answer", self._clock.now_ms(), detail)
+            self._guarantees.report_violation("answer", self._clock.now_ms(), detail)
         return Outcome.SERVED
 
     async def _wait(self, flow: _CallerFlow, until_ms: int, request_id: bytes) -> None:
@@ -280,7 +280,9 @@
         try:
             packet = decode_flow_packet(datagram)
         except PacketDamaged as error:
-            self._promises.break_promise("unchanged", self._clock.now_ms(), f"caller got: {error}")
+            self._guarantees.report_violation(
+                "unchanged", self._clock.now_ms(), f"caller got: {error}"
+            )
             return
         flow = self._flows.get(packet.target_port)
         if flow is None or (packet.source_ip, packet.source_port) != flow.ends[2:]:
@@ -311,5 +313,5 @@
         owner = self._register.owners.get(flow.ends)
         if packet.is_from_instance and owner is not None:
             detail = f"{flow.ends} of {owner.record.name} was reset by {sender.host}"
-            self._promises.judge_reset(owner.record.name, detail, self._clock.now_ms())
+            self._guarantees.check_reset(owner.record.name, detail, self._clock.now_ms())
         flow.reset_by = sender.host
--- a/src/catkinspread/soak/faults.py
+++ b/src/catkinspread/soak/faults.py
@@ -1,7 +1,7 @@
 """The faults of a soak, each a coroutine that injects it and ends it again.
 
-Several run at the same time. A fault notes in the calm book what it disturbs, so that bounds are
-judged only where they hold; planned work disturbs nothing but the instances that it stops.
+Several run at the same time. A fault records what it disturbs in the disturbance tracker, so that
+bounds are checked only where they apply; planned work disturbs only the instances that it stops.
 """
 
 import random
@@ -11,9 +11,9 @@
 import anyio
 
 from catkinspread.platform.stand_ins import StoreMode
-from catkinspread.soak.calm import STORE
+from catkinspread.soak.disturbances import STORE
+from catkinspread.soak.guarantees import DRAIN_MS
 from catkinspread.soak.processes import GRACE_MS, HEARTBEAT_MS, InstanceProcess
-from catkinspread.soak.promises import DRAIN_MS
 from catkinspread.soak.proxy import ProxyMode
 from catkinspread.soak.site import DATA_CENTRES, FIXED_ROUTES, SERVICES, Site
 from catkinspread.soak.upstreams import UpstreamHost
@@ -57,12 +57,12 @@
 @asynccontextmanager
 async def _disturb(site: Site, *parts: str) -> AsyncIterator[None]:
     for part in parts:
-        site.calm.begin(part)
+        site.disturbances.begin(part)
     try:
         yield
     finally:
         for part in parts:
-            site.calm.end(part, site.clock.now_ms())
+            site.disturbances.end(part, site.clock.now_ms())
 
 
 def _choose_instances(site: Site, rng: random.Random, share: float) -> list[InstanceProcess]:
@@ -154,7 +154,9 @@
         if scope.cancelled_caught:
             instance.kill()
             now_ms = site.clock.now_ms()
-            site.promises.break_promise("stop", now_ms, f"{instance.name} outlived its grace time")
+            site.guarantees.report_violation(
+                "stop", now_ms, f"{instance.name} outlived its grace time"
+            )
         await _start_after_end(instance, incarnation)
         await _sleep_ms(_STOP_SLACK_MS)
 
--- a/src/catkinspread/soak/processes.py
+++ b/src/catkinspread/soak/processes.py
@@ -107,7 +107,7 @@
         self._is_stopped_while_loading = False
         self._started_s = time.monotonic()
         self.incarnation += 1
-        self._note("start")
+        self._log_action("start")
 
     def stop(self) -> None:
         """Asks the process to leave."""
@@ -157,10 +157,10 @@
         if self._process is not None and self._process.poll() is None:
             self._is_end_expected |= is_end
             self._process.send_signal(number)
-            self._note(number.name)
+            self._log_action(number.name)
 
-    def _note(self, action: str) -> None:
-        """Writes what was done to the process, and when, to the log of the run."""
+    def _log_action(self, action: str) -> None:
+        """Logs an action on the process to the log of the run."""
         at_ms = time.time_ns() // _NS_PER_MS
         line = f"{at_ms} {self.name} {action} process {self._process.pid}\n"
         with self._run_log_path.open("a") as log:
--- a/src/catkinspread/soak/runner.py
+++ b/src/catkinspread/soak/runner.py
@@ -1,4 +1,4 @@
-"""Runs one soak: start, faults, recovery, and a calm time in which everything is served."""
+"""Runs one soak: start, faults, recovery, and a last period in which everything has to be served."""
 
 import collections
 import pathlib
@@ -11,14 +11,14 @@
 from catkinspread.clock import Clock, SystemClock
 from catkinspread.soak.callers import Outcome, RequestResult
 from catkinspread.soak.faults import list_faults
+from catkinspread.soak.guarantees import Violation
 from catkinspread.soak.layout import Layout
-from catkinspread.soak.promises import Violation
 from catkinspread.soak.site import DATA_CENTRES, FIXED_ROUTES, Site
 
 START_TIMEOUT_MS = 20_000
 # Time after the last fault until everything is served again.
 RECOVER_MS = 12_000
-CALM_MS = 2_000
+LAST_PERIOD_MS = 2_000
 REQUESTS_PER_S = 45
 KEPT_FLOW_SHARE = 0.08
 KEPT_FLOW_REQUESTS = 6
@@ -53,7 +53,7 @@
         seed: Seed of the run.
         faults: Faults that were injected, in order.
         outcomes: Requests by outcome.
-        violations: Broken promises.
+        violations: Violations of the guarantees.
     """
 
     seed: int
@@ -90,11 +90,11 @@
                 group.start_soon(self._send_requests, group)
                 await self._inject_faults()
                 await anyio.sleep(RECOVER_MS / _MS_PER_S)
-                calm_at_ms = self._clock.now_ms()
-                await anyio.sleep(CALM_MS / _MS_PER_S)
+                last_period_at_ms = self._clock.now_ms()
+                await anyio.sleep(LAST_PERIOD_MS / _MS_PER_S)
                 ended_at_ms = self._clock.now_ms()
                 await self._wait_for_results(ended_at_ms)
-                self._judge_calm(calm_at_ms, ended_at_ms)
+                self._check_last_period(last_period_at_ms, ended_at_ms)
                 group.cancel_scope.cancel()
         finally:
             self._site.close()
@@ -102,7 +102,7 @@
             seed=self._settings.seed,
             faults=tuple(self._faults),
             outcomes=dict(collections.Counter(r.outcome.value for r in self._list_results())),
-            violations=tuple(self._site.promises.violations),
+            violations=tuple(self._site.guarantees.violations),
         )
 
     async def _wait_until_ready(self) -> None:
@@ -110,7 +110,7 @@
             while not all(map(self._site.router.is_ready, self._site.instances)):
                 await anyio.sleep(0.05)
         if scope.cancelled_caught:
-            self._site.promises.break_promise(
+            self._site.guarantees.report_violation(
                 "start", self._clock.now_ms(), "not all instances became ready"
             )
 
@@ -149,15 +149,15 @@
         longest_ms = max(route.timeout_ms for route in self._site.configuration.routes)
         await anyio.sleep((ended_at_ms + longest_ms - self._clock.now_ms()) / _MS_PER_S)
 
-    def _judge_calm(self, begin_ms: int, end_ms: int) -> None:
-        """Checks that every request of the calm time was served."""
+    def _check_last_period(self, begin_ms: int, end_ms: int) -> None:
+        """Checks that every request of the last period was served."""
         sent = [r for r in self._list_results() if begin_ms <= r.sent_at_ms < end_ms]
         failed = [found for found in sent if found.outcome is not Outcome.SERVED]
         for found in failed:
             detail = f"{found.request_id} ended as {found.outcome.value}"
-            self._site.promises.break_promise("recovery", found.sent_at_ms, detail)
+            self._site.guarantees.report_violation("recovery", found.sent_at_ms, detail)
         if not sent:
-            self._site.promises.break_promise("recovery", end_ms, "no request ended")
+            self._site.guarantees.report_violation("recovery", end_ms, "no request ended")
 
     def _list_results(self) -> list[RequestResult]:
         return [result for caller in self._site.callers for result in caller.results]
--- a/src/catkinspread/soak/site.py
+++ b/src/catkinspread/soak/site.py
@@ -24,10 +24,10 @@
     encode_upstream_name,
 )
 from catkinspread.soak.callers import CallerHost
-from catkinspread.soak.calm import CalmBook
+from catkinspread.soak.disturbances import DisturbanceTracker
+from catkinspread.soak.guarantees import STABLE_MS, GuaranteeChecker
 from catkinspread.soak.layout import Layout, to_number
 from catkinspread.soak.processes import HEARTBEAT_MS, InstanceProcess
-from catkinspread.soak.promises import STABLE_MS, PromiseBook
 from catkinspread.soak.proxy import FaultProxy
 from catkinspread.soak.router import Router
 from catkinspread.soak.upstreams import FlowRegister, SoakUpstream, UpstreamHost
@@ -53,13 +53,13 @@
         rng: Source of random choices.
 
     Attributes:
-        calm: Which parts are disturbed.
         callers: Callers by data centre.
         clock: Source of the time.
         configuration: Configuration in force.
+        disturbances: Which parts are disturbed.
+        guarantees: Checks what callers and upstreams see.
         hosts: Hosts of upstreams.
         instances: All instances.
-        promises: What was broken.
         proxies: Proxies in front of the store, by instance.
         router: Spreads the packets of callers.
         store: The store.
@@ -71,13 +71,13 @@
         "_layout",
         "_next_key",
         "_rng",
-        "calm",
         "callers",
         "clock",
         "configuration",
+        "disturbances",
+        "guarantees",
         "hosts",
         "instances",
-        "promises",
         "proxies",
         "router",
         "store",
@@ -92,8 +92,8 @@
         self._evacuated_since_ms: dict[str, int | None] = {}
         self._next_key = 1
         self.clock = clock
-        self.calm = CalmBook(STABLE_MS)
-        self.promises = PromiseBook(self.calm, clock.now_ms())
+        self.disturbances = DisturbanceTracker(STABLE_MS)
+        self.guarantees = GuaranteeChecker(self.disturbances, clock.now_ms())
         self.store = StoreStandIn()
         self.instances = [
             InstanceProcess(
@@ -114,7 +114,7 @@
                 layout.caller_host(number),
                 self.router,
                 register,
-                self.promises,
+                self.guarantees,
                 clock,
                 rng,
             )
@@ -130,7 +130,7 @@
         by_name = {instance.name: instance for instance in self.instances}
         return UpstreamHost(
             self._layout.upstream_host(number),
-            self.promises,
+            self.guarantees,
             register,
             lambda host: by_host[host].name,
             lambda name: by_name[name].incarnation,
@@ -181,7 +181,7 @@
         version = self.configuration.version + self._rng.randint(1, 5)
         self.configuration = RoutingConfiguration(version, routes, limits, 15_000)
         self.store.put_configuration(encode_configuration(self.configuration))
-        self.promises.put_configuration(self.configuration, self.clock.now_ms())
+        self.guarantees.put_configuration(self.configuration, self.clock.now_ms())
 
     def start_upstream(
         self, host: UpstreamHost, service: str, data_centre: str, cold_ms: int = 0, key: int = 0
@@ -266,7 +266,7 @@
         return [host.upstream for host in self.hosts if host.upstream is not None]
 
     async def _supervise(self) -> None:
-        """Notes processes that ended by themselves, once for each process."""
+        """Reports processes that ended by themselves, once for each process."""
         seen: set[tuple[str, int]] = set()
         while True:
             for instance in self.instances:
@@ -274,7 +274,7 @@
                 if fault and (instance.name, instance.incarnation) not in seen:
                     seen.add((instance.name, instance.incarnation))
                     detail = f"{instance.name} {fault}"
-                    self.promises.break_promise("process", self.clock.now_ms(), detail)
+                    self.guarantees.report_violation("process", self.clock.now_ms(), detail)
             await anyio.sleep(_SUPERVISE_INTERVAL_MS / _MS_PER_S)
 
     async def _report_upstreams(self) -> None:
--- a/src/catkinspread/soak/tests/test_faults.py
+++ b/src/catkinspread/soak/tests/test_faults.py
@@ -5,9 +5,9 @@
 import anyio
 
 from catkinspread.clock import SystemClock
-from catkinspread.soak.calm import CalmBook
+from catkinspread.soak.disturbances import DisturbanceTracker
 from catkinspread.soak.faults import kill_one
-from catkinspread.soak.promises import STABLE_MS
+from catkinspread.soak.guarantees import STABLE_MS
 
 
 class SlowlyEndingInstance:
@@ -35,7 +35,7 @@
 
     def __init__(self, instance: SlowlyEndingInstance) -> None:
         self.instances = [instance]
-        self.calm = CalmBook(STABLE_MS)
+        self.disturbances = DisturbanceTracker(STABLE_MS)
         self.clock = SystemClock()
 
 
--- a/src/catkinspread/soak/tests/test_short_run.py
+++ b/src/catkinspread/soak/tests/test_short_run.py
@@ -13,8 +13,8 @@
 REGRESSION_FAULT_MS = 12_000
 
 
-def test_short_run_keeps_all_promises(tmp_path: pathlib.Path) -> None:
-    """Guards against any broken promise under a few faults."""
+def test_short_run_keeps_all_guarantees(tmp_path: pathlib.Path) -> None:
+    """Guards against any broken guarantee under a few faults."""
     report = run_soak(SoakSettings(SHORT_SEED, SUBNET, SHORT_FAULT_MS, str(tmp_path)))
     assert report.violations == ()
     assert report.outcomes["served"] > 0
@@ -22,7 +22,7 @@
 
 
 @pytest.mark.parametrize("regression", REGRESSIONS, ids=lambda found: str(found.seed))
-def test_run_that_failed_once_keeps_all_promises(
+def test_run_that_failed_once_keeps_all_guarantees(
     regression: object, tmp_path: pathlib.Path
 ) -> None:
     """Guards against the return of a fault that a soak found."""
--- a/src/catkinspread/soak/upstreams.py
+++ b/src/catkinspread/soak/upstreams.py
@@ -18,8 +18,8 @@
     encode_flow_packet,
     split_upstream_datagram,
 )
+from catkinspread.soak.guarantees import DRAIN_MS, EVACUATE_MS, GuaranteeChecker, Opening
 from catkinspread.soak.layout import PACKET_PORT
-from catkinspread.soak.promises import DRAIN_MS, EVACUATE_MS, Opening, PromiseBook
 from catkinspread.transport.udp import UdpTransport
 
 FlowEnds = tuple[int, int, int, int]
@@ -125,10 +125,10 @@
             else:
                 flow = None  # The caller chose the answer of another upstream.
         if flow is None:
-            self._answer_stray(ends, packet, instance, now_ms)
+            self._answer_misrouted(ends, packet, instance, now_ms)
             return
         flow.token = packet.token
-        self._host.promises.note_at_home(ends)
+        self._host.guarantees.record_delivery(ends)
         self._handle_open_flow(ends, flow, packet, now_ms)
 
     def forget(self, ends: FlowEnds) -> None:
@@ -153,14 +153,14 @@
         if flow is not None and flow.is_open:
             return
         if flow is None or flow.packet.sequence != packet.sequence:
-            self._judge(ends, instance, now_ms)
+            self._check_opening(ends, instance, now_ms)
             flow = _UpstreamFlow(packet, self._rng.randrange(1, _SEQUENCE_MODULUS))
             self._flows[ends] = flow
         flow.token = packet.token
         self._reply(flow, flow.sequence, is_open=True)
 
-    def _judge(self, ends: FlowEnds, instance: str, now_ms: int) -> None:
-        promises = self._host.promises
+    def _check_opening(self, ends: FlowEnds, instance: str, now_ms: int) -> None:
+        guarantees = self._host.guarantees
         opening = Opening(
             address=ServiceAddress(ends[2], ends[3]),
             sent_at_ms=self._host.register.sent_at_ms.get(ends, now_ms),
@@ -168,13 +168,13 @@
             instance=instance,
             incarnation=self._host.find_incarnation(instance),
         )
-        promises.judge_service(opening, self.record.service)
+        guarantees.check_service(opening, self.record.service)
         if self.draining_since_ms is not None:
-            promises.judge_bound("drain", self.draining_since_ms, DRAIN_MS, opening)
+            guarantees.check_bound("drain", self.draining_since_ms, DRAIN_MS, opening)
         if self.evacuated_since_ms is not None:
-            promises.judge_bound("evacuation", self.evacuated_since_ms, EVACUATE_MS, opening)
+            guarantees.check_bound("evacuation", self.evacuated_since_ms, EVACUATE_MS, opening)
         if now_ms < self.cold_until_ms:
-            promises.judge_cold(self.record.name, self.cold_rate_per_s, opening)
+            guarantees.check_cold(self.record.name, self.cold_rate_per_s, opening)
 
     def _settle(self, ends: FlowEnds, flow: _UpstreamFlow) -> None:
         flow.is_open = True
@@ -182,10 +182,12 @@
         flow.acknowledged = flow.sequence
         self._host.register.owners[ends] = self
 
-    def _answer_stray(self, ends: FlowEnds, packet: FlowPacket, instance: str, now_ms: int) -> None:
+    def _answer_misrouted(
+        self, ends: FlowEnds, packet: FlowPacket, instance: str, now_ms: int
+    ) -> None:
         owner = self._host.register.owners.get(ends)
         if owner is not None and owner is not self:
-            self._host.promises.judge_stray(ends, owner.record.name, instance, now_ms)
+            self._host.guarantees.check_misrouted(ends, owner.record.name, instance, now_ms)
         if not packet.is_close:
             flow = _UpstreamFlow(packet, packet.acknowledged)
             self._reply(flow, packet.acknowledged, is_reset=True)
@@ -210,7 +212,7 @@
     ) -> None:
         """Runs a request and repeats the answer until the caller has it."""
         request_id, may_repeat = decode_request(packet.data)
-        self._host.promises.note_run(request_id, may_repeat, now_ms)
+        self._host.guarantees.record_run(request_id, may_repeat, now_ms)
         await anyio.sleep(self._rng.randint(WORK_MIN_MS, WORK_MAX_MS) / _MS_PER_S)
         answer = b"HTTP/1.1 200 OK\r\n\r\n" + request_id.encode()
         start = flow.sequence
@@ -261,7 +263,7 @@
 
     Args:
         host: Its address.
-        promises: Judges what arrives.
+        guarantees: Checks what arrives.
         register: Knows where flows are open.
         find_sender: Returns the name of the instance with an address.
         find_incarnation: Returns which process of an instance runs.
@@ -281,7 +283,7 @@
         "find_incarnation",
         "is_claimed",
         "is_silent",
-        "promises",
+        "guarantees",
         "register",
         "upstream",
     )
@@ -289,13 +291,13 @@
     def __init__(
         self,
         host: str,
-        promises: PromiseBook,
+        guarantees: GuaranteeChecker,
         register: FlowRegister,
         find_sender: Callable[[str], str],
         find_incarnation: Callable[[str], int],
         clock: Clock,
     ) -> None:
-        self.promises = promises
+        self.guarantees = guarantees
         self.register = register
         self.find_incarnation = find_incarnation
         self.upstream: SoakUpstream | None = None
@@ -360,7 +362,7 @@
             key, content = split_upstream_datagram(datagram)
             packet = decode_flow_packet(content)
         except (PacketDamaged, ValueError) as error:
-            self.promises.break_promise("unchanged", now_ms, f"upstream got: {error}")
+            self.guarantees.report_violation("unchanged", now_ms, f"upstream got: {error}")
             return
         if key in (0, self.upstream.record.key):
             self.upstream.handle(packet, self._find_sender(sender.host), now_ms)
