Keep the store of a soak away until the last fault of it has ended

Trace: the entry of the upstream was removed (state_changed missing at 36.20 to 36.55 on all instances), the store answered readers from then until 40.15 (503), and the entry came back at 43.76.

Change: faults hold the store in a mode; the store is back once the last of them has ended.

--- a/src/catkinspread/soak/faults.py
+++ b/src/catkinspread/soak/faults.py
@@ -65,6 +65,18 @@
             site.disturbances.end(part, site.clock.now_ms())
 
 
+@asynccontextmanager
+async def _hold_store(site: Site, mode: StoreMode) -> AsyncIterator[None]:
+    """Keeps the store in a mode; afterwards it is in that of another fault, if there is one."""
+    site.store_modes.append(mode)
+    site.store.mode = mode
+    try:
+        yield
+    finally:
+        site.store_modes.remove(mode)
+        site.store.mode = site.store_modes[-1] if site.store_modes else StoreMode.NORMAL
+
+
 def _choose_instances(site: Site, rng: random.Random, share: float) -> list[InstanceProcess]:
     count = max(1, round(share * len(site.instances)))
     return rng.sample(site.instances, count)
@@ -186,22 +198,19 @@
 async def fail_store(site: Site, rng: random.Random) -> None:
     """Lets the store fail for all instances in one of its ways."""
     modes = [mode for mode in StoreMode if mode is not StoreMode.NORMAL]
-    async with _disturb(site, STORE):
-        site.store.mode = rng.choice(modes)
+    async with _disturb(site, STORE), _hold_store(site, rng.choice(modes)):
         await _sleep_ms(_draw_ms(rng))
-        site.store.mode = StoreMode.NORMAL
 
 
 @register_fault("store_lapses")
 async def lapse_entries(site: Site, rng: random.Random) -> None:
     """Takes the store down; entries of upstreams lapse and return after it."""
     async with _disturb(site, STORE):
-        site.store.mode = StoreMode.BUSY
-        lapsed = rng.sample(site.list_upstreams(), len(site.list_upstreams()) // 2)
-        for upstream in lapsed:
-            site.remove_entry(upstream)
-        await _sleep_ms(_draw_ms(rng))
-        site.store.mode = StoreMode.NORMAL
+        async with _hold_store(site, StoreMode.BUSY):
+            lapsed = rng.sample(site.list_upstreams(), len(site.list_upstreams()) // 2)
+            for upstream in lapsed:
+                site.remove_entry(upstream)
+            await _sleep_ms(_draw_ms(rng))
         await _sleep_ms(rng.randint(0, 1_500))
         for upstream in lapsed:
             if upstream in site.list_upstreams():
@@ -224,10 +233,10 @@
     copy = site.store.take_copy()
     await _sleep_ms(_draw_ms(rng))
     async with _disturb(site, STORE):
-        site.store.mode = rng.choice((StoreMode.BUSY, StoreMode.RESET, StoreMode.SILENT))
-        await _sleep_ms(rng.randint(100, 2_000))
-        site.store.restore(copy)
-        site.store.mode = StoreMode.NORMAL
+        mode = rng.choice((StoreMode.BUSY, StoreMode.RESET, StoreMode.SILENT))
+        async with _hold_store(site, mode):
+            await _sleep_ms(rng.randint(100, 2_000))
+            site.store.restore(copy)
         await _sleep_ms(rng.randint(0, 1_500))
         site.write_again()
         await _sleep_ms(3 * HEARTBEAT_MS)
--- a/src/catkinspread/soak/site.py
+++ b/src/catkinspread/soak/site.py
@@ -18,6 +18,7 @@
     UpstreamRecord,
 )
 from catkinspread.platform.stand_ins import (
+    StoreMode,
     StoreStandIn,
     encode_configuration,
     encode_upstream,
@@ -63,6 +64,7 @@
         proxies: Proxies in front of the store, by instance.
         router: Spreads the packets of callers.
         store: The store.
+        store_modes: Modes that faults keep the store in, the latest one last.
     """
 
     __slots__ = (
@@ -81,6 +83,7 @@
         "proxies",
         "router",
         "store",
+        "store_modes",
     )
 
     def __init__(
@@ -95,6 +98,7 @@
         self.disturbances = DisturbanceTracker(STABLE_MS)
         self.guarantees = GuaranteeChecker(self.disturbances, clock.now_ms())
         self.store = StoreStandIn()
+        self.store_modes: list[StoreMode] = []
         self.instances = [
             InstanceProcess(
                 layout, number, DATA_CENTRES[number // INSTANCES_PER_DATA_CENTRE], directory
