Log the faults of a soak run, and with which sequence a flow was reset

Change: RunLog, which processes and faults write to; three values more in the detail of a reset. No check is changed.

--- a/src/catkinspread/soak/callers.py
+++ b/src/catkinspread/soak/callers.py
@@ -312,6 +312,9 @@
     def _handle_reset(self, flow: _CallerFlow, packet: FlowPacket, sender: Endpoint) -> None:
         owner = self._register.owners.get(flow.ends)
         if packet.is_from_instance and owner is not None:
-            detail = f"{flow.ends} of {owner.record.name} was reset by {sender.host}"
+            detail = (
+                f"{flow.ends} of {owner.record.name} was reset by {sender.host} with sequence"
+                f" {packet.sequence}, expected {flow.expected}, token {flow.token}"
+            )
             self._guarantees.check_reset(owner.record.name, detail, self._clock.now_ms())
         flow.reset_by = sender.host
--- a/src/catkinspread/soak/processes.py
+++ b/src/catkinspread/soak/processes.py
@@ -12,6 +12,7 @@
 
 from catkinspread.platform.stand_ins import build_environment
 from catkinspread.soak.layout import PACKET_PORT, PEER_PORT, READINESS_PORT, Layout
+from catkinspread.soak.run_log import RunLog
 
 GRACE_MS = 6_000
 HEARTBEAT_MS = 1_200
@@ -20,7 +21,6 @@
 # The interpreter runs no code of the program earlier; a signal would end the process.
 _LOADING_MS = 400
 _MS_PER_S = 1_000
-_NS_PER_MS = 1_000_000
 _STARTED_EVENT = b'"event":"started"'
 _SETTINGS = """[instance]
 name = {name}
@@ -59,7 +59,7 @@
         "_is_stopped_while_loading",
         "_layout",
         "_process",
-        "_run_log_path",
+        "_run_log",
         "_started_s",
         "data_centre",
         "host",
@@ -70,7 +70,12 @@
     )
 
     def __init__(
-        self, layout: Layout, number: int, data_centre: str, directory: pathlib.Path
+        self,
+        layout: Layout,
+        number: int,
+        data_centre: str,
+        directory: pathlib.Path,
+        run_log: RunLog,
     ) -> None:
         self.name = f"instance-{number}"
         self.number = number
@@ -79,7 +84,7 @@
         self.incarnation = 0
         self.log_path = directory / f"{self.name}.log"
         self._directory = directory
-        self._run_log_path = directory / "run.log"
+        self._run_log = run_log
         self._layout = layout
         self._process: subprocess.Popen[bytes] | None = None
         self._is_end_expected = False
@@ -160,11 +165,7 @@
             self._log_action(number.name)
 
     def _log_action(self, action: str) -> None:
-        """Logs an action on the process to the log of the run."""
-        at_ms = time.time_ns() // _NS_PER_MS
-        line = f"{at_ms} {self.name} {action} process {self._process.pid}\n"
-        with self._run_log_path.open("a") as log:
-            log.write(line)
+        self._run_log.write(f"{self.name} {action} process {self._process.pid}")
 
     def _format_settings(self, is_first_start: bool) -> str:
         seeds = ", ".join(f"{self._layout.instance_host(number)}:1" for number in range(3))
--- a/src/catkinspread/soak/runner.py
+++ b/src/catkinspread/soak/runner.py
@@ -10,7 +10,7 @@
 
 from catkinspread.clock import Clock, SystemClock
 from catkinspread.soak.callers import Outcome, RequestResult
-from catkinspread.soak.faults import list_faults
+from catkinspread.soak.faults import Fault, list_faults
 from catkinspread.soak.guarantees import Violation
 from catkinspread.soak.layout import Layout
 from catkinspread.soak.site import DATA_CENTRES, FIXED_ROUTES, Site
@@ -123,9 +123,15 @@
                 name = self._rng.choice(sorted(faults))
                 self._faults.append(name)
                 rng = random.Random(self._rng.getrandbits(32))
-                group.start_soon(faults[name], self._site, rng)
+                group.start_soon(self._run_fault, name, faults[name], rng)
                 await anyio.sleep(self._rng.expovariate(FAULTS_PER_S))
 
+    async def _run_fault(self, name: str, fault: Fault, rng: random.Random) -> None:
+        number = len(self._faults)
+        self._site.run_log.write(f"fault {number} {name} begins")
+        await fault(self._site, rng)
+        self._site.run_log.write(f"fault {number} {name} ended")
+
     async def _send_requests(self, group: anyio.abc.TaskGroup) -> None:
         rng = random.Random(self._settings.seed + _REQUEST_SEED_OFFSET)
         while True:
--- a/src/catkinspread/soak/site.py
+++ b/src/catkinspread/soak/site.py
@@ -31,6 +31,7 @@
 from catkinspread.soak.processes import HEARTBEAT_MS, InstanceProcess
 from catkinspread.soak.proxy import FaultProxy
 from catkinspread.soak.router import Router
+from catkinspread.soak.run_log import RunLog
 from catkinspread.soak.upstreams import FlowRegister, SoakUpstream, UpstreamHost
 
 DATA_CENTRES = ("east", "north", "west")
@@ -63,6 +64,7 @@
         instances: All instances.
         proxies: Proxies in front of the store, by instance.
         router: Spreads the packets of callers.
+        run_log: Log of the run.
         store: The store.
         store_modes: Modes that faults keep the store in, the latest one last.
     """
@@ -82,6 +84,7 @@
         "instances",
         "proxies",
         "router",
+        "run_log",
         "store",
         "store_modes",
     )
@@ -97,11 +100,16 @@
         self.clock = clock
         self.disturbances = DisturbanceTracker(STABLE_MS)
         self.guarantees = GuaranteeChecker(self.disturbances, clock.now_ms())
+        self.run_log = RunLog(directory / "run.log")
         self.store = StoreStandIn()
         self.store_modes: list[StoreMode] = []
         self.instances = [
             InstanceProcess(
-                layout, number, DATA_CENTRES[number // INSTANCES_PER_DATA_CENTRE], directory
+                layout,
+                number,
+                DATA_CENTRES[number // INSTANCES_PER_DATA_CENTRE],
+                directory,
+                self.run_log,
             )
             for number in range(len(DATA_CENTRES) * INSTANCES_PER_DATA_CENTRE)
         ]
