Do not list again from a feeder that is behind

What callers would see: new flows on an upstream that drains or has left, in an instance that knew so.

Cause: an instance whose history was lost lists again from its feeder and took that listing even if the feeder had read less than the instance itself, within the same era. The cache went back to an earlier position with it.

Change: such a listing is logged (feeder_behind) and the source is read. A store that tells no era (0) is not compared, since its revisions may go back.

--- a/src/catkinspread/peers/shared_source.py
+++ b/src/catkinspread/peers/shared_source.py
@@ -193,13 +193,32 @@
         )
 
     async def _list_again(self, kind: StateKind) -> StateChanges:
-        """Returns all records of a kind from the feeder or, without one, from the source."""
+        """Returns all records of a kind from the feeder or, without one, from the source.
+
+        The source is read as well if the feeder has not read all that this instance knows.
+        """
         feeder = self._feeder
         if feeder is not None:
             listing = await self._open_peer_source(feeder).list_records(kind)
-        else:
-            listing = await self._read_source(self._source.list_records(kind))
-        return self._cache_listing(kind, listing, feeder)
+            if not self._is_behind(kind, listing):
+                return self._cache_listing(kind, listing, feeder)
+            self._events.write(
+                "feeder_behind",
+                self._clock.now_ms(),
+                kind=kind.value,
+                feeder=feeder.name,
+                position=listing.position,
+                known=self._cache.get_position(kind),
+            )
+        listing = await self._read_source(self._source.list_records(kind))
+        return self._cache_listing(kind, listing, None)
+
+    def _is_behind(self, kind: StateKind, listing: StateChanges) -> bool:
+        """Whether a listing is of an earlier revision than the records, within a known era."""
+        known = self._cache.get_position(kind)
+        if known is None or not listing.era or listing.era != known.era:
+            return False
+        return listing.position < known
 
     async def wait_for_changes(
         self, kind: StateKind, position: SourcePosition, timeout_ms: int
--- a/src/catkinspread/peers/tests/test_source_eras.py
+++ b/src/catkinspread/peers/tests/test_source_eras.py
@@ -182,3 +182,14 @@
     received = decode_message(msgspec.msgpack.encode(earlier))
     assert isinstance(received, Hello)
     assert received.status.source_era is None
+
+
+def test_feeder_that_is_behind_is_not_listed_again() -> None:
+    """Guards against an upstream that had left and is in use again once a history was lost."""
+    source, peer = ScriptedSource(30, era=1), ScriptedSource(20, era=1)
+    harness = _build_started(source, peer)
+    harness.shared._feeder = Member("other", "east", "10.0.0.2", 1)
+    assert anyio.run(harness.shared.list_records, KIND).position == SourcePosition(1, 30)
+    peer.revision = 31
+    assert anyio.run(harness.shared.list_records, KIND).position == SourcePosition(1, 31)
+    assert (peer.list_calls, source.list_calls) == (2, 3)
