--- a/src/catkinspread/soak/regressions.py
+++ b/src/catkinspread/soak/regressions.py
@@ -21,4 +21,5 @@
     Regression(2, "SIGHUP ended instances that were still loading; see runtime/tests/test_signals"),
     Regression(800, "flows of a live upstream were reset while the feeder had lost the source"),
     Regression(812, "an opening packet was refused by the configuration of before a pause"),
+    Regression(928, "two faults of the store at once; see soak/tests/test_faults"),
 )
