Run the parts of an instance so that one that fails does not end the others

Callers were not served at all: all parts ran in one task group, so a listener whose address is taken (metrics, feed, readiness, peers), or one connection without a free descriptor, ended the process, again after each restart.

Each part now runs under the supervisor: it is logged, counted and run again with back-off. Only the packet port is required and ends the process. Servers go on after a connection that they cannot accept, and readiness and metrics leave descriptors to the store. Periodic tasks are isolated from each other; the reading of each kind of record is a part of its own.

Class of the fault: an exception of a part that callers can do without ends the parts that they need.

--- a/src/catkinspread/deployment/synchroniser.py
+++ b/src/catkinspread/deployment/synchroniser.py
@@ -12,6 +12,7 @@
 import random
 
 import anyio
+import anyio.abc
 import msgspec
 
 from catkinspread.clock import Clock
@@ -290,9 +291,18 @@
         """Synchronises all kinds until cancelled."""
         async with anyio.create_task_group() as group:
             for kind in StateKind:
-                group.start_soon(self._run_kind, kind)
+                group.start_soon(self.run_kind, kind)
 
-    async def _run_kind(self, kind: StateKind) -> None:
+    async def run_kind(
+        self, kind: StateKind, *, task_status: anyio.abc.TaskStatus = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Synchronises one kind until cancelled.
+
+        Args:
+            kind: Kind of the records.
+            task_status: Notified at the start.
+        """
+        task_status.started()
         progress = _KindProgress()
         while True:
             was_watching = progress.position is not None
--- a/src/catkinspread/peers/exchange.py
+++ b/src/catkinspread/peers/exchange.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import anyio
+import anyio.abc
 from absl import logging
 
 from catkinspread.clock import Clock
@@ -110,10 +111,15 @@
         """Sets the IP addresses of the seeds; the address of this instance is ignored."""
         self._seeds = tuple(seed for seed in seeds if seed != self._member.host)
 
-    async def run(self) -> None:
-        """Serves the socket and sends hellos until cancelled."""
+    async def run(self, *, task_status: anyio.abc.TaskStatus = anyio.TASK_STATUS_IGNORED) -> None:
+        """Serves the socket and sends hellos until cancelled.
+
+        Args:
+            task_status: Notified once the socket is open.
+        """
         async with anyio.create_task_group() as group:
             await group.start(self._udp.run)
+            task_status.started()
             while True:
                 self.send_hello()
                 has_state = self._read_status().has_state
--- a/src/catkinspread/platform/packet_port.py
+++ b/src/catkinspread/platform/packet_port.py
@@ -3,6 +3,9 @@
 import socket
 from collections.abc import Callable
 
+import anyio
+import anyio.abc
+
 from catkinspread.clock import Clock
 from catkinspread.deployment import KnownUpstream
 from catkinspread.forwarding import CallerPacket, FlowKey, format_ip
@@ -60,9 +63,13 @@
         self.malformed_count = 0
         self.last_packet_at_ms = 0
 
-    async def run(self) -> None:
-        """Serves the socket until cancelled."""
-        await self._udp.run()
+    async def run(self, *, task_status: anyio.abc.TaskStatus = anyio.TASK_STATUS_IGNORED) -> None:
+        """Serves the socket until cancelled.
+
+        Args:
+            task_status: Notified once the socket is open.
+        """
+        await self._udp.run(task_status=task_status)
 
     def forward(self, packet: CallerPacket, upstream: KnownUpstream) -> None:
         """Sends a packet to an upstream."""
--- a/src/catkinspread/platform/tests/test_whole_path.py
+++ b/src/catkinspread/platform/tests/test_whole_path.py
@@ -1,6 +1,7 @@
 """Whole instances on loopback between stand-ins for the platform."""
 
 import itertools
+import socket
 
 import anyio
 import pytest
@@ -16,6 +17,7 @@
     Deployment,
     play,
 )
+from catkinspread.runtime.metrics import METRICS_PORT
 
 
 def test_request_reaches_an_upstream_and_its_answer_the_caller() -> None:
@@ -62,6 +64,21 @@
     play(scenario)
 
 
+def test_request_is_served_while_the_port_of_the_metrics_is_taken() -> None:
+    """Guards against callers that are not served because a part that they do not need failed."""
+
+    async def scenario(deployment: Deployment) -> None:
+        with socket.create_server((INSTANCES[1], METRICS_PORT)):
+            await deployment.start_instance(1)
+            deployment.caller.use_instance(INSTANCES[1])
+            port, head = await deployment.caller.open(ADDRESS)
+            answer = await deployment.caller.request(ADDRESS, port, head[3])
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert deployment.lines[1].find("part_failed")[0]["part"] == "metrics"
+
+    play(scenario)
+
+
 def test_silent_upstream_costs_the_caller_little() -> None:
     """Guards against a caller that waits for its own copy of the opening packet."""
 
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -3,18 +3,21 @@
 It connects the forwarding logic to the adapters of the platform and controls startup and shutdown.
 """
 
+import functools
 import random
 import signal
 import socket
 from collections.abc import AsyncIterator, Callable
 
 import anyio
+import anyio.abc
 
 from catkinspread.clock import Clock
 from catkinspread.deployment import (
     DeploymentState,
     SourceHealth,
     StateApplier,
+    StateKind,
     Synchroniser,
     SynchroniserSettings,
 )
@@ -32,7 +35,6 @@
 from catkinspread.model import Endpoint
 from catkinspread.peers import (
     FEED_REQUEST_MAX_BYTES,
-    AnsweredSpan,
     FeedServer,
     Member,
     MemberStatus,
@@ -47,13 +49,20 @@
 from catkinspread.runtime.graceful_shutdown import wait_until_unused
 from catkinspread.runtime.isolation import IsolationCheck
 from catkinspread.runtime.load_reports import LoadReporter
-from catkinspread.runtime.metrics import METRICS_PORT, METRICS_REQUEST_MAX_BYTES, MetricsPage
+from catkinspread.runtime.metrics import (
+    METRICS_CONNECTIONS_MAX,
+    METRICS_PORT,
+    METRICS_REQUEST_MAX_BYTES,
+    MetricsPage,
+)
+from catkinspread.runtime.pauses import PauseDetector
+from catkinspread.runtime.periodic_tasks import PeriodicTasks
 from catkinspread.runtime.reloader import SettingsReloader
 from catkinspread.runtime.settings import ForwardingSettings
 from catkinspread.runtime.startup_times import StartupTimes
 from catkinspread.runtime.upstream_monitor import UpstreamMonitor
-from catkinspread.supervision import describe_error
-from catkinspread.transport.http_server import HttpServer
+from catkinspread.supervision import FailureLog, Part, Supervisor, describe_error
+from catkinspread.transport.http_server import ACCEPT_RETRY_DELAY_MS, HttpServer
 from catkinspread.transport.traffic import TrafficKind, TrafficMeter
 
 CLEANUP_INTERVAL_MS = 500
@@ -71,11 +80,6 @@
 # Intervals between the reports of upstreams after which a restored source counts as complete. The
 # record of an upstream that has left, which the copy may hold, expires after three of them.
 SETTLING_HEARTBEATS = 4
-# Longest and shortest interval between two runs of the periodic tasks; each run costs processor time.
-LOOP_INTERVAL_MAX_MS = 40
-LOOP_INTERVAL_MIN_MS = 10
-# A run of the periodic tasks that is late by this time shows that the process was paused.
-PAUSE_MIN_MS = 500
 _MS_PER_S = 1_000
 
 
@@ -101,6 +105,7 @@
         "_directory",
         "_events",
         "_exchange",
+        "_failures",
         "_forwarder",
         "_is_leaving",
         "_isolation",
@@ -108,6 +113,7 @@
         "_local_availability",
         "_member",
         "_packet_port",
+        "_pauses",
         "_reloader",
         "_reporter",
         "_rng",
@@ -115,8 +121,8 @@
         "_settling_ms",
         "_startup",
         "_state",
+        "_supervisor",
         "_synchroniser_health",
-        "_tasks_due_ms",
         "_traffic",
         "_upstream_monitor",
     )
@@ -135,6 +141,8 @@
         self._startup = startup or StartupTimes(clock.now_ms())
         self._rng = random.Random()
         self._events = EventLog(settings.name, sink, clock)
+        self._failures = FailureLog(self._events)
+        self._supervisor = Supervisor(self._failures, clock, self._rng)
         self._state = DeploymentState(settings.flow_lifetime_max_ms)
         # Health of all calls of the synchroniser, including those answered by feeders.
         self._synchroniser_health = SourceHealth()
@@ -145,8 +153,7 @@
         self._loads = LoadTracker()
         self._traffic = TrafficMeter()
         self._is_leaving = False
-        # When the periodic tasks are due; a long delay shows that the process was paused.
-        self._tasks_due_ms = clock.now_ms()
+        self._pauses = PauseDetector(clock.now_ms(), self._handle_pause)
         self._local_availability = LocalAvailability(settings.data_centre, self._state)
         host = settings.packet_address.host
         self._member = Member(settings.name, settings.data_centre, host, clock.now_ms())
@@ -196,21 +203,103 @@
     async def _run_components(self, signals: AsyncIterator[signal.Signals]) -> None:
         async with HttpClient() as client, anyio.create_task_group() as group:
             store = StoreClient(client, self._settings.source_address)
-            shared = self._build_shared_source(client, store)
-            group.start_soon(self._exchange.run)
-            group.start_soon(self._run_packet_port)
-            readiness = ReadinessServer(self._settings.readiness_address, self._is_ready)
-            group.start_soon(readiness.run)
-            group.start_soon(self._serve_feed)
-            group.start_soon(self._serve_metrics)
-            group.start_soon(self._upstream_monitor.run_checks)
-            group.start_soon(self._log_traffic, store)
-            group.start_soon(self._build_synchroniser(shared).run)
-            group.start_soon(self._run_periodic_tasks, shared)
+            for part in self._list_parts(store, self._build_shared_source(client, store)):
+                group.start_soon(self._supervisor.run, part)
             await self._handle_signals_until_stop(signals)
             await self._shut_down()
             group.cancel_scope.cancel()
 
+    def _list_parts(self, store: StoreClient, shared: SharedSource) -> list[Part]:
+        """Returns what runs until the end of the process.
+
+        Callers need the packet port. While another part fails, the instance goes on with what it
+        knows.
+        """
+        settings = self._settings
+        peers = Endpoint(self._member.host, settings.peer_port)
+        metrics = Endpoint(self._member.host, METRICS_PORT)
+        readiness = ReadinessServer(
+            settings.readiness_address,
+            self._is_ready,
+            self._build_accept_observer("readiness", settings.readiness_address),
+        )
+        synchroniser = self._build_synchroniser(shared)
+        tasks = self._build_periodic_tasks(shared)
+        return [
+            Part("packets", self._run_packet_port, str(settings.packet_address), is_required=True),
+            Part("peers", self._exchange.run, str(peers)),
+            Part("readiness", readiness.run, str(settings.readiness_address)),
+            Part("feed", functools.partial(self._build_feed_server(peers).run, peers), str(peers)),
+            Part(
+                "metrics",
+                functools.partial(self._build_metrics_server(metrics).run, metrics),
+                str(metrics),
+            ),
+            Part("upstream_checks", self._upstream_monitor.run_checks),
+            Part("traffic_log", functools.partial(self._log_traffic, store)),
+            Part("periodic_tasks", tasks.run),
+            *(
+                Part(f"state_{kind.value}", functools.partial(synchroniser.run_kind, kind))
+                for kind in StateKind
+            ),
+        ]
+
+    def _build_periodic_tasks(self, shared: SharedSource) -> PeriodicTasks:
+        tasks = PeriodicTasks(
+            self._clock, self._supervisor, self._pauses, self._forwarder.get_next_retry_at_ms
+        )
+        tasks.add("opening_retries", self._forwarder.send_due_retries)
+        tasks.add("upstream_monitor", self._upstream_monitor.update)
+        tasks.add("load_reports", self._send_load_report)
+        tasks.add("isolation_check", self._isolation.update)
+        tasks.add("feeder_choice", lambda _: shared.update_feeder())
+        tasks.add("flow_expiry", self._forwarder.expire_flows, CLEANUP_INTERVAL_MS)
+        tasks.add("local_availability", self._local_availability.update, CLEANUP_INTERVAL_MS)
+        tasks.add("report_expiry", self._loads.expire_reports, CLEANUP_INTERVAL_MS)
+        tasks.add(
+            "upstream_expiry",
+            lambda now_ms: self._upstream_monitor.expire(now_ms, shared.find_answered_span()),
+            CLEANUP_INTERVAL_MS,
+        )
+        tasks.add("member_expiry", self._expire_members, CLEANUP_INTERVAL_MS)
+        return tasks
+
+    def _build_accept_observer(
+        self, part: str, endpoint: Endpoint
+    ) -> Callable[[OSError | None], None]:
+        """Returns a function that logs and counts connections that a part cannot accept."""
+
+        def observe(error: OSError | None) -> None:
+            now_ms = self._clock.now_ms()
+            if error is None:
+                self._failures.record_success(part, now_ms)
+            else:
+                self._failures.record_failure(
+                    part, error, now_ms, str(endpoint), ACCEPT_RETRY_DELAY_MS
+                )
+
+        return observe
+
+    def _build_feed_server(self, endpoint: Endpoint) -> HttpServer:
+        return HttpServer(
+            FeedServer(self._cache).answer,
+            FEED_REQUEST_MAX_BYTES,
+            "feed",
+            on_accept=self._build_accept_observer("feed", endpoint),
+        )
+
+    def _build_metrics_server(self, endpoint: Endpoint) -> HttpServer:
+        page = MetricsPage(
+            self._read_counts, self._read_gauges, self._forwarder.histograms, self._failures
+        )
+        return HttpServer(
+            page.answer,
+            METRICS_REQUEST_MAX_BYTES,
+            "metrics",
+            on_accept=self._build_accept_observer("metrics", endpoint),
+            connections_max=METRICS_CONNECTIONS_MAX,
+        )
+
     def _build_forwarder(self) -> Forwarder:
         placement = Placement(
             self._settings.data_centre,
@@ -294,7 +383,7 @@
 
     def _handle_packet(self, packet: CallerPacket, now_ms: int) -> None:
         self._startup.record_packet(self._events, now_ms)
-        self._check_pause(now_ms)
+        self._pauses.check(now_ms)
         self._forwarder.handle(packet, now_ms)
 
     def _is_ready(self) -> bool:
@@ -309,15 +398,6 @@
             self._cache.era,
         )
 
-    async def _serve_feed(self) -> None:
-        server = HttpServer(FeedServer(self._cache).answer, FEED_REQUEST_MAX_BYTES, "feed")
-        await server.run(Endpoint(self._member.host, self._settings.peer_port))
-
-    async def _serve_metrics(self) -> None:
-        page = MetricsPage(self._read_counts, self._read_gauges, self._forwarder.histograms)
-        server = HttpServer(page.answer, METRICS_REQUEST_MAX_BYTES, "metrics")
-        await server.run(Endpoint(self._member.host, METRICS_PORT))
-
     def _read_counts(self) -> dict[str, int]:
         return {
             **self._forwarder.counts,
@@ -337,37 +417,12 @@
             "source_era": self._cache.era,
         }
 
-    async def _run_periodic_tasks(self, shared: SharedSource) -> None:
-        cleanup_due_ms = 0
-        self._tasks_due_ms = self._clock.now_ms()
-        while True:
-            now_ms = self._clock.now_ms()
-            self._check_pause(now_ms)
-            self._forwarder.send_due_retries(now_ms)
-            self._upstream_monitor.update(now_ms)
-            self._send_load_report(now_ms)
-            self._isolation.update(now_ms)
-            shared.update_feeder()
-            if now_ms >= cleanup_due_ms:
-                self._run_cleanup(now_ms, shared.find_answered_span())
-                cleanup_due_ms = now_ms + CLEANUP_INTERVAL_MS
-            due_ms = self._forwarder.get_next_retry_at_ms() or now_ms + LOOP_INTERVAL_MAX_MS
-            wait_ms = max(LOOP_INTERVAL_MIN_MS, min(LOOP_INTERVAL_MAX_MS, due_ms - now_ms))
-            self._tasks_due_ms = now_ms + wait_ms
-            await anyio.sleep(wait_ms / _MS_PER_S)
-
-    def _check_pause(self, now_ms: int) -> None:
-        """Discards conclusions from times in which the process was paused, once after each pause.
-
-        Packets that waited in the socket may be handled before the periodic tasks run.
+    def _handle_pause(self, pause_ms: int, now_ms: int) -> None:
+        """Discards conclusions from a time in which the process was paused.
 
         Until a call to the source succeeds, no upstream counts as gone: changes that arrived during
         the pause may not have been read yet.
         """
-        pause_ms = now_ms - self._tasks_due_ms
-        if pause_ms < PAUSE_MIN_MS:
-            return
-        self._tasks_due_ms = now_ms
         self._events.write_always("resumed", now_ms, pause_ms=pause_ms)
         self._synchroniser_health.require_new_success()
         self._forwarder.handle_pause(now_ms)
@@ -377,17 +432,14 @@
         if report is not None:
             self._exchange.send_report(report, self._reporter.choose_recipients())
 
-    def _run_cleanup(self, now_ms: int, answered: AnsweredSpan | None) -> None:
-        self._forwarder.expire_flows(now_ms)
-        self._local_availability.update(now_ms)
-        self._loads.expire_reports(now_ms)
-        self._upstream_monitor.expire(now_ms, answered)
+    def _expire_members(self, now_ms: int) -> None:
         for name in self._directory.expire_members(now_ms):
             self._events.write("instance_lost", now_ms, name=name)
         self._cold_start_limiter.instance_count = self._directory.count_members()
 
-    async def _log_traffic(self, store: StoreClient) -> None:
+    async def _log_traffic(self, store: StoreClient, *, task_status: anyio.abc.TaskStatus) -> None:
         """Logs the bytes sent and the calls to the source so far at regular intervals."""
+        task_status.started()
         while True:
             await anyio.sleep(TRAFFIC_LOG_INTERVAL_MS / _MS_PER_S)
             self._events.write(
@@ -397,24 +449,24 @@
                 source_calls=store.call_counts,
             )
 
-    async def _run_packet_port(self) -> None:
+    async def _run_packet_port(self, *, task_status: anyio.abc.TaskStatus) -> None:
         """Serves the packet socket once the state is complete, or after a time-out without it."""
         with anyio.move_on_after(INITIAL_STATE_WAIT_MS / _MS_PER_S):
             while not self._state.is_complete:
                 await anyio.sleep(INITIAL_STATE_POLL_INTERVAL_MS / _MS_PER_S)
             self._startup.record_state(self._events, self._clock.now_ms())
-        await self._packet_port.run()
+        await self._packet_port.run(task_status=task_status)
 
     async def _handle_signals_until_stop(self, signals: AsyncIterator[signal.Signals]) -> None:
         """Reloads the settings at each SIGHUP; returns at SIGTERM or SIGINT.
 
         At its start it reloads them if they changed while SIGHUP was still ignored.
         """
-        self._reloader.reload_if_changed()
+        self._supervisor.run_step("settings", self._reloader.reload_if_changed)
         async for received in signals:
             if received != signal.SIGHUP:
                 return
-            self._reloader.reload()
+            self._supervisor.run_step("settings", self._reloader.reload)
 
     async def _shut_down(self) -> None:
         """Reports that the instance is not ready and forwards until no more packets arrive."""
--- a/src/catkinspread/runtime/metrics.py
+++ b/src/catkinspread/runtime/metrics.py
@@ -6,11 +6,13 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from catkinspread.forwarding import LatencyHistogram
+from catkinspread.supervision import FailureLog
 from catkinspread.transport.http_server import HttpRequest, HttpServerResponse
 
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 METRICS_REQUEST_MAX_BYTES = 1_024
+METRICS_CONNECTIONS_MAX = 64
 _OK = 200
 _NOT_FOUND = 404
 _MS_PER_S = 1_000
@@ -23,16 +25,19 @@
         read_counts: Returns the counters by name.
         read_gauges: Returns the gauges by name.
         histograms: Latency histograms by name.
+        failures: Failures of the parts of the program.
     """
 
-    __slots__ = ("_histograms", "_read_counts", "_read_gauges")
+    __slots__ = ("_failures", "_histograms", "_read_counts", "_read_gauges")
 
     def __init__(
         self,
         read_counts: Callable[[], Mapping[str, int]],
         read_gauges: Callable[[], Mapping[str, float]],
         histograms: Mapping[str, LatencyHistogram],
+        failures: FailureLog,
     ) -> None:
+        self._failures = failures
         self._read_counts = read_counts
         self._read_gauges = read_gauges
         self._histograms = histograms
@@ -61,6 +66,7 @@
         for name, count in sorted(self._read_counts().items()):
             events.add_metric([name], count)
         yield events
+        yield from self._collect_failures()
         for name, value in self._read_gauges().items():
             yield GaugeMetricFamily(f"catkinspread_{name}", name.replace("_", " "), value)
         for name, histogram in self._histograms.items():
@@ -74,3 +80,19 @@
                 buckets=buckets,
                 sum_value=histogram.sum_ms / _MS_PER_S,
             )
+
+    def _collect_failures(self) -> Iterable[object]:
+        """Yields a counter and a gauge with one value for each part that has failed."""
+        from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+        failures = CounterMetricFamily(
+            "catkinspread_part_failures", "Failures of parts of the program.", labels=["part"]
+        )
+        failing = GaugeMetricFamily(
+            "catkinspread_part_failing", "Whether a part is failing now.", labels=["part"]
+        )
+        for part, state in sorted(self._failures.states.items()):
+            failures.add_metric([part], state.failures)
+            failing.add_metric([part], state.failing_since_ms is not None)
+        yield failures
+        yield failing
--- a/src/catkinspread/runtime/upstream_monitor.py
+++ b/src/catkinspread/runtime/upstream_monitor.py
@@ -1,5 +1,8 @@
 """Monitors the upstreams: expiry of missing ones, checks of unreachable ones, reports to peers."""
 
+import anyio
+import anyio.abc
+
 from catkinspread.clock import Clock
 from catkinspread.deployment import DeploymentState, SourceHealth
 from catkinspread.eventlog import EventLog
@@ -57,8 +60,15 @@
         self._events = events
         self._checker = UpstreamChecker(forwarder.reachability.record_check, clock)
 
-    async def run_checks(self) -> None:
-        """Runs the requested checks until cancelled."""
+    async def run_checks(
+        self, *, task_status: anyio.abc.TaskStatus = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Runs the requested checks until cancelled.
+
+        Args:
+            task_status: Notified at the start.
+        """
+        task_status.started()
         await self._checker.run()
 
     def update(self, now_ms: int) -> None:
--- a/src/catkinspread/transport/http_server.py
+++ b/src/catkinspread/transport/http_server.py
@@ -18,6 +18,8 @@
 CONNECTIONS_MAX = 4_096
 # A connection that receives nothing for this long is closed; idle clients have to reconnect.
 IDLE_TIMEOUT_MS = 120_000
+# Delay after a connection could not be accepted, for example without a free descriptor.
+ACCEPT_RETRY_DELAY_MS = 100
 _RECEIVE_BYTES = 65_536
 
 
@@ -61,14 +63,23 @@
 
 
 class HttpServer:
-    """Serves up to `CONNECTIONS_MAX` connections.
+    """Serves a limited number of connections.
 
     Further connections are closed at once, without a response or a log line. A connection that
     receives nothing for `IDLE_TIMEOUT_MS` while the server waits for data is closed. An unexpected
-    error in one connection is logged and closes only that connection.
+    error in one connection is logged and closes only that connection. If a connection cannot be
+    accepted, the open ones go on and the next attempt follows after `ACCEPT_RETRY_DELAY_MS`.
     """
 
-    __slots__ = ("_body_max_bytes", "_connections", "_handler", "_log_prefix", "_on_malformed")
+    __slots__ = (
+        "_body_max_bytes",
+        "_connections",
+        "_connections_max",
+        "_handler",
+        "_log_prefix",
+        "_on_accept",
+        "_on_malformed",
+    )
 
     def __init__(
         self,
@@ -76,6 +87,8 @@
         body_max_bytes: int,
         log_prefix: str,
         on_malformed: Callable[[], None] = lambda: None,
+        on_accept: Callable[[OSError | None], None] = lambda _: None,
+        connections_max: int = CONNECTIONS_MAX,
     ) -> None:
         """Creates a server.
 
@@ -85,11 +98,16 @@
             body_max_bytes: Requests with a larger body are answered with the status 413.
             log_prefix: Prefix of log lines, without the colon.
             on_malformed: Called once for each connection that is closed for an HTTP protocol error.
+            on_accept: Called after each attempt to accept a connection, with the error that it ended
+                with; None after a success.
+            connections_max: Maximum number of open connections.
         """
         self._handler = handler
         self._body_max_bytes = body_max_bytes
         self._log_prefix = log_prefix
         self._on_malformed = on_malformed
+        self._on_accept = on_accept
+        self._connections_max = connections_max
         self._connections = 0
 
     async def run(
@@ -114,11 +132,26 @@
         async with listener:
             logging.info("%s: listens on %s:%d", self._log_prefix, endpoint.host, port)
             task_status.started(Endpoint(endpoint.host, port))
-            await listener.serve(self._serve)
+            async with anyio.create_task_group() as group:
+                for single in listener.listeners:
+                    group.start_soon(self._accept_connections, single, group)
+
+    async def _accept_connections(
+        self, listener: anyio.abc.Listener, group: anyio.abc.TaskGroup
+    ) -> None:
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                self._on_accept(error)
+                await anyio.sleep(ACCEPT_RETRY_DELAY_MS / 1000)
+                continue
+            self._on_accept(None)
+            group.start_soon(self._serve, stream)
 
     async def _serve(self, stream: anyio.abc.SocketStream) -> None:
         async with stream:
-            if self._connections >= CONNECTIONS_MAX:
+            if self._connections >= self._connections_max:
                 return
             self._connections += 1
             try:
