A check that cannot be made does not end the other checks

An upstream with port 99999 that does not answer raised OverflowError in its check. In the one task group that ended the process; under the supervisor it would end the checks that run beside it, whose results are then missing.

The check proves nothing and is logged. The test fails without the change (OverflowError out of the task group); 5 tests of the checks pass with it.

--- a/src/catkinspread/runtime/tests/test_upstream_checks.py
+++ b/src/catkinspread/runtime/tests/test_upstream_checks.py
@@ -82,3 +82,8 @@
 def test_check_during_a_pause_of_the_process_proves_nothing(host: _Host) -> None:
     """Guards against resets because the instance itself was paused during a check."""
     assert _check(host.closed_port, host.open_port, _JumpingClock()) is None
+
+
+def test_check_that_cannot_be_made_proves_nothing_and_ends_no_other(host: _Host) -> None:
+    """Guards against an address that no socket can have, which raises OverflowError."""
+    assert _check(99_999, host.open_port, SystemClock()) is None
--- a/src/catkinspread/runtime/upstream_checks.py
+++ b/src/catkinspread/runtime/upstream_checks.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import anyio
+from absl import logging
 
 from catkinspread.clock import Clock
 from catkinspread.deployment import KnownUpstream
@@ -50,11 +51,15 @@
                 group.start_soon(self._run_check, check, limiter)
 
     async def _run_check(self, check: UpstreamCheck, limiter: anyio.Semaphore) -> None:
+        name = check.upstream.record.name
         try:
             is_reachable = await self._check(check)
+        except Exception as error:  # A check that cannot be made must not end the others.
+            logging.warning("upstream checks: %s cannot be checked: %r", name, error)
+            is_reachable = None
         finally:
             limiter.release()
-        self._on_result(check.upstream.record.name, is_reachable, self._clock.now_ms())
+        self._on_result(name, is_reachable, self._clock.now_ms())
 
     async def _check(self, check: UpstreamCheck) -> bool | None:
         started_ms = self._clock.now_ms()
