Do not follow an instance whose feed cannot listen

With the TCP peer port taken, an instance reported that it can serve the deployment state. Followers chose it, their reads failed, and its status stayed good, so changes of configuration and upstreams reached them only through other feeders.

The status says now that the state cannot be served while the feed fails. The interval of hellos follows the state itself, so that such an instance does not send five times as often. The test fails without the change.

--- a/src/catkinspread/peers/exchange.py
+++ b/src/catkinspread/peers/exchange.py
@@ -50,6 +50,7 @@
         seeds: IP addresses of instances for initial contact.
         directory: Receives the statuses and members of other instances.
         read_status: Returns the status of this instance.
+        has_state: Returns whether this instance holds the deployment state.
         on_load_report: Called with each load report and the time of its arrival.
         on_unreachable_report: Called with each report of an unreachable upstream and the time of
             its arrival.
@@ -64,6 +65,7 @@
     __slots__ = (
         "_clock",
         "_directory",
+        "_has_state",
         "_member",
         "_on_load_report",
         "_on_unreachable_report",
@@ -85,6 +87,7 @@
         seeds: tuple[str, ...],
         directory: PeerDirectory,
         read_status: Callable[[], MemberStatus],
+        has_state: Callable[[], bool],
         on_load_report: Callable[[LoadReport, int], None],
         on_unreachable_report: Callable[[UnreachableReport, int], None],
         traffic: TrafficMeter,
@@ -98,6 +101,7 @@
         self._seeds: tuple[str, ...] = ()
         self._directory = directory
         self._read_status = read_status
+        self._has_state = has_state
         self._on_load_report = on_load_report
         self._traffic = traffic
         self._on_unreachable_report = on_unreachable_report
@@ -122,8 +126,8 @@
             task_status.started()
             while True:
                 self.send_hello()
-                has_state = self._read_status().has_state
-                interval_ms = HELLO_INTERVAL_MS if has_state else INITIAL_HELLO_INTERVAL_MS
+                is_complete = self._has_state()
+                interval_ms = HELLO_INTERVAL_MS if is_complete else INITIAL_HELLO_INTERVAL_MS
                 await anyio.sleep(
                     interval_ms
                     * (1 - HELLO_JITTER + 2 * HELLO_JITTER * self._rng.random())
--- a/src/catkinspread/platform/tests/deployment.py
+++ b/src/catkinspread/platform/tests/deployment.py
@@ -41,7 +41,7 @@
     def __init__(self, group: anyio.abc.TaskGroup) -> None:
         self._group = group
         # Drawn together, because ports drawn one by one may be equal until they are bound.
-        self._packet_port, self._peer_port, *self._readiness_ports = find_free_ports(
+        self._packet_port, self.peer_port, *self._readiness_ports = find_free_ports(
             2 + len(INSTANCES)
         )
         self.store = StoreStandIn()
@@ -50,6 +50,7 @@
         ]
         self.caller = CallerStandIn(CALLER, self._packet_port, INSTANCES[0])
         self.lines = [Lines(), Lines()]
+        self.instances: list[ForwardingInstance] = []
         self._store_endpoint = Endpoint("127.0.0.1", 1)
 
     async def start(self) -> None:
@@ -107,7 +108,7 @@
             is_first_start=False,
             packet_address=Endpoint(host, self._packet_port),
             readiness_address=Endpoint(host, self._readiness_ports[number]),
-            peer_port=self._peer_port,
+            peer_port=self.peer_port,
             grace_ms=2_000,
             flow_lifetime_max_ms=60_000,
             seeds=tuple(Endpoint(seed, 1) for seed in INSTANCES),
@@ -117,6 +118,7 @@
         instance = ForwardingInstance(
             settings, lambda: settings, SystemClock(), self.lines[number], packet_socket
         )
+        self.instances.append(instance)
         self._group.start_soon(instance.run)
         with anyio.fail_after(START_TIMEOUT_S):
             while len(self.lines[number].find("state_changed")) < 1 + upstreams:
--- a/src/catkinspread/platform/tests/test_whole_path.py
+++ b/src/catkinspread/platform/tests/test_whole_path.py
@@ -79,6 +79,22 @@
     play(scenario)
 
 
+def test_instance_whose_feed_cannot_listen_is_not_read_from() -> None:
+    """Guards against followers that miss all changes because their feeder cannot answer them."""
+
+    async def scenario(deployment: Deployment) -> None:
+        with socket.create_server((INSTANCES[1], deployment.peer_port)):
+            await deployment.start_instance(1)
+            status = deployment.instances[1]._read_status()
+            assert deployment.instances[1]._cache.is_complete
+            assert not status.has_state
+        with anyio.fail_after(START_TIMEOUT_S):
+            while not deployment.instances[1]._read_status().has_state:
+                await anyio.sleep(0.02)
+
+    play(scenario)
+
+
 def test_silent_upstream_costs_the_caller_little() -> None:
     """Guards against a caller that waits for its own copy of the opening packet."""
 
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -341,6 +341,7 @@
             tuple(seed.host for seed in self._settings.seeds),
             self._directory,
             self._read_status,
+            lambda: self._cache.is_complete,
             self._reporter.apply_report,
             self._apply_unreachable_report,
             self._traffic,
@@ -390,10 +391,12 @@
         return self._state.is_complete and not self._is_leaving and not self._isolation.is_isolated
 
     def _read_status(self) -> MemberStatus:
+        # An instance whose feed does not answer must not be chosen to read the state from.
+        can_serve_state = self._cache.is_complete and not self._failures.is_failing("feed")
         return MemberStatus(
             self._member,
             self._direct_source_health.get_last_success_age_ms(self._clock.now_ms()),
-            self._cache.is_complete,
+            can_serve_state,
             self._is_leaving,
             self._cache.era,
         )
--- a/src/catkinspread/supervision/failures.py
+++ b/src/catkinspread/supervision/failures.py
@@ -43,6 +43,11 @@
         """State by name of each part that has failed at least once."""
         return self._states
 
+    def is_failing(self, part: str) -> bool:
+        """Whether a part has failed and does not run again yet."""
+        state = self._states.get(part)
+        return state is not None and state.failing_since_ms is not None
+
     def record_failure(
         self, part: str, error: Exception, now_ms: int, address: str = "", retry_in_ms: int = 0
     ) -> None:
