Build dependencies anew unless they are complete for this machine

Operators saw ModuleNotFoundError (status 1) before the first log line on machines whose target/deps came from another platform or Python version, or from an interrupted pip. Cause: the build line compared only two times.

deploy/build.py installs into a folder beside target/deps, writes a stamp with platform, Python, ABI and hash of the requirements, and renames the folder at the end. Without that stamp, or with a recorded file absent or cut off, it installs again; target/app is renamed into place likewise. The price is a new pin after each make lock; a test compares the two files. A Python below 3.11 is refused in one line.

--- a/src/catkinspread/runtime/tests/test_build.py
+++ b/src/catkinspread/runtime/tests/test_build.py
@@ -1,10 +1,12 @@
 """Tests of the build line of `deploy/system.toml`, offline and with a small package of their own."""
 
+import ast
 import os
 import pathlib
 import shutil
 import subprocess
 import sys
+import sysconfig
 import tomllib
 import zipfile
 
@@ -85,3 +87,91 @@
     (checkout.dependencies / "some_package").mkdir(parents=True)
     checkout.build_successfully()
     assert checkout.read_installed()
+
+
+def test_complete_folder_is_kept(checkout: Checkout) -> None:
+    """Guards against a build that needs the network although nothing has changed."""
+    checkout.build_successfully()
+    before = checkout.dependencies.stat()
+    checkout.build_successfully()
+    assert checkout.dependencies.stat().st_ino == before.st_ino
+    assert sorted(path.name for path in (checkout.root / "target").iterdir()) == ["app", "deps"]
+
+
+def test_folder_of_another_platform_is_replaced(checkout: Checkout) -> None:
+    """Guards against extension modules for another processor or version of Python."""
+    checkout.build_successfully()
+    stamp = checkout.dependencies / ".complete"
+    complete = stamp.read_text()
+    for other in (
+        complete.replace(sysconfig.get_platform(), "linux-riscv64"),
+        complete.replace(f"python {sys.version_info.major}.{sys.version_info.minor}", "python 3.2"),
+        "",
+    ):
+        assert other != complete
+        stamp.write_text(other)
+        (checkout.dependencies / "other.so").write_text("")
+        checkout.build_successfully()
+        assert stamp.read_text() == complete
+        assert not (checkout.dependencies / "other.so").exists()
+
+
+def test_changed_requirements_are_installed(checkout: Checkout) -> None:
+    """Guards against dependencies of an earlier version of the program."""
+    checkout.build_successfully()
+    checkout.require("2.0")
+    checkout.build_successfully()
+    assert "2.0" in checkout.read_installed()
+
+
+def test_incomplete_copy_of_a_complete_folder_is_replaced(checkout: Checkout) -> None:
+    """Guards against a folder that lost files while it was copied, but has its stamp."""
+    checkout.build_successfully()
+    (checkout.dependencies / "dependency.py").unlink()
+    checkout.build_successfully()
+    assert checkout.read_installed()
+
+
+def test_failed_installation_keeps_the_folder_and_says_so(checkout: Checkout) -> None:
+    """Guards against a build that removes working dependencies, or fails without a reason."""
+    checkout.build_successfully()
+    (checkout.root / "deploy" / "requirements.txt").write_text("no-such-package==1\n")
+    result = checkout.build()
+    assert result.returncode == 1
+    assert result.stderr.splitlines()[-1].startswith("build failed: pip could not install")
+    assert checkout.read_installed()
+
+
+def test_older_python_is_refused_in_one_line(checkout: Checkout) -> None:
+    """Guards against a traceback where `python3` is older than the program needs."""
+    result = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "import runpy, sys; sys.version_info = (3, 9, 1, 'final', 0);"
+            " runpy.run_path('deploy/build.py', run_name='__main__')",
+        ],
+        cwd=checkout.root,
+        capture_output=True,
+        text=True,
+        timeout=_TIMEOUT_S,
+        check=False,
+    )
+    assert result.returncode == 1
+    (line,) = result.stderr.splitlines()
+    assert line.startswith("build failed: Python 3.11 or later is required")
+
+
+def test_build_script_can_be_parsed_by_older_python() -> None:
+    """Guards against a syntax error in place of the line about the version of Python."""
+    for name in ("build.py", "instance.py"):
+        ast.parse((_REPOSITORY / "deploy" / name).read_text(), feature_version=(3, 6))
+
+
+def test_requirements_are_the_locked_versions() -> None:
+    """Guards against a program that runs with other versions than those it was tested with."""
+    locked = (_REPOSITORY / "requirements.lock").read_text().splitlines()
+    lines = (_REPOSITORY / "deploy" / "requirements.txt").read_text().splitlines()
+    pinned = [line for line in lines if not line.startswith("#")]
+    assert pinned
+    assert set(pinned) <= set(locked)
