Log lines that cannot be encoded do not end the process

Callers would see an instance end by a log line: a value that is no JSON, such as a lone surrogate from a file name, raised in the task that logs. A standard output whose mode cannot be set raised at the start. The value is now replaced by the name of its type, and without non-blocking mode lines are dropped and counted, with one line on standard error; a blocking write could stop all.

Measured: the new tests fail before (UnicodeEncodeError, TypeError, OSError) and pass after. test_event_log.py only gained tests.

--- a/src/catkinspread/eventlog/event_log.py
+++ b/src/catkinspread/eventlog/event_log.py
@@ -7,6 +7,7 @@
 """
 
 import os
+import sys
 from typing import Protocol
 
 import msgspec
@@ -19,6 +20,8 @@
 BURST_LINES = 800
 _MS_PER_S = 1_000
 _STDOUT_FD = 1
+# For example a lone surrogate from a file name, or lists that are nested too deep.
+_ENCODING_ERRORS = (TypeError, ValueError, OverflowError, RecursionError)
 
 
 class LineSink(Protocol):
@@ -35,21 +38,23 @@
         descriptor: The file descriptor; standard output by default.
     """
 
-    __slots__ = ("_descriptor", "_unwritten")
+    __slots__ = ("_descriptor", "_is_usable", "_unwritten")
 
     def __init__(self, descriptor: int = _STDOUT_FD) -> None:
         self._descriptor = descriptor
         self._unwritten = b""
-        os.set_blocking(descriptor, False)
+        self._is_usable = _set_non_blocking(descriptor)
 
     def write(self, line: bytes) -> bool:
         """Writes a line without blocking.
 
         Returns:
-            False if the line was dropped because the pipe is full or closed; True if it was written
-            completely or in part. The rest of a line written in part is kept and written before the
+            False if the line was dropped because the pipe is full or closed, the disk is full, or the
+            descriptor cannot be set to non-blocking mode; True if it was written completely or in part. The rest of a line written in part is kept and written before the
             next line; it is lost if the program ends first.
         """
+        if not self._is_usable:
+            return False
         if self._unwritten and not self._flush_unwritten():
             return False
         try:
@@ -69,6 +74,16 @@
         return not self._unwritten
 
 
+def _set_non_blocking(descriptor: int) -> bool:
+    """Returns whether the mode was set; a blocking descriptor could stop the whole process."""
+    try:
+        os.set_blocking(descriptor, False)
+    except OSError as error:
+        print(f"log lines are dropped: descriptor {descriptor}: {error}", file=sys.stderr)
+        return False
+    return True
+
+
 class EventLog:
     """Writes events as JSON lines.
 
@@ -111,10 +126,8 @@
         Args:
             event: Name of the event.
             now_ms: Current time in ms since the epoch.
-            fields: Further keys of the line; the values must be encodable as JSON.
-
-        Raises:
-            TypeError: If a value cannot be encoded as JSON.
+            fields: Further keys of the line. A value that cannot be encoded as JSON is replaced by the
+                name of its type, because a log line must not end the process.
         """
         elapsed_ms = now_ms - self._refilled_at_ms
         if elapsed_ms > 0:
@@ -130,17 +143,31 @@
     def write_always(self, event: str, now_ms: int, **fields: object) -> None:
         """Writes an event regardless of the rate limit, such as start and stop.
 
-        The line is still dropped and counted in `dropped_count` if the sink drops it. Arguments and
-        exceptions are those of `write`.
+        The line is still dropped and counted in `dropped_count` if the sink drops it. Arguments are
+        those of `write`.
         """
         line = {"at_ms": now_ms, "instance": self._instance, "event": event, **fields}
         if self._dropped_unreported:
             line["dropped_lines"] = self._dropped_unreported
-        if self._sink.write(self._encoder.encode(line) + b"\n"):
+        if self._sink.write(self._encode(line) + b"\n"):
             self._dropped_unreported = 0
         else:
             self._count_dropped_line()
 
+    def _encode(self, line: dict[str, object]) -> bytes:
+        try:
+            return self._encoder.encode(line)
+        except _ENCODING_ERRORS:
+            return self._encoder.encode({key: self._describe(line[key]) for key in line})
+
+    def _describe(self, value: object) -> object:
+        """Returns the value if it can be encoded, otherwise a text that describes it."""
+        try:
+            self._encoder.encode(value)
+        except _ENCODING_ERRORS:
+            return f"{type(value).__name__} that is not encodable"
+        return value
+
     def _count_dropped_line(self) -> None:
         self.dropped_count += 1
         self._dropped_unreported += 1
--- a/src/catkinspread/eventlog/tests/test_event_log.py
+++ b/src/catkinspread/eventlog/tests/test_event_log.py
@@ -3,6 +3,8 @@
 import json
 import os
 
+import pytest
+
 from catkinspread.clock import ManualClock
 from catkinspread.eventlog import EventLog, FileDescriptorSink
 from catkinspread.eventlog.event_log import BURST_LINES, LINES_PER_S
@@ -63,3 +65,21 @@
     finally:
         os.close(reader)
         os.close(writer)
+
+
+@pytest.mark.parametrize("value", ["\udc80", {"key": object()}], ids=["surrogate", "object"])
+def test_value_that_is_not_encodable_does_not_raise(value: object) -> None:
+    """Guards against a log line with content of another writer that ends the process."""
+    recorder = _Recorder()
+    EventLog("one", recorder, ManualClock(5)).write("placed", 7, text="kept", value=value)
+    line = json.loads(recorder.lines[0])
+    assert (line["at_ms"], line["text"]) == (7, "kept")
+    assert "is not encodable" in line["value"]
+
+
+def test_descriptor_without_non_blocking_mode_drops_lines() -> None:
+    """Guards against an end of the process, or a block, where the mode cannot be set."""
+    reader, writer = os.pipe()
+    os.close(reader)
+    os.close(writer)
+    assert not FileDescriptorSink(writer).write(b"line\n")
