A failed start has one log line and a status of its own

Operators saw a traceback or a line on standard error only, never a line of the log, and the same status for different causes: 1 for a module that is missing and for any error while running, 2 for settings and for the packet address.

Each cause now writes one JSON line on standard output and one line on standard error: settings 2 (as before), packet address 3 (was 2), program not loadable 4 (was 1), unexpected error while running 1 with type and place of each error of the group, traceback after it. deploy/instance.py adds target/deps beside it to the module path by itself, after all other folders, and reports what cannot be imported without our modules. A packet address that is in use or not there yet is tried again for 2 s, each attempt with a line; the machine may get its address late, and the process before may still be ending.

--- /dev/null
+++ b/src/catkinspread/runtime/exit_status.py
@@ -0,0 +1,89 @@
+"""Exit statuses of the forwarding program, and the one line that explains each failure."""
+
+import enum
+import sys
+import types
+
+from catkinspread.clock import SystemClock
+from catkinspread.eventlog import EventLog, LineSink
+
+_PLACES_MAX = 3
+
+
+class ExitStatus(enum.IntEnum):
+    """Exit status of the program; `docs/runtime.md` explains the lines that go with them."""
+
+    OK = 0
+    UNEXPECTED_ERROR = 1
+    SETTINGS_INVALID = 2
+    PACKET_ADDRESS_UNAVAILABLE = 3
+    # Also used by `deploy/instance.py`, which cannot import this module then.
+    PROGRAM_NOT_LOADED = 4
+
+
+def report_start_failure(sink: LineSink, instance: str, status: ExitStatus, detail: str) -> int:
+    """Writes why the program does not start, to both standard streams, and returns the status.
+
+    Args:
+        sink: Destination of the log line.
+        instance: Name of the instance; empty if it is not known.
+        status: The exit status.
+        detail: Description of the failure.
+    """
+    clock = SystemClock()
+    EventLog(instance, sink, clock).write_always(
+        "start_failed",
+        clock.now_ms(),
+        cause=status.name.lower(),
+        status=status.value,
+        detail=detail,
+    )
+    print(detail, file=sys.stderr)
+    return status
+
+
+def report_unexpected_error(sink: LineSink, instance: str, error: BaseException) -> int:
+    """Writes which error ended the program, and where it was raised, and returns the status.
+
+    The traceback follows on standard error.
+
+    Args:
+        sink: Destination of the log line.
+        instance: Name of the instance.
+        error: The error, possibly a group of errors.
+    """
+    clock = SystemClock()
+    errors = [describe_error(leaf) for leaf in list_leaf_errors(error)]
+    EventLog(instance, sink, clock).write_always(
+        "ended_by_error",
+        clock.now_ms(),
+        status=ExitStatus.UNEXPECTED_ERROR.value,
+        errors=errors[:_PLACES_MAX],
+        error_count=len(errors),
+    )
+    print(f"ended by {'; '.join(errors[:_PLACES_MAX])}", file=sys.stderr)
+    import traceback  # Not needed before the packet socket is open.
+
+    traceback.print_exception(error)
+    return ExitStatus.UNEXPECTED_ERROR
+
+
+def list_leaf_errors(error: BaseException) -> list[BaseException]:
+    """Returns the errors of a group and of the groups in it; an error that is no group itself."""
+    if not isinstance(error, BaseExceptionGroup):
+        return [error]
+    return [leaf for part in error.exceptions for leaf in list_leaf_errors(part)]
+
+
+def describe_error(error: BaseException) -> str:
+    """Returns type, message and place of an error in one line."""
+    place = _find_place(error.__traceback__)
+    return " ".join(f"{type(error).__name__}: {error} at {place}".split())
+
+
+def _find_place(innermost: types.TracebackType | None) -> str:
+    if innermost is None:
+        return "an unknown place"
+    while innermost.tb_next is not None:
+        innermost = innermost.tb_next
+    return f"{innermost.tb_frame.f_code.co_filename}:{innermost.tb_lineno}"
--- a/src/catkinspread/runtime/main.py
+++ b/src/catkinspread/runtime/main.py
@@ -5,37 +5,54 @@
 """
 
 import socket
-import sys
 import time
+from collections.abc import Callable
 
+from catkinspread.clock import SystemClock
+from catkinspread.eventlog import EventLog, FileDescriptorSink, LineSink
 from catkinspread.ini import SettingsError
 from catkinspread.platform import SettingsFileUnknown, find_settings_file
+from catkinspread.runtime.exit_status import (
+    ExitStatus,
+    report_start_failure,
+    report_unexpected_error,
+)
+from catkinspread.runtime.packet_address import PacketAddressRetry, open_packet_socket
 from catkinspread.runtime.settings import ForwardingSettings, read_forwarding_settings
-from catkinspread.sockets import open_udp_socket
 
 _NANOSECONDS_PER_MS = 1_000_000
-EXIT_OK = 0
-EXIT_STARTUP_FAILED = 2
 
 
-def main() -> int:
+def main(report_load_error: Callable[[Exception], int]) -> int:
     """Runs an instance until it receives a stop signal.
 
+    Args:
+        report_load_error: Reports that a module cannot be loaded and returns the exit status.
+
     Returns:
-        0 after a graceful shutdown, 2 if the settings are invalid or the packet socket cannot be
-        opened.
+        The exit status, see `ExitStatus`; 0 after a graceful shutdown.
     """
+    sink = FileDescriptorSink()
     try:
         settings = read_settings()
-        packet_socket = open_udp_socket(settings.packet_address)
     except (SettingsFileUnknown, SettingsError) as error:
-        print(error, file=sys.stderr)
-        return EXIT_STARTUP_FAILED
+        return report_start_failure(sink, "", ExitStatus.SETTINGS_INVALID, str(error))
+    try:
+        packet_socket = _open_packet_socket(settings, sink)
     except OSError as error:
-        print(f"cannot open packet socket {settings.packet_address}: {error}", file=sys.stderr)
-        return EXIT_STARTUP_FAILED
-    _run(settings, packet_socket, time.monotonic_ns())
-    return EXIT_OK
+        status = ExitStatus.PACKET_ADDRESS_UNAVAILABLE
+        detail = f"cannot open packet socket {settings.packet_address}: {error}"
+        return report_start_failure(sink, settings.name, status, detail)
+    opened_at_ns = time.monotonic_ns()
+    try:
+        _load_modules()
+    except Exception as error:  # A damaged module can raise more than ImportError.
+        return report_load_error(error)
+    try:
+        _run(settings, packet_socket, sink, opened_at_ns)
+    except Exception as error:
+        return report_unexpected_error(sink, settings.name, error)
+    return ExitStatus.OK
 
 
 def read_settings() -> ForwardingSettings:
@@ -48,19 +65,38 @@
     return read_forwarding_settings(find_settings_file())
 
 
-def _run(settings: ForwardingSettings, packet_socket: socket.socket, opened_at_ns: int) -> None:
-    # Imported here because the socket must be open first.
+def _open_packet_socket(settings: ForwardingSettings, sink: LineSink) -> socket.socket:
+    """Opens the packet socket and logs each attempt that is repeated; see `open_packet_socket`."""
+    clock = SystemClock()
+    events = EventLog(settings.name, sink, clock)
+
+    def log_retry(retry: PacketAddressRetry) -> None:
+        events.write_always(
+            "packet_address_retry",
+            clock.now_ms(),
+            address=str(retry.address),
+            reason=retry.reason,
+            pause_ms=retry.pause_ms,
+        )
+
+    return open_packet_socket(settings.packet_address, log_retry)
+
+
+def _load_modules() -> None:
+    """Imports the modules that `_run` needs; the packet socket must be open before."""
+    import catkinspread.runtime.instance  # noqa: F401
+
+
+def _run(
+    settings: ForwardingSettings, packet_socket: socket.socket, sink: LineSink, opened_at_ns: int
+) -> None:
     import anyio
 
-    from catkinspread.clock import SystemClock
-    from catkinspread.eventlog import FileDescriptorSink
     from catkinspread.runtime.instance import ForwardingInstance
     from catkinspread.runtime.startup_times import StartupTimes
 
     clock = SystemClock()
     loading_ms = (time.monotonic_ns() - opened_at_ns) // _NANOSECONDS_PER_MS
     startup = StartupTimes(clock.now_ms() - loading_ms)
-    instance = ForwardingInstance(
-        settings, read_settings, clock, FileDescriptorSink(), packet_socket, startup
-    )
+    instance = ForwardingInstance(settings, read_settings, clock, sink, packet_socket, startup)
     anyio.run(instance.run)
