Closed or full standard streams and stray signals do not end the program

Operators who start the program with closed standard streams got sockets under the numbers 0 to 2, so that log lines were sent on a socket, or an end at the first access to standard output. A pipe of standard error that nobody reads blocked the whole process once full, and what was left in its buffer would change the exit status to 120. SIGUSR1 and SIGUSR2, which log rotation and debugging tools send, ended the process; SIGINT while loading left a traceback.

runtime/standard_streams.py opens the null device on closed streams first, sets a pipe of standard error to non-blocking mode and drops what cannot be written. deploy/instance.py ignores SIGUSR1 and SIGUSR2 for good, as SIGHUP while it loads; SIGINT ends it like SIGTERM until the handlers are installed.

--- a/deploy/instance.py
+++ b/deploy/instance.py
@@ -10,9 +10,13 @@
 import signal
 import sys
 
-# Without a handler the signal would end the process while the program is still loaded. The
-# settings are read after this line, and once more when the program listens for the signal.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+# Without a handler these signals end the process, also while the program is still loaded. SIGHUP is
+# handled once the program listens; SIGUSR1 and SIGUSR2 have no meaning and are ignored for good.
+for ignored in (signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2):
+    signal.signal(ignored, signal.SIG_IGN)
+# SIGINT ends the process like SIGTERM while the program is loaded, without a traceback.
+if signal.getsignal(signal.SIGINT) is signal.default_int_handler:
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
 
 EXIT_NOT_LOADED = 4
 _PYTHON_MIN = (3, 11)
--- a/src/catkinspread/runtime/main.py
+++ b/src/catkinspread/runtime/main.py
@@ -19,6 +19,7 @@
 )
 from catkinspread.runtime.packet_address import PacketAddressRetry, open_packet_socket
 from catkinspread.runtime.settings import ForwardingSettings, read_forwarding_settings
+from catkinspread.runtime.standard_streams import prepare_standard_streams
 
 _NANOSECONDS_PER_MS = 1_000_000
 
@@ -32,6 +33,7 @@
     Returns:
         The exit status, see `ExitStatus`; 0 after a graceful shutdown.
     """
+    prepare_standard_streams()
     sink = FileDescriptorSink()
     try:
         settings = read_settings()
--- a/src/catkinspread/runtime/tests/test_startup.py
+++ b/src/catkinspread/runtime/tests/test_startup.py
@@ -1,18 +1,22 @@
 """Tests of starts that fail, and of the environment that the program is started in."""
 
 import contextlib
+import os
 import pathlib
+import resource
 import shutil
 import signal
 import socket
 import subprocess
 import sys
-from collections.abc import Iterator
+import time
+from collections.abc import Callable, Iterator
 
 import pytest
 
 from catkinspread.runtime.exit_status import ExitStatus
 from catkinspread.runtime.tests.program import PROGRAM, TIMEOUT_S, Program
+from catkinspread.sockets import find_free_ports
 
 # The program listens on a fixed port for metrics, so the tests have an address of their own.
 _HOST = "127.242.0.1"
@@ -141,3 +145,144 @@
     assert line["errors"] == [f"ValueError: a reason at {tmp_path}/sitecustomize.py:3"]
     first_line = program.error_path.read_text().splitlines()[0]
     assert first_line == f"ended by {line['errors'][0]}"
+
+
+def _close_standard_streams() -> None:
+    os.closerange(0, 3)
+
+
+def _limit_descriptors() -> None:
+    resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))
+
+
+def _limit_address_space() -> None:
+    resource.setrlimit(resource.RLIMIT_AS, (300 * _MIB, 300 * _MIB))
+
+
+@pytest.mark.parametrize(
+    "before", [_close_standard_streams, _limit_descriptors, _limit_address_space]
+)
+def test_program_serves_with_closed_streams_and_limits(
+    program: Program, before: Callable[[], None]
+) -> None:
+    """Guards against an end by a missing stream or a limit of the machine."""
+    process = program.start(before=before)
+    program.wait_for(lambda: _serves(program))
+    for descriptor in range(3):
+        target = os.readlink(f"/proc/{process.pid}/fd/{descriptor}")
+        assert not target.startswith("socket:")
+    _stop_gracefully(program)
+
+
+def test_program_serves_without_variables_in_a_read_only_folder(
+    program: Program, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a need for PATH, HOME, LANG or a folder that can be written to."""
+    folder = tmp_path / "read-only"
+    folder.mkdir(mode=0o500)
+    program.start(env={"CATKINSPREAD_CONFIG": str(program.settings_path)}, cwd=folder)
+    program.wait_for(lambda: _serves(program))
+    _stop_gracefully(program)
+
+
+@pytest.mark.parametrize("has_reader", [False, True], ids=["closed", "full"])
+def test_program_serves_with_pipes_that_nobody_reads(program: Program, has_reader: bool) -> None:
+    """Guards against an end, a block or another status by output that cannot be written."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(writer, bytes(4_096))
+    os.set_blocking(writer, True)
+    if not has_reader:
+        os.close(reader)
+    program.start(stdout=writer, stderr=writer)
+    os.close(writer)
+    program.wait_for(lambda: _serves(program))
+    _stop_gracefully(program)
+    if has_reader:
+        os.close(reader)
+
+
+def test_program_serves_with_output_on_a_full_disk(program: Program) -> None:
+    """Guards against an end by a log line that the disk has no space for."""
+    with open("/dev/full", "wb", buffering=0) as full:
+        program.start(stdout=full, stderr=full)
+    program.wait_for(lambda: _serves(program))
+    _stop_gracefully(program)
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGUSR1, signal.SIGUSR2, signal.SIGPIPE])
+def test_signals_while_the_program_loads_do_not_end_it(
+    program: Program, number: signal.Signals
+) -> None:
+    """Guards against an end by a signal that is sent to all processes of a machine.
+
+    The packet socket shows that the first lines of the program have run.
+    """
+    process = program.start()
+    program.wait_for(lambda: _is_bound(program))
+    while not program.has_logged("started"):
+        assert process.poll() is None, program.describe()
+        process.send_signal(number)
+        time.sleep(0.01)
+    program.wait_for(lambda: _serves(program))
+    process.send_signal(number)
+    _stop_gracefully(program)
+
+
+def _is_bound(program: Program) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        try:
+            probe.bind(program.packet_address)
+        except OSError:
+            return True
+    return False
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_stop_while_the_program_loads_ends_it_without_an_error(
+    program: Program, number: signal.Signals
+) -> None:
+    """Guards against a stop that looks like a fault, or is lost."""
+    process = program.start()
+    program.wait_for(lambda: _is_bound(program))
+    process.send_signal(number)
+    assert process.wait(TIMEOUT_S) in (0, -number)
+    assert program.error_path.read_text() == ""
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        None,
+        b"",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{",
+        b"HTTP/1.1 101 Switching Protocols\r\n\r\n",
+        b"\x00" * 4_096,
+        b"HTTP/1.1 200 OK\r\n" + b"x: y\r\n" * 40_000,
+    ],
+    ids=["hangs", "closes", "half", "malformed", "upgrade", "noise", "long head"],
+)
+def test_store_that_answers_wrongly_does_not_end_the_program(
+    program: Program, answer: bytes | None
+) -> None:
+    """Guards against an end by a store that hangs, closes, or sends what is no answer."""
+    with socket.socket() as listener:
+        listener.bind((_HOST, find_free_ports(1)[0]))
+        listener.listen()
+        listener.settimeout(TIMEOUT_S)
+        host, port = listener.getsockname()
+        program.write_settings(source_address=f"{host}:{port}")
+        program.start()
+        with contextlib.ExitStack() as connections:
+            for _ in range(3):
+                connection = connections.enter_context(listener.accept()[0])
+                if answer is not None:
+                    with contextlib.suppress(OSError):
+                        connection.recv(65_536)
+                        connection.sendall(answer)
+                        connection.close()
+            program.wait_for(lambda: _serves(program) and program.has_logged("source_lost"))
+            _stop_gracefully(program)
