Answers of the store or of an instance are limited to 16 MiB

An answer without an end filled the memory of the instance: 559 MiB in one call of 2.2 s, where the limit of the machines is 300 MB, so the process is killed. Cause: the client read whole bodies. It now reads a stream and fails the call after 16 MiB, which closes the connection. An address that is no host of a URL, for example an IPv6 address or a host that another instance sends, raised ValueError, UnicodeEncodeError or TypeError, which no caller expects and which ends all tasks; it is an HttpFailure now, and IPv6 hosts are written in brackets.

--- a/src/catkinspread/httpclient/client.py
+++ b/src/catkinspread/httpclient/client.py
@@ -13,6 +13,9 @@
 # Maximum number of open connections. A call above it waits up to `connect_timeout_ms` for a free
 # connection and then raises HttpFailure.
 _CONNECTIONS_MAX = 24
+# An answer without an end would fill the memory of the process. A page of the source holds 1 MB plus
+# one object, and the state of 7,000 upstreams that a feeder passes on takes a few MB.
+RESPONSE_MAX_BYTES = 16 * 1_048_576
 # After 1 s without traffic, 2 keep-alive probes are sent 1 s apart. A call on a dead connection thus
 # fails within about 3 s, well before the response time-out of a long poll. TCP_USER_TIMEOUT is in ms
 # and limits the time that sent data may remain unacknowledged. Some options exist only on Linux.
@@ -29,6 +32,10 @@
     """A call failed without an HTTP response."""
 
 
+class ResponseTooLarge(Exception):
+    """The body of a response is larger than `RESPONSE_MAX_BYTES`; part of an HttpFailure."""
+
+
 class HttpResponse(msgspec.Struct, frozen=True):
     """The response to a call.
 
@@ -54,6 +61,21 @@
         return None
 
 
+def _build_url(endpoint: Endpoint, path: str, query: dict[str, str]) -> str:
+    """Returns the URL of a call.
+
+    Raises:
+        HttpFailure: If the host is no host of a URL; it may come from another instance.
+    """
+    host = f"[{endpoint.host}]" if ":" in endpoint.host else endpoint.host
+    url = f"http://{host}:{endpoint.port}{path}" + (f"?{urlencode(query)}" if query else "")
+    try:
+        httpcore.URL(url)
+    except (TypeError, ValueError) as error:
+        raise HttpFailure(f"GET {url!r} failed: {error!r}") from error
+    return url
+
+
 class HttpClient:
     """Client with a pool of persistent connections.
 
@@ -95,24 +117,41 @@
             response_timeout_ms: Time-out in ms of each read of the response.
 
         Raises:
-            HttpFailure: If the call failed or no complete response arrived within the time-outs.
+            HttpFailure: If the call failed, no complete response arrived within the time-outs, or it
+                is larger than `RESPONSE_MAX_BYTES`.
         """
         connect_s = connect_timeout_ms / _MS_PER_S
         response_s = response_timeout_ms / _MS_PER_S
-        url = f"http://{endpoint}{path}" + (f"?{urlencode(query)}" if query else "")
+        url = _build_url(endpoint, path, query)
         timeout = {"connect": connect_s, "read": response_s, "write": connect_s, "pool": connect_s}
         try:
             with anyio.fail_after(connect_s + response_s):
-                response = await self._pool.request("GET", url, extensions={"timeout": timeout})
+                return await self._read_response(url, timeout)
         except (
+            httpcore.ConnectionNotAvailable,
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
+            httpcore.UnsupportedProtocol,
             TimeoutError,
             OSError,
+            ResponseTooLarge,
         ) as error:
             raise HttpFailure(
                 f"GET {url} failed: {error!r} (time-outs: {connect_timeout_ms} ms to connect, "
                 f"{response_timeout_ms} ms to read the response)"
             ) from error
-        return HttpResponse(response.status, response.content, tuple(response.headers))
+
+    async def _read_response(self, url: str, timeout: dict[str, float]) -> HttpResponse:
+        """Reads a response; leaving the stream early closes its connection.
+
+        Raises:
+            ResponseTooLarge: If the body is larger than `RESPONSE_MAX_BYTES`.
+        """
+        async with self._pool.stream("GET", url, extensions={"timeout": timeout}) as response:
+            body = bytearray()
+            async for chunk in response.aiter_stream():
+                body += chunk
+                if len(body) > RESPONSE_MAX_BYTES:
+                    raise ResponseTooLarge(f"body is larger than {RESPONSE_MAX_BYTES} bytes")
+            return HttpResponse(response.status, bytes(body), tuple(response.headers))
