Test: a full pipe of standard error, and runs of the tests at the same time

The tests choose an address per run. Two runs at the same time ended each other's programs with status 1 (two of three tests on pipes failed), because all listen on metrics port 9464 of the address; test_signals.py has the same weakness.

--- a/src/catkinspread/runtime/tests/test_startup.py
+++ b/src/catkinspread/runtime/tests/test_startup.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 import pathlib
+import random
 import resource
 import shutil
 import signal
@@ -18,8 +19,9 @@
 from catkinspread.runtime.tests.program import PROGRAM, TIMEOUT_S, Program
 from catkinspread.sockets import find_free_ports
 
-# The program listens on a fixed port for metrics, so the tests have an address of their own.
-_HOST = "127.242.0.1"
+# The program listens on a fixed port for metrics, so each run of the tests has an address of its own:
+# runs at the same time would otherwise end each other's programs.
+_HOST = f"127.242.{random.SystemRandom().randint(1, 254)}.{os.getpid() % 254 + 1}"
 _MIB = 1_048_576
 
 
@@ -185,15 +187,21 @@
     _stop_gracefully(program)
 
 
-@pytest.mark.parametrize("has_reader", [False, True], ids=["closed", "full"])
-def test_program_serves_with_pipes_that_nobody_reads(program: Program, has_reader: bool) -> None:
-    """Guards against an end, a block or another status by output that cannot be written."""
+def _make_full_pipe() -> tuple[int, int]:
+    """Returns the reading and the writing end of a pipe that blocks the next write."""
     reader, writer = os.pipe()
     os.set_blocking(writer, False)
     with contextlib.suppress(BlockingIOError):
         while True:
             os.write(writer, bytes(4_096))
     os.set_blocking(writer, True)
+    return reader, writer
+
+
+@pytest.mark.parametrize("has_reader", [False, True], ids=["closed", "full"])
+def test_program_serves_with_pipes_that_nobody_reads(program: Program, has_reader: bool) -> None:
+    """Guards against an end, a block or another status by output that cannot be written."""
+    reader, writer = _make_full_pipe()
     if not has_reader:
         os.close(reader)
     program.start(stdout=writer, stderr=writer)
@@ -204,6 +212,17 @@
         os.close(reader)
 
 
+def test_failed_start_ends_with_a_full_pipe_of_standard_error(program: Program) -> None:
+    """Guards against a process that neither serves nor ends, so that nothing restarts it."""
+    reader, writer = _make_full_pipe()
+    program.settings_path.unlink()
+    process = program.start(stderr=writer)
+    os.close(writer)
+    assert process.wait(TIMEOUT_S) == ExitStatus.SETTINGS_INVALID
+    assert program.read_events()[-1]["event"] == "start_failed"
+    os.close(reader)
+
+
 def test_program_serves_with_output_on_a_full_disk(program: Program) -> None:
     """Guards against an end by a log line that the disk has no space for."""
     with open("/dev/full", "wb", buffering=0) as full:
