Any content of the settings file gives settings or a SettingsError

Operators could start an instance with an address that fails only once it is used: IPv6 where only IPv4 is bound, the address of all interfaces, which other instances would get as the address of this one, a multicast group, ports in digits of other scripts. A device or a pipe without a writer in place of the file fills the memory or blocks the start, or the event loop at SIGHUP. A long value made a message of 10,000 characters, with line breaks of the file in it.

A byte order mark is accepted. A file name that is no valid text can be logged.

Existing tests are unchanged.

--- a/src/catkinspread/ini/fields.py
+++ b/src/catkinspread/ini/fields.py
@@ -9,9 +9,14 @@
 
 import msgspec
 
+from catkinspread.ini.limited_file import UnreadableFile, read_limited_file
 from catkinspread.model import Endpoint
 
 PORT_MAX = 65_535
+# Longest part of a value in an error message, which is one line of the log.
+_VALUE_MAX_CHARS = 100
+# A number with more digits exceeds every limit, and `int` rejects one of several thousand.
+_DIGITS_MAX = 20
 
 
 class SettingsProblem(msgspec.Struct, frozen=True):
@@ -36,10 +41,16 @@
         if self.key:
             location = f"{location} {self.key}"
         if self.value:
-            location = f"{location} = {self.value}"
+            location = f"{location} = {_shorten(self.value)}"
         return f"{location}: {self.message}"
 
 
+def _shorten(value: str) -> str:
+    """Returns the start of a value, without line breaks and other control characters."""
+    printable = "".join(char if char.isprintable() else " " for char in value[:_VALUE_MAX_CHARS])
+    return printable if len(value) <= _VALUE_MAX_CHARS else f"{printable}..."
+
+
 class SettingsError(Exception):
     """A settings file is unreadable or invalid.
 
@@ -78,7 +89,9 @@
         ValueError: If the text is empty or contains another character.
     """
     if not text or not all(char.isalnum() or char in ".-" for char in text):
-        raise ValueError(f"expected a name of letters, digits, dots and hyphens, found {text!r}")
+        raise ValueError(
+            f"expected a name of letters, digits, dots and hyphens, found {_shorten(text)!r}"
+        )
     return text
 
 
@@ -92,12 +105,37 @@
     try:
         ipaddress.ip_address(host)
     except ValueError:
-        raise ValueError(f"expected IP:PORT with an IP address, found {text!r}") from None
-    if not port.isdigit() or not 1 <= int(port) <= PORT_MAX:
-        raise ValueError(f"expected a port from 1 to {PORT_MAX}, found {port!r}")
+        raise ValueError(f"expected IP:PORT with an IP address, found {_shorten(text)!r}") from None
+    if not _is_decimal(port) or not 1 <= int(port) <= PORT_MAX:
+        raise ValueError(f"expected a port from 1 to {PORT_MAX}, found {_shorten(port)!r}")
     return Endpoint(host=host, port=int(port))
 
 
+def parse_ipv4_endpoint(text: str) -> Endpoint:
+    """Parses an endpoint of the form `IP:PORT` with an IPv4 address of one machine.
+
+    Raises:
+        ValueError: If the host is not an IPv4 address, or is the address of all interfaces or of a
+            multicast group, or the port is not from 1 to 65535.
+    """
+    endpoint = parse_endpoint(text)
+    address = ipaddress.ip_address(endpoint.host)
+    if address.version != 4:
+        raise ValueError(f"expected an IPv4 address, found {_shorten(endpoint.host)!r}")
+    if address.is_unspecified or address.is_multicast:
+        raise ValueError(f"expected the address of one machine, found {endpoint.host!r}")
+    return endpoint
+
+
+def _is_decimal(text: str) -> bool:
+    """Returns whether the text is a short number of ASCII digits.
+
+    `str.isdigit` alone accepts digits such as superscripts, which `int` rejects, and digits of other
+    scripts.
+    """
+    return text.isascii() and text.isdigit() and len(text) <= _DIGITS_MAX
+
+
 def parse_integer(minimum: int, maximum: int) -> Callable[[str], int]:
     """Returns a parser for integers from `minimum` to `maximum`, both inclusive.
 
@@ -105,10 +143,10 @@
     """
 
     def parse(text: str) -> int:
-        if not text.lstrip("-").isdigit():
-            raise ValueError(f"expected an integer from {minimum} to {maximum}, found {text!r}")
-        if not minimum <= int(text) <= maximum:
-            raise ValueError(f"expected an integer from {minimum} to {maximum}, found {text!r}")
+        if not _is_decimal(text.removeprefix("-")) or not minimum <= int(text) <= maximum:
+            raise ValueError(
+                f"expected an integer from {minimum} to {maximum}, found {_shorten(text)!r}"
+            )
         return int(text)
 
     return parse
@@ -121,7 +159,7 @@
         ValueError: If the scheme is not `http`, or the rest is not an endpoint.
     """
     if not text.startswith("http://"):
-        raise ValueError(f"expected http://IP:PORT, found {text!r}")
+        raise ValueError(f"expected http://IP:PORT, found {_shorten(text)!r}")
     parse_endpoint(text.removeprefix("http://").rstrip("/"))
     return text.rstrip("/")
 
@@ -132,10 +170,11 @@
     Raises:
         SettingsError: If the file cannot be read or its syntax is invalid.
     """
-    file = str(path)
+    # A name that is no valid text, which the system allows, could not be logged.
+    file = str(path).encode("utf-8", "backslashreplace").decode()
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
+        text = read_limited_file(path).decode("utf-8-sig")
+    except (OSError, UnicodeDecodeError, UnreadableFile) as error:
         problem = SettingsProblem(file, "", "", "", f"cannot be read: {error}")
         raise SettingsError((problem,)) from error
     return parse_ini(file, text)
