--- a/src/catkinspread/runtime/settings.py
+++ b/src/catkinspread/runtime/settings.py
@@ -7,6 +7,7 @@
 
 from catkinspread.ini import (
     Field,
+    parse_endpoint,
     parse_integer,
     parse_ipv4_endpoint,
     parse_name,
@@ -70,7 +71,7 @@
 
 
 def _parse_endpoints(text: str) -> tuple[Endpoint, ...]:
-    return tuple(parse_ipv4_endpoint(part.strip()) for part in text.split(",") if part.strip())
+    return tuple(parse_endpoint(part.strip()) for part in text.split(",") if part.strip())
 
 
 _FIELDS = [
@@ -78,12 +79,12 @@
     Field("instance", "data_centre", parse_name),
     Field("instance", "is_first_start", _parse_flag),
     Field("instance", "packet_address", parse_ipv4_endpoint),
-    Field("instance", "readiness_address", parse_ipv4_endpoint),
+    Field("instance", "readiness_address", parse_endpoint),
     Field("instance", "peer_port", parse_integer(1, _PORT_MAX)),
     Field("instance", "grace_s", _parse_seconds),
     Field("instance", "flow_lifetime_max_s", _parse_seconds),
     Field("peers", "seeds", _parse_endpoints),
-    Field("source", "address", parse_ipv4_endpoint),
+    Field("source", "address", parse_endpoint),
     Field("source", "heartbeat_ms", parse_integer(1, _HOUR_MS)),
 ]
 
