--- a/src/catkinspread/runtime/tests/program.py
+++ b/src/catkinspread/runtime/tests/program.py
@@ -1,120 +1,140 @@
-"""The program as a real process on loopback, for tests of what its environment does to it."""
+"""Starts the real program on loopback for tests of its start and its environment."""
 
 import json
 import os
 import pathlib
-import resource
-import socket
 import subprocess
 import sys
 import time
 from collections.abc import Callable
+from typing import Any
 
 from catkinspread.platform.stand_ins import build_environment
 from catkinspread.runtime.metrics import METRICS_PORT
 from catkinspread.sockets import find_free_ports
 
-_PROGRAM = pathlib.Path(__file__).resolve().parents[4] / "deploy" / "instance.py"
-_TIMEOUT_S = 20
-_SETTINGS = """[instance]
+PROGRAM = pathlib.Path(__file__).resolve().parents[4] / "deploy" / "instance.py"
+TIMEOUT_S = 20
+SETTINGS = """[instance]
 name = one
 data_centre = east
 is_first_start = false
-packet_address = {host}:{packet_port}
+packet_address = {packet_address}
 readiness_address = {host}:{readiness_port}
 peer_port = {peer_port}
-grace_s = 2
+grace_s = 3
 flow_lifetime_max_s = 60
 
 [peers]
 seeds =
 
 [source]
-address = {host}:1
+address = {source_address}
 heartbeat_ms = 1200
 """
 
 
 class Program:
-    """An instance without a source and without peers.
-
-    Args:
-        host: Address on which it listens; no other test may use it.
-        directory: Folder for its settings and its log.
+    """The program with a settings file and, once started, its process.
 
     Attributes:
-        host: Address on which it listens.
-        ports: Its TCP ports, by what they are for.
+        packet_address: IP address and port of the packet socket.
+        readiness_address: IP address and port of the readiness check.
+        settings_path: The settings file; written by `write_settings`.
+        log_path: Standard output.
+        error_path: Standard error.
+        ports: Its TCP ports by the name of the part that serves them.
     """
 
-    def __init__(self, host: str, directory: pathlib.Path) -> None:
-        self.host = host
-        packet_port, readiness_port, peer_port = find_free_ports(3)
-        self.ports = {"readiness": readiness_port, "feed": peer_port, "metrics": METRICS_PORT}
-        self._settings_path = directory / "instance.ini"
-        self._settings_path.write_text(
-            _SETTINGS.format(
-                host=host,
-                packet_port=packet_port,
-                readiness_port=readiness_port,
-                peer_port=peer_port,
-            )
-        )
-        self._log_path = directory / "log"
-        self._process: subprocess.Popen[bytes] | None = None
-
-    def start(self, descriptors_max: int | None = None) -> None:
-        """Starts the process and waits until it has started.
+    def __init__(self, directory: pathlib.Path, host: str) -> None:
+        packet_port, readiness_port, self._peer_port = find_free_ports(3)
+        self.ports = {
+            "readiness": readiness_port,
+            "feed": self._peer_port,
+            "metrics": METRICS_PORT,
+        }
+        self._host = host
+        self.packet_address = (host, packet_port)
+        self.readiness_address = (host, readiness_port)
+        self.settings_path = directory / "instance.ini"
+        self.log_path = directory / "log"
+        self.error_path = directory / "errors"
+        self.process: subprocess.Popen[bytes] | None = None
+        self.write_settings()
+
+    def write_settings(self, **changes: str) -> None:
+        """Writes the settings file.
 
         Args:
-            descriptors_max: Limit of its open files; None for that of this process.
+            changes: Replacements for `packet_address` and `source_address`.
         """
+        host, port = self.packet_address
+        values = {
+            "host": self._host,
+            "packet_address": f"{host}:{port}",
+            "source_address": f"{host}:1",
+            "readiness_port": self.readiness_address[1],
+            "peer_port": self._peer_port,
+            **changes,
+        }
+        self.settings_path.write_text(SETTINGS.format(**values))
+
+    def start(
+        self,
+        program: pathlib.Path = PROGRAM,
+        before: Callable[[], None] | None = None,
+        **options: Any,
+    ) -> subprocess.Popen[bytes]:
+        """Starts the program.
 
-        def set_limit() -> None:
-            if descriptors_max is not None:
-                resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors_max, descriptors_max))
-
-        with self._log_path.open("ab") as log:
-            self._process = subprocess.Popen(
-                [sys.executable, str(_PROGRAM)],
-                env={
-                    "PATH": os.environ.get("PATH", ""),
-                    **build_environment(str(self._settings_path)),
-                },
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-                preexec_fn=set_limit,
-            )
-        self.wait_for(lambda: self.find_events("started"))
-
-    def is_running(self) -> bool:
-        """Whether the process has not ended."""
-        return self._process is not None and self._process.poll() is None
-
-    def close(self) -> None:
-        """Ends the process."""
-        if self._process is not None and self._process.poll() is None:
-            self._process.kill()
-            self._process.wait()
-
-    def find_events(self, event: str) -> list[dict[str, object]]:
+        Args:
+            program: The script to run.
+            before: Called in the new process before the script runs.
+            options: Further arguments of `Popen`, in place of the defaults.
+        """
+        environment = {"PATH": os.environ.get("PATH", "")}
+        environment.update(build_environment(str(self.settings_path)))
+        with self.log_path.open("ab") as log, self.error_path.open("ab") as errors:
+            arguments: dict[str, Any] = {
+                "env": environment,
+                "stdin": subprocess.DEVNULL,
+                "stdout": log,
+                "stderr": errors,
+                "preexec_fn": before,
+                **options,
+            }
+            self.process = subprocess.Popen([sys.executable, str(program)], **arguments)
+        return self.process
+
+    def stop(self) -> None:
+        """Kills the process if it still runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+    def read_events(self) -> list[dict[str, Any]]:
+        """Returns the complete log lines so far."""
+        lines = self.log_path.read_text().split("\n")[:-1]
+        return [json.loads(line) for line in lines]
+
+    def find_events(self, event: str) -> list[dict[str, Any]]:
         """Returns the log lines of an event."""
-        lines = [line for line in self._log_path.read_text().splitlines() if line.startswith("{")]
-        return [found for found in map(json.loads, lines) if found["event"] == event]
+        return [line for line in self.read_events() if line["event"] == event]
+
+    def has_logged(self, event: str) -> bool:
+        """Returns whether there is a log line of an event."""
+        return bool(self.find_events(event))
 
-    def wait_for(self, condition: Callable[[], object]) -> None:
-        """Waits until a condition holds; fails if the program ends or after a time-out."""
-        end_s = time.monotonic() + _TIMEOUT_S
+    def wait_for(self, condition: Callable[[], bool]) -> None:
+        """Waits until a condition is met; fails if the process ends or the time is over."""
+        end_s = time.monotonic() + TIMEOUT_S
         while not condition():
-            assert self.is_running(), self._log_path.read_text()
-            assert time.monotonic() < end_s, self._log_path.read_text()
+            assert self.process is not None
+            assert self.process.poll() is None, self.describe()
+            assert time.monotonic() < end_s, self.describe()
             time.sleep(0.02)
 
-    def can_connect(self, port: int) -> bool:
-        """Whether something accepts a connection at a port of the program."""
-        try:
-            socket.create_connection((self.host, port), 1).close()
-        except OSError:
-            return False
-        return True
+    def describe(self) -> str:
+        """Returns status and output of the process for messages of failed tests."""
+        status = self.process.poll() if self.process else None
+        return f"{status}\n{self.log_path.read_text()}\n{self.error_path.read_text()}"
