--- a/src/catkinspread/platform/tests/test_store.py
+++ b/src/catkinspread/platform/tests/test_store.py
@@ -8,6 +8,7 @@
 from catkinspread.httpclient import HttpFailure, HttpResponse
 from catkinspread.model import Endpoint
 from catkinspread.platform import StoreClient
+from catkinspread.platform.tests.test_objects import SERVER
 
 
 class ScriptedClient:
@@ -130,3 +131,17 @@
     assert changes.changes[0].record is None
     assert not changes.changes[0].is_unreadable
     assert changes.revision == 8
+
+
+def _listing(*items: bytes) -> HttpResponse:
+    return HttpResponse(200, b'{"items":[' + b",".join(items) + b'],"has_more":false,"at_rev":5}')
+
+
+def test_deeply_nested_entry_costs_only_itself() -> None:
+    """Guards against an entry of another writer that ends the process by a RecursionError."""
+    nested = b"[" * 1_100 + b"]" * 1_100
+    bad = b'{"meta":{"name":"i-ff","revision":4},"spec":{"service":"x","version":%b}}' % nested
+    store, _ = _client(_listing(bad, msgspec.json.encode(_object("i-1a", SERVER))))
+    listing = anyio.run(store.list_records, StateKind.UPSTREAMS)
+    assert [change.name for change in listing.changes] == ["i-ff", "i-1a"]
+    assert [change.is_unreadable for change in listing.changes] == [True, False]
