--- /dev/null
+++ b/src/catkinspread/platform/answers.py
@@ -0,0 +1,301 @@
+"""Reads the answers of the platform's store, object by object.
+
+Everything that other writers put into the store enters the program here. Each object gives a change,
+or a refusal that names it; nothing that an object holds keeps the others from being read.
+
+An answer is decoded as a whole first. If one object makes that fail, a scanner separates the objects
+and each is decoded by itself. The scanner only follows strings and brackets, so it needs no recursion
+and does not care what the strings hold.
+"""
+
+import re
+from typing import Annotated, TypeVar
+
+import msgspec
+
+from catkinspread.deployment import StateChange, StateKind
+from catkinspread.platform.objects import NUMBER_MAX, TEXT_MAX, ObjectShapeError, decode_record
+
+# Longest reason of a refusal; the texts of an object may be much longer.
+_REASON_MAX = 200
+# What a decoder raises for input that it does not take: DecodeError covers syntax and shape, and
+# UnicodeDecodeError is a ValueError. RecursionError comes with deep nesting.
+DECODER_FAILURES = (msgspec.DecodeError, ValueError, OverflowError, RecursionError)
+
+# A string without an end matches up to the end of the answer, so that the scan takes linear time.
+_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*(?:"|\\?\Z)|[\[\]{},:]', re.DOTALL)
+_OPENING = frozenset(b"[{")
+_CLOSING = frozenset(b"]}")
+_STRING = ord('"')
+_COMMA = ord(",")
+
+_Number = Annotated[int, msgspec.Meta(ge=0, le=NUMBER_MAX)]
+
+
+class AnswerError(Exception):
+    """An answer of the store cannot be read."""
+
+
+class RefusedObject(msgspec.Struct, frozen=True):
+    """An object of the store that is not used.
+
+    Attributes:
+        kind: Kind of the object.
+        name: Its name; empty if that cannot be read either.
+        revision: Revision of its last change; 0 if that cannot be read.
+        reason: Field and reason.
+    """
+
+    kind: StateKind
+    name: str
+    revision: int
+    reason: str
+
+
+class ReadAnswer(msgspec.Struct, frozen=True):
+    """What an answer of the store holds.
+
+    Attributes:
+        changes: Change of each object that has a readable name.
+        refused: The objects that are not used.
+        revision: Revision of the store.
+        has_more: Whether another page follows.
+    """
+
+    changes: tuple[StateChange, ...]
+    refused: tuple[RefusedObject, ...]
+    revision: int
+    has_more: bool = False
+
+
+class _Name(msgspec.Struct):
+    name: Annotated[str, msgspec.Meta(min_length=1, max_length=TEXT_MAX)]
+
+
+class _Meta(_Name):
+    revision: _Number = 0
+
+
+class _Object(msgspec.Struct):
+    meta: _Meta
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    removed: bool = False
+
+
+class _Listing(msgspec.Struct):
+    at_rev: _Number
+    items: list[_Object] = []
+    has_more: bool = False
+
+
+class _Watched(msgspec.Struct):
+    at_rev: _Number
+    events: list[_Event] = []
+
+
+_Frame = TypeVar("_Frame", bound=msgspec.Struct)
+
+
+class _ListingFrame(msgspec.Struct):
+    """A listing without its objects."""
+
+    at_rev: _Number
+    has_more: bool = False
+
+
+class _WatchedFrame(msgspec.Struct):
+    """The answer to a watch without its events."""
+
+    at_rev: _Number
+
+
+_decode_listing = msgspec.json.Decoder(_Listing).decode
+_decode_watched = msgspec.json.Decoder(_Watched).decode
+_decode_meta = msgspec.json.Decoder(_Meta).decode
+_decode_name = msgspec.json.Decoder(_Name).decode
+_decode_bool = msgspec.json.Decoder(bool).decode
+_decode_key = msgspec.json.Decoder(str).decode
+
+
+def read_listing(kind: StateKind, body: bytes) -> ReadAnswer:
+    """Reads a page of a listing.
+
+    Raises:
+        AnswerError: If the answer is not a listing. Objects that are not used do not raise.
+    """
+    reader = _ObjectReader(kind)
+    try:
+        listing = _decode_listing(body)
+    except DECODER_FAILURES:
+        members = _split_answer(body)
+        frame = _decode_frame(members, _ListingFrame)
+        for item in _split_array(members.get("items", b"[]")):
+            reader.read_separated(item, False)
+        return reader.build_answer(frame.at_rev, frame.has_more)
+    for item in listing.items:
+        reader.read(item.meta, item.spec, False)
+    return reader.build_answer(listing.at_rev, listing.has_more)
+
+
+def read_changes(kind: StateKind, body: bytes) -> ReadAnswer:
+    """Reads the answer to a watch.
+
+    Raises:
+        AnswerError: If the answer has another shape. Objects that are not used do not raise.
+    """
+    reader = _ObjectReader(kind)
+    try:
+        watched = _decode_watched(body)
+    except DECODER_FAILURES:
+        members = _split_answer(body)
+        frame = _decode_frame(members, _WatchedFrame)
+        for event in _split_array(members.get("events", b"[]")):
+            reader.read_separated_event(event)
+        return reader.build_answer(frame.at_rev)
+    for event in watched.events:
+        reader.read(event.object.meta, event.object.spec, event.removed)
+    return reader.build_answer(watched.at_rev)
+
+
+class _ObjectReader:
+    """Collects the changes and the refusals of one answer.
+
+    Args:
+        kind: Kind of the objects.
+    """
+
+    __slots__ = ("_changes", "_kind", "_refused")
+
+    def __init__(self, kind: StateKind) -> None:
+        self._kind = kind
+        self._changes: list[StateChange] = []
+        self._refused: list[RefusedObject] = []
+
+    def build_answer(self, revision: int, has_more: bool = False) -> ReadAnswer:
+        """Returns what was read."""
+        return ReadAnswer(tuple(self._changes), tuple(self._refused), revision, has_more)
+
+    def read(self, meta: _Meta, spec: msgspec.Raw | bytes, is_removed: bool) -> None:
+        """Reads an object whose name is known."""
+        if is_removed:
+            # What a removed object held has no meaning.
+            self._changes.append(StateChange(meta.name, None))
+            return
+        try:
+            record = decode_record(self._kind, meta.name, spec)
+        except ObjectShapeError as error:
+            self._refuse(meta.name, meta.revision, str(error))
+            return
+        self._changes.append(StateChange(meta.name, record))
+
+    def read_separated_event(self, event: bytes) -> None:
+        """Reads an event that the scanner has separated."""
+        try:
+            members = _split_object(event)
+            is_removed = _decode_bool(members.get("removed", b"false"))
+        except (AnswerError, *DECODER_FAILURES) as error:
+            self._refuse("", 0, f"event: {error}")
+            return
+        self.read_separated(members.get("object", b"null"), is_removed)
+
+    def read_separated(self, item: bytes, is_removed: bool) -> None:
+        """Reads an object that the scanner has separated."""
+        try:
+            members = _split_object(item)
+            meta_bytes = members.get("meta", b"null")
+            name = _decode_name(meta_bytes).name
+        except (AnswerError, *DECODER_FAILURES) as error:
+            self._refuse("", 0, f"meta: {error}")
+            return
+        try:
+            meta = _decode_meta(meta_bytes)
+        except DECODER_FAILURES as error:
+            if not is_removed:
+                self._refuse(name, 0, f"meta: {error}")
+                return
+            meta = _Meta(name)
+        self.read(meta, members.get("spec", b"null"), is_removed)
+
+    def _refuse(self, name: str, revision: int, reason: str) -> None:
+        self._refused.append(RefusedObject(self._kind, name, revision, reason[:_REASON_MAX]))
+        if name:
+            self._changes.append(StateChange(name, None, is_unreadable=True))
+
+
+def _split_answer(body: bytes) -> dict[str, bytes]:
+    try:
+        return _split_object(body)
+    except DECODER_FAILURES as error:
+        raise AnswerError(f"answer cannot be read: {error}") from error
+
+
+def _decode_frame(members: dict[str, bytes], shape: type[_Frame]) -> _Frame:
+    """Decodes the members of an answer that are no objects of the store."""
+    fields = {
+        name: msgspec.Raw(members[name]) for name in shape.__struct_fields__ if name in members
+    }
+    try:
+        return msgspec.json.decode(msgspec.json.encode(fields), type=shape)
+    except DECODER_FAILURES as error:
+        raise AnswerError(f"answer cannot be read: {error}") from error
+
+
+def _split_object(value: bytes) -> dict[str, bytes]:
+    """Returns the members of a JSON object, not decoded; of equal keys the last one.
+
+    Raises:
+        AnswerError: If the value is not an object whose strings and brackets match.
+        ValueError: If a key is not valid; also any other of DECODER_FAILURES.
+    """
+    members: dict[str, bytes] = {}
+    for member in _split_elements(value, b"{"):
+        key = _TOKEN.match(member)
+        if key is None or member[0] != _STRING:
+            raise AnswerError("a member of an object has no key")
+        rest = member[key.end() :].lstrip()
+        if not rest.startswith(b":"):
+            raise AnswerError("a member of an object has no value")
+        members[_decode_key(key.group())] = rest[1:].strip()
+    return members
+
+
+def _split_array(value: bytes) -> list[bytes]:
+    """Returns the elements of a JSON array, not decoded.
+
+    Raises:
+        AnswerError: If the value is not an array whose strings and brackets match.
+    """
+    return _split_elements(value, b"[")
+
+
+def _split_elements(value: bytes, opening: bytes) -> list[bytes]:
+    """Returns the parts between the commas of the outermost level of an array or object."""
+    value = value.strip()
+    if not value.startswith(opening):
+        raise AnswerError(f"expected {opening.decode()!r}")
+    elements = []
+    depth = 0
+    start = 1
+    end = 0
+    for token in _TOKEN.finditer(value):
+        char = value[token.start()]
+        if char in _OPENING:
+            depth += 1
+        elif char in _CLOSING:
+            depth -= 1
+        if depth == 0:
+            end = token.start()
+            break
+        if depth == 1 and char == _COMMA:
+            elements.append(value[start : token.start()].strip())
+            start = token.end()
+    if end == 0 or end + 1 != len(value):
+        raise AnswerError("answer is incomplete")
+    last = value[start:end].strip()
+    if last or elements:
+        elements.append(last)
+    return elements
--- a/src/catkinspread/platform/objects.py
+++ b/src/catkinspread/platform/objects.py
@@ -4,6 +4,7 @@
 """
 
 import ipaddress
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -31,7 +32,6 @@
     "download": RequestKind.DOWNLOAD,
 }
 _DRAINING = "draining"
-_READY = "ready"
 _KEY_MAX = 1 << 64
 
 
@@ -39,72 +39,98 @@
     """An object does not have the shape that its kind has."""
 
 
+# Longest name or other text of an object, in characters.
+TEXT_MAX = 255
+# Largest number; those beyond 64 bits with a sign cannot be passed on to other instances.
+NUMBER_MAX = (1 << 63) - 1
+# Largest time, rate, weight or capacity; far above any that occurs, and exact in a floating-point
+# number.
+_AMOUNT_MAX = 1 << 53
+_PORT_MAX = 65_535
+# Routes, services or backends of one configuration.
+_ITEMS_MAX = 100_000
+# Addresses from here on are multicast, reserved or broadcast.
+_FIRST_OCTET_END = 224
+_ADDRESS_MAX = len("255.255.255.255:65535")
+
+_Text = Annotated[str, msgspec.Meta(max_length=TEXT_MAX)]
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=TEXT_MAX)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=NUMBER_MAX)]
+_Amount = Annotated[int, msgspec.Meta(ge=0, le=_AMOUNT_MAX)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=_AMOUNT_MAX)]
+
+
 class _WireBackend(msgspec.Struct):
-    service: str
-    weight: float = 1.0
+    service: _Name
+    weight: _Rate = 1.0
 
 
 class _WireRoute(msgspec.Struct):
-    name: str
-    host: str
-    path_prefix: str
-    kind: str
-    service: str = ""
+    name: _Name
+    host: Annotated[str, msgspec.Meta(max_length=_ADDRESS_MAX)]
+    path_prefix: _Text
+    kind: _Text
+    service: _Text = ""
     # Services that share the flows of the route, in place of `service`.
-    backends: list[_WireBackend] = []
-    timeout_ms: int = 0
-    priority: int = 0
+    backends: Annotated[list[_WireBackend], msgspec.Meta(max_length=_ITEMS_MAX)] = []
+    timeout_ms: _Amount = 0
+    priority: _Amount = 0
 
 
 class _WireService(msgspec.Struct):
-    name: str
-    max_flows: int = 0
-    cold_per_s: float = 0.0
+    name: _Name
+    max_flows: _Amount = 0
+    cold_per_s: _Rate = 0.0
 
 
 class _WireLimits(msgspec.Struct):
-    idle_timeout_ms: int = 15_000
+    idle_timeout_ms: _Amount = 15_000
 
 
 class _WireConfiguration(msgspec.Struct):
-    version: int
-    routes: list[_WireRoute]
-    services: list[_WireService]
+    version: _Count
+    routes: Annotated[list[_WireRoute], msgspec.Meta(max_length=_ITEMS_MAX)]
+    services: Annotated[list[_WireService], msgspec.Meta(max_length=_ITEMS_MAX)]
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
 
 
 class _WireServer(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
-    state: str
-    slots: int = 2
-    cold_left_ms: float = 0
-    born: int = 0
+    service: _Name
+    address: Annotated[str, msgspec.Meta(max_length=_ADDRESS_MAX)]
+    zone: _Name
+    state: Literal["ready", "draining"]
+    slots: _Amount = 2
+    cold_left_ms: _Rate = 0
+    born: _Count = 0
     # Counts the reports of one process, not the changes of the object.
-    seq: int = 0
+    seq: _Count = 0
+
+
+_decode_configuration_object = msgspec.json.Decoder(_WireConfiguration).decode
+_decode_server = msgspec.json.Decoder(_WireServer).decode
 
 
-def decode_record(kind: StateKind, name: str, spec: object) -> StateRecord | None:
+def decode_record(kind: StateKind, name: str, spec: msgspec.Raw | bytes) -> StateRecord | None:
     """Returns the record of an object; None for an object that the kind does not use.
 
     Args:
         kind: Kind of the object.
         name: Name of the object.
-        spec: Its content.
+        spec: Its content as JSON, not decoded.
 
     Raises:
-        ObjectShapeError: If the content has another shape.
+        ObjectShapeError: If the content cannot be read, has another shape or exceeds a bound.
     """
     try:
         if kind is StateKind.EVACUATIONS:
+            # The content of an evacuation has no meaning; the object alone requests it.
             return name
         if kind is StateKind.UPSTREAMS:
-            return _decode_upstream(name, msgspec.convert(spec, _WireServer))
+            return _decode_upstream(name, _decode_server(spec))
         if name != CONFIGURATION_NAME:
             return None
-        return _decode_configuration(msgspec.convert(spec, _WireConfiguration))
-    except (msgspec.ValidationError, ValueError) as error:
+        return _decode_configuration(_decode_configuration_object(spec))
+    except (msgspec.DecodeError, ValueError, OverflowError, RecursionError) as error:
         raise ObjectShapeError(f"{KIND_PATHS[kind]}/{name}: {error}") from error
 
 
@@ -122,7 +148,7 @@
 
 def _decode_route(wire: _WireRoute) -> Route:
     address = ServiceAddress(
-        ip=int(ipaddress.IPv4Address(wire.host)), port=int(wire.path_prefix.strip("/"))
+        ip=int(ipaddress.IPv4Address(wire.host)), port=_decode_port(wire.path_prefix.strip("/"))
     )
     return Route(
         name=wire.name,
@@ -148,23 +174,39 @@
 
 
 def _decode_upstream(name: str, wire: _WireServer) -> UpstreamRecord:
-    if wire.state not in (_READY, _DRAINING):
-        raise ValueError(f"state {wire.state!r} is not known")
-    host, _, port = wire.address.rpartition(":")
+    host, port = _decode_address(wire.address)
     return UpstreamRecord(
         name=name,
         key=int("".join(filter(_is_hex_digit, name)), 16) % _KEY_MAX,
         service=wire.service,
         data_centre=wire.zone,
-        host=str(ipaddress.IPv4Address(host)),
-        port=int(port),
+        host=host,
+        port=port,
         work_slots=max(1, wire.slots),
         is_draining=wire.state == _DRAINING,
-        cold_remaining_ms=max(0, round(wire.cold_left_ms)),
+        cold_remaining_ms=round(wire.cold_left_ms),
         born_ms=wire.born,
         report_number=wire.seq,
     )
 
 
+def _decode_address(address: str) -> tuple[str, int]:
+    """Returns the host and port of an address that one process can have."""
+    host, _, port = address.rpartition(":")
+    ip = ipaddress.IPv4Address(host)
+    if not 0 < ip.packed[0] < _FIRST_OCTET_END:
+        raise ValueError(f"address {address!r} is not that of one host")
+    return str(ip), _decode_port(port)
+
+
+def _decode_port(text: str) -> int:
+    if not (text.isascii() and text.isdecimal()):
+        raise ValueError(f"port {text!r} is not a number")
+    port = int(text)
+    if not 1 <= port <= _PORT_MAX:
+        raise ValueError(f"port {port} is not between 1 and {_PORT_MAX}")
+    return port
+
+
 def _is_hex_digit(char: str) -> bool:
     return char in "0123456789abcdefABCDEF"
--- a/src/catkinspread/platform/store.py
+++ b/src/catkinspread/platform/store.py
@@ -1,10 +1,7 @@
 """Client of the platform's metadata store."""
 
 import collections
-from typing import TypeVar
-
-import msgspec
-from absl import logging
+from collections.abc import Callable
 
 from catkinspread.deployment import (
     HistoryLost,
@@ -16,7 +13,9 @@
 )
 from catkinspread.httpclient import HttpClient, HttpFailure, HttpResponse
 from catkinspread.model import Endpoint
-from catkinspread.platform.objects import KIND_PATHS, ObjectShapeError, decode_record
+from catkinspread.platform.answers import AnswerError, ReadAnswer, read_changes, read_listing
+from catkinspread.platform.objects import KIND_PATHS
+from catkinspread.platform.refusals import RefusalLog
 
 BASE_PATH = "/catkinspread/objects/"
 _GONE = 410
@@ -28,33 +27,11 @@
 # A listing may be large, and the store may be slow.
 LIST_TIMEOUT_MS = 1_500
 
-_Shape = TypeVar("_Shape")
-
-
-class _Meta(msgspec.Struct):
-    name: str
-    revision: int = 0
-
-
-class _Object(msgspec.Struct):
-    meta: _Meta
-    spec: msgspec.Raw = msgspec.Raw(b"null")
-
-
-class _Event(msgspec.Struct):
-    object: _Object
-    removed: bool = False
-
-
-class _Listing(msgspec.Struct):
-    at_rev: int
-    items: list[_Object] = []
-    has_more: bool = False
-
-
-class _Watched(msgspec.Struct):
-    at_rev: int
-    events: list[_Event] = []
+# Most objects of one listing; far above the largest deployment. A store whose pages never end would
+# fill the memory otherwise.
+LISTING_OBJECTS_MAX = 100_000
+# A longer era is not a number of 64 bits.
+_ERA_DIGITS_MAX = 18
 
 
 class StoreClient:
@@ -63,16 +40,20 @@
     Args:
         client: Makes the calls.
         endpoint: Address of the store.
+        refusals: Logs the objects that are not used; None for a log of its own.
 
     Attributes:
         call_counts: Number of calls by `list_KIND` and `watch_KIND`.
     """
 
-    __slots__ = ("_client", "_endpoint", "call_counts")
+    __slots__ = ("_client", "_endpoint", "_refusals", "call_counts")
 
-    def __init__(self, client: HttpClient, endpoint: Endpoint) -> None:
+    def __init__(
+        self, client: HttpClient, endpoint: Endpoint, refusals: RefusalLog | None = None
+    ) -> None:
         self._client = client
         self._endpoint = endpoint
+        self._refusals = refusals or RefusalLog()
         self.call_counts: collections.Counter[str] = collections.Counter()
 
     async def list_records(self, kind: StateKind) -> StateChanges:
@@ -82,17 +63,21 @@
         first: SourcePosition | None = None
         while True:
             answer = await self._call(kind, parameters, LIST_TIMEOUT_MS)
-            listing = _decode(answer.body, _Listing)
-            changes.extend(_convert(kind, item, False) for item in listing.items)
-            position = SourcePosition(_read_era(answer), listing.at_rev)
+            page = self._read(read_listing, kind, answer)
+            changes.extend(page.changes)
+            position = SourcePosition(_read_era(answer), page.revision)
             if first is None:
                 # Later pages are newer; changes since the first one are asked for again.
                 first = position
             if position.era != first.era:
                 raise SourceUnavailable(f"{kind.value}: the store was restored between two pages")
-            if not listing.has_more or not listing.items:
+            if not page.has_more or not (page.changes or page.refused):
                 return StateChanges(tuple(changes), first.revision, first.era)
-            parameters = {"after": listing.items[-1].meta.name}
+            parameters = {"after": _find_next_page(kind, page, parameters.get("after", ""))}
+            if len(changes) > LISTING_OBJECTS_MAX:
+                raise SourceUnavailable(
+                    f"{kind.value}: more than {LISTING_OBJECTS_MAX} objects in one listing"
+                )
 
     async def wait_for_changes(
         self, kind: StateKind, position: SourcePosition, timeout_ms: int
@@ -100,9 +85,22 @@
         """Returns the changes after a position; see `StateSource`."""
         parameters = {"watch": str(position.revision), "wait_ms": str(timeout_ms)}
         answer = await self._call(kind, parameters, timeout_ms + ANSWER_TIMEOUT_MS)
-        watched = _decode(answer.body, _Watched)
-        changes = tuple(_convert(kind, event.object, event.removed) for event in watched.events)
-        return StateChanges(changes, watched.at_rev, _read_era(answer))
+        watched = self._read(read_changes, kind, answer)
+        return StateChanges(watched.changes, watched.revision, _read_era(answer))
+
+    def _read(
+        self,
+        read: Callable[[StateKind, bytes], ReadAnswer],
+        kind: StateKind,
+        answer: HttpResponse,
+    ) -> ReadAnswer:
+        try:
+            result = read(kind, answer.body)
+        except AnswerError as error:
+            raise SourceUnavailable(f"{kind.value}: {error}") from error
+        for refused in result.refused:
+            self._refusals.record(refused)
+        return result
 
     async def _call(
         self, kind: StateKind, parameters: dict[str, str], timeout_ms: int
@@ -122,33 +120,22 @@
         return result
 
 
+def _find_next_page(kind: StateKind, page: ReadAnswer, previous: str) -> str:
+    """Returns the name after which the next page begins.
+
+    Raises:
+        SourceUnavailable: If the page does not lead on from the previous one.
+    """
+    name = page.changes[-1].name if page.changes else ""
+    if not name or name == previous:
+        raise SourceUnavailable(f"{kind.value}: the page after {previous!r} does not lead on")
+    return name
+
+
 def _read_era(answer: HttpResponse) -> int:
     value = answer.find_header(_ERA_HEADER)
     if value is None:
         return 0
-    try:
-        return int(value)
-    except ValueError as error:
-        raise SourceUnavailable(f"era {value!r} of the store is not a number") from error
-
-
-def _decode(body: bytes, shape: type[_Shape]) -> _Shape:
-    try:
-        return msgspec.json.decode(body, type=shape)
-    except msgspec.DecodeError as error:
-        raise SourceUnavailable(f"answer cannot be read: {error}") from error
-
-
-def _convert(kind: StateKind, item: _Object, is_removed: bool) -> StateChange:
-    name = item.meta.name
-    if is_removed:
-        return StateChange(name, None)
-    try:
-        # The content of an evacuation has no meaning; the object alone requests it.
-        spec = None if kind is StateKind.EVACUATIONS else msgspec.json.decode(item.spec)
-        return StateChange(name, decode_record(kind, name, spec))
-    except (ObjectShapeError, msgspec.DecodeError) as error:
-        logging.warning(
-            "platform: object %s at revision %d is not used: %s", name, item.meta.revision, error
-        )
-        return StateChange(name, None, is_unreadable=True)
+    if not value.isdigit() or len(value) > _ERA_DIGITS_MAX:
+        raise SourceUnavailable(f"era {value[:_ERA_DIGITS_MAX]!r} of the store is not a number")
+    return int(value)
--- a/src/catkinspread/platform/tests/test_objects.py
+++ b/src/catkinspread/platform/tests/test_objects.py
@@ -1,5 +1,6 @@
 """Objects of the platform's store, well formed and not."""
 
+import msgspec
 import pytest
 
 from catkinspread.deployment import (
@@ -10,7 +11,9 @@
     StateKind,
     UpstreamRecord,
 )
-from catkinspread.platform.objects import ObjectShapeError, decode_record
+from catkinspread.deployment.source import StateRecord
+from catkinspread.platform import objects
+from catkinspread.platform.objects import ObjectShapeError
 
 SERVER = {
     "service": "pages",
@@ -42,6 +45,11 @@
 }
 
 
+def decode_record(kind: StateKind, name: str, spec: object) -> StateRecord | None:
+    """Decodes content as the store gives it out."""
+    return objects.decode_record(kind, name, msgspec.json.encode(spec))
+
+
 def test_decodes_an_upstream() -> None:
     """Guards against names of the wire that end up in the wrong field."""
     record = decode_record(StateKind.UPSTREAMS, "i-7f3a91c2", SERVER)
--- a/src/catkinspread/platform/tests/test_store.py
+++ b/src/catkinspread/platform/tests/test_store.py
@@ -145,3 +145,84 @@
     listing = anyio.run(store.list_records, StateKind.UPSTREAMS)
     assert [change.name for change in listing.changes] == ["i-ff", "i-1a"]
     assert [change.is_unreadable for change in listing.changes] == [True, False]
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        rb'{"service":"geb\udcfchr"}',
+        b'{"service":"geb\xfchr"}',
+        b'{"service":' + b'{"a":' * 1_100 + b"1" + b"}" * 1_100 + b"}",
+        b'{"service":1' + b"0" * 5_000 + b"}",
+        b'{"service":1e400}',
+        b'{"service":nul}',
+    ],
+    ids=["lone surrogate", "latin-1", "nested", "5,000 digits", "infinite", "junk"],
+)
+@pytest.mark.parametrize("is_watch", [False, True])
+def test_unreadable_entry_does_not_stop_the_reader(content: bytes, is_watch: bool) -> None:
+    """Guards against a listing or a watch that fails for ever because of one entry."""
+    bad = b'{"meta":{"name":"i-ff","revision":4},"spec":' + content + b"}"
+    good = msgspec.json.encode(_object("i-1a", SERVER))
+    if is_watch:
+        body = b'{"events":[{"object":%b},{"object":%b}],"at_rev":5}' % (bad, good)
+        store, _ = _client(HttpResponse(200, body))
+        position = SourcePosition(0, 1)
+        read = anyio.run(store.wait_for_changes, StateKind.UPSTREAMS, position, 100)
+    else:
+        store, _ = _client(_listing(bad, good))
+        read = anyio.run(store.list_records, StateKind.UPSTREAMS)
+    assert read.revision == 5
+    assert [change.name for change in read.changes] == ["i-ff", "i-1a"]
+    assert [change.is_unreadable for change in read.changes] == [True, False]
+
+
+def test_removal_of_an_unreadable_entry_is_read() -> None:
+    """Guards against an evacuation or an entry that stays because its last content is unreadable."""
+    bad = b'{"meta":{"name":"east"},"spec":"\xfc"}'
+    body = b'{"events":[{"object":%b,"removed":true}],"at_rev":5}' % bad
+    store, _ = _client(HttpResponse(200, body))
+    read = anyio.run(store.wait_for_changes, StateKind.EVACUATIONS, SourcePosition(0, 1), 100)
+    assert [(change.record, change.is_unreadable) for change in read.changes] == [(None, False)]
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        HttpResponse(200, b'{"items":[{"meta":{"name":"i-1a"}}'),
+        HttpResponse(200, b'{"items":[],"at_rev":18446744073709551616}'),
+        HttpResponse(200, b'{"items":[],"at_rev":-1}'),
+        HttpResponse(200, b'{"items":7,"at_rev":1}'),
+        HttpResponse(200, b'{"items":' + b"[" * 2_000 + b"]" * 2_000 + b"}"),
+        HttpResponse(200, b"[" * 100_000),
+        HttpResponse(200, b'"' * 99_999),
+        HttpResponse(200, b'{"items":[],"at_rev":1}', ((b"Store-Era", b"1" * 5_000),)),
+        HttpResponse(200, b'{"items":[],"at_rev":1}', ((b"Store-Era", b"-1"),)),
+    ],
+    ids=[
+        "half",
+        "at_rev beyond 64 bits",
+        "negative at_rev",
+        "items of another type",
+        "nested",
+        "brackets",
+        "quotes",
+        "era of 5,000 digits",
+        "negative era",
+    ],
+)
+def test_answer_that_cannot_be_read_counts_as_an_outage(answer: HttpResponse) -> None:
+    """Guards against an answer of the store as a whole that ends the reader."""
+    store, _ = _client(answer)
+    with pytest.raises(SourceUnavailable):
+        anyio.run(store.list_records, StateKind.UPSTREAMS)
+
+
+@pytest.mark.parametrize("name", ["east", "x"])
+def test_pages_that_do_not_lead_on_end_the_listing(name: str) -> None:
+    """Guards against a listing that goes on for ever and fills the memory."""
+    page = {"items": [_object(name, {})], "has_more": True, "at_rev": 5}
+    store, scripted = _client(*[_answer(200, page)] * 3)
+    with pytest.raises(SourceUnavailable):
+        anyio.run(store.list_records, StateKind.EVACUATIONS)
+    assert len(scripted.queries) == 2
