--- a/src/catkinspread/platform/objects.py
+++ b/src/catkinspread/platform/objects.py
@@ -95,15 +95,19 @@
 
 
 class _WireServer(msgspec.Struct):
+    """The entry of a target; it always writes every field, so none has a default."""
+
     service: _Name
     address: Annotated[str, msgspec.Meta(max_length=_ADDRESS_MAX)]
     zone: _Name
+    # Only its type is checked.
+    version: _Text
     state: Literal["ready", "draining"]
-    slots: _Amount = 2
-    cold_left_ms: _Rate = 0
-    born: _Count = 0
+    slots: _Amount
+    cold_left_ms: _Rate
+    born: _Count
     # Counts the reports of one process, not the changes of the object.
-    seq: _Count = 0
+    seq: _Count
 
 
 _decode_configuration_object = msgspec.json.Decoder(_WireConfiguration).decode
--- a/src/catkinspread/platform/stand_ins/objects.py
+++ b/src/catkinspread/platform/stand_ins/objects.py
@@ -10,6 +10,9 @@
     RequestKind.DOWNLOAD: "download",
 }
 
+# The version of the upstream's software, which instances only check for its type.
+_SOFTWARE_VERSION = "v1"
+
 
 def encode_upstream_name(key: int) -> str:
     """Returns the name whose hexadecimal digits make the key of an upstream."""
@@ -22,6 +25,7 @@
         "service": record.service,
         "address": f"{record.host}:{record.port}",
         "zone": record.data_centre,
+        "version": _SOFTWARE_VERSION,
         "state": "draining" if record.is_draining else "ready",
         "slots": record.work_slots,
         "cold_left_ms": record.cold_remaining_ms,
--- a/src/catkinspread/platform/tests/deployment.py
+++ b/src/catkinspread/platform/tests/deployment.py
@@ -85,10 +85,12 @@
             "service": "pages",
             "address": f"{UPSTREAMS[number]}:{self._packet_port}",
             "zone": "east",
+            "version": "v1",
             "state": state,
             "slots": 2,
             "cold_left_ms": 0,
             "born": 1,
+            "seq": 1,
         }
         self.store.put(StateKind.UPSTREAMS, f"i-{number}a", spec)
 
--- a/src/catkinspread/platform/tests/test_objects.py
+++ b/src/catkinspread/platform/tests/test_objects.py
@@ -123,3 +123,82 @@
 def test_other_objects_of_the_kind_are_not_used() -> None:
     """Guards against a second configuration that replaces the one in force."""
     assert decode_record(StateKind.CONFIGURATION, "draft", CONFIGURATION) is None
+
+
+@pytest.mark.parametrize("field", sorted(SERVER))
+def test_entry_with_a_missing_field_names_no_upstream(field: str) -> None:
+    """Guards against an incomplete entry of another writer that is taken for a target's own."""
+    incomplete = {name: value for name, value in SERVER.items() if name != field}
+    with pytest.raises(ObjectShapeError):
+        decode_record(StateKind.UPSTREAMS, "i-7f3a91c2", incomplete)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": "10.128.0.9:0"},
+        {"address": "10.128.0.9:65536"},
+        {"address": "10.128.0.9:99999"},
+        {"address": "10.128.0.9:-1"},
+        {"address": "10.128.0.9:+80"},
+        {"address": "10.128.0.9: 80"},
+        {"address": "10.128.0.9:\uff18\uff10"},
+        {"address": "10.128.0.9:" + "9" * 5_000},
+        {"address": "0.0.0.0:80"},
+        {"address": "224.0.0.1:80"},
+        {"address": "255.255.255.255:80"},
+        {"service": ""},
+        {"service": "s" * 256},
+        {"zone": ""},
+        {"zone": "z" * 256},
+        {"version": 1},
+        {"version": "v" * 256},
+        {"slots": -1},
+        {"slots": 2**53 + 1},
+        {"slots": True},
+        {"cold_left_ms": -1},
+        {"cold_left_ms": 1e300},
+        {"cold_left_ms": "0"},
+        {"born": -1},
+        {"born": 2**63},
+        {"born": 1.5},
+        {"seq": -1},
+        {"seq": 2**63},
+        {"seq": 2**64 - 1},
+    ],
+    ids=str,
+)
+def test_value_beyond_its_bound_names_no_upstream(change: dict[str, object]) -> None:
+    """Guards against a value that cannot be used or cannot be passed on to another instance."""
+    with pytest.raises(ObjectShapeError):
+        decode_record(StateKind.UPSTREAMS, "i-7f3a91c2", {**SERVER, **change})
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": 2**63},
+        {"version": -1},
+        {"routes": {}},
+        {"routes": [{**CONFIGURATION["routes"][0], "path_prefix": "/65536/"}]},
+        {"routes": [{**CONFIGURATION["routes"][0], "path_prefix": "/0/"}]},
+        {"routes": [{**CONFIGURATION["routes"][0], "host": "example"}]},
+        {"routes": [{**CONFIGURATION["routes"][0], "timeout_ms": 2**64}]},
+        {"routes": [{**CONFIGURATION["routes"][0], "service": ""}]},
+        {"services": [{"name": "pages", "cold_per_s": -1}]},
+        {"services": [{"name": "pages", "max_flows": 2**64}]},
+    ],
+    ids=str,
+)
+def test_configuration_beyond_a_bound_is_not_used(change: dict[str, object]) -> None:
+    """Guards against a configuration that cannot be used or passed on to another instance."""
+    with pytest.raises(ObjectShapeError):
+        decode_record(StateKind.CONFIGURATION, "main", {**CONFIGURATION, **change})
+
+
+def test_largest_values_within_the_bounds_are_used() -> None:
+    """Guards against bounds that refuse what a target may write."""
+    largest = {"seq": 2**63 - 1, "born": 2**63 - 1, "slots": 0, "address": "10.128.0.9:65535"}
+    record = decode_record(StateKind.UPSTREAMS, "i-7f3a91c2", {**SERVER, **largest, "extra": [1]})
+    assert isinstance(record, UpstreamRecord)
+    assert (record.port, record.work_slots, record.report_number) == (65_535, 1, 2**63 - 1)
