An unreadable entry leaves its target in use

Callers lost the capacity of a target while an entry of another writer stood under its name: it became a last resort at once, although its process goes on and writes its own entry again with its next heartbeat. A complete entry with the start time of the target's process moved it to another service or address.

The last good record stays in use. If the entry stays unreadable for MISSING_GRACE_MS (2.3 s; a target that is alive writes within a heartbeat), the target becomes a last resort as before; it is never removed for it. The bound is below drain_ms, so a target that has left and whose name another writer keeps gets no more new flows than a drained one. A record that names another service, data centre or address with the same born and a seq that is not larger contradicts its process and counts as unreadable.

--- a/src/catkinspread/deployment/records.py
+++ b/src/catkinspread/deployment/records.py
@@ -172,3 +172,19 @@
         Clocks that were set back between two starts make the result wrong.
         """
         return (self.born_ms, self.report_number) < (other.born_ms, other.report_number)
+
+    def contradicts(self, earlier: "UpstreamRecord") -> bool:
+        """Whether the process of an earlier record of the same name cannot have written this one.
+
+        A process keeps its service and its address, and counts its reports. A record of another
+        start of the process contradicts nothing.
+        """
+        if self.born_ms != earlier.born_ms or self.report_number > earlier.report_number:
+            return False
+        return (self.service, self.data_centre, self.host, self.port, self.key) != (
+            earlier.service,
+            earlier.data_centre,
+            earlier.host,
+            earlier.port,
+            earlier.key,
+        )
--- a/src/catkinspread/deployment/state.py
+++ b/src/catkinspread/deployment/state.py
@@ -14,8 +14,11 @@
 
 A new record of a missing or removed upstream makes it available again.
 
-While the source holds a record that cannot be read, the upstream counts as missing, because
-nothing is known about it, but it does not become removed or gone.
+A record that cannot be read was not written by the upstream, whose process goes on. It stays in use
+as its last record says. An upstream that is alive writes again within a heartbeat interval; one whose
+record stays unreadable for MISSING_GRACE_MS counts as missing from then on, but does not become
+removed or gone. The same holds for a record that contradicts the last one of the same process: a
+process does not change its service or its address.
 """
 
 import msgspec
@@ -56,21 +59,22 @@
         record: Latest record of the upstream.
         token: Number that identifies it in packets.
         cold_until_ms: End of its cold start.
-        missing_since_ms: When its record disappeared from the source or became unreadable; None
-            while there is a readable one.
-        has_unreadable_record: Whether the source holds a record of it that cannot be read.
+        missing_since_ms: When its record disappeared from the source, or had been unreadable for
+            MISSING_GRACE_MS; None while it is in use.
+        unreadable_since_ms: Since when the source holds a record of it that is not used; None if
+            the record is readable or missing.
         is_removed: Whether it is removed, as defined at the top of this module.
         is_gone: Whether it is gone, as defined at the top of this module.
     """
 
     __slots__ = (
         "cold_until_ms",
-        "has_unreadable_record",
         "is_gone",
         "is_removed",
         "missing_since_ms",
         "record",
         "token",
+        "unreadable_since_ms",
     )
 
     def __init__(self, record: UpstreamRecord, now_ms: int) -> None:
@@ -78,7 +82,7 @@
         self.token = compute_token(record.name)
         self.cold_until_ms = now_ms + record.cold_remaining_ms
         self.missing_since_ms: int | None = None
-        self.has_unreadable_record = False
+        self.unreadable_since_ms: int | None = None
         self.is_removed = False
         self.is_gone = False
 
@@ -87,7 +91,7 @@
         self.record = record
         self.cold_until_ms = now_ms + record.cold_remaining_ms
         self.missing_since_ms = None
-        self.has_unreadable_record = False
+        self.unreadable_since_ms = None
         self.is_removed = False
         self.is_gone = False
 
@@ -202,7 +206,10 @@
         return ApplyOutcome(True, f"version {configuration.version}")
 
     def put_upstream(self, record: UpstreamRecord, now_ms: int) -> ApplyOutcome:
-        """Adds an upstream or applies a newer record of it."""
+        """Adds an upstream or applies a newer record of it.
+
+        A record that contradicts the last one of the same process counts as unreadable.
+        """
         known = self._upstreams.get(record.name)
         if known is None:
             known = KnownUpstream(record, now_ms)
@@ -210,7 +217,10 @@
             self._by_token[known.token] = known
             self._eligible_by_service.clear()
             return ApplyOutcome(True, "new")
-        if known.record == record and known.missing_since_ms is None:
+        if record.contradicts(known.record):
+            return self._mark_unusable(known, now_ms, "contradicted")
+        is_in_use = known.missing_since_ms is None and known.unreadable_since_ms is None
+        if known.record == record and is_in_use:
             return _UNCHANGED
         known.update(record, now_ms)
         self._eligible_by_service.clear()
@@ -225,24 +235,25 @@
         known = self._upstreams.get(name)
         if known is None:
             return _UNCHANGED
-        if known.missing_since_ms is not None and not known.has_unreadable_record:
+        if known.missing_since_ms is not None and known.unreadable_since_ms is None:
             return _UNCHANGED
         known.missing_since_ms = now_ms
-        known.has_unreadable_record = False
+        known.unreadable_since_ms = None
         if known.record.is_draining:
             known.is_removed = True
         self._eligible_by_service.clear()
         return ApplyOutcome(True, "removed" if known.is_removed else "missing")
 
     def mark_upstream_unreadable(self, name: str, now_ms: int) -> ApplyOutcome:
-        """Marks an upstream as missing until its record is written again or disappears."""
+        """Notes that the record of an upstream cannot be read; its last record stays in use."""
         known = self._upstreams.get(name)
-        if known is None or known.missing_since_ms is not None:
+        return _UNCHANGED if known is None else self._mark_unusable(known, now_ms, "unreadable")
+
+    def _mark_unusable(self, known: KnownUpstream, now_ms: int, detail: str) -> ApplyOutcome:
+        if known.missing_since_ms is not None or known.unreadable_since_ms is not None:
             return _UNCHANGED
-        known.missing_since_ms = now_ms
-        known.has_unreadable_record = True
-        self._eligible_by_service.clear()
-        return ApplyOutcome(True, "unreadable")
+        known.unreadable_since_ms = now_ms
+        return ApplyOutcome(True, detail)
 
     def set_evacuated(self, data_centre: str, is_evacuated: bool) -> ApplyOutcome:
         """Sets whether a data centre is evacuated, so that its upstreams get no new flows."""
@@ -280,7 +291,10 @@
         gone = []
         known_until_ms = now_ms if answered_at_ms is None else answered_at_ms
         for known in list(self._upstreams.values()):
-            if known.missing_since_ms is None or known.has_unreadable_record:
+            if known.unreadable_since_ms is not None:
+                self._update_unreadable(known, now_ms)
+                continue
+            if known.missing_since_ms is None:
                 continue
             if known.is_removed and now_ms - known.missing_since_ms >= self._flow_lifetime_max_ms:
                 self._delete_upstream(known)
@@ -293,6 +307,15 @@
                     gone.append(known)
         return gone
 
+    def _update_unreadable(self, known: KnownUpstream, now_ms: int) -> None:
+        """Makes an upstream whose record stayed unreadable a last resort."""
+        since_ms = known.unreadable_since_ms
+        if since_ms is None or known.missing_since_ms is not None:
+            return
+        if now_ms - since_ms >= MISSING_GRACE_MS:
+            known.missing_since_ms = now_ms
+            self._eligible_by_service.clear()
+
     def _delete_upstream(self, known: KnownUpstream) -> None:
         del self._upstreams[known.record.name]
         if self._by_token.get(known.token) is known:
