--- a/src/catkinspread/deployment/records.py
+++ b/src/catkinspread/deployment/records.py
@@ -7,6 +7,17 @@
 
 import msgspec
 
+from catkinspread.deployment.bounds import (
+    Amount,
+    Count,
+    HostAddress,
+    Ip,
+    Name,
+    Port,
+    Rate,
+    Unsigned64,
+)
+
 # Number of buckets into which flow hashes are reduced before the weights are applied.
 _HASH_BUCKETS = 1 << 20
 
@@ -41,8 +52,8 @@
         port: Port number.
     """
 
-    ip: int
-    port: int
+    ip: Ip
+    port: Port
 
 
 class ServiceShare(msgspec.Struct, frozen=True):
@@ -53,8 +64,8 @@
         weight: Weight relative to the other services of the route; greater than 0.
     """
 
-    service: str
-    weight: float
+    service: Name
+    weight: Rate
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -69,12 +80,12 @@
         priority: Priority of the route; 0 is the highest.
     """
 
-    name: str
+    name: Name
     address: ServiceAddress
     shares: tuple[ServiceShare, ...]
     kind: RequestKind
-    timeout_ms: int
-    priority: int
+    timeout_ms: Amount
+    priority: Amount
 
     def rank_services(self, flow_hash: int) -> list[str]:
         """Returns the services in order of preference for a flow.
@@ -111,9 +122,9 @@
             upstream.
     """
 
-    name: str
-    cold_rate_per_s: float
-    connections_max: int
+    name: Name
+    cold_rate_per_s: Rate
+    connections_max: Amount
 
 
 class RoutingConfiguration(msgspec.Struct, frozen=True, tag="configuration"):
@@ -126,10 +137,10 @@
         idle_timeout_ms: Time without packets after which a flow may be discarded.
     """
 
-    version: int
+    version: Count
     routes: tuple[Route, ...]
     services: tuple[ServiceLimits, ...]
-    idle_timeout_ms: int
+    idle_timeout_ms: Amount
 
     def is_newer_than(self, other: "RoutingConfiguration | None") -> bool:
         """Whether this version replaces another one; any version replaces None."""
@@ -154,17 +165,17 @@
         report_number: Number of this report; increases with each report of a process.
     """
 
-    name: str
-    key: int
-    service: str
-    data_centre: str
-    host: str
-    port: int
-    work_slots: int
+    name: Name
+    key: Unsigned64
+    service: Name
+    data_centre: Name
+    host: HostAddress
+    port: Port
+    work_slots: Amount
     is_draining: bool
-    cold_remaining_ms: int
-    born_ms: int
-    report_number: int = 0
+    cold_remaining_ms: Amount
+    born_ms: Count
+    report_number: Count = 0
 
     def is_older_than(self, other: "UpstreamRecord") -> bool:
         """Whether the upstream wrote this record before another one of the same name.
--- a/src/catkinspread/deployment/source.py
+++ b/src/catkinspread/deployment/source.py
@@ -4,13 +4,14 @@
 
 import msgspec
 
+from catkinspread.deployment.bounds import Count, Name
 from catkinspread.deployment.records import (
     RoutingConfiguration,
     StateKind,
     UpstreamRecord,
 )
 
-StateRecord = RoutingConfiguration | UpstreamRecord | str
+StateRecord = RoutingConfiguration | UpstreamRecord | Name
 """A record of any kind; a string is the name of an evacuated data centre."""
 
 
@@ -47,7 +48,7 @@
         is_unreadable: Whether the source holds a record that cannot be read.
     """
 
-    name: str
+    name: Name
     record: StateRecord | None
     is_unreadable: bool = False
 
@@ -68,8 +69,8 @@
     """
 
     changes: tuple[StateChange, ...]
-    revision: int
-    era: int = 0
+    revision: Count
+    era: Count = 0
     is_complete: bool = True
 
     @property
--- a/src/catkinspread/peers/feed.py
+++ b/src/catkinspread/peers/feed.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
 
+from absl import logging
+
 from catkinspread.deployment import (
     HistoryLost,
     SourcePosition,
@@ -32,6 +34,7 @@
 # trips between data centres take milliseconds, so a peer that exceeds it counts as unreachable.
 _RESPONSE_TIMEOUT_MS = 700
 FEED_REQUEST_MAX_BYTES = 1_024
+UNENCODABLE_LOG_INTERVAL_S = 10
 
 
 # Position that a reader asked from, None for a listing; position of the answer; whether it is a
@@ -104,7 +107,19 @@
         key = (after, changes.position, changes.is_complete)
         cached = self._encoded_bodies.get(kind)
         if cached is None or cached[0] != key:
-            cached = (key, encode_state_changes(changes))
+            try:
+                cached = (key, encode_state_changes(changes))
+            except StateEncodingError as error:
+                # Readers leave a feeder that does not answer.
+                logging.log_every_n_seconds(
+                    logging.ERROR,
+                    "feed: %s at %s are not served: %s",
+                    UNENCODABLE_LOG_INTERVAL_S,
+                    kind.value,
+                    changes.position,
+                    error,
+                )
+                return HttpServerResponse(_UNAVAILABLE)
             self._encoded_bodies[kind] = cached
         return HttpServerResponse(_OK, cached[1])
 
--- a/src/catkinspread/platform/answers.py
+++ b/src/catkinspread/platform/answers.py
@@ -9,12 +9,13 @@
 """
 
 import re
-from typing import Annotated, TypeVar
+from typing import TypeVar
 
 import msgspec
 
 from catkinspread.deployment import StateChange, StateKind
-from catkinspread.platform.objects import NUMBER_MAX, TEXT_MAX, ObjectShapeError, decode_record
+from catkinspread.deployment.bounds import Count, Name
+from catkinspread.platform.objects import ObjectShapeError, decode_record
 
 # Longest reason of a refusal; the texts of an object may be much longer.
 _REASON_MAX = 200
@@ -29,8 +30,6 @@
 _STRING = ord('"')
 _COMMA = ord(",")
 
-_Number = Annotated[int, msgspec.Meta(ge=0, le=NUMBER_MAX)]
-
 
 class AnswerError(Exception):
     """An answer of the store cannot be read."""
@@ -69,11 +68,11 @@
 
 
 class _Name(msgspec.Struct):
-    name: Annotated[str, msgspec.Meta(min_length=1, max_length=TEXT_MAX)]
+    name: Name
 
 
 class _Meta(_Name):
-    revision: _Number = 0
+    revision: Count = 0
 
 
 class _Object(msgspec.Struct):
@@ -87,13 +86,13 @@
 
 
 class _Listing(msgspec.Struct):
-    at_rev: _Number
+    at_rev: Count
     items: list[_Object] = []
     has_more: bool = False
 
 
 class _Watched(msgspec.Struct):
-    at_rev: _Number
+    at_rev: Count
     events: list[_Event] = []
 
 
@@ -103,14 +102,14 @@
 class _ListingFrame(msgspec.Struct):
     """A listing without its objects."""
 
-    at_rev: _Number
+    at_rev: Count
     has_more: bool = False
 
 
 class _WatchedFrame(msgspec.Struct):
     """The answer to a watch without its events."""
 
-    at_rev: _Number
+    at_rev: Count
 
 
 _decode_listing = msgspec.json.Decoder(_Listing).decode
--- a/src/catkinspread/platform/objects.py
+++ b/src/catkinspread/platform/objects.py
@@ -19,6 +19,7 @@
     StateRecord,
     UpstreamRecord,
 )
+from catkinspread.deployment.bounds import NAME_MAX, PORT_MAX, Amount, Count, Name, Rate
 
 KIND_PATHS = {
     StateKind.CONFIGURATION: "config",
@@ -39,56 +40,44 @@
     """An object does not have the shape that its kind has."""
 
 
-# Longest name or other text of an object, in characters.
-TEXT_MAX = 255
-# Largest number; those beyond 64 bits with a sign cannot be passed on to other instances.
-NUMBER_MAX = (1 << 63) - 1
-# Largest time, rate, weight or capacity; far above any that occurs, and exact in a floating-point
-# number.
-_AMOUNT_MAX = 1 << 53
-_PORT_MAX = 65_535
 # Routes, services or backends of one configuration.
 _ITEMS_MAX = 100_000
 # Addresses from here on are multicast, reserved or broadcast.
 _FIRST_OCTET_END = 224
 _ADDRESS_MAX = len("255.255.255.255:65535")
 
-_Text = Annotated[str, msgspec.Meta(max_length=TEXT_MAX)]
-_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=TEXT_MAX)]
-_Count = Annotated[int, msgspec.Meta(ge=0, le=NUMBER_MAX)]
-_Amount = Annotated[int, msgspec.Meta(ge=0, le=_AMOUNT_MAX)]
-_Rate = Annotated[float, msgspec.Meta(ge=0, le=_AMOUNT_MAX)]
+_Text = Annotated[str, msgspec.Meta(max_length=NAME_MAX)]
 
 
 class _WireBackend(msgspec.Struct):
-    service: _Name
-    weight: _Rate = 1.0
+    service: Name
+    weight: Rate = 1.0
 
 
 class _WireRoute(msgspec.Struct):
-    name: _Name
+    name: Name
     host: Annotated[str, msgspec.Meta(max_length=_ADDRESS_MAX)]
     path_prefix: _Text
     kind: _Text
     service: _Text = ""
     # Services that share the flows of the route, in place of `service`.
     backends: Annotated[list[_WireBackend], msgspec.Meta(max_length=_ITEMS_MAX)] = []
-    timeout_ms: _Amount = 0
-    priority: _Amount = 0
+    timeout_ms: Amount = 0
+    priority: Amount = 0
 
 
 class _WireService(msgspec.Struct):
-    name: _Name
-    max_flows: _Amount = 0
-    cold_per_s: _Rate = 0.0
+    name: Name
+    max_flows: Amount = 0
+    cold_per_s: Rate = 0.0
 
 
 class _WireLimits(msgspec.Struct):
-    idle_timeout_ms: _Amount = 15_000
+    idle_timeout_ms: Amount = 15_000
 
 
 class _WireConfiguration(msgspec.Struct):
-    version: _Count
+    version: Count
     routes: Annotated[list[_WireRoute], msgspec.Meta(max_length=_ITEMS_MAX)]
     services: Annotated[list[_WireService], msgspec.Meta(max_length=_ITEMS_MAX)]
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
@@ -97,17 +86,17 @@
 class _WireServer(msgspec.Struct):
     """The entry of a target; it always writes every field, so none has a default."""
 
-    service: _Name
+    service: Name
     address: Annotated[str, msgspec.Meta(max_length=_ADDRESS_MAX)]
-    zone: _Name
+    zone: Name
     # Only its type is checked.
     version: _Text
     state: Literal["ready", "draining"]
-    slots: _Amount
-    cold_left_ms: _Rate
-    born: _Count
+    slots: Amount
+    cold_left_ms: Rate
+    born: Count
     # Counts the reports of one process, not the changes of the object.
-    seq: _Count
+    seq: Count
 
 
 _decode_configuration_object = msgspec.json.Decoder(_WireConfiguration).decode
@@ -207,8 +196,8 @@
     if not (text.isascii() and text.isdecimal()):
         raise ValueError(f"port {text!r} is not a number")
     port = int(text)
-    if not 1 <= port <= _PORT_MAX:
-        raise ValueError(f"port {port} is not between 1 and {_PORT_MAX}")
+    if not 1 <= port <= PORT_MAX:
+        raise ValueError(f"port {port} is not between 1 and {PORT_MAX}")
     return port
 
 
