Datagrams of peers hold bounds

A datagram could hold a host that is no IPv4 address, negative or huge numbers and empty names. They were kept in the directory: a host name would be looked up, which blocks, whenever something was sent to it, and a negative age was passed on to other instances. No such datagram was seen in use.

Each field of the messages has its bound; truncated or trailing data and deep nesting are a MessageError.

--- a/src/catkinspread/peers/messages.py
+++ b/src/catkinspread/peers/messages.py
@@ -4,9 +4,13 @@
 """
 
 import zlib
+from typing import Annotated
 
 import msgspec
 
+from catkinspread.deployment.bounds import Amount, Count, HostAddress, Name, Unsigned64
+from catkinspread.peers.compression import decompress_completely
+
 # Smaller messages are sent as they are; compression would gain little.
 COMPRESSION_MIN_BYTES = 256
 # The fastest level; higher levels gain little.
@@ -16,6 +20,12 @@
 _ZLIB_FIRST_BYTE = 0x78
 # Maximum size of a decompressed message; larger ones raise MessageError.
 MESSAGE_MAX_BYTES = 64 * 1024
+# Members in one message; `member_lists` lists fewer.
+_MEMBERS_MAX = 256
+# Upstreams in one report; as many as MESSAGE_MAX_BYTES can hold.
+_LOADS_MAX = 32 * 1024
+_TOKEN_MAX = 0xFFFF_FFFF
+_Token = Annotated[int, msgspec.Meta(ge=0, le=_TOKEN_MAX)]
 
 
 class MessageError(Exception):
@@ -32,10 +42,10 @@
         started_ms: Start time of its process in ms since the epoch; distinguishes restarts.
     """
 
-    name: str
-    data_centre: str
-    host: str
-    started_ms: int
+    name: Name
+    data_centre: Name
+    host: HostAddress
+    started_ms: Count
 
 
 class MemberStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -53,10 +63,10 @@
     """
 
     member: Member
-    source_age_ms: int | None
+    source_age_ms: Count | None
     has_state: bool
     is_leaving: bool
-    source_era: int | None = None
+    source_era: Count | None = None
 
 
 class KnownMember(msgspec.Struct, frozen=True, array_like=True):
@@ -68,7 +78,10 @@
     """
 
     member: Member
-    age_ms: int
+    age_ms: Count
+
+
+_Members = Annotated[tuple[KnownMember, ...], msgspec.Meta(max_length=_MEMBERS_MAX)]
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
@@ -82,8 +95,8 @@
     """
 
     status: MemberStatus
-    digest: int
-    members: tuple[KnownMember, ...] = ()
+    digest: Unsigned64
+    members: _Members = ()
 
 
 class HelloReply(msgspec.Struct, frozen=True, array_like=True, tag="reply"):
@@ -95,7 +108,7 @@
     """
 
     status: MemberStatus
-    members: tuple[KnownMember, ...]
+    members: _Members
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag="load"):
@@ -108,9 +121,9 @@
             without any are omitted.
     """
 
-    sender: str
-    sequence: int
-    in_flight: dict[int, int]
+    sender: Name
+    sequence: Count
+    in_flight: Annotated[dict[_Token, Amount], msgspec.Meta(max_length=_LOADS_MAX)]
 
 
 class UnreachableReport(msgspec.Struct, frozen=True, array_like=True, tag="unreachable"):
@@ -122,9 +135,9 @@
         unanswered_ms: Time in ms for which the upstream has not answered the sender.
     """
 
-    sender: str
-    token: int
-    unanswered_ms: int
+    sender: Name
+    token: _Token
+    unanswered_ms: Count
 
 
 PeerMessage = Hello | HelloReply | LoadReport | UnreachableReport
@@ -145,11 +158,18 @@
     """Decodes a datagram.
 
     Raises:
-        MessageError: If it is not a valid message, or larger than MESSAGE_MAX_BYTES.
+        MessageError: If it is not a valid message, holds a value beyond its bound, or is larger
+            than MESSAGE_MAX_BYTES.
     """
     try:
         if datagram[:1] == bytes([_ZLIB_FIRST_BYTE]):
-            datagram = zlib.decompressobj().decompress(datagram, MESSAGE_MAX_BYTES)
+            datagram = decompress_completely(datagram, MESSAGE_MAX_BYTES)
         return _decoder.decode(datagram)
-    except (msgspec.DecodeError, zlib.error, ValueError) as error:
+    except (
+        msgspec.DecodeError,
+        zlib.error,
+        OverflowError,
+        RecursionError,
+        ValueError,
+    ) as error:
         raise MessageError(str(error)) from error
--- a/src/catkinspread/peers/tests/test_messages.py
+++ b/src/catkinspread/peers/tests/test_messages.py
@@ -2,6 +2,7 @@
 
 import zlib
 
+import msgspec
 import pytest
 
 from catkinspread.peers import (
@@ -12,6 +13,7 @@
     Member,
     MemberStatus,
     MessageError,
+    UnreachableReport,
     decode_message,
     encode_message,
 )
@@ -58,3 +60,61 @@
     """Guards against a datagram of another program that ends the instance or fills its memory."""
     with pytest.raises(MessageError):
         decode_message(datagram)
+
+
+def _change_member(**change: object) -> bytes:
+    member = msgspec.structs.replace(MEMBERS[0].member, **change)
+    return encode_message(Hello(msgspec.structs.replace(STATUS, member=member), 1))
+
+
+@pytest.mark.parametrize(
+    "datagram",
+    [
+        _change_member(host="host.example"),
+        _change_member(host="10.1.0.256"),
+        _change_member(host="10.1.0.1\n"),
+        _change_member(host=""),
+        _change_member(name=""),
+        _change_member(name="n" * 256),
+        _change_member(started_ms=-1),
+        _change_member(started_ms=2**64 - 1),
+        encode_message(Hello(msgspec.structs.replace(STATUS, source_age_ms=-1), 1)),
+        encode_message(Hello(STATUS, -1)),
+        encode_message(HelloReply(STATUS, (msgspec.structs.replace(MEMBERS[0], age_ms=-1),))),
+        encode_message(HelloReply(STATUS, MEMBERS * 17)),
+        encode_message(LoadReport("edge-1", 2**64 - 1, {})),
+        encode_message(LoadReport("edge-1", 1, {2**32: 1})),
+        encode_message(LoadReport("edge-1", 1, {1: -1})),
+        encode_message(UnreachableReport("edge-1", 1, -1)),
+        encode_message(HelloReply(STATUS, MEMBERS)) + b"x",
+        encode_message(HelloReply(STATUS, MEMBERS))[:-1],
+        b"\x91" * 5_000,
+        b"\x94\xa5hello" + b"\x91" * 5_000,
+    ],
+    ids=[
+        "host name",
+        "no address",
+        "host with a newline",
+        "no host",
+        "no name",
+        "long name",
+        "negative start",
+        "start beyond 63 bits",
+        "negative age of the source",
+        "negative digest",
+        "negative age",
+        "too many members",
+        "sequence beyond 63 bits",
+        "token beyond 32 bits",
+        "negative load",
+        "negative time",
+        "trailing",
+        "without its checksum",
+        "nested",
+        "nested status",
+    ],
+)
+def test_message_beyond_a_bound_raises(datagram: bytes) -> None:
+    """Guards against a value of a datagram that raises when it is used or passed on."""
+    with pytest.raises(MessageError):
+        decode_message(datagram)
