A follower leaves a feeder whose answers fail

Followers of a feeder that could not encode its records kept it for ever, because its status stayed good: no change of a target reached them.

Three failed calls in a row for one kind of records, or more, end the use of the feeder for 5 s; the next feeder or the store is read. The calls are counted by kind, because a lost connection fails those of all kinds at once. The log has a line feeder_failed.

--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -37,6 +37,8 @@
 SOURCE_TIMEOUT_MS = 2_200
 # Time without a status after which a feeder is replaced by the next instance in rendezvous order.
 FEEDER_TIMEOUT_MS = 4_000
+# Time for which a feeder is not selected again after its answers have failed.
+FAILED_FEEDER_PAUSE_MS = 5_000
 # Time without news of an instance after which it is removed. The second constant is added for each
 # other instance that is known, because gossip takes longer to reach more instances.
 MEMBER_TIMEOUT_MS = 20_000
@@ -295,6 +297,15 @@
                 return self._peers[name].member
         return None
 
+    def record_failed_feeder(self, name: str, now_ms: int) -> None:
+        """Does not select an instance as the feeder for FAILED_FEEDER_PAUSE_MS.
+
+        Its status may be good although its answers fail.
+        """
+        peer = self._peers.get(name)
+        if peer is not None:
+            peer.feed_failed_until_ms = now_ms + FAILED_FEEDER_PAUSE_MS
+
     def find_source_answer_at_ms(self, name: str) -> int | None:
         """Returns when the source last answered an instance, as its last status tells.
 
@@ -350,6 +361,7 @@
         status_age_ms = now_ms - peer.status_at_ms
         return (
             status is not None
+            and now_ms >= peer.feed_failed_until_ms
             and status.has_state
             and not status.is_leaving
             and status.source_era is not None
--- a/src/catkinspread/peers/peer_record.py
+++ b/src/catkinspread/peers/peer_record.py
@@ -13,11 +13,13 @@
         status: The last status that it sent to this instance; None before the first one.
         status_at_ms: When that status arrived.
         polled_since_ms: Since when it is polled as a feeder; None if it is not.
+        feed_failed_until_ms: Until when it is not selected as a feeder because its answers failed.
         is_unresponsive: Whether it did not answer as a feeder and was replaced.
     """
 
     __slots__ = (
         "added_at_ms",
+        "feed_failed_until_ms",
         "is_unresponsive",
         "last_heard_at_ms",
         "member",
@@ -34,3 +36,4 @@
         self.status_at_ms = 0
         self.polled_since_ms: int | None = None
         self.is_unresponsive = False
+        self.feed_failed_until_ms = 0
--- a/src/catkinspread/peers/shared_source.py
+++ b/src/catkinspread/peers/shared_source.py
@@ -5,6 +5,7 @@
 change. Positions of an era that has ended are of no use: the records are listed again.
 """
 
+import collections
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -41,6 +42,9 @@
 # Wait of followers, which is longer than FEEDER_WAIT_MS, so that the feeders read the source first.
 FOLLOWER_WAIT_MS = 1_500
 _PEER_POLL_INTERVAL_MS = 10
+# Calls for one kind of records that fail in a row until another feeder is selected. The calls for all
+# kinds may fail at once when a connection is lost.
+FEEDER_FAILURES_MAX = 3
 # Maximum number of peers from which a listing is requested before the source is called.
 LISTING_PEERS_MAX = 2
 # Time that a follower without a feeder waits for a new one before it calls the source.
@@ -84,6 +88,7 @@
         "_directory",
         "_events",
         "_feeder",
+        "_feeder_failures",
         "_interrupted",
         "_is_first_start",
         "_open_peer_source",
@@ -112,6 +117,8 @@
         self._events = events
         self._clock = clock
         self._feeder: Member | None = None
+        # Calls to the feeder that failed in a row, by kind.
+        self._feeder_failures: collections.Counter[StateKind] = collections.Counter()
         # When it was decided whom the state is read from.
         self._reader_since_ms = clock.now_ms()
         self._interrupted = anyio.Event()
@@ -124,6 +131,7 @@
         if feeder == self._feeder:
             return
         self._feeder = feeder
+        self._feeder_failures.clear()
         self._reader_since_ms = now_ms
         name = feeder.name if feeder else ""
         self._events.write("feeder_changed", now_ms, feeder=name, own_source_age_ms=age_ms)
@@ -199,7 +207,8 @@
         """
         feeder = self._feeder
         if feeder is not None:
-            listing = await self._open_peer_source(feeder).list_records(kind)
+            call = self._open_peer_source(feeder).list_records(kind)
+            listing = await self._read_feeder(feeder, kind, call)
             if not self._is_behind(kind, listing):
                 return self._cache_listing(kind, listing, feeder)
             self._events.write(
@@ -240,9 +249,8 @@
         """Returns the changes after a position; None if the call was interrupted or is not due."""
         if feeder is not None:
             source = self._open_peer_source(feeder)
-            return await self._run_interruptible(
-                source.wait_for_changes(kind, position, timeout_ms)
-            )
+            poll = source.wait_for_changes(kind, position, timeout_ms)
+            return await self._run_interruptible(self._read_feeder(feeder, kind, poll))
         if not await self._wait_before_source_call(kind):
             return None
         if kind is SOURCE_PROBE_KIND:
@@ -362,6 +370,32 @@
         self._source_health.record_success(self._clock.now_ms())
         return changes
 
+    async def _read_feeder(
+        self, feeder: Member, kind: StateKind, call: Awaitable[StateChanges]
+    ) -> StateChanges:
+        """Returns the answer of the feeder; leaves it once FEEDER_FAILURES_MAX calls have failed."""
+        try:
+            changes = await call
+        except SourceUnavailable as error:
+            if feeder == self._feeder:
+                self._record_feeder_failure(feeder, kind, error)
+            raise
+        del self._feeder_failures[kind]
+        return changes
+
+    def _record_feeder_failure(
+        self, feeder: Member, kind: StateKind, error: SourceUnavailable
+    ) -> None:
+        self._feeder_failures[kind] += 1
+        if self._feeder_failures[kind] < FEEDER_FAILURES_MAX:
+            return
+        now_ms = self._clock.now_ms()
+        self._events.write_always(
+            "feeder_failed", now_ms, feeder=feeder.name, kind=kind.value, reason=str(error)
+        )
+        self._directory.record_failed_feeder(feeder.name, now_ms)
+        self.update_feeder()
+
     async def _run_interruptible(self, call: Awaitable[StateChanges]) -> StateChanges | None:
         """Returns the result of a call, or None if it was interrupted."""
         result: StateChanges | None = None
--- a/src/catkinspread/peers/tests/test_shared_source.py
+++ b/src/catkinspread/peers/tests/test_shared_source.py
@@ -3,6 +3,7 @@
 import random
 
 import anyio
+import pytest
 
 from catkinspread.clock import ManualClock
 from catkinspread.deployment import (
@@ -24,6 +25,8 @@
     SharedSource,
     StateCache,
 )
+from catkinspread.peers.directory import FAILED_FEEDER_PAUSE_MS
+from catkinspread.peers.shared_source import FEEDER_FAILURES_MAX
 
 KIND = StateKind.EVACUATIONS
 NOW_MS = 1_000_000
@@ -278,3 +281,50 @@
         first_choices.add(found[0].name)
         assert found[-1].name == "other-0"
     assert first_choices == {"other-1", "other-2", "other-3"}
+
+
+def test_follower_leaves_a_feeder_whose_answers_fail() -> None:
+    """Guards against followers of a feeder that cannot encode its records but has a good status."""
+    source, peer = ScriptedSource(90), ScriptedSource(50)
+    harness = SharedSourceHarness(source, peer)
+    harness.directory.set_remote_polling(False, NOW_MS)
+    harness.receive_peer_status(source_age_ms=10)
+    harness.shared._feeder = Member("other", "east", "10.0.0.2", 1)
+    position = SourcePosition(0, 50)
+
+    async def fail() -> None:
+        peer.is_down = True
+        for _ in range(FEEDER_FAILURES_MAX - 1):
+            with pytest.raises(SourceUnavailable):
+                await harness.shared.wait_for_changes(KIND, position, 10)
+        assert harness.shared._feeder is not None
+        with pytest.raises(SourceUnavailable):
+            await harness.shared.wait_for_changes(KIND, position, 10)
+
+    anyio.run(fail)
+    assert harness.shared._feeder is None
+    peer.is_down = False
+    harness.clock.advance(FAILED_FEEDER_PAUSE_MS)
+    harness.receive_peer_status(source_age_ms=10)
+    assert harness.directory.select_feeder(None, harness.clock.now_ms()) is not None
+
+
+def test_failures_of_different_kinds_do_not_add_up() -> None:
+    """Guards against leaving a good feeder because of one lost connection."""
+    source, peer = ScriptedSource(90), ScriptedSource(50)
+    harness = SharedSourceHarness(source, peer)
+    harness.receive_peer_status(source_age_ms=10)
+    harness.shared._feeder = Member("other", "east", "10.0.0.2", 1)
+
+    async def fail() -> None:
+        for _ in range(FEEDER_FAILURES_MAX - 1):
+            peer.is_down = True
+            for kind in StateKind:
+                with pytest.raises(SourceUnavailable):
+                    await harness.shared.wait_for_changes(kind, SourcePosition(0, 50), 10)
+        peer.is_down = False
+        for kind in StateKind:
+            await harness.shared.wait_for_changes(kind, SourcePosition(0, 50), 10)
+
+    anyio.run(fail)
+    assert harness.shared._feeder is not None
