Refused objects are in the log of the instance and on the metrics page

An entry that was not used left a warning on standard error at each read, and no metric counted it. The event object_refused has kind, name, revision and reason, once for each revision of an object; at most 1,024 are remembered. catkinspread_events_total{event="refused_object"} counts them.

--- a/src/catkinspread/platform/__init__.py
+++ b/src/catkinspread/platform/__init__.py
@@ -9,6 +9,7 @@
 __all__ = [
     "PacketPort",
     "ReadinessServer",
+    "RefusalLog",
     "SettingsFileUnknown",
     "StoreClient",
     "find_settings_file",
@@ -20,6 +21,7 @@
     {
         "PacketPort": "packet_port",
         "ReadinessServer": "readiness",
+        "RefusalLog": "refusals",
         "SettingsFileUnknown": "settings",
         "StoreClient": "store",
         "find_settings_file": "settings",
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -43,7 +43,13 @@
     StateCache,
     UnreachableReport,
 )
-from catkinspread.platform import PacketPort, ReadinessServer, StoreClient, read_request_id
+from catkinspread.platform import (
+    PacketPort,
+    ReadinessServer,
+    RefusalLog,
+    StoreClient,
+    read_request_id,
+)
 from catkinspread.runtime.graceful_shutdown import wait_until_unused
 from catkinspread.runtime.isolation import IsolationCheck
 from catkinspread.runtime.load_reports import LoadReporter
@@ -107,6 +113,7 @@
         "_local_availability",
         "_member",
         "_packet_port",
+        "_refusals",
         "_reloader",
         "_reporter",
         "_rng",
@@ -134,6 +141,7 @@
         self._startup = startup or StartupTimes(clock.now_ms())
         self._rng = random.Random()
         self._events = EventLog(settings.name, sink, clock)
+        self._refusals = RefusalLog(self._events, clock)
         self._state = DeploymentState(settings.flow_lifetime_max_ms)
         # Health of all calls of the synchroniser, including those answered by feeders.
         self._synchroniser_health = SourceHealth()
@@ -184,7 +192,7 @@
 
     async def _run_components(self, signals: AsyncIterator[signal.Signals]) -> None:
         async with HttpClient() as client, anyio.create_task_group() as group:
-            store = StoreClient(client, self._settings.source_address)
+            store = StoreClient(client, self._settings.source_address, self._refusals)
             shared = self._build_shared_source(client, store)
             group.start_soon(self._exchange.run)
             group.start_soon(self._run_packet_port)
@@ -313,6 +321,7 @@
             **{f"bytes_{name}": count for name, count in self._traffic.bytes_by_name.items()},
             "malformed_packet": self._packet_port.malformed_count,
             "malformed_message": self._exchange.malformed_count,
+            "refused_object": self._refusals.count,
             "dropped_log_line": self._events.dropped_count,
         }
 
