A target's name that makes the number 0 names no target

Packets that carry 0 are open to whichever process has the address, so an entry of another writer under a name such as i-0 could have sent requests of one service to another. Not seen in use.

test_name_without_a_number_names_no_upstream has three more names, which failed before.

--- a/src/catkinspread/platform/objects.py
+++ b/src/catkinspread/platform/objects.py
@@ -170,7 +170,7 @@
     host, port = _decode_address(wire.address)
     return UpstreamRecord(
         name=name,
-        key=int("".join(filter(_is_hex_digit, name)), 16) % _KEY_MAX,
+        key=_decode_key(name),
         service=wire.service,
         data_centre=wire.zone,
         host=host,
@@ -183,6 +183,19 @@
     )
 
 
+def _decode_key(name: str) -> int:
+    """Returns the number that packets to an upstream carry.
+
+    Raises:
+        ValueError: If the name has no hexadecimal digits, or if they make 0: packets with 0 would be
+            open to whichever process has the address.
+    """
+    key = int("".join(filter(_is_hex_digit, name)), 16) % _KEY_MAX
+    if not key:
+        raise ValueError(f"name {name!r} makes the number 0")
+    return key
+
+
 def _decode_address(address: str) -> tuple[str, int]:
     """Returns the host and port of an address that one process can have."""
     host, _, port = address.rpartition(":")
--- a/src/catkinspread/platform/tests/test_objects.py
+++ b/src/catkinspread/platform/tests/test_objects.py
@@ -114,10 +114,11 @@
         decode_record(StateKind.UPSTREAMS, "i-1", spec)
 
 
-def test_name_without_a_number_names_no_upstream() -> None:
+@pytest.mark.parametrize("name", ["xyz", "i-0", "i-00000000", "1" + "0" * 16])
+def test_name_without_a_number_names_no_upstream(name: str) -> None:
     """Guards against an upstream whose packets would be open to any process."""
     with pytest.raises(ObjectShapeError):
-        decode_record(StateKind.UPSTREAMS, "xyz", SERVER)
+        decode_record(StateKind.UPSTREAMS, name, SERVER)
 
 
 def test_other_objects_of_the_kind_are_not_used() -> None:
