Test of a whole instance with entries of another writer

Every entry of the corpus is written under a new name and under the names of both upstreams; the instance goes on, logs the refusals, serves a request, and reads that an upstream drains.

--- a/src/catkinspread/platform/tests/test_whole_path.py
+++ b/src/catkinspread/platform/tests/test_whole_path.py
@@ -3,11 +3,13 @@
 import itertools
 
 import anyio
+import msgspec
 import pytest
 
-from catkinspread.deployment import compute_token
+from catkinspread.deployment import StateKind, compute_token
 from catkinspread.platform.packets import FLAG_RST as RST
 from catkinspread.platform.stand_ins import StoreMode
+from catkinspread.platform.tests.corpus import ENTRIES, VALID
 from catkinspread.platform.tests.deployment import (
     ADDRESS,
     INSTANCES,
@@ -115,3 +117,35 @@
         assert is_refused == (service == "gone")
 
     play(scenario)
+
+
+def test_entries_of_another_writer_cost_only_themselves() -> None:
+    """Guards against the end of a process, a reader that stops, or a target that is lost.
+
+    The damaged entries stand under new names and under those of both upstreams. An entry that breaks
+    the answer as a whole is left out, because the store only gives out answers that are JSON.
+    """
+    names = ("i-ff", *(f"i-{number}a" for number in range(len(UPSTREAMS))))
+    entries = [entry for entry in ENTRIES if entry not in (VALID, VALID[:-20], VALID + b"}")]
+
+    async def scenario(deployment: Deployment) -> None:
+        refused = 0
+        for entry in entries:
+            for name in names:
+                deployment.store.put(StateKind.UPSTREAMS, name, msgspec.Raw(entry))
+        with anyio.fail_after(START_TIMEOUT_S):
+            while refused < len(names):
+                await anyio.sleep(0.05)
+                lines = deployment.lines[0].find("object_refused")
+                refused = len({line["name"] for line in lines})
+        port, head = await deployment.caller.open(ADDRESS)
+        answer = await deployment.caller.request(ADDRESS, port, head[3])
+        assert answer.startswith(b"HTTP/1.1 200")
+        deployment.put_upstream(0, state="draining")
+        await anyio.sleep(0.6)
+        opened = deployment.count_opened(0)
+        for _ in range(4):
+            await deployment.caller.open(ADDRESS)
+        assert deployment.count_opened(0) == opened
+
+    play(scenario)
