One line and status 5 when the packet port ends the process

An operator would have seen two lines for one end, and status 1 also for a failed packet socket.

A failed required part has status 5.

--- a/src/catkinspread/runtime/exit_status.py
+++ b/src/catkinspread/runtime/exit_status.py
@@ -2,7 +2,6 @@
 
 import enum
 import sys
-import types
 
 from catkinspread.clock import SystemClock
 from catkinspread.eventlog import EventLog, LineSink
@@ -19,6 +18,7 @@
     PACKET_ADDRESS_UNAVAILABLE = 3
     # Also used by `deploy/instance.py`, which cannot import this module then.
     PROGRAM_NOT_LOADED = 4
+    REQUIRED_PART_FAILED = 5
 
 
 def report_start_failure(sink: LineSink, instance: str, status: ExitStatus, detail: str) -> int:
@@ -52,38 +52,24 @@
         instance: Name of the instance.
         error: The error, possibly a group of errors.
     """
+    # Not imported before the packet socket is open.
+    import traceback
+
+    from catkinspread.supervision import RequiredPartFailed, describe_error, list_leaf_errors
+
+    leaves = list_leaf_errors(error)
+    is_part = any(isinstance(leaf, RequiredPartFailed) for leaf in leaves)
+    status = ExitStatus.REQUIRED_PART_FAILED if is_part else ExitStatus.UNEXPECTED_ERROR
     clock = SystemClock()
-    errors = [describe_error(leaf) for leaf in list_leaf_errors(error)]
+    described = [describe_error(leaf) for leaf in leaves]
+    errors = [f"{leaf.reason} at {leaf.place or 'an unknown place'}" for leaf in described]
     EventLog(instance, sink, clock).write_always(
         "ended_by_error",
         clock.now_ms(),
-        status=ExitStatus.UNEXPECTED_ERROR.value,
+        status=status.value,
         errors=errors[:_PLACES_MAX],
         error_count=len(errors),
     )
     print(f"ended by {'; '.join(errors[:_PLACES_MAX])}", file=sys.stderr)
-    import traceback  # Not needed before the packet socket is open.
-
     traceback.print_exception(error)
-    return ExitStatus.UNEXPECTED_ERROR
-
-
-def list_leaf_errors(error: BaseException) -> list[BaseException]:
-    """Returns the errors of a group and of the groups in it; an error that is no group itself."""
-    if not isinstance(error, BaseExceptionGroup):
-        return [error]
-    return [leaf for part in error.exceptions for leaf in list_leaf_errors(part)]
-
-
-def describe_error(error: BaseException) -> str:
-    """Returns type, message and place of an error in one line."""
-    place = _find_place(error.__traceback__)
-    return " ".join(f"{type(error).__name__}: {error} at {place}".split())
-
-
-def _find_place(innermost: types.TracebackType | None) -> str:
-    if innermost is None:
-        return "an unknown place"
-    while innermost.tb_next is not None:
-        innermost = innermost.tb_next
-    return f"{innermost.tb_frame.f_code.co_filename}:{innermost.tb_lineno}"
+    return status
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -67,7 +67,7 @@
 from catkinspread.runtime.settings import ForwardingSettings
 from catkinspread.runtime.startup_times import StartupTimes
 from catkinspread.runtime.upstream_monitor import UpstreamMonitor
-from catkinspread.supervision import FailureLog, Part, Supervisor, describe_error
+from catkinspread.supervision import FailureLog, Part, Supervisor
 from catkinspread.transport.http_server import ACCEPT_RETRY_DELAY_MS, HttpServer
 from catkinspread.transport.traffic import TrafficKind, TrafficMeter
 
@@ -193,21 +193,11 @@
             now_ms = self._clock.now_ms()
             loading_ms = now_ms - self._startup.opened_at_ms
             self._events.write_always("started", now_ms, loading_ms=loading_ms)
-            try:
-                await self._run_components(signals)
-            except Exception as error:
-                self._log_end(error)
-                raise
+            await self._run_components(signals)
         self._events.write_always(
             "stopped", self._clock.now_ms(), dropped_lines_total=self._events.dropped_count
         )
 
-    def _log_end(self, error: Exception) -> None:
-        described = describe_error(error)
-        self._events.write_always(
-            "ended", self._clock.now_ms(), reason=described.reason, place=described.place
-        )
-
     async def _run_components(self, signals: AsyncIterator[signal.Signals]) -> None:
         async with HttpClient() as client, anyio.create_task_group() as group:
             store = StoreClient(client, self._settings.source_address, self._refusals)
--- a/src/catkinspread/supervision/errors.py
+++ b/src/catkinspread/supervision/errors.py
@@ -1,6 +1,5 @@
 """Descriptions of exceptions for log lines."""
 
-import pathlib
 import traceback
 
 import msgspec
@@ -22,14 +21,20 @@
 
 def describe_error(error: BaseException) -> ErrorDescription:
     """Describes an exception; for a group, the first exception that is not a group itself."""
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
+    error = list_leaf_errors(error)[0]
     text = f"{type(error).__name__}: {error}" if str(error) else type(error).__name__
     # Messages may quote bytes that are not text, which the encoder of the log rejects.
     reason = text.encode("ascii", "backslashreplace").decode("ascii")
     return ErrorDescription(reason[:_REASON_MAX_CHARS], _find_place(error))
 
 
+def list_leaf_errors(error: BaseException) -> list[BaseException]:
+    """Returns the errors of a group and of the groups in it; an error that is no group itself."""
+    if not isinstance(error, BaseExceptionGroup):
+        return [error]
+    return [leaf for part in error.exceptions for leaf in list_leaf_errors(part)]
+
+
 def _find_place(error: BaseException) -> str:
     frames = traceback.extract_tb(error.__traceback__, limit=-1)
-    return f"{pathlib.Path(frames[0].filename).name}:{frames[0].lineno}" if frames else ""
+    return f"{frames[0].filename}:{frames[0].lineno}" if frames else ""
