--- a/src/catkinspread/platform/objects.py
+++ b/src/catkinspread/platform/objects.py
@@ -19,7 +19,7 @@
     StateRecord,
     UpstreamRecord,
 )
-from catkinspread.deployment.bounds import NAME_MAX, PORT_MAX, Amount, Count, Name, Rate
+from catkinspread.deployment.bounds import AMOUNT_MAX, NAME_MAX, PORT_MAX, Amount, Count, Name, Rate
 
 KIND_PATHS = {
     StateKind.CONFIGURATION: "config",
@@ -93,7 +93,8 @@
     version: _Text
     state: Literal["ready", "draining"]
     slots: Amount
-    cold_left_ms: Rate
+    # Below 0 once the cold start has ended.
+    cold_left_ms: Annotated[float, msgspec.Meta(ge=-AMOUNT_MAX, le=AMOUNT_MAX)]
     born: Count
     # Counts the reports of one process, not the changes of the object.
     seq: Count
@@ -177,7 +178,7 @@
         port=port,
         work_slots=max(1, wire.slots),
         is_draining=wire.state == _DRAINING,
-        cold_remaining_ms=round(wire.cold_left_ms),
+        cold_remaining_ms=max(0, round(wire.cold_left_ms)),
         born_ms=wire.born,
         report_number=wire.seq,
     )
