Instances that have found no other one keep the rate of cold upstreams

Cause: each instance divides the rate of a cold upstream by the members that it knows. One that knows nobody took itself for the only one and used the whole rate. The sides of a partition did the same once they had forgotten each other, after about 20 s.

Change: the rate is divided by an estimate (peers/instance_count.py): the members, those that were lost without notice in the last hour, or what another instance said about these in its status, whichever is highest. An instance that has found no other one divides by 640, the size to plan for. The number takes effect at each run of the periodic tasks (40 ms, before: 500 ms) and for flows that are already scheduled; instances that learn at the same moment that they are fewer schedule anew, so that they do not send at once what became due. MemberStatus has one field more at its end; earlier versions ignore it.

--- a/src/catkinspread/forwarding/cold_start_limiter.py
+++ b/src/catkinspread/forwarding/cold_start_limiter.py
@@ -10,25 +10,50 @@
 from catkinspread.deployment import KnownUpstream
 
 _MS_PER_S = 1_000
+# A number of instances below this part of the previous one schedules all flows anew. Small changes,
+# as in a rolling restart, do not, because flows that are rarer than the changes would never be due.
+_DROP_FACTOR = 0.5
+
+
+class _Wait:
+    """Wait of an upstream for its next flow.
+
+    Attributes:
+        since_ms: Start of the wait.
+        intervals: Its length, as a multiple of the interval between flows.
+    """
+
+    __slots__ = ("intervals", "since_ms")
+
+    def __init__(self, since_ms: int, intervals: float) -> None:
+        self.since_ms = since_ms
+        self.intervals = intervals
 
 
 class ColdStartLimiter:
     """Limits the rate at which this instance opens flows to each cold upstream.
 
     Args:
-        instance_count: Initial number of instances.
+        instance_count: Initial number of instances that share the rate; at least 1.
         rng: Random source for the delay of the first flow.
-
-    Attributes:
-        instance_count: Number of instances that share the rate; at least 1.
     """
 
-    __slots__ = ("_next_at_ms", "_rng", "instance_count")
+    __slots__ = ("_instance_count", "_rng", "_waits")
 
     def __init__(self, instance_count: int, rng: random.Random) -> None:
-        self.instance_count = instance_count
+        self._instance_count = instance_count
         self._rng = rng
-        self._next_at_ms: dict[str, float] = {}
+        self._waits: dict[str, _Wait] = {}
+
+    def set_instance_count(self, instance_count: int) -> None:
+        """Sets the number of instances that share the rate, which also changes waits that run.
+
+        Instances that learn at the same moment that they are fewer wait again, so that they do not
+        all send the flows that became due.
+        """
+        if instance_count < self._instance_count * _DROP_FACTOR:
+            self._waits.clear()
+        self._instance_count = instance_count
 
     def allows(self, upstream: KnownUpstream, rate_per_s: float, now_ms: int) -> bool:
         """Whether the rate allows a new flow to a cold upstream now.
@@ -43,14 +68,15 @@
         if rate_per_s <= 0.0:
             return False
         name = upstream.record.name
-        if name not in self._next_at_ms:
+        wait = self._waits.get(name)
+        if wait is None:
             # A random delay keeps the instances from sending their first flows at the same time.
-            self._next_at_ms[name] = now_ms + self._rng.random() * self._interval_ms(rate_per_s)
-        return now_ms >= self._next_at_ms[name]
+            wait = self._waits[name] = _Wait(now_ms, self._rng.random())
+        return now_ms - wait.since_ms >= wait.intervals * self._interval_ms(rate_per_s)
 
     def record_flow(self, upstream: KnownUpstream, rate_per_s: float, now_ms: int) -> None:
         """Records that a flow is opened to a cold upstream, with the arguments of `allows`."""
-        self._next_at_ms[upstream.record.name] = now_ms + self._interval_ms(rate_per_s)
+        self._waits[upstream.record.name] = _Wait(now_ms, 1.0)
 
     def _interval_ms(self, rate_per_s: float) -> float:
-        return _MS_PER_S * self.instance_count / rate_per_s
+        return _MS_PER_S * self._instance_count / rate_per_s
--- a/src/catkinspread/peers/__init__.py
+++ b/src/catkinspread/peers/__init__.py
@@ -3,6 +3,7 @@
 from catkinspread.peers.directory import FEEDERS_PER_DATA_CENTRE, PeerDirectory
 from catkinspread.peers.exchange import PeerExchange
 from catkinspread.peers.feed import FEED_REQUEST_MAX_BYTES, FeedServer, PeerSource
+from catkinspread.peers.instance_count import UNKNOWN_INSTANCE_COUNT
 from catkinspread.peers.messages import (
     Hello,
     HelloReply,
@@ -21,6 +22,7 @@
 __all__ = [
     "FEEDERS_PER_DATA_CENTRE",
     "FEED_REQUEST_MAX_BYTES",
+    "UNKNOWN_INSTANCE_COUNT",
     "AnsweredSpan",
     "FeedServer",
     "Hello",
--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from catkinspread.hashing import hash_text, rank_by_rendezvous
+from catkinspread.peers.instance_count import InstanceCountEstimate
 from catkinspread.peers.member_lists import RANK_KEY, MemberLists
 from catkinspread.peers.messages import (
     Hello,
@@ -62,6 +63,7 @@
     __slots__ = (
         "_digest",
         "_feeder_name",
+        "_instance_count",
         "_local_hosts",
         "_member",
         "_member_lists",
@@ -78,6 +80,7 @@
         self._rng = rng
         self._peers: dict[str, PeerRecord] = {}
         self._member_lists = MemberLists(self._peers, rng)
+        self._instance_count = InstanceCountEstimate()
         self._ranked_names: list[str] = [member.name]
         self._digest = 0
         self._local_hosts: frozenset[str] = frozenset()
@@ -146,6 +149,14 @@
         """Returns the number of members, including this instance."""
         return len(self._peers) + 1
 
+    def count_known_instances(self) -> int:
+        """Returns the number of members and of instances lost without notice; see `MemberStatus`."""
+        return self._instance_count.count_known(self.count_members())
+
+    def estimate_instance_count(self, now_ms: int) -> int:
+        """Returns the number of instances to divide a rate by; see `InstanceCountEstimate`."""
+        return self._instance_count.estimate(self.count_members(), now_ms)
+
     def is_remote_host(self, host: str) -> bool:
         """Whether an address belongs to another data centre; also if it is not known."""
         return host not in self._local_hosts
@@ -172,6 +183,7 @@
         status = message.status
         if status.member.name == self._member.name:
             return
+        self._instance_count.record_told(status.known_instances, now_ms)
         peer = self._record_peer(status.member, now_ms, now_ms)
         # The sender knows best; its wall clock may have been set back before it restarted.
         peer.member = status.member
@@ -204,7 +216,10 @@
             if now_ms - peer.last_heard_at_ms >= self._timeout_ms
         ]
         for name in lost:
-            del self._peers[name]
+            peer = self._peers.pop(name)
+            if peer.status is None or not peer.status.is_leaving:
+                self._instance_count.record_lost(name, now_ms)
+        self._instance_count.expire(now_ms)
         if lost:
             self._update_ranking_and_digest()
         return lost
@@ -364,6 +379,7 @@
         if peer is None:
             peer = PeerRecord(member, last_heard_at_ms, now_ms)
             self._peers[member.name] = peer
+            self._instance_count.record_found(member.name)
             self._update_ranking_and_digest()
             return peer
         if member.started_ms > peer.member.started_ms:
--- a/src/catkinspread/peers/messages.py
+++ b/src/catkinspread/peers/messages.py
@@ -50,6 +50,8 @@
         is_leaving: Whether it is shutting down.
         source_era: Highest era of the source that it knows of; None from an instance of a version
             that does not tell.
+        known_instances: Number of instances that it knows of, including itself and those that it
+            lost without notice; 0 from an instance of a version that does not tell.
     """
 
     member: Member
@@ -57,6 +59,7 @@
     has_state: bool
     is_leaving: bool
     source_era: int | None = None
+    known_instances: int = 0
 
 
 class KnownMember(msgspec.Struct, frozen=True, array_like=True):
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -32,6 +32,7 @@
 from catkinspread.model import Endpoint
 from catkinspread.peers import (
     FEED_REQUEST_MAX_BYTES,
+    UNKNOWN_INSTANCE_COUNT,
     AnsweredSpan,
     FeedServer,
     Member,
@@ -166,7 +167,7 @@
             settings, read_settings, self._exchange, self._events, clock
         )
         self._isolation = IsolationCheck(self._local_availability, self._directory, self._events)
-        self._cold_start_limiter = ColdStartLimiter(instance_count=1, rng=self._rng)
+        self._cold_start_limiter = ColdStartLimiter(UNKNOWN_INSTANCE_COUNT, self._rng)
         self._forwarder = self._build_forwarder()
         self._upstream_monitor = self._build_upstream_monitor()
 
@@ -296,6 +297,7 @@
             self._cache.is_complete,
             self._is_leaving,
             self._cache.era,
+            self._directory.count_known_instances(),
         )
 
     async def _serve_feed(self) -> None:
@@ -321,6 +323,7 @@
         return {
             "flows": self._forwarder.flow_count,
             "members": self._directory.count_members(),
+            "instances_estimated": self._directory.estimate_instance_count(self._clock.now_ms()),
             "upstreams": len(self._state.list_upstreams()),
             "configuration_version": configuration.version if configuration else 0,
             "source_era": self._cache.era,
@@ -336,6 +339,8 @@
             self._upstream_monitor.update(now_ms)
             self._send_load_report(now_ms)
             self._isolation.update(now_ms)
+            instance_count = self._directory.estimate_instance_count(now_ms)
+            self._cold_start_limiter.set_instance_count(instance_count)
             shared.update_feeder()
             if now_ms >= cleanup_due_ms:
                 self._run_cleanup(now_ms, shared.find_answered_span())
@@ -373,7 +378,6 @@
         self._upstream_monitor.expire(now_ms, answered)
         for name in self._directory.expire_members(now_ms):
             self._events.write("instance_lost", now_ms, name=name)
-        self._cold_start_limiter.instance_count = self._directory.count_members()
 
     async def _log_traffic(self, store: StoreClient) -> None:
         """Logs the bytes sent and the calls to the source so far at regular intervals."""
