Instances whose seeds are stale find the others through the store

Groups whose seeds don't overlap stayed apart after a partition.

Cause: seeds were the only way to find other instances.

The first feeder of each data centre keeps one object with up to three addresses in the store, written only if a listed instance is no member any more, and sends hellos to unknown addresses in the lists of all data centres. An instance that found no other one is the first feeder in its own view, so it does the same. A lone instance that sees its own list and no other address at full consistency is confirmed as the only one for 40 s and uses the whole rate. The calls are in platform/contact_registry.py; platform/store.py is unchanged, HttpClient got `send` for calls with a body. A fault in a round is logged and the next round follows.

The stand-in of the store takes writes now, and Deployment.start_instance takes seeds; no test or check was changed.

--- a/src/catkinspread/httpclient/client.py
+++ b/src/catkinspread/httpclient/client.py
@@ -24,6 +24,8 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2_000),
 )
 
+_JSON_HEADERS = [(b"Content-Type", b"application/json")]
+
 
 class HttpFailure(Exception):
     """A call failed without an HTTP response."""
@@ -97,13 +99,48 @@
         Raises:
             HttpFailure: If the call failed or no complete response arrived within the time-outs.
         """
+        return await self.send(
+            "GET", endpoint, path, query, b"", connect_timeout_ms, response_timeout_ms
+        )
+
+    async def send(
+        self,
+        method: str,
+        endpoint: Endpoint,
+        path: str,
+        query: dict[str, str],
+        body: bytes,
+        connect_timeout_ms: int,
+        response_timeout_ms: int,
+    ) -> HttpResponse:
+        """Sends a request with a JSON body and returns the response.
+
+        Args:
+            method: Method, such as `PUT`.
+            endpoint: See `get`, also for the other arguments.
+            path: Path of the URL.
+            query: Query parameters of the URL.
+            body: Body of the request; empty for none.
+            connect_timeout_ms: See `get`.
+            response_timeout_ms: See `get`.
+
+        Raises:
+            HttpFailure: If the call failed or no complete response arrived within the time-outs;
+                the server may have executed it.
+        """
         connect_s = connect_timeout_ms / _MS_PER_S
         response_s = response_timeout_ms / _MS_PER_S
         url = f"http://{endpoint}{path}" + (f"?{urlencode(query)}" if query else "")
         timeout = {"connect": connect_s, "read": response_s, "write": connect_s, "pool": connect_s}
         try:
             with anyio.fail_after(connect_s + response_s):
-                response = await self._pool.request("GET", url, extensions={"timeout": timeout})
+                response = await self._pool.request(
+                    method,
+                    url,
+                    headers=_JSON_HEADERS if body else None,
+                    content=body or None,
+                    extensions={"timeout": timeout},
+                )
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
@@ -112,7 +149,7 @@
             OSError,
         ) as error:
             raise HttpFailure(
-                f"GET {url} failed: {error!r} (time-outs: {connect_timeout_ms} ms to connect, "
+                f"{method} {url} failed: {error!r} (time-outs: {connect_timeout_ms} ms to connect, "
                 f"{response_timeout_ms} ms to read the response)"
             ) from error
         return HttpResponse(response.status, response.content, tuple(response.headers))
--- a/src/catkinspread/peers/__init__.py
+++ b/src/catkinspread/peers/__init__.py
@@ -1,6 +1,13 @@
 """Communication between instances: membership gossip and sharing of the deployment state."""
 
+from catkinspread.peers.contact_registry import (
+    CONTACTS_PER_DATA_CENTRE,
+    ContactList,
+    ContactRegistry,
+    RegistryUnavailable,
+)
 from catkinspread.peers.directory import FEEDERS_PER_DATA_CENTRE, PeerDirectory
+from catkinspread.peers.discovery import PeerDiscovery
 from catkinspread.peers.exchange import PeerExchange
 from catkinspread.peers.feed import FEED_REQUEST_MAX_BYTES, FeedServer, PeerSource
 from catkinspread.peers.instance_count import UNKNOWN_INSTANCE_COUNT
@@ -20,10 +27,13 @@
 from catkinspread.peers.state_cache import StateCache
 
 __all__ = [
+    "CONTACTS_PER_DATA_CENTRE",
     "FEEDERS_PER_DATA_CENTRE",
     "FEED_REQUEST_MAX_BYTES",
     "UNKNOWN_INSTANCE_COUNT",
     "AnsweredSpan",
+    "ContactList",
+    "ContactRegistry",
     "FeedServer",
     "Hello",
     "HelloReply",
@@ -33,8 +43,10 @@
     "MemberStatus",
     "MessageError",
     "PeerDirectory",
+    "PeerDiscovery",
     "PeerExchange",
     "PeerSource",
+    "RegistryUnavailable",
     "SharedSource",
     "StateCache",
     "UnreachableReport",
--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -157,6 +157,14 @@
         """Returns the number of instances to divide a rate by; see `InstanceCountEstimate`."""
         return self._instance_count.estimate(self.count_members(), now_ms)
 
+    def confirm_alone(self, now_ms: int) -> None:
+        """Records that a check found no trace of another instance."""
+        self._instance_count.confirm_alone(now_ms)
+
+    def list_hosts(self) -> list[str]:
+        """Returns the addresses of the other instances."""
+        return [peer.member.host for peer in self._peers.values()]
+
     def is_remote_host(self, host: str) -> bool:
         """Whether an address belongs to another data centre; also if it is not known."""
         return host not in self._local_hosts
@@ -268,6 +276,13 @@
         """Whether this instance is a feeder of its data centre."""
         return self._member.name in self._ranked_names[:FEEDERS_PER_DATA_CENTRE]
 
+    def list_feeder_hosts(self) -> tuple[str, ...]:
+        """Returns the addresses of the feeders of this data centre, including this instance's."""
+        return tuple(
+            self._member.host if name == self._member.name else self._peers[name].member.host
+            for name in self._ranked_names[:FEEDERS_PER_DATA_CENTRE]
+        )
+
     def is_first_feeder(self) -> bool:
         """Whether this instance is the first feeder of its data centre."""
         return self._ranked_names[0] == self._member.name
--- a/src/catkinspread/peers/exchange.py
+++ b/src/catkinspread/peers/exchange.py
@@ -141,6 +141,11 @@
         members = self._directory.sample_members(now_ms)
         self._send(Hello(hello.status, hello.digest, members), self._choose_gossip_hosts())
 
+    def contact(self, hosts: list[str]) -> None:
+        """Sends the status and a sample of the members to addresses of other instances."""
+        members = self._directory.sample_members(self._clock.now_ms())
+        self._send(Hello(self._read_status(), self._directory.digest, members), hosts)
+
     def _choose_gossip_hosts(self) -> list[str]:
         """Returns the address of a random peer or, with SEED_PROBABILITY, of a random seed.
 
--- a/src/catkinspread/platform/__init__.py
+++ b/src/catkinspread/platform/__init__.py
@@ -11,6 +11,7 @@
     "ReadinessServer",
     "SettingsFileUnknown",
     "StoreClient",
+    "StoreContactRegistry",
     "find_settings_file",
     "read_request_id",
 ]
@@ -22,6 +23,7 @@
         "ReadinessServer": "readiness",
         "SettingsFileUnknown": "settings",
         "StoreClient": "store",
+        "StoreContactRegistry": "contact_registry",
         "find_settings_file": "settings",
         "read_request_id": "packets",
     },
--- a/src/catkinspread/platform/stand_ins/store.py
+++ b/src/catkinspread/platform/stand_ins/store.py
@@ -1,7 +1,7 @@
-"""A store of objects with listings, watches and the faults of the real one."""
+"""A store of objects with listings, watches, writes and the faults of the real one."""
 
 import enum
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs, unquote, urlsplit
 
 import anyio
 import anyio.abc
@@ -14,6 +14,9 @@
 from catkinspread.transport.http_server import HttpRequest, HttpServer, HttpServerResponse
 
 _OK = 200
+_CREATED = 201
+_NOT_FOUND = 404
+_CONFLICT = 409
 _GONE = 410
 _TOO_MANY = 429
 _UNAVAILABLE = 503
@@ -48,7 +51,7 @@
 
 
 class StoreStandIn:
-    """Holds objects and answers listings and watches.
+    """Holds objects and answers listings, watches and conditional writes.
 
     Attributes:
         mode: How it answers from now on; watches that wait end with a change.
@@ -82,11 +85,19 @@
 
     def put(self, state_kind: StateKind, name: str, spec: object) -> None:
         """Writes an object."""
-        kind = KIND_PATHS[state_kind]
+        self.put_object(KIND_PATHS[state_kind], name, spec)
+
+    def put_object(self, kind: str, name: str, spec: object) -> dict[str, object]:
+        """Writes an object of any kind, named as in the store, and returns it."""
         self._revision += 1
         written = {"meta": {"name": name, "revision": self._revision}, "spec": spec}
         self._objects[kind, name] = written
         self._note(kind, {"object": written, "removed": False})
+        return written
+
+    def list_specs(self, kind: str) -> dict[str, object]:
+        """Returns the content of the objects of a kind, named as in the store, by name."""
+        return {name: found["spec"] for (of, name), found in self._objects.items() if of == kind}
 
     def remove(self, state_kind: StateKind, name: str) -> None:
         """Removes an object; one that is not there is left alone."""
@@ -134,6 +145,8 @@
             return failure
         target = urlsplit(request.target)
         kind = target.path.removeprefix(BASE_PATH)
+        if request.method != "GET":
+            return self._write(request.method, kind, request.body)
         query = parse_qs(target.query)
         if "watch" not in query:
             items = [found for (of, _), found in self._objects.items() if of == kind]
@@ -150,6 +163,24 @@
             return failure
         return _encode({"events": self._find_events(kind, since), "at_rev": self._revision})
 
+    def _write(self, method: str, path: str, body: bytes) -> HttpServerResponse:
+        """Creates an object or, if the revision is the current one, replaces it."""
+        kind, _, name = path.partition("/")
+        sent = msgspec.json.decode(body)
+        name = unquote(name) or sent["meta"]["name"]
+        current = self._objects.get((kind, name))
+        if method == "POST":
+            if current is not None:
+                return _encode(current, _CONFLICT)
+            return _encode(self.put_object(kind, name, sent["spec"]), _CREATED)
+        if current is None:
+            return HttpServerResponse(_NOT_FOUND)
+        if sent["meta"].get("revision") not in (None, current["meta"]["revision"]):
+            return _encode(current, _CONFLICT)
+        if current["spec"] == sent["spec"]:
+            return _encode(current)
+        return _encode(self.put_object(kind, name, sent["spec"]))
+
     async def _fail(self) -> HttpServerResponse | None:
         """Returns the answer of a store that does not serve; None if it serves."""
         if self._mode is StoreMode.SLOW:
@@ -191,5 +222,5 @@
         self._changed = anyio.Event()
 
 
-def _encode(body: object) -> HttpServerResponse:
-    return HttpServerResponse(_OK, msgspec.json.encode(body), content_type="application/json")
+def _encode(body: object, status: int = _OK) -> HttpServerResponse:
+    return HttpServerResponse(status, msgspec.json.encode(body), content_type="application/json")
--- a/src/catkinspread/platform/tests/deployment.py
+++ b/src/catkinspread/platform/tests/deployment.py
@@ -97,7 +97,11 @@
         return open_udp_socket(Endpoint(INSTANCES[number], self._packet_port))
 
     async def start_instance(
-        self, number: int, packet_socket: socket.socket | None = None, upstreams: int = 2
+        self,
+        number: int,
+        packet_socket: socket.socket | None = None,
+        upstreams: int = 2,
+        seeds: tuple[str, ...] = INSTANCES,
     ) -> None:
         """Starts an instance and waits until it knows the configuration and some upstreams."""
         host = INSTANCES[number]
@@ -110,7 +114,7 @@
             peer_port=self._peer_port,
             grace_ms=2_000,
             flow_lifetime_max_ms=60_000,
-            seeds=tuple(Endpoint(seed, 1) for seed in INSTANCES),
+            seeds=tuple(Endpoint(seed, 1) for seed in seeds),
             source_address=self._store_endpoint,
             heartbeat_ms=1_000,
         )
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -38,13 +38,20 @@
     Member,
     MemberStatus,
     PeerDirectory,
+    PeerDiscovery,
     PeerExchange,
     PeerSource,
     SharedSource,
     StateCache,
     UnreachableReport,
 )
-from catkinspread.platform import PacketPort, ReadinessServer, StoreClient, read_request_id
+from catkinspread.platform import (
+    PacketPort,
+    ReadinessServer,
+    StoreClient,
+    StoreContactRegistry,
+    read_request_id,
+)
 from catkinspread.runtime.graceful_shutdown import wait_until_unused
 from catkinspread.runtime.isolation import IsolationCheck
 from catkinspread.runtime.load_reports import LoadReporter
@@ -188,6 +195,7 @@
             store = StoreClient(client, self._settings.source_address)
             shared = self._build_shared_source(client, store)
             group.start_soon(self._exchange.run)
+            group.start_soon(self._build_discovery(client, store).run)
             group.start_soon(self._run_packet_port)
             readiness = ReadinessServer(self._settings.readiness_address, self._is_ready)
             group.start_soon(readiness.run)
@@ -249,6 +257,17 @@
             self._rng,
         )
 
+    def _build_discovery(self, client: HttpClient, store: StoreClient) -> PeerDiscovery:
+        return PeerDiscovery(
+            self._member,
+            StoreContactRegistry(client, self._settings.source_address, store.call_counts),
+            self._directory,
+            self._exchange.contact,
+            self._events,
+            self._clock,
+            self._rng,
+        )
+
     def _build_shared_source(self, client: HttpClient, store: StoreClient) -> SharedSource:
         def open_peer_source(member: Member) -> PeerSource:
             is_remote = member.data_centre != self._settings.data_centre
