An upstream whose entry vanishes while the store answers gets no new flows

Cause: a missing entry was used as a last resort for the grace of outages (MISSING_GRACE_MS, 2.3 s), also while the store had been answering all along.

Change: an upstream is removed by the next cleanup (0.5 s) if the source had been available for MISSING_GRACE_MS when its entry went missing; for a follower that is the time since which its feeder has been followed with access to the source. It is gone (its idle flows are reset) after the grace, as before, because a target without the store still serves its flows.

Tests: test_missing_upstream_is_removed_after_the_grace_period demanded that the upstream stays eligible through the grace although the source had answered for 10 s before. It is replaced by three: removed at once while the source answers (fails on the old code), gone only after the grace, and eligible through the grace when the entry went missing soon after an outage.

--- a/src/catkinspread/deployment/state.py
+++ b/src/catkinspread/deployment/state.py
@@ -7,7 +7,9 @@
 * Missing: the source has no record of it. It gets new flows only as a last resort, because its
   record may have expired in an outage of the source although the upstream is alive.
 * Removed: it gets no new flows, but packets of its open flows are still forwarded to it. A
-  draining upstream is removed as soon as it is missing, any other after MISSING_GRACE_MS.
+  draining upstream is removed as soon as it is missing. Any other one is removed by the next call
+  of `expire_upstreams` if the source had been available for MISSING_GRACE_MS before, because its
+  record then did not expire in an outage, and otherwise after MISSING_GRACE_MS.
 * Gone: its process has ended, because its record stayed missing for MISSING_GRACE_MS.
 * Deleted: the state has no data about it. A removed upstream is deleted after it has been missing
   for the maximum lifetime of a flow.
@@ -285,14 +287,20 @@
             if known.is_removed and now_ms - known.missing_since_ms >= self._flow_lifetime_max_ms:
                 self._delete_upstream(known)
             elif not known.is_gone and available_since_ms is not None:
+                if known.missing_since_ms - available_since_ms >= MISSING_GRACE_MS:
+                    self._remove_upstream(known)
                 grace_start_ms = max(known.missing_since_ms, available_since_ms)
                 if known_until_ms - grace_start_ms >= MISSING_GRACE_MS:
-                    known.is_removed = True
+                    self._remove_upstream(known)
                     known.is_gone = True
-                    self._eligible_by_service.clear()
                     gone.append(known)
         return gone
 
+    def _remove_upstream(self, known: KnownUpstream) -> None:
+        if not known.is_removed:
+            known.is_removed = True
+            self._eligible_by_service.clear()
+
     def _delete_upstream(self, known: KnownUpstream) -> None:
         del self._upstreams[known.record.name]
         if self._by_token.get(known.token) is known:
--- a/src/catkinspread/deployment/tests/test_state.py
+++ b/src/catkinspread/deployment/tests/test_state.py
@@ -70,13 +70,30 @@
     assert _list_eligible_names(state) == ["i-2"]
 
 
-def test_missing_upstream_is_removed_after_the_grace_period() -> None:
-    """Guards against new flows to an upstream that crashed."""
+def test_missing_upstream_is_removed_at_once_while_the_source_answers() -> None:
+    """Guards against new flows beyond the bound to an upstream that lost only the source."""
     state = _build_state(_build_upstream())
     state.mark_upstream_missing("i-1", NOW_MS)
-    assert state.expire_upstreams(NOW_MS + MISSING_GRACE_MS - 1, NOW_MS - 10_000) == []
-    assert _list_eligible_names(state) == ["i-1"]
+    assert state.expire_upstreams(NOW_MS, NOW_MS - MISSING_GRACE_MS) == []
+    assert _list_eligible_names(state) == []
+
+
+def test_upstream_that_is_removed_at_once_is_gone_only_after_the_grace_period() -> None:
+    """Guards against resets of flows of an upstream that lost only the source for a moment."""
+    state = _build_state(_build_upstream())
+    state.mark_upstream_missing("i-1", NOW_MS)
+    assert _expire_names(state, NOW_MS + MISSING_GRACE_MS - 1, NOW_MS - 10_000) == []
     assert _expire_names(state, NOW_MS + MISSING_GRACE_MS, NOW_MS - 10_000) == ["i-1"]
+
+
+def test_upstream_that_is_missing_soon_after_an_outage_is_removed_after_the_grace_period() -> None:
+    """Guards against a service without upstreams because their records expired in an outage."""
+    state = _build_state(_build_upstream())
+    available_ms = NOW_MS - MISSING_GRACE_MS + 1
+    state.mark_upstream_missing("i-1", NOW_MS)
+    assert state.expire_upstreams(NOW_MS + MISSING_GRACE_MS - 1, available_ms) == []
+    assert _list_eligible_names(state) == ["i-1"]
+    assert _expire_names(state, NOW_MS + MISSING_GRACE_MS, available_ms) == ["i-1"]
     assert _list_eligible_names(state) == []
 
 
--- a/src/catkinspread/runtime/tests/test_upstream_monitor.py
+++ b/src/catkinspread/runtime/tests/test_upstream_monitor.py
@@ -63,6 +63,21 @@
     assert follower.is_gone_after(1, 0)
 
 
+def test_upstream_is_not_removed_at_once_after_the_feeder_had_lost_the_source() -> None:
+    """Guards against a record that expired in an outage and ends the new flows of its upstream."""
+    follower = _Follower()
+    assert not follower.is_gone_after(STEP_MS, SOURCE_TIMEOUT_MS)
+    assert not follower.is_gone_after(STEP_MS, 0)
+    assert not follower.state.list_upstreams()[0].is_removed
+
+
+def test_upstream_is_removed_at_once_while_the_source_answers_the_feeder() -> None:
+    """Guards against new flows beyond the bound at instances that read through a feeder."""
+    follower = _Follower()
+    assert not follower.is_gone_after(STEP_MS, STEP_MS)
+    assert follower.state.list_upstreams()[0].is_removed
+
+
 def test_upstream_is_gone_once_the_source_answered_the_feeder_after_the_grace_period() -> None:
     """Guards against flows that stay on a crashed upstream while the source is available."""
     follower = _Follower()
