--- a/src/catkinspread/httpclient/client.py
+++ b/src/catkinspread/httpclient/client.py
@@ -27,6 +27,8 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2_000),
 )
 
+_JSON_HEADERS = [(b"Content-Type", b"application/json")]
+
 
 class HttpFailure(Exception):
     """A call failed without an HTTP response."""
@@ -120,13 +122,42 @@
             HttpFailure: If the call failed, no complete response arrived within the time-outs, or it
                 is larger than `RESPONSE_MAX_BYTES`.
         """
+        return await self.send(
+            "GET", endpoint, path, query, b"", connect_timeout_ms, response_timeout_ms
+        )
+
+    async def send(
+        self,
+        method: str,
+        endpoint: Endpoint,
+        path: str,
+        query: dict[str, str],
+        body: bytes,
+        connect_timeout_ms: int,
+        response_timeout_ms: int,
+    ) -> HttpResponse:
+        """Sends a request with a JSON body and returns the response.
+
+        Args:
+            method: Method, such as `PUT`.
+            endpoint: See `get`, also for the other arguments.
+            path: Path of the URL.
+            query: Query parameters of the URL.
+            body: Body of the request; empty for none.
+            connect_timeout_ms: See `get`.
+            response_timeout_ms: See `get`.
+
+        Raises:
+            HttpFailure: If the call failed or no complete response arrived within the time-outs;
+                the server may have executed it.
+        """
         connect_s = connect_timeout_ms / _MS_PER_S
         response_s = response_timeout_ms / _MS_PER_S
         url = _build_url(endpoint, path, query)
         timeout = {"connect": connect_s, "read": response_s, "write": connect_s, "pool": connect_s}
         try:
             with anyio.fail_after(connect_s + response_s):
-                return await self._read_response(url, timeout)
+                return await self._read_response(method, url, body, timeout)
         except (
             httpcore.ConnectionNotAvailable,
             httpcore.NetworkError,
@@ -138,20 +169,28 @@
             ResponseTooLarge,
         ) as error:
             raise HttpFailure(
-                f"GET {url} failed: {error!r} (time-outs: {connect_timeout_ms} ms to connect, "
+                f"{method} {url} failed: {error!r} (time-outs: {connect_timeout_ms} ms to connect, "
                 f"{response_timeout_ms} ms to read the response)"
             ) from error
 
-    async def _read_response(self, url: str, timeout: dict[str, float]) -> HttpResponse:
-        """Reads a response; leaving the stream early closes its connection.
+    async def _read_response(
+        self, method: str, url: str, body: bytes, timeout: dict[str, float]
+    ) -> HttpResponse:
+        """Sends a request and reads the response; leaving the stream early closes its connection.
 
         Raises:
             ResponseTooLarge: If the body is larger than `RESPONSE_MAX_BYTES`.
         """
-        async with self._pool.stream("GET", url, extensions={"timeout": timeout}) as response:
-            body = bytearray()
+        async with self._pool.stream(
+            method,
+            url,
+            headers=_JSON_HEADERS if body else None,
+            content=body or None,
+            extensions={"timeout": timeout},
+        ) as response:
+            received = bytearray()
             async for chunk in response.aiter_stream():
-                body += chunk
-                if len(body) > RESPONSE_MAX_BYTES:
+                received += chunk
+                if len(received) > RESPONSE_MAX_BYTES:
                     raise ResponseTooLarge(f"body is larger than {RESPONSE_MAX_BYTES} bytes")
-            return HttpResponse(response.status, bytes(body), tuple(response.headers))
+            return HttpResponse(response.status, bytes(received), tuple(response.headers))
--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from catkinspread.hashing import hash_text, rank_by_rendezvous
+from catkinspread.peers.instance_count import InstanceCountEstimate
 from catkinspread.peers.member_lists import RANK_KEY, MemberLists
 from catkinspread.peers.messages import (
     Hello,
@@ -64,6 +65,7 @@
     __slots__ = (
         "_digest",
         "_feeder_name",
+        "_instance_count",
         "_local_hosts",
         "_member",
         "_member_lists",
@@ -80,6 +82,7 @@
         self._rng = rng
         self._peers: dict[str, PeerRecord] = {}
         self._member_lists = MemberLists(self._peers, rng)
+        self._instance_count = InstanceCountEstimate()
         self._ranked_names: list[str] = [member.name]
         self._digest = 0
         self._local_hosts: frozenset[str] = frozenset()
@@ -148,6 +151,22 @@
         """Returns the number of members, including this instance."""
         return len(self._peers) + 1
 
+    def count_known_instances(self) -> int:
+        """Returns the number of members and of instances lost without notice; see `MemberStatus`."""
+        return self._instance_count.count_known(self.count_members())
+
+    def estimate_instance_count(self, now_ms: int) -> int:
+        """Returns the number of instances to divide a rate by; see `InstanceCountEstimate`."""
+        return self._instance_count.estimate(self.count_members(), now_ms)
+
+    def confirm_alone(self, now_ms: int) -> None:
+        """Records that a check found no trace of another instance."""
+        self._instance_count.confirm_alone(now_ms)
+
+    def list_hosts(self) -> list[str]:
+        """Returns the addresses of the other instances."""
+        return [peer.member.host for peer in self._peers.values()]
+
     def is_remote_host(self, host: str) -> bool:
         """Whether an address belongs to another data centre; also if it is not known."""
         return host not in self._local_hosts
@@ -174,6 +193,7 @@
         status = message.status
         if status.member.name == self._member.name:
             return
+        self._instance_count.record_told(status.known_instances, now_ms)
         peer = self._record_peer(status.member, now_ms, now_ms)
         # The sender knows best; its wall clock may have been set back before it restarted.
         peer.member = status.member
@@ -206,7 +226,10 @@
             if now_ms - peer.last_heard_at_ms >= self._timeout_ms
         ]
         for name in lost:
-            del self._peers[name]
+            peer = self._peers.pop(name)
+            if peer.status is None or not peer.status.is_leaving:
+                self._instance_count.record_lost(name, now_ms)
+        self._instance_count.expire(now_ms)
         if lost:
             self._update_ranking_and_digest()
         return lost
@@ -255,6 +278,13 @@
         """Whether this instance is a feeder of its data centre."""
         return self._member.name in self._ranked_names[:FEEDERS_PER_DATA_CENTRE]
 
+    def list_feeder_hosts(self) -> tuple[str, ...]:
+        """Returns the addresses of the feeders of this data centre, including this instance's."""
+        return tuple(
+            self._member.host if name == self._member.name else self._peers[name].member.host
+            for name in self._ranked_names[:FEEDERS_PER_DATA_CENTRE]
+        )
+
     def is_first_feeder(self) -> bool:
         """Whether this instance is the first feeder of its data centre."""
         return self._ranked_names[0] == self._member.name
@@ -376,6 +406,7 @@
         if peer is None:
             peer = PeerRecord(member, last_heard_at_ms, now_ms)
             self._peers[member.name] = peer
+            self._instance_count.record_found(member.name)
             self._update_ranking_and_digest()
             return peer
         if member.started_ms > peer.member.started_ms:
--- a/src/catkinspread/platform/__init__.py
+++ b/src/catkinspread/platform/__init__.py
@@ -12,6 +12,7 @@
     "RefusalLog",
     "SettingsFileUnknown",
     "StoreClient",
+    "StoreContactRegistry",
     "find_settings_file",
     "read_request_id",
 ]
@@ -24,6 +25,7 @@
         "RefusalLog": "refusals",
         "SettingsFileUnknown": "settings",
         "StoreClient": "store",
+        "StoreContactRegistry": "contact_registry",
         "find_settings_file": "settings",
         "read_request_id": "packets",
     },
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -35,10 +35,12 @@
 from catkinspread.model import Endpoint
 from catkinspread.peers import (
     FEED_REQUEST_MAX_BYTES,
+    UNKNOWN_INSTANCE_COUNT,
     FeedServer,
     Member,
     MemberStatus,
     PeerDirectory,
+    PeerDiscovery,
     PeerExchange,
     PeerSource,
     SharedSource,
@@ -50,6 +52,7 @@
     ReadinessServer,
     RefusalLog,
     StoreClient,
+    StoreContactRegistry,
     read_request_id,
 )
 from catkinspread.runtime.graceful_shutdown import wait_until_unused
@@ -182,7 +185,7 @@
             settings, read_settings, self._exchange, self._events, clock
         )
         self._isolation = IsolationCheck(self._local_availability, self._directory, self._events)
-        self._cold_start_limiter = ColdStartLimiter(instance_count=1, rng=self._rng)
+        self._cold_start_limiter = ColdStartLimiter(UNKNOWN_INSTANCE_COUNT, self._rng)
         self._forwarder = self._build_forwarder()
         self._upstream_monitor = self._build_upstream_monitor()
 
@@ -201,13 +204,17 @@
     async def _run_components(self, signals: AsyncIterator[signal.Signals]) -> None:
         async with HttpClient() as client, anyio.create_task_group() as group:
             store = StoreClient(client, self._settings.source_address, self._refusals)
-            for part in self._list_parts(store, self._build_shared_source(client, store)):
+            discovery = self._build_discovery(client, store)
+            shared = self._build_shared_source(client, store)
+            for part in self._list_parts(store, shared, discovery):
                 group.start_soon(self._supervisor.run, part)
             await self._handle_signals_until_stop(signals)
             await self._shut_down()
             group.cancel_scope.cancel()
 
-    def _list_parts(self, store: StoreClient, shared: SharedSource) -> list[Part]:
+    def _list_parts(
+        self, store: StoreClient, shared: SharedSource, discovery: PeerDiscovery
+    ) -> list[Part]:
         """Returns what runs until the end of the process.
 
         Callers need the packet port. While another part fails, the instance goes on with what it
@@ -226,6 +233,7 @@
         return [
             Part("packets", self._run_packet_port, str(settings.packet_address), is_required=True),
             Part("peers", self._exchange.run, str(peers)),
+            Part("peer_discovery", discovery.run),
             Part("readiness", readiness.run, str(settings.readiness_address)),
             Part("feed", functools.partial(self._build_feed_server(peers).run, peers), str(peers)),
             Part(
@@ -250,6 +258,7 @@
         tasks.add("upstream_monitor", self._upstream_monitor.update)
         tasks.add("load_reports", self._send_load_report)
         tasks.add("isolation_check", self._isolation.update)
+        tasks.add("instance_count", self._update_instance_count)
         tasks.add("feeder_choice", lambda _: shared.update_feeder())
         tasks.add("flow_expiry", self._forwarder.expire_flows, CLEANUP_INTERVAL_MS)
         tasks.add("local_availability", self._local_availability.update, CLEANUP_INTERVAL_MS)
@@ -347,6 +356,17 @@
             self._rng,
         )
 
+    def _build_discovery(self, client: HttpClient, store: StoreClient) -> PeerDiscovery:
+        return PeerDiscovery(
+            self._member,
+            StoreContactRegistry(client, self._settings.source_address, store.call_counts),
+            self._directory,
+            self._exchange.contact,
+            self._events,
+            self._clock,
+            self._rng,
+        )
+
     def _build_shared_source(self, client: HttpClient, store: StoreClient) -> SharedSource:
         def open_peer_source(member: Member) -> PeerSource:
             is_remote = member.data_centre != self._settings.data_centre
@@ -397,6 +417,7 @@
             can_serve_state,
             self._is_leaving,
             self._cache.era,
+            self._directory.count_known_instances(),
         )
 
     def _read_counts(self) -> dict[str, int]:
@@ -414,6 +435,7 @@
         return {
             "flows": self._forwarder.flow_count,
             "members": self._directory.count_members(),
+            "instances_estimated": self._directory.estimate_instance_count(self._clock.now_ms()),
             "upstreams": len(self._state.list_upstreams()),
             "configuration_version": configuration.version if configuration else 0,
             "source_era": self._cache.era,
@@ -434,10 +456,13 @@
         if report is not None:
             self._exchange.send_report(report, self._reporter.choose_recipients())
 
+    def _update_instance_count(self, now_ms: int) -> None:
+        instance_count = self._directory.estimate_instance_count(now_ms)
+        self._cold_start_limiter.set_instance_count(instance_count)
+
     def _expire_members(self, now_ms: int) -> None:
         for name in self._directory.expire_members(now_ms):
             self._events.write("instance_lost", now_ms, name=name)
-        self._cold_start_limiter.instance_count = self._directory.count_members()
 
     async def _log_traffic(self, store: StoreClient, *, task_status: anyio.abc.TaskStatus) -> None:
         """Logs the bytes sent and the calls to the source so far at regular intervals."""
