The line about an unexpected error names our own line of code too

An error such as EMFILE is raised in a module of the standard library, so that the line named only socket.py. It now adds the innermost line of this program.

--- a/src/catkinspread/runtime/exit_status.py
+++ b/src/catkinspread/runtime/exit_status.py
@@ -7,7 +7,9 @@
 from catkinspread.clock import SystemClock
 from catkinspread.eventlog import EventLog, LineSink
 
-_PLACES_MAX = 3
+# Errors of one failure that a line names; the traceback has all.
+_ERRORS_MAX = 3
+_PACKAGE_PREFIX = "catkinspread."
 
 
 class ExitStatus(enum.IntEnum):
@@ -58,10 +60,10 @@
         "ended_by_error",
         clock.now_ms(),
         status=ExitStatus.UNEXPECTED_ERROR.value,
-        errors=errors[:_PLACES_MAX],
+        errors=errors[:_ERRORS_MAX],
         error_count=len(errors),
     )
-    print(f"ended by {'; '.join(errors[:_PLACES_MAX])}", file=sys.stderr)
+    print(f"ended by {'; '.join(errors[:_ERRORS_MAX])}", file=sys.stderr)
     import traceback  # Not needed before the packet socket is open.
 
     traceback.print_exception(error)
@@ -76,14 +78,19 @@
 
 
 def describe_error(error: BaseException) -> str:
-    """Returns type, message and place of an error in one line."""
-    place = _find_place(error.__traceback__)
-    return " ".join(f"{type(error).__name__}: {error} at {place}".split())
+    """Returns type, message and place of an error in one line.
 
-
-def _find_place(innermost: types.TracebackType | None) -> str:
-    if innermost is None:
-        return "an unknown place"
-    while innermost.tb_next is not None:
-        innermost = innermost.tb_next
-    return f"{innermost.tb_frame.f_code.co_filename}:{innermost.tb_lineno}"
+    The place is where it was raised, and the innermost line of this program if that is another one.
+    """
+    places = _find_places(error.__traceback__)
+    return " ".join(f"{type(error).__name__}: {error} at {places}".split())
+
+
+def _find_places(part: types.TracebackType | None) -> str:
+    raised = own = "an unknown place"
+    while part is not None:
+        raised = f"{part.tb_frame.f_code.co_filename}:{part.tb_lineno}"
+        if part.tb_frame.f_globals.get("__name__", "").startswith(_PACKAGE_PREFIX):
+            own = raised
+        part = part.tb_next
+    return raised if own in (raised, "an unknown place") else f"{raised}, from {own}"
--- /dev/null
+++ b/src/catkinspread/runtime/tests/test_exit_status.py
@@ -0,0 +1,56 @@
+"""Tests of the line that explains why the program ended."""
+
+import json
+
+from catkinspread.ini import parse_name
+from catkinspread.runtime.exit_status import (
+    ExitStatus,
+    describe_error,
+    list_leaf_errors,
+    report_unexpected_error,
+)
+
+
+def _catch(text: str) -> ValueError:
+    try:
+        parse_name(text)
+    except ValueError as error:
+        return error
+    raise AssertionError("not reached")
+
+
+class _Recorder:
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+
+    def write(self, line: bytes) -> bool:
+        self.lines.append(line)
+        return True
+
+
+def test_place_of_an_error_in_a_library_names_our_line_too() -> None:
+    """Guards against a line that only names the standard library."""
+    try:
+        json.loads("{")
+    except ValueError as error:
+        description = describe_error(error)
+    assert "json/decoder.py:" in description
+    assert f", from {__file__}:" in description
+
+
+def test_errors_of_nested_groups_are_counted_and_named_once() -> None:
+    """Guards against a line about the task group in place of its errors."""
+    errors = [_catch(f"name {number}") for number in range(5)]
+    group = ExceptionGroup("outer", [errors[0], ExceptionGroup("inner", errors[1:])])
+    assert list_leaf_errors(group) == errors
+    recorder = _Recorder()
+    assert report_unexpected_error(recorder, "one", group) == ExitStatus.UNEXPECTED_ERROR
+    line = json.loads(recorder.lines[0])
+    assert line["error_count"] == 5
+    assert len(line["errors"]) == 3
+    assert "ini/fields.py:" in line["errors"][0]
+
+
+def test_line_breaks_of_a_message_are_removed() -> None:
+    """Guards against one failure that looks like several lines."""
+    assert describe_error(ValueError("a\nb")) == "ValueError: a b at an unknown place"
--- a/src/catkinspread/runtime/tests/test_startup.py
+++ b/src/catkinspread/runtime/tests/test_startup.py
@@ -10,6 +10,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Callable, Iterator
 
@@ -23,6 +24,7 @@
 # runs at the same time would otherwise end each other's programs.
 _HOST = f"127.242.{random.SystemRandom().randint(1, 254)}.{os.getpid() % 254 + 1}"
 _MIB = 1_048_576
+_MEMORY_LIMIT_MIB = 300
 
 
 @pytest.fixture(name="program")
@@ -158,7 +160,7 @@
 
 
 def _limit_address_space() -> None:
-    resource.setrlimit(resource.RLIMIT_AS, (300 * _MIB, 300 * _MIB))
+    resource.setrlimit(resource.RLIMIT_AS, (_MEMORY_LIMIT_MIB * _MIB,) * 2)
 
 
 @pytest.mark.parametrize(
@@ -305,3 +307,42 @@
                         connection.close()
             program.wait_for(lambda: _serves(program) and program.has_logged("source_lost"))
             _stop_gracefully(program)
+
+
+def _send_endless_answers(listener: socket.socket) -> None:
+    """Answers each connection without an end, until the listener is closed."""
+
+    def send(connection: socket.socket) -> None:
+        with connection, contextlib.suppress(OSError):
+            connection.recv(65_536)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            chunk = b"10000\r\n" + bytes(65_536) + b"\r\n"
+            while True:
+                connection.sendall(chunk)
+
+    with contextlib.suppress(OSError):
+        while True:
+            connection = listener.accept()[0]
+            threading.Thread(target=send, args=(connection,), daemon=True).start()
+
+
+def _read_peak_memory_mib(process_id: int) -> int:
+    status = pathlib.Path(f"/proc/{process_id}/status").read_text()
+    (line,) = (line for line in status.splitlines() if line.startswith("VmHWM"))
+    return int(line.split()[1]) // 1_024
+
+
+def test_endless_answers_of_the_store_do_not_fill_the_memory(program: Program) -> None:
+    """Guards against an instance that is killed because of its memory."""
+    with socket.socket() as listener:
+        listener.bind((_HOST, 0))
+        listener.listen()
+        host, port = listener.getsockname()
+        program.write_settings(source_address=f"{host}:{port}")
+        threading.Thread(target=_send_endless_answers, args=(listener,), daemon=True).start()
+        process = program.start(before=_limit_address_space)
+        program.wait_for(lambda: _serves(program) and program.has_logged("source_lost"))
+        time.sleep(2.0)
+        assert _read_peak_memory_mib(process.pid) < _MEMORY_LIMIT_MIB // 2
+        _stop_gracefully(program)
+        listener.shutdown(socket.SHUT_RDWR)
