Test: the build replaces a file of the dependencies that was cut off

By hand: with both extension modules cut to 1,000 bytes under a right name the program ends by SIGBUS (135) and no line, which no code of ours can report. The build notices the wrong size and installs again; the program then loads.

--- a/src/catkinspread/runtime/tests/test_build.py
+++ b/src/catkinspread/runtime/tests/test_build.py
@@ -25,7 +25,8 @@
         f"{info}/METADATA": f"Metadata-Version: 2.1\nName: dependency\nVersion: {version}\n",
         f"{info}/WHEEL": "Wheel-Version: 1.0\nRoot-Is-Purelib: true\nTag: py3-none-any\n",
     }
-    record = "".join(f"{name},,\n" for name in [*files, f"{info}/RECORD"])
+    record = "".join(f"{name},,{len(content)}\n" for name, content in files.items())
+    record += f"{info}/RECORD,,\n"
     with zipfile.ZipFile(wheel, "w") as archive:
         for name, content in {**files, f"{info}/RECORD": record}.items():
             archive.writestr(name, content)
@@ -127,9 +128,19 @@
 def test_incomplete_copy_of_a_complete_folder_is_replaced(checkout: Checkout) -> None:
     """Guards against a folder that lost files while it was copied, but has its stamp."""
     checkout.build_successfully()
+    complete = checkout.read_installed()
     (checkout.dependencies / "dependency.py").unlink()
     checkout.build_successfully()
-    assert checkout.read_installed()
+    assert checkout.read_installed() == complete
+
+
+def test_file_that_was_cut_off_is_replaced(checkout: Checkout) -> None:
+    """Guards against a program that ends by SIGBUS, because an extension module is incomplete."""
+    checkout.build_successfully()
+    complete = checkout.read_installed()
+    (checkout.dependencies / "dependency.py").write_text(complete[:-2])
+    checkout.build_successfully()
+    assert checkout.read_installed() == complete
 
 
 def test_failed_installation_keeps_the_folder_and_says_so(checkout: Checkout) -> None:
