Answers are limited to 8 MiB, and one that does not fit fails its call

With the limit of 16 MiB the new test with 300 MiB of address space failed once beside other load: three answers were read at the same time, each in a buffer that was copied as it grew, and MemoryError ended all tasks. The event loop then failed too, without memory for a thread, and the log line named only that.

The parts of an answer are joined once at its end, the limit is 8 MiB (a page of the source is 1 MB and one object at most), and MemoryError while an answer is read is an HttpFailure, as its memory is free again. The line about an unexpected error names the first error before those of the event loop.

--- a/src/catkinspread/httpclient/client.py
+++ b/src/catkinspread/httpclient/client.py
@@ -14,8 +14,8 @@
 # connection and then raises HttpFailure.
 _CONNECTIONS_MAX = 24
 # An answer without an end would fill the memory of the process. A page of the source holds 1 MB plus
-# one object, and the state of 7,000 upstreams that a feeder passes on takes a few MB.
-RESPONSE_MAX_BYTES = 16 * 1_048_576
+# one object. Several answers are read at the same time.
+RESPONSE_MAX_BYTES = 8 * 1_048_576
 # After 1 s without traffic, 2 keep-alive probes are sent 1 s apart. A call on a dead connection thus
 # fails within about 3 s, well before the response time-out of a long poll. TCP_USER_TIMEOUT is in ms
 # and limits the time that sent data may remain unacknowledged. Some options exist only on Linux.
@@ -136,6 +136,7 @@
             TimeoutError,
             OSError,
             ResponseTooLarge,
+            MemoryError,  # The answer is not kept, so its memory is free again.
         ) as error:
             raise HttpFailure(
                 f"GET {url} failed: {error!r} (time-outs: {connect_timeout_ms} ms to connect, "
@@ -149,9 +150,11 @@
             ResponseTooLarge: If the body is larger than `RESPONSE_MAX_BYTES`.
         """
         async with self._pool.stream("GET", url, extensions={"timeout": timeout}) as response:
-            body = bytearray()
+            chunks: list[bytes] = []
+            size_bytes = 0
             async for chunk in response.aiter_stream():
-                body += chunk
-                if len(body) > RESPONSE_MAX_BYTES:
+                chunks.append(chunk)
+                size_bytes += len(chunk)
+                if size_bytes > RESPONSE_MAX_BYTES:
                     raise ResponseTooLarge(f"body is larger than {RESPONSE_MAX_BYTES} bytes")
-            return HttpResponse(response.status, bytes(body), tuple(response.headers))
+            return HttpResponse(response.status, b"".join(chunks), tuple(response.headers))
--- a/src/catkinspread/runtime/exit_status.py
+++ b/src/catkinspread/runtime/exit_status.py
@@ -55,7 +55,11 @@
         error: The error, possibly a group of errors.
     """
     clock = SystemClock()
-    errors = [describe_error(leaf) for leaf in list_leaf_errors(error)]
+    leaves = list_leaf_errors(error)
+    if error.__context__ is not None and not error.__suppress_context__:
+        # The event loop may fail in its end as a consequence of the first error.
+        leaves = [*list_leaf_errors(error.__context__), *leaves]
+    errors = [describe_error(leaf) for leaf in leaves]
     EventLog(instance, sink, clock).write_always(
         "ended_by_error",
         clock.now_ms(),
--- a/src/catkinspread/runtime/tests/test_exit_status.py
+++ b/src/catkinspread/runtime/tests/test_exit_status.py
@@ -51,6 +51,17 @@
     assert "ini/fields.py:" in line["errors"][0]
 
 
+def test_error_while_the_event_loop_ends_does_not_hide_the_first_one() -> None:
+    """Guards against a line that names only a consequence of the fault."""
+    later = RuntimeError("cannot start a thread")
+    later.__context__ = ExceptionGroup("tasks", [MemoryError()])
+    recorder = _Recorder()
+    report_unexpected_error(recorder, "one", later)
+    first, second = json.loads(recorder.lines[0])["errors"]
+    assert first.startswith("MemoryError")
+    assert second.startswith("RuntimeError")
+
+
 def test_line_breaks_of_a_message_are_removed() -> None:
     """Guards against one failure that looks like several lines."""
     assert describe_error(ValueError("a\nb")) == "ValueError: a b at an unknown place"
