--- a/src/catkinspread/runtime/exit_status.py
+++ b/src/catkinspread/runtime/exit_status.py
@@ -6,7 +6,8 @@
 from catkinspread.clock import SystemClock
 from catkinspread.eventlog import EventLog, LineSink
 
-_PLACES_MAX = 3
+# Errors of one failure that a line names; the traceback has all.
+_ERRORS_MAX = 3
 
 
 class ExitStatus(enum.IntEnum):
@@ -58,18 +59,20 @@
     from catkinspread.supervision import RequiredPartFailed, describe_error, list_leaf_errors
 
     leaves = list_leaf_errors(error)
+    if error.__context__ is not None and not error.__suppress_context__:
+        # The event loop may fail in its end as a consequence of the first error.
+        leaves = [*list_leaf_errors(error.__context__), *leaves]
     is_part = any(isinstance(leaf, RequiredPartFailed) for leaf in leaves)
     status = ExitStatus.REQUIRED_PART_FAILED if is_part else ExitStatus.UNEXPECTED_ERROR
     clock = SystemClock()
-    described = [describe_error(leaf) for leaf in leaves]
-    errors = [f"{leaf.reason} at {leaf.place or 'an unknown place'}" for leaf in described]
+    errors = [str(describe_error(leaf)) for leaf in leaves]
     EventLog(instance, sink, clock).write_always(
         "ended_by_error",
         clock.now_ms(),
         status=status.value,
-        errors=errors[:_PLACES_MAX],
+        errors=errors[:_ERRORS_MAX],
         error_count=len(errors),
     )
-    print(f"ended by {'; '.join(errors[:_PLACES_MAX])}", file=sys.stderr)
+    print(f"ended by {'; '.join(errors[:_ERRORS_MAX])}", file=sys.stderr)
     traceback.print_exception(error)
     return status
