Keep the pin of a closed flow for longer than the retries of a request

A copy of an idempotent request, duplicated by the fabric, can reach an instance while or after another copy is answered and the caller closes the flow. The upstream resets the copy, or the answer goes to the other instance, so the copy is attempted again after 1,000 ms and again after at most 2,150 ms and four timer checks. The pin was removed 2,000 ms after the close. The third attempt was then sent to the base upstream, which never held the flow, and pinned the flow there. The caller is gone, so no flow breaks.

The pin is now kept for 3,000 ms.

--- a/src/catkinspread/routing/limits.py
+++ b/src/catkinspread/routing/limits.py
@@ -13,7 +13,10 @@
             not reported the version. A draining upstream must get no new flows after 5 s, so
             this time plus a clock skew of 500 ms must be less than 5 s.
         flow_idle_timeout_ms: A flow without packets for this long is considered ended.
-        close_linger_ms: A pin is kept for this long after the close, for delayed packets.
+        close_linger_ms: A pin is kept for this long after the close, for delayed packets and for
+            retries of a copy of a request that the close overtook. It must be longer than the
+            time from the first to the last attempt of an idempotent request, otherwise the last
+            one is sent to the base upstream, which does not hold the flow.
         pause_threshold_ms: If the event loop pauses for longer, the instance routes nothing
             before its next contact with a peer or the platform.
         join_wait_ms: Time from the first contact, after a start or a pause, until packets are
@@ -48,7 +51,7 @@
     hold_min_ms: int = 1_000
     hold_max_ms: int = 4_000
     flow_idle_timeout_ms: int = 300_000
-    close_linger_ms: int = 2_000
+    close_linger_ms: int = 3_000
     pause_threshold_ms: int = 2_000
     join_wait_ms: int = 1_000
     catch_up_window_ms: int = 4_000
