Keep the pins copied to a joining member when former members end

Callers lost flows that were opened during a transition when two members of an owner group were replaced shortly after each other and then the rest of the group failed. Their packets went to the base upstream, which did not hold the flow.

The pins are copied to a new member before the entry that makes it one. When the former members of an earlier change end, each instance outside the group removed all its pins of the slots. A new member that had not applied its entry yet removed the copies, and nobody sends them again.

Only an instance that is a former member itself now removes them. If a replacement is given up before its entry, the copies stay until the transition ends.

--- a/src/catkinspread/routing/owner.py
+++ b/src/catkinspread/routing/owner.py
@@ -395,8 +395,10 @@
         has_live = any(map(self.members.is_alive, batch.former_members))
         if has_live and not self.members.have_all_reported(batch.former_version):
             return
+        is_former = self._member in batch.former_members
         batch.former_members = ()
-        if self._member not in batch.group.members:
+        # Other instances keep their pins: they may have been copied here for the next group.
+        if is_former:
             for slot in batch.slots:
                 self.pins.remove_slot(batch.service, slot, self.configuration.version)
         # A former member has routed packets until now, of flows that this member may not know.
--- a/src/catkinspread/routing/tests/test_transitions.py
+++ b/src/catkinspread/routing/tests/test_transitions.py
@@ -295,3 +295,34 @@
         assert fleet.open("i3", flow) != ""
     assert len(fleet.routers["i0"].owner.pins) <= limits.pins_max
     assert LIMITS.pins_max > limits.pins_max
+
+
+def test_joining_member_keeps_copied_pins_when_a_former_member_ends() -> None:
+    """Flows keep their upstream if a second member is replaced right after a first (G1).
+
+    The new member has the copied pins before it applies the entry that makes it a member.
+    Meanwhile the instances that still forward to the member replaced first catch up.
+    """
+    fleet, slots = split_fleet()
+    flow = flows_in_slots(slots)[0]
+    upstream = fleet.open("i3", flow)
+    assert upstream not in ("", OLD)
+    fleet.delayed = {"i3"}
+    fleet.leaving = {"i2"}
+    fleet.run(600)
+    assert [_list_members(effect) for effect in fleet.appended] == [["i0", "i1", "i5"]]
+    fleet.delayed = {"i3", "i4"}
+    fleet.leaving = {"i1", "i2"}
+    fleet.run(600)
+    assert _list_members(fleet.appended[-1]) == ["i0", "i5", "i4"]
+    fleet.deliver("i3")
+    fleet.run(600)
+    fleet.deliver("i4")
+    fleet.kill("i0")
+    fleet.kill("i5")
+    fleet.run(2_500)
+    assert fleet.find_upstream("i3", flow) == upstream
+
+
+def _list_members(effect: GroupChanged) -> list[str]:
+    return [member.instance for member in effect.group.members]
