Answer every origin of a request that was relayed more than once

When copies of an idempotent request reached several instances, all but one of them recorded it as slow or without an answer, repeated it after 1 s out of the retry budget, and could send the repeat after its flow had ended. A planned stop of an instance waited for the whole drain time.

The instances relay their copies to the acting member of the slot. It ignored a copy of a request that waits in its queue. A copy of one in flight was also kept in the table of waiting requests for good, where it counted as an open request and hid all later copies.

The acting member now notes the origin of each further copy, at most one for each instance, and returns answers and refusals to all of them. The notes end with the first copy.

Measured: the new test fails without the change (one of three origins is answered) and passes with it.

--- a/src/catkinspread/instance/request_path.py
+++ b/src/catkinspread/instance/request_path.py
@@ -103,6 +103,7 @@
 
     __slots__ = (
         "_admissions",
+        "_copies",
         "_handler",
         "_jobs",
         "_next_relay",
@@ -128,6 +129,8 @@
         self._jobs: dict[int, tuple[Job, str]] = {}
         # Requests that were sent, in order of sending.
         self._sent: collections.OrderedDict[tuple[int, str, str], _Sent] = collections.OrderedDict()
+        # Further copies of requests that wait or were sent, one for each origin.
+        self._copies: dict[tuple[int, str, str], list[Job]] = {}
         # Own requests that another instance was asked to send.
         self._relays: collections.OrderedDict[int, RequestToUpstream] = collections.OrderedDict()
         self._next_relay = 1
@@ -193,9 +196,13 @@
         if controller is not None:
             completed = controller.complete(sent.work_id, outcome, now_ms)
             actions = self._limit(sent.upstream, completed, now_ms)
-        if sent.job.origin:
-            return [*actions, SendToPeer(sent.job.origin, RelayedAnswer(answer))]
-        return actions + self._carry(self._handler.handle_upstream_answer(answer, now_ms), now_ms)
+        for job in (sent.job, *self._copies.get(key, ())):
+            if job.origin:
+                actions.append(SendToPeer(job.origin, RelayedAnswer(answer)))
+            else:
+                handler_actions = self._handler.handle_upstream_answer(answer, now_ms)
+                actions += self._carry(handler_actions, now_ms)
+        return actions
 
     def handle_store_event(self, event: StoreEvent, now_ms: int) -> list[Action]:
         """Takes the outcome of a store action."""
@@ -308,8 +315,11 @@
     def _submit(self, job: Job, upstream: str, now_ms: int) -> list[Action]:
         flow, caller_id, request_id = job.key
         work_id = hash_request(caller_id, request_id, flow)
-        if work_id in self._jobs:
+        first = self._find_first(job.key, work_id, upstream, now_ms)
+        if first is not None:
+            self._add_copy(first, job)
             return []
+        self._copies.pop(job.key, None)
         service = self._state.configuration.services[job.service]
         # The priority that a caller states is not trusted.
         priority = service.priority if job.is_idempotent else 0
@@ -318,6 +328,23 @@
         controller = self._admissions.get(upstream, now_ms)
         return self._limit(upstream, controller.submit(work, now_ms), now_ms)
 
+    def _find_first(
+        self, key: tuple[int, str, str], work_id: int, upstream: str, now_ms: int
+    ) -> Job | None:
+        """Returns the copy of a request that waits or is in flight at an upstream; None if none."""
+        if work_id in self._jobs:
+            return self._jobs[work_id][0]
+        sent = self._sent.get(key)
+        if sent is None or sent.is_answered or sent.upstream != upstream:
+            return None
+        return sent.job if now_ms < sent.job.not_after_ms else None
+
+    def _add_copy(self, first: Job, job: Job) -> None:
+        """Notes that the origin of a copy gets the answer too."""
+        copies = self._copies.setdefault(job.key, [])
+        if all(known.origin != job.origin for known in (first, *copies)):
+            copies.append(job)
+
     def _limit(
         self, upstream: str, limit_actions: list[LimitAction], now_ms: int, sender: str = ""
     ) -> list[Action]:
@@ -348,7 +375,13 @@
         if reason in _SENT_REASONS:
             return []
         entry = self._jobs.pop(work.work_id, None)
-        return self._refuse(entry[0], reason.value, now_ms) if entry is not None else []
+        if entry is None:
+            return []
+        job, _ = entry
+        actions: list[Action] = []
+        for refused in (job, *self._copies.pop(job.key, ())):
+            actions += self._refuse(refused, reason.value, now_ms)
+        return actions
 
     def _refuse(self, job: Job, reason: str, now_ms: int) -> list[Action]:
         """Reports that a request was not sent and will not be."""
@@ -369,3 +402,4 @@
             if now_ms <= sent.job.not_after_ms + _LATE_ANSWER_MS:
                 break
             del self._sent[key]
+            self._copies.pop(key, None)
--- a/src/catkinspread/instance/tests/test_core.py
+++ b/src/catkinspread/instance/tests/test_core.py
@@ -167,6 +167,31 @@
     assert refused.body.relay == 6
 
 
+def test_each_origin_of_a_relayed_request_gets_its_answer_or_refusal():
+    """Guards against a copy that is never answered and keeps a leaving instance waiting."""
+    core = build_core()
+    (opened,) = send(core, Open())
+    flow = opened.packet.flow
+    header = ForwardHeader(PacketKind.DATA, "recipe-desk", flow, 1, "rd-1")
+    relayed = RelayedRequest(5, header, make_request(flow), NOW + 500, True)
+    origins = [InstanceIncarnation(name, 1) for name in ("i2", "i3", "i4")]
+    queued = [core.handle_peer(origin, relayed, NOW) for origin in origins[:2]]
+    assert queued == [[], []]
+    assert core.tick(NOW + 20) == [SendToUpstream(UPSTREAMS["rd-1"], make_request(flow), NOW + 500)]
+    assert core.handle_peer(origins[2], relayed, NOW + 20) == []
+    answer = Answer(flow, "press", "7", AnswerStatus.OK, body=b"x")
+    returned = core.handle_upstream(UPSTREAMS["rd-1"], encode_packet(answer), NOW + 40)
+    assert returned == [SendToPeer(name, RelayedAnswer(answer)) for name in ("i2", "i3", "i4")]
+    assert core.requests.count_open(NOW + 40) == 0
+    waiting = RelayedRequest(6, header, make_request(flow), NOW + 41, True)
+    core.state.router.record_contact(1, NOW + 40)
+    refused = [
+        action for origin in origins[:2] for action in core.handle_peer(origin, waiting, NOW + 40)
+    ] + core.tick(NOW + 60)
+    refusals = [action for action in refused if isinstance(action, SendToPeer)]
+    assert [(action.instance, action.body.relay) for action in refusals] == [("i2", 6), ("i3", 6)]
+
+
 def test_a_flow_in_a_data_centre_that_is_out_is_reset_and_recorded():
     """Guards against packets that still reach a data centre after it was taken out."""
     core = build_core()
