--- a/src/catkinspread/instance/tests/test_closed_flows.py
+++ b/src/catkinspread/instance/tests/test_closed_flows.py
@@ -48,10 +48,13 @@
         now_ms: Time of all parts.
         cores: Instances by name.
         upstreams: Stand-ins by endpoint.
+        holds_replies: Whether replies of upstreams wait for `deliver_replies`.
     """
 
     def __init__(self) -> None:
         self.now_ms = START_MS
+        self.holds_replies = False
+        self._held: list[tuple[str, Endpoint, bytes]] = []
         options = UpstreamOptions(warmup_ms=0)
         self.upstreams = {name: UpstreamModel(options, START_MS) for name in (OLD, NEW)}
         self.cores = {member.instance: _build_core(member) for member in (OWNER, OTHER)}
@@ -73,6 +76,13 @@
                 core.state.router.record_contact(core.state.configuration.version, self.now_ms)
                 self._execute(name, core.tick(self.now_ms))
 
+    def deliver_replies(self) -> None:
+        """Delivers the replies that were held, and holds no more."""
+        self.holds_replies = False
+        held, self._held = self._held, []
+        for instance, endpoint, datagram in held:
+            self._deliver(instance, endpoint, datagram)
+
     def _apply(self, *configurations: Configuration) -> None:
         for configuration in configurations:
             views = [
@@ -99,10 +109,16 @@
         replies = model.handle(packet, Endpoint("127.0.0.1", 1), self.now_ms)
         while (work := model.take_work(self.now_ms)) is not None:
             replies += model.build_answer(work[0])
-        core = self.cores[instance]
         for reply in replies:
             datagram = encode_packet(reply)
-            self._execute(instance, core.handle_upstream(endpoint, datagram, self.now_ms))
+            if self.holds_replies:
+                self._held.append((instance, endpoint, datagram))
+            else:
+                self._deliver(instance, endpoint, datagram)
+
+    def _deliver(self, instance: str, endpoint: Endpoint, datagram: bytes) -> None:
+        core = self.cores[instance]
+        self._execute(instance, core.handle_upstream(endpoint, datagram, self.now_ms))
 
 
 def _build_core(member: InstanceIncarnation) -> InstanceCore:
@@ -170,6 +186,26 @@
     assert site.upstreams[OLD].unknown_flow_packets == 0
 
 
+def test_copies_of_a_request_in_flight_are_not_repeated_after_the_close() -> None:
+    """Guards against a copy that nobody answers, so that it is repeated after the close.
+
+    The fabric handed the last request of the flow to two instances.
+    """
+    site = Site()
+    _open_flow(site, "i2")
+    last = _build_request(site, EARLIER_REQUESTS)
+    site.holds_replies = True
+    site.send("i1", last)
+    site.send("i2", last)
+    site.run(100)
+    site.deliver_replies()
+    site.send("i1", Close())
+    closed_ms = site.now_ms
+    site.run(5_000)
+    assert site.upstreams[OLD].unknown_flow_packets == 0
+    assert site.upstreams[NEW].last_packet_ms == closed_ms
+
+
 def test_pin_of_a_closed_flow_outlives_the_retries_of_a_request() -> None:
     """Guards against a change of one of the times that lets the last attempt lose its upstream."""
     parameters = RequestParameters()
