An answer without its objects is no empty listing

An answer of the store without items or events was read as an empty one: a listing like that would make every target missing. Not seen in use.

The case "no items" of test_store.py failed before.

--- a/src/catkinspread/platform/answers.py
+++ b/src/catkinspread/platform/answers.py
@@ -87,13 +87,13 @@
 
 class _Listing(msgspec.Struct):
     at_rev: Count
-    items: list[_Object] = []
+    items: list[_Object]
     has_more: bool = False
 
 
 class _Watched(msgspec.Struct):
     at_rev: Count
-    events: list[_Event] = []
+    events: list[_Event]
 
 
 _Frame = TypeVar("_Frame", bound=msgspec.Struct)
@@ -134,7 +134,7 @@
     except DECODER_FAILURES:
         members = _split_answer(body)
         frame = _decode_frame(members, _ListingFrame)
-        for item in _split_array(members.get("items", b"[]")):
+        for item in _split_array(members.get("items", b"")):
             reader.read_separated(item, False)
         return reader.build_answer(frame.at_rev, frame.has_more)
     for item in listing.items:
@@ -154,7 +154,7 @@
     except DECODER_FAILURES:
         members = _split_answer(body)
         frame = _decode_frame(members, _WatchedFrame)
-        for event in _split_array(members.get("events", b"[]")):
+        for event in _split_array(members.get("events", b"")):
             reader.read_separated_event(event)
         return reader.build_answer(frame.at_rev)
     for event in watched.events:
