Fuzz test of datagrams whose content is used and passed on

Messages with extreme values in their fields go through PeerExchange and the directory, which then send hellos, select a feeder and expire members.

--- a/src/catkinspread/platform/tests/test_fuzz.py
+++ b/src/catkinspread/platform/tests/test_fuzz.py
@@ -7,6 +7,7 @@
 import contextlib
 import json
 import os
+import random
 import zlib
 
 import msgspec
@@ -14,7 +15,9 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from catkinspread.clock import ManualClock
 from catkinspread.deployment import StateChange, StateChanges, StateKind, UpstreamRecord
+from catkinspread.model import Endpoint
 from catkinspread.peers import (
     Hello,
     HelloReply,
@@ -23,6 +26,8 @@
     Member,
     MemberStatus,
     MessageError,
+    PeerDirectory,
+    PeerExchange,
     UnreachableReport,
     decode_message,
     encode_message,
@@ -34,6 +39,7 @@
 )
 from catkinspread.platform.answers import AnswerError, ReadAnswer, read_changes, read_listing
 from catkinspread.platform.tests.corpus import ENTRIES, FRAMES, METAS
+from catkinspread.transport.traffic import TrafficMeter
 
 MEMBER = Member("edge-1", "khomas-a", "10.1.0.1", 1_772_510_508_150)
 STATUS = MemberStatus(MEMBER, 120, True, False, 0)
@@ -175,3 +181,56 @@
             encode_message(decode_message(body))
         with contextlib.suppress(StateEncodingError):
             encode_state_changes(decode_state_changes(body))
+
+
+MUTATED_FIELDS = (
+    ("10.1.0.1", ["255.255.255.255", "0.0.0.0", "10.1.0.256", "host", ""]),
+    ("edge-1", ["me", "n" * 255, "n" * 256, "\n", ""]),
+    (120, [0, 2**63 - 1, 2**63, 2**64 - 1, -1]),
+    (5, [0, 2**63 - 1, 2**64 - 1, -1]),
+)
+
+
+def replace_values(value: object, replaced: dict[object, object]) -> object:
+    """Returns a decoded message in which values are replaced."""
+    if isinstance(value, list):
+        return [replace_values(item, replaced) for item in value]
+    if isinstance(value, dict):
+        items = value.items()
+        return {replaced.get(key, key): replace_values(item, replaced) for key, item in items}
+    return replaced.get(value, value)
+
+
+@st.composite
+def datagrams(draw: st.DrawFn) -> bytes:
+    """Draws messages with extreme values in some of their fields."""
+    replaced = {value: draw(st.sampled_from([value, *others])) for value, others in MUTATED_FIELDS}
+    message = msgspec.msgpack.decode(draw(st.sampled_from(MESSAGES)), strict=False)
+    return draw(damaged(st.just(msgspec.msgpack.encode(replace_values(message, replaced)))))
+
+
+@SETTINGS
+@given(st.lists(datagrams(), max_size=4))
+def test_datagrams_do_not_raise_later(received: list[bytes]) -> None:
+    """Guards against a datagram that ends the process when its content is used or passed on."""
+    clock = ManualClock(1_800_000_000_000)
+    me = Member("me", "khomas-a", "10.1.0.9", 1)
+    directory = PeerDirectory(me, random.Random(1))
+    exchange = PeerExchange(
+        me,
+        7_720,
+        ("10.1.0.1",),
+        directory,
+        lambda: MemberStatus(me, None, True, False, 0),
+        lambda report, now_ms: None,
+        lambda report, now_ms: None,
+        TrafficMeter(),
+        clock,
+        random.Random(1),
+    )
+    for datagram in received:
+        exchange._receive(datagram, Endpoint("10.1.0.1", 7_720))
+        exchange.send_hello()
+        clock.advance(1_000)
+        directory.select_feeder(None, clock.now_ms())
+        directory.expire_members(clock.now_ms())
