--- a/src/catkinspread/bench/forwarding_cost.py
+++ b/src/catkinspread/bench/forwarding_cost.py
@@ -59,7 +59,7 @@
     def __init__(self) -> None:
         self.count = 0
 
-    def forward(self, packet: CallerPacket, upstream: KnownUpstream) -> None:
+    def forward(self, packet: CallerPacket, upstream: KnownUpstream, token: int) -> None:
         self.count += 1
 
     def reset(self, key: FlowKey, sequence: int) -> None:
--- a/src/catkinspread/deployment/__init__.py
+++ b/src/catkinspread/deployment/__init__.py
@@ -21,6 +21,8 @@
 )
 from catkinspread.deployment.state import (
     MISSING_GRACE_MS,
+    TOKEN_BITS,
+    TOKEN_MAX,
     ApplyOutcome,
     DeploymentState,
     KnownUpstream,
@@ -35,6 +37,8 @@
 
 __all__ = [
     "MISSING_GRACE_MS",
+    "TOKEN_BITS",
+    "TOKEN_MAX",
     "ApplyOutcome",
     "DeploymentState",
     "HistoryLost",
--- a/src/catkinspread/deployment/state.py
+++ b/src/catkinspread/deployment/state.py
@@ -33,13 +33,14 @@
 # source if there was one. Upstreams that are alive write an expired record again within 2 s. The
 # value does not follow the heartbeat_ms setting.
 MISSING_GRACE_MS = 2_300
-# The token field of packets has 32 bits.
-TOKEN_MAX = 0xFFFF_FFFF
+# The token field of packets has 32 bits; the two highest ones tell the stage of the handshake.
+TOKEN_BITS = 30
+TOKEN_MAX = (1 << TOKEN_BITS) - 1
 _UNKNOWN_SERVICE_LIMITS = ServiceLimits(name="", cold_rate_per_s=0.0, connections_max=1)
 
 
 def compute_token(name: str) -> int:
-    """Returns the 32-bit number that identifies an upstream in the packets of a flow.
+    """Returns the 30-bit number that identifies an upstream in the packets of a flow.
 
     It depends on the name alone, so all instances compute the same token. 0 means no upstream.
     Two names can have the same token. `DeploymentState.find_upstream_by_token` then returns the
@@ -165,8 +166,12 @@
         return tuple(self._services)
 
     def find_upstream_by_token(self, token: int) -> KnownUpstream | None:
-        """Returns the upstream with a token, including removed ones; None if there is none."""
-        return self._by_token.get(token)
+        """Returns the upstream with a token, including removed ones; None if there is none.
+
+        Args:
+            token: The token, or a token field of a packet, whose stage is ignored.
+        """
+        return self._by_token.get(token & TOKEN_MAX)
 
     def list_upstreams(self) -> tuple[KnownUpstream, ...]:
         """Returns all upstreams, including removed ones."""
--- a/src/catkinspread/forwarding/__init__.py
+++ b/src/catkinspread/forwarding/__init__.py
@@ -6,12 +6,19 @@
 from catkinspread.forwarding.cold_start_limiter import ColdStartLimiter
 from catkinspread.forwarding.decision_log import DecisionLog, format_ip
 from catkinspread.forwarding.flow_resets import UpstreamCheck
+from catkinspread.forwarding.flow_tokens import TokenStage, decode_stage, encode_flow_token
 from catkinspread.forwarding.flows import Flow, FlowTable
 from catkinspread.forwarding.forwarder import Forwarder
 from catkinspread.forwarding.histogram import LatencyHistogram
 from catkinspread.forwarding.load import LoadTracker, UpstreamLoad
 from catkinspread.forwarding.local_availability import LocalAvailability
-from catkinspread.forwarding.packets import CallerPacket, FlowKey, PacketOutput, RejectionReason
+from catkinspread.forwarding.packets import (
+    CallerPacket,
+    FlowKey,
+    FlowPeers,
+    PacketOutput,
+    RejectionReason,
+)
 from catkinspread.forwarding.placement import Placement, SelectionTier, UpstreamChoice
 
 __all__ = [
@@ -20,6 +27,7 @@
     "DecisionLog",
     "Flow",
     "FlowKey",
+    "FlowPeers",
     "FlowTable",
     "Forwarder",
     "LatencyHistogram",
@@ -29,8 +37,11 @@
     "Placement",
     "RejectionReason",
     "SelectionTier",
+    "TokenStage",
     "UpstreamCheck",
     "UpstreamChoice",
     "UpstreamLoad",
+    "decode_stage",
+    "encode_flow_token",
     "format_ip",
 ]
--- a/src/catkinspread/forwarding/decision_log.py
+++ b/src/catkinspread/forwarding/decision_log.py
@@ -120,6 +120,16 @@
             removed=flow.upstream.is_removed,
         )
 
+    def log_opened_elsewhere(self, flow: Flow, now_ms: int) -> None:
+        """Logs that the handshake of a flow ended through another instance."""
+        self._events.write(
+            "flow_opened_elsewhere",
+            now_ms,
+            flow=format_flow(flow.key),
+            upstream=flow.upstream.record.name,
+            tried=len(flow.attempted),
+        )
+
     def log_caller_close(self, flow: Flow, is_reset: bool, now_ms: int) -> None:
         """Logs that the caller closed or reset the flow before it acknowledged an answer."""
         self._write_request_end("caller_gave_up", flow, now_ms, reset=is_reset)
--- a/src/catkinspread/forwarding/flows.py
+++ b/src/catkinspread/forwarding/flows.py
@@ -17,10 +17,20 @@
 HANDSHAKE_TIMEOUT_MS = 1_500
 # Data that a caller may have in flight when a flow opens: 16 packets of 1,200 bytes, and a margin.
 FIRST_WINDOW_BYTES = 32_768
+# Largest difference between the sequence numbers that two instances know of the same flow. Flows of
+# the same ports differ by more than it with a probability of 99.95%.
+SEQUENCE_TOLERANCE_BYTES = 1 << 20
 # Request time-out of flows without a route.
 REQUEST_TIMEOUT_DEFAULT_MS = 2_000
 
 
+def is_same_flow(sequence: int, other: int) -> bool:
+    """Whether two sequence numbers of flows of the same ports can belong to one flow."""
+    ahead = compute_sequence_distance(sequence, other)
+    behind = compute_sequence_distance(other, sequence)
+    return min(ahead, behind) <= SEQUENCE_TOLERANCE_BYTES
+
+
 class Flow:
     """The state of one flow.
 
@@ -43,6 +53,10 @@
             handshake starts the wait for the answer to the first request.
         acknowledged: Highest acknowledgement number received from the caller.
         request_id: Identifier of the latest request; empty if unknown.
+        is_contested: Whether an upstream that does not hold the flow may have answered its opening
+            packet, so that the caller may return the token of that one.
+        is_opened_by_copy: Whether the first packet that arrived here was a retransmission of the
+            opening packet, so that another instance may have sent the first one to an upstream.
         retransmissions: Number of data packets that did not advance the sequence.
         next_sequence: Sequence number after the last byte received from the caller.
         next_check_at_ms: When the table checks the flow for expiry; set by the table.
@@ -53,7 +67,9 @@
         "attempted",
         "created_at_ms",
         "is_closed",
+        "is_contested",
         "is_established",
+        "is_opened_by_copy",
         "is_reset",
         "key",
         "last_attempt_at_ms",
@@ -82,7 +98,9 @@
         self.created_at_ms = now_ms
         self.is_established = False
         self.is_closed = False
+        self.is_contested = False
         self.is_reset = False
+        self.is_opened_by_copy = False
         self.last_packet_at_ms = now_ms
         self.pending_since_ms: int | None = None
         self.acknowledged = 0
@@ -98,8 +116,17 @@
             not self.is_established and opening is not None and opening.sequence == packet.sequence
         )
 
-    def matches_sequence(self, packet: CallerPacket) -> bool:
-        """Whether a packet that ends the handshake has a sequence number of this flow.
+    def is_doubtful(self, packet: CallerPacket) -> bool:
+        """Whether the handshake may have ended through another instance, on any of the upstreams.
+
+        Its end has no data, so a packet with data that comes first may follow a later answer.
+        """
+        is_handshake = not self.is_established and len(self.attempted) > 1
+        has_data = packet.payload_size_bytes > 0
+        return is_handshake and has_data and self.matches_sequence(packet.sequence)
+
+    def matches_sequence(self, sequence: int) -> bool:
+        """Whether the packet that ends the handshake has a sequence number of this flow.
 
         Packets of an earlier flow with the same key may arrive late. The first packet of a flow
         follows its opening packet, or comes up to FIRST_WINDOW_BYTES later if others were lost. A
@@ -107,9 +134,18 @@
         """
         if self.opening_sequence is None:
             return True
-        distance = compute_sequence_distance(packet.sequence, self.opening_sequence)
+        distance = compute_sequence_distance(sequence, self.opening_sequence)
         return distance <= FIRST_WINDOW_BYTES
 
+    def is_same_open_flow(self, sequence: int) -> bool:
+        """Whether this flow is open and a packet with a sequence number can belong to it.
+
+        Other packets may have gone through other instances.
+        """
+        if not self.is_established or self.is_closed:
+            return False
+        return is_same_flow(sequence, self.next_sequence)
+
     def is_late_retransmission(self, packet: CallerPacket, now_ms: int) -> bool:
         """Whether a packet is a retransmission of the opening packet after the handshake.
 
@@ -210,6 +246,14 @@
         """Returns the flows that are open on an upstream."""
         return list(self._open_by_upstream.get(upstream.record.name, ()))
 
+    def list_contested(self) -> list[Flow]:
+        """Returns the open flows whose callers may return the token of another upstream."""
+        return [
+            flow
+            for flow in self._flows.values()
+            if flow.is_contested and flow.is_established and not flow.is_closed
+        ]
+
     def has_open_flows(self, upstream: KnownUpstream) -> bool:
         """Whether any flow is open on an upstream."""
         return upstream.record.name in self._open_by_upstream
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -4,23 +4,37 @@
 upstream of their flow. If an upstream does not answer an opening packet within the handshake
 time-out, the instance sends the packet to another upstream before the caller retransmits it. Flows
 of upstreams that no longer serve them are reset.
+
+A flow that this instance has no entry for was opened through another one. While its token field does
+not prove where it is open, the other instances are asked, and its packets are held meanwhile. The
+same message ends the retries of the instance that got the opening packet.
 """
 
 import collections
 from collections.abc import Callable
 
-from catkinspread.deployment import DeploymentState, KnownUpstream
+from catkinspread.deployment import TOKEN_MAX, DeploymentState, KnownUpstream
 from catkinspread.forwarding.decision_log import DecisionLog
 from catkinspread.forwarding.flow_resets import FlowResetter, UpstreamCheck
+from catkinspread.forwarding.flow_tokens import TokenStage, decode_stage, encode_flow_token
 from catkinspread.forwarding.flows import Flow, FlowTable
 from catkinspread.forwarding.handshake_timeouts import HandshakeTimeouts
 from catkinspread.forwarding.handshakes import HandshakeEstimator
+from catkinspread.forwarding.held_packets import HeldPackets
 from catkinspread.forwarding.histogram import LatencyHistogram
 from catkinspread.forwarding.load import LoadTracker
 from catkinspread.forwarding.local_availability import LocalAvailability
-from catkinspread.forwarding.packets import CallerPacket, PacketOutput, RejectionReason
+from catkinspread.forwarding.packets import (
+    CallerPacket,
+    FlowKey,
+    FlowPeers,
+    NoFlowPeers,
+    PacketOutput,
+    RejectionReason,
+)
 from catkinspread.forwarding.placement import Placement
 from catkinspread.forwarding.reachability import ReachabilityTracker
+from catkinspread.forwarding.remembered_flows import RememberedFlow, RememberedFlows
 from catkinspread.forwarding.retry_budget import RetryBudget
 from catkinspread.forwarding.sequence_numbers import advance_sequence, is_sequence_after
 from catkinspread.forwarding.waiting import WaitTracker
@@ -50,14 +64,19 @@
         log: Log for the decisions that affect requests.
         read_request_id: Returns the identifier of the request that starts in a packet; empty
             if no request starts in it.
+        peers: Tells the other instances about flows.
 
     Attributes:
         counts: Number of events by name. REASON is a value of `RejectionReason`.
             opened: A caller opened a flow.
             adopted: This instance took over a flow that another one opened.
+            held: The packets of a flow wait for the answers of other instances.
+            corrected: Another instance knew a flow on another upstream than its token told.
+            opened_elsewhere: The handshake of a flow ended through another instance.
             kept_after_change: An adopted flow stays on an upstream that its route no longer
                 leads to.
             retried: An opening packet was sent to another upstream.
+            retry_left_to_caller: There was no retry because the instance is leaving.
             repeat_withheld: The retry budget did not allow a retry.
             tries_exhausted: There was no retry because ATTEMPTS_MAX was reached or the flow has
                 no route any more.
@@ -77,13 +96,17 @@
     __slots__ = (
         "_flows",
         "_handshakes",
+        "_held",
         "_loads",
+        "_is_leaving",
         "_local_availability",
         "_log",
         "_output",
+        "_peers",
         "_placement",
         "_read_request_id",
         "_refuses_from_ms",
+        "_remembered",
         "_resetter",
         "_retry_budget",
         "_state",
@@ -103,6 +126,7 @@
         output: PacketOutput,
         log: DecisionLog,
         read_request_id: Callable[[CallerPacket], str],
+        peers: FlowPeers | None = None,
     ) -> None:
         self._state = state
         self._placement = placement
@@ -111,8 +135,12 @@
         self._output = output
         self._log = log
         self._read_request_id = read_request_id
+        self._peers = peers or NoFlowPeers()
+        self._held = HeldPackets()
+        self._remembered = RememberedFlows()
         # Earlier opening packets are dropped instead, because the state may be outdated.
         self._refuses_from_ms = 0
+        self._is_leaving = False
         self._flows = FlowTable()
         self._waits = WaitTracker(loads)
         self.reachability = ReachabilityTracker()
@@ -135,8 +163,11 @@
         flow = self._flows.find(packet.key)
         if packet.is_opening:
             self._handle_opening_packet(packet, flow, now_ms)
-        elif flow is None:
-            self._adopt_flow(packet, now_ms)
+        elif flow is None or packet.key in self._held:
+            self._handle_unknown_flow(packet, now_ms)
+        elif flow.is_doubtful(packet) and self._ask_peers(packet, now_ms):
+            flow.opening_packet = None  # The handshake has ended, so no retry is due.
+            self._hold(packet, now_ms)
         else:
             self._handle_flow_packet(packet, flow, now_ms)
 
@@ -144,9 +175,12 @@
         """Handles the opening packets that have timed out.
 
         The upstream that did not answer gets a back-off. The packet is sent to another upstream
-        unless the retry budget is used up.
+        unless the retry budget is used up. An instance that is leaving does neither.
         """
         for flow, upstream in self._timeouts.pop_due(now_ms):
+            if self._is_leaving:
+                self.counts["retry_left_to_caller"] += 1
+                continue
             backoff_ms = self._loads.get(upstream.record.name).record_timeout(now_ms)
             self._log.log_open_timeout(flow, upstream, backoff_ms, now_ms)
             self._record_unanswered(upstream, now_ms)
@@ -155,6 +189,111 @@
                 continue  # The retransmission of the caller will go to another upstream.
             self._try_next_upstream(flow, flow.opening_packet, now_ms)
 
+    def adopt_due_flows(self, now_ms: int) -> None:
+        """Adopts the flows that other instances have not told about in time, by their tokens."""
+        for packets in self._held.pop_due(now_ms):
+            self._adopt_held(packets, None, now_ms)
+
+    def find_open_flow(self, key: FlowKey, sequence: int) -> KnownUpstream | None:
+        """Returns the upstream of an open flow; None if this instance does not know it.
+
+        Flows that other instances have told are known, too.
+
+        Args:
+            key: Key of the flow.
+            sequence: Sequence number of a packet of it, which tells it from others with its ports.
+        """
+        flow = self._flows.find(key)
+        if flow is not None and flow.is_same_open_flow(sequence):
+            return flow.upstream
+        token = self._remembered.find_token(key, sequence)
+        return None if token is None else self._state.find_upstream_by_token(token)
+
+    def record_opened_elsewhere(
+        self,
+        key: FlowKey,
+        sequence: int,
+        acknowledged: int,
+        token: int,
+        now_ms: int,
+        is_certain: bool = True,
+    ) -> None:
+        """Ends the handshake of a flow whose caller ended it through another instance.
+
+        Without this, the opening packet would be taken for unanswered and sent to others. Their
+        answers would change the token that the caller returns.
+
+        Args:
+            key: Key of the flow.
+            sequence: Sequence number of a packet that followed the handshake.
+            acknowledged: Acknowledgement number of that packet.
+            token: Its token field.
+            now_ms: Current time.
+            is_certain: Whether the flow is open on the upstream of the token.
+        """
+        flow = self._flows.find(key)
+        upstream = self._state.find_upstream_by_token(token)
+        if flow is None or upstream is None:
+            return
+        if flow.is_established or not flow.matches_sequence(sequence):
+            return
+        self._waits.stop(flow)
+        flow.opening_packet = None
+        self.counts["opened_elsewhere"] += 1
+        if is_certain:
+            flow.upstream = upstream
+            flow.acknowledged = acknowledged
+            flow.next_sequence = sequence
+            flow.is_contested = len(flow.attempted) > 1
+            self._flows.mark_established(flow)
+        self._log.log_opened_elsewhere(flow, now_ms)
+
+    def record_flow_upstream(
+        self, key: FlowKey, sequence: int, token: int, now_ms: int, age_ms: int = 0
+    ) -> None:
+        """Handles where another instance knows a flow to be open.
+
+        Its packets are released if they are held here; otherwise it is remembered.
+
+        Args:
+            key: Key of the flow.
+            sequence: Sequence number of a packet of it.
+            token: Token of the upstream.
+            now_ms: Current time.
+            age_ms: Time since an instance saw the flow there.
+        """
+        packets = self._held.pop(key)
+        if packets:
+            self._adopt_held(packets, self._state.find_upstream_by_token(token), now_ms)
+        elif self._flows.find(key) is None:
+            self._remembered.record(RememberedFlow(key, sequence, token, now_ms - age_ms))
+
+    def record_flow_unknown(self, key: FlowKey, now_ms: int) -> None:
+        """Handles that another instance does not know where a flow is open.
+
+        Its packets are released once no instance knows it.
+        """
+        if self._held.record_unknown(key):
+            self._adopt_held(self._held.pop(key), None, now_ms)
+
+    def begin_leaving(self, now_ms: int) -> None:
+        """Prepares for a planned stop.
+
+        Other instances are told the flows that cannot be found by their tokens. From now on packets
+        that end a handshake may reach another instance, so an opening packet is sent to another
+        upstream only when its caller retransmits it.
+        """
+        self._is_leaving = True
+        for flow in self._flows.list_contested():
+            self._peers.remember(
+                flow.key, flow.next_sequence, flow.upstream, now_ms - flow.last_packet_at_ms
+            )
+        for remembered in self._remembered:
+            upstream = self._state.find_upstream_by_token(remembered.token)
+            if upstream is not None and self._flows.find(remembered.key) is None:
+                age_ms = now_ms - remembered.recorded_at_ms
+                self._peers.remember(remembered.key, remembered.sequence, upstream, age_ms)
+
     def handle_pause(self, now_ms: int) -> None:
         """Discards what was concluded from time-outs that ran while the process was paused.
 
@@ -167,14 +306,16 @@
         self._timeouts.restart_all(now_ms)
 
     def get_next_retry_at_ms(self) -> int | None:
-        """Returns when the next retry is scheduled; None if there is none.
+        """Returns when the next retry or adoption is scheduled; None if there is none.
 
         The result is a time in ms on the clock of `now_ms`.
         """
-        return self._timeouts.get_next_due_at_ms()
+        times = (self._timeouts.get_next_due_at_ms(), self._held.get_next_due_at_ms())
+        return min((time_ms for time_ms in times if time_ms is not None), default=None)
 
     def expire_flows(self, now_ms: int) -> None:
         """Removes expired flows and ends requests that were not answered in time."""
+        self._remembered.expire(now_ms)
         for flow in self._flows.remove_expired(now_ms, self._idle_timeout_ms):
             self._waits.stop(flow)
             self._log.log_request_timeout(flow, now_ms)
@@ -219,7 +360,8 @@
         return configuration.idle_timeout_ms if configuration else IDLE_TIMEOUT_DEFAULT_MS
 
     def _handle_opening_packet(self, packet: CallerPacket, flow: Flow | None, now_ms: int) -> None:
-        if flow is not None and flow.is_late_retransmission(packet, now_ms):
+        is_late = flow is not None and flow.is_late_retransmission(packet, now_ms)
+        if is_late or packet.key in self._held:
             self.counts["late_copy"] += 1
             return
         if flow is not None and flow.is_handshake_retransmission(packet):
@@ -247,6 +389,7 @@
         flow = Flow(packet.key, route, choice.upstream, now_ms)
         flow.opening_sequence = packet.sequence
         flow.next_sequence = advance_sequence(packet.sequence, 1)
+        flow.is_opened_by_copy = packet.acknowledged > 0
         self._flows.add(flow)
         self.counts["opened"] += 1
         self._retry_budget.record_opening()
@@ -294,19 +437,77 @@
     def _send_opening_packet(
         self, flow: Flow, packet: CallerPacket, upstream: KnownUpstream, now_ms: int
     ) -> None:
+        is_first = not flow.attempted and not flow.is_opened_by_copy
+        stage = TokenStage.FIRST_ATTEMPT if is_first else TokenStage.REPEATED_ATTEMPT
         flow.attempted = (*flow.attempted, upstream)
         flow.opening_packet = packet
         flow.last_attempt_at_ms = now_ms
         flow.last_packet_at_ms = now_ms
-        self._output.forward(packet, upstream)
+        self._output.forward(packet, upstream, encode_flow_token(upstream, stage))
         self._timeouts.schedule(flow, upstream, now_ms)
 
-    def _adopt_flow(self, packet: CallerPacket, now_ms: int) -> None:
-        """Takes over a flow that another instance opened."""
+    def _handle_unknown_flow(self, packet: CallerPacket, now_ms: int) -> None:
         upstream = self._state.find_upstream_by_token(packet.token)
         if upstream is None:
             self._drop(packet, RejectionReason.UNKNOWN_TOKEN, now_ms)
             return
+        if packet.key not in self._held and not self._ask_peers(packet, now_ms):
+            known = self.find_open_flow(packet.key, packet.sequence)
+            self._adopt_flow(packet, known or upstream, now_ms)
+        else:
+            self._hold(packet, now_ms)
+
+    def _hold(self, packet: CallerPacket, now_ms: int) -> None:
+        if not self._held.add(packet):
+            self._drop(packet, RejectionReason.TOO_MANY_HELD, now_ms)
+
+    def _ask_peers(self, packet: CallerPacket, now_ms: int) -> bool:
+        """Announces an unknown flow unless its token proves where it is open.
+
+        The packet that ends the handshake follows the answer at once, so it need not wait.
+
+        Returns:
+            Whether the packets of the flow have to wait for the answers of other instances.
+        """
+        stage = decode_stage(packet.token)
+        if stage not in (TokenStage.FIRST_ATTEMPT, TokenStage.REPEATED_ATTEMPT):
+            return False
+        is_known = self.find_open_flow(packet.key, packet.sequence) is not None
+        needs_answers = not is_known and not _is_end_of_handshake(packet)
+        told = self._peers.announce(packet, needs_answers)
+        if told and needs_answers:
+            self.counts["held"] += 1
+            self._held.start(packet.key, told, now_ms)
+        return told > 0 and needs_answers
+
+    def _adopt_held(
+        self, packets: list[CallerPacket], told: KnownUpstream | None, now_ms: int
+    ) -> None:
+        """Takes over a flow whose packets were held.
+
+        Args:
+            packets: The packets, in the order of their arrival.
+            told: Upstream that another instance told; None if none did.
+            now_ms: Current time.
+        """
+        assumed = self._state.find_upstream_by_token(packets[0].token)
+        upstream = told or assumed
+        if upstream is None:
+            for packet in packets:
+                self._drop(packet, RejectionReason.UNKNOWN_TOKEN, now_ms)
+            return
+        if upstream is not assumed:
+            self.counts["corrected"] += 1
+        pending = self._flows.find(packets[0].key)
+        if pending is None or told is not None:
+            if pending is not None:
+                self._waits.stop(pending)
+            self._adopt_flow(packets.pop(0), upstream, now_ms)
+        for packet in packets:
+            self.handle(packet, now_ms)
+
+    def _adopt_flow(self, packet: CallerPacket, upstream: KnownUpstream, now_ms: int) -> None:
+        """Takes over a flow that another instance opened."""
         route = self._state.find_route(packet.key.address)
         services = [share.service for share in route.shares] if route else []
         if route is not None and upstream.record.service not in services:
@@ -315,6 +516,12 @@
         flow = Flow(packet.key, route, upstream, now_ms)
         flow.acknowledged = packet.acknowledged
         flow.next_sequence = packet.sequence
+        is_corrected = upstream.token != packet.token & TOKEN_MAX
+        is_repeated = decode_stage(packet.token) is TokenStage.REPEATED_ATTEMPT
+        # The announcement that ends the retries of another instance may be lost.
+        flow.is_contested = is_corrected or is_repeated or _is_end_of_handshake(packet)
+        if is_corrected or is_repeated:
+            self._peers.remember(flow.key, packet.sequence, upstream, age_ms=0)
         self._flows.add(flow)
         self._flows.mark_established(flow)
         self.counts["adopted"] += 1
@@ -326,7 +533,7 @@
             self.counts["after_reset"] += 1
             return
         if not flow.is_established:
-            if not flow.matches_sequence(packet):
+            if not flow.matches_sequence(packet.sequence):
                 self._drop(packet, RejectionReason.EARLIER_FLOW, now_ms)
                 return
             self._establish(packet, flow, now_ms)
@@ -338,15 +545,22 @@
             return
         if packet.is_close or packet.is_reset:
             self._close_flow(packet, flow, now_ms)
-        self._output.forward(packet, flow.upstream)
+        token = encode_flow_token(flow.upstream, TokenStage.OPEN)
+        self._output.forward(packet, flow.upstream, token)
 
     def _establish(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
         """Assigns a flow to the upstream whose answer the caller received first."""
-        upstream = next(
-            (attempted for attempted in flow.attempted if attempted.token == packet.token), None
-        )
+        token = packet.token & TOKEN_MAX
+        upstream = next((tried for tried in flow.attempted if tried.token == token), None)
+        if upstream is None or flow.is_opened_by_copy:
+            # Another instance has the opening packet too, and would send it to more upstreams.
+            self._peers.announce(packet, needs_answers=False)
+            flow.is_contested = True
         if upstream is None:
             upstream = self._state.find_upstream_by_token(packet.token) or flow.upstream
+        if flow.is_contested or len(flow.attempted) > 1:
+            flow.is_contested = True
+            self._peers.remember(flow.key, packet.sequence, upstream, age_ms=0)
         if upstream is flow.upstream:
             handshake_ms = now_ms - flow.last_attempt_at_ms
             self._handshakes.record(upstream.record.data_centre, handshake_ms)
@@ -423,3 +637,9 @@
     def _drop(self, packet: CallerPacket, reason: RejectionReason, now_ms: int) -> None:
         self.counts[f"dropped_{reason.value}"] += 1
         self._log.log_drop(packet, reason, now_ms)
+
+
+def _is_end_of_handshake(packet: CallerPacket) -> bool:
+    """Whether a packet looks like the caller's acknowledgement of the answer to a first attempt."""
+    is_first_attempt = decode_stage(packet.token) is TokenStage.FIRST_ATTEMPT
+    return is_first_attempt and not packet.payload_size_bytes
--- a/src/catkinspread/forwarding/packets.py
+++ b/src/catkinspread/forwarding/packets.py
@@ -44,7 +44,7 @@
         acknowledged: In an opening packet, how often the caller sent it before: 0 in the first
             transmission, 1 in the first retransmission. In any other packet, the sequence number
             of the next byte that the caller expects.
-        token: Token of the upstream that answered the caller last; 0 if none has.
+        token: Token field that the caller received last, see `flow_tokens`; 0 if it has none.
         payload_size_bytes: Size of the payload.
         datagram: The packet as received.
     """
@@ -87,6 +87,8 @@
     EARLIER_FLOW = "earlier_flow"
     # Dropped: the flow is unknown and no upstream has the token of the packet.
     UNKNOWN_TOKEN = "unknown_token"
+    # Dropped: too many packets of unknown flows wait for the answers of other instances.
+    TOO_MANY_HELD = "too_many_held"
 
 
 class ResetReason(enum.Enum):
@@ -98,11 +100,56 @@
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
 
 
+class FlowPeers(Protocol):
+    """Tells the other instances of the data centre about flows."""
+
+    def announce(self, packet: CallerPacket, needs_answers: bool) -> int:
+        """Tells that a caller has ended the handshake of a flow.
+
+        Args:
+            packet: Packet of the flow. Its token is the one of the upstream that is assumed.
+            needs_answers: Whether the others answer where they know the flow to be open.
+
+        Returns:
+            Number of instances that are expected to answer; 0 also if the rate limit does not allow
+            the announcement.
+        """
+
+    def remember(self, key: FlowKey, sequence: int, upstream: KnownUpstream, age_ms: int) -> None:
+        """Tells some other instances where a flow is open, so that they can answer for this one.
+
+        Args:
+            key: Key of the flow.
+            sequence: Sequence number of a packet of it.
+            upstream: Where it is open.
+            age_ms: Time since an instance saw the flow there.
+        """
+
+
+class NoFlowPeers:
+    """There are no other instances."""
+
+    __slots__ = ()
+
+    def announce(self, packet: CallerPacket, needs_answers: bool) -> int:
+        """Returns 0."""
+        return 0
+
+    def remember(self, key: FlowKey, sequence: int, upstream: KnownUpstream, age_ms: int) -> None:
+        """Does nothing."""
+
+
 class PacketOutput(Protocol):
     """Sends packets according to the forwarding decisions."""
 
-    def forward(self, packet: CallerPacket, upstream: KnownUpstream) -> None:
-        """Sends a packet to an upstream."""
+    def forward(self, packet: CallerPacket, upstream: KnownUpstream, token: int) -> None:
+        """Sends a packet to an upstream.
+
+        Args:
+            packet: The packet.
+            upstream: Where it goes.
+            token: Value of the token field, which the upstream returns to the caller.
+        """
 
     def reset(self, key: FlowKey, sequence: int) -> None:
         """Sends a reset to the caller of a flow.
--- /dev/null
+++ b/src/catkinspread/forwarding/remembered_flows.py
@@ -0,0 +1,71 @@
+"""Flows of other instances of which this one keeps where they are open.
+
+Only flows whose callers may return the token of another upstream are kept, at a few instances each.
+"""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from catkinspread.forwarding.flows import is_same_flow
+from catkinspread.forwarding.packets import FlowKey
+
+# Flows that are kept; the oldest ones are dropped beyond it. 48 new flows/s, of which 2% are
+# contested, are kept by two instances for 60 s each with a fiftieth of it.
+REMEMBERED_MAX = 8_192
+# The longest life of a flow.
+REMEMBERED_MS = 60_000
+
+
+class RememberedFlow(msgspec.Struct, frozen=True):
+    """Where a flow is open.
+
+    Attributes:
+        key: Key of the flow.
+        sequence: Sequence number of a packet of it.
+        token: Token of its upstream.
+        recorded_at_ms: When an instance saw it there.
+    """
+
+    key: FlowKey
+    sequence: int
+    token: int
+    recorded_at_ms: int
+
+
+class RememberedFlows:
+    """A bounded table in the order in which the flows were recorded."""
+
+    __slots__ = ("_flows",)
+
+    def __init__(self) -> None:
+        self._flows: dict[FlowKey, RememberedFlow] = {}
+
+    def __len__(self) -> int:
+        return len(self._flows)
+
+    def __iter__(self) -> Iterator[RememberedFlow]:
+        return iter(self._flows.values())
+
+    def record(self, flow: RememberedFlow) -> None:
+        """Adds a flow and replaces what was known about it."""
+        self._flows.pop(flow.key, None)
+        self._flows[flow.key] = flow
+        if len(self._flows) > REMEMBERED_MAX:
+            del self._flows[next(iter(self._flows))]
+
+    def find_token(self, key: FlowKey, sequence: int) -> int | None:
+        """Returns the token of the upstream of a flow; None if the flow is not known.
+
+        Args:
+            key: Key of the flow.
+            sequence: Sequence number of a packet of it, which tells it from others with its ports.
+        """
+        flow = self._flows.get(key)
+        return flow.token if flow is not None and is_same_flow(sequence, flow.sequence) else None
+
+    def expire(self, now_ms: int) -> None:
+        """Removes the flows that no instance has seen for REMEMBERED_MS."""
+        for flow in list(self._flows.values()):
+            if now_ms - flow.recorded_at_ms >= REMEMBERED_MS:
+                del self._flows[flow.key]
--- a/src/catkinspread/forwarding/tests/builders.py
+++ b/src/catkinspread/forwarding/tests/builders.py
@@ -20,9 +20,11 @@
     ColdStartLimiter,
     DecisionLog,
     FlowKey,
+    FlowPeers,
     Forwarder,
     LoadTracker,
     LocalAvailability,
+    PacketOutput,
     Placement,
 )
 
@@ -39,10 +41,12 @@
 
     def __init__(self) -> None:
         self.forwarded: list[tuple[CallerPacket, str]] = []
+        self.tokens: list[int] = []
         self.resets: list[tuple[FlowKey, int]] = []
 
-    def forward(self, packet: CallerPacket, upstream: KnownUpstream) -> None:
+    def forward(self, packet: CallerPacket, upstream: KnownUpstream, token: int) -> None:
         self.forwarded.append((packet, upstream.record.name))
+        self.tokens.append(token)
 
     def reset(self, key: FlowKey, sequence: int) -> None:
         self.resets.append((key, sequence))
@@ -102,8 +106,11 @@
         data_centre: str = "east",
         seed: int = 1,
         is_state_complete: bool = True,
+        peers: FlowPeers | None = None,
+        clock: ManualClock | None = None,
+        output: PacketOutput | None = None,
     ) -> None:
-        self.clock = ManualClock(START_MS)
+        self.clock = clock or ManualClock(START_MS)
         self.state = DeploymentState(flow_lifetime_max_ms=60_000)
         if is_state_complete:
             self.state.put_configuration(build_configuration())
@@ -126,9 +133,10 @@
             self.placement,
             self.loads,
             self.local_availability,
-            self.output,
+            output or self.output,
             DecisionLog(events, self.state),
             lambda packet: "id-1" if packet.payload_size_bytes else "",
+            peers,
         )
 
     @property
@@ -140,13 +148,14 @@
         self.forwarder.handle(packet, self.now_ms)
 
     def wait(self, duration_ms: int) -> None:
-        """Advances the clock in steps of 10 ms and sends the due retries after each step.
+        """Advances the clock in steps of 10 ms and runs what is due after each step.
 
         Expires flows once, after the last step.
         """
         for _ in range(0, duration_ms, 10):
             self.clock.advance(10)
             self.forwarder.send_due_retries(self.now_ms)
+            self.forwarder.adopt_due_flows(self.now_ms)
         self.forwarder.expire_flows(self.now_ms)
 
     def find_token(self, name: str) -> int:
--- /dev/null
+++ b/src/catkinspread/forwarding/tests/test_adopted_flows.py
@@ -0,0 +1,298 @@
+"""Flows whose packets reach an instance that did not open them."""
+
+from catkinspread.deployment import KnownUpstream
+from catkinspread.forwarding import CallerPacket, FlowKey, TokenStage
+from catkinspread.forwarding.flow_tokens import decode_stage, encode_flow_token
+from catkinspread.forwarding.flows import SEQUENCE_TOLERANCE_BYTES
+from catkinspread.forwarding.held_packets import HELD_PACKETS_MAX, HOLD_MS
+from catkinspread.forwarding.tests.builders import (
+    SEQUENCE,
+    ForwarderHarness,
+    build_opening_packet,
+    build_packet,
+    build_upstream,
+)
+
+UPSTREAMS = (build_upstream("a"), build_upstream("b"))
+
+
+class _RecordingPeers:
+    """Other instances that get announcements; the test answers for them."""
+
+    def __init__(self) -> None:
+        self.announced: list[CallerPacket] = []
+        self.remembered: list[tuple[FlowKey, str]] = []
+
+    def announce(self, packet: CallerPacket, needs_answers: bool) -> int:
+        self.announced.append(packet)
+        return 2
+
+    def remember(self, key: FlowKey, sequence: int, upstream: KnownUpstream, age_ms: int) -> None:
+        self.remembered.append((key, upstream.record.name))
+
+
+def _build_harness() -> tuple[ForwarderHarness, _RecordingPeers]:
+    peers = _RecordingPeers()
+    return ForwarderHarness(*UPSTREAMS, peers=peers), peers
+
+
+def _find(harness: ForwarderHarness, name: str) -> KnownUpstream:
+    return next(k for k in harness.state.list_upstreams() if k.record.name == name)
+
+
+def _encode(harness: ForwarderHarness, name: str, stage: TokenStage) -> int:
+    return encode_flow_token(_find(harness, name), stage)
+
+
+def _build_key() -> FlowKey:
+    return build_packet().key
+
+
+def test_end_of_a_handshake_at_another_instance_ends_the_retries() -> None:
+    """Guards against repeats of the opening packet of an open flow.
+
+    Their answers change the token of the caller, and the next instance follows it.
+    """
+    harness, _ = _build_harness()
+    harness.send(build_opening_packet())
+    first = harness.list_targets()[0]
+    token = _encode(harness, first, TokenStage.FIRST_ATTEMPT)
+    harness.forwarder.record_opened_elsewhere(_build_key(), SEQUENCE + 1, 1, token, harness.now_ms)
+    harness.wait(1_000)
+    harness.send(build_packet(token=0, payload_size_bytes=10))
+    assert harness.list_targets() == [first, first]
+    assert harness.loads.list_in_flight() == {first: 1}
+
+
+def test_announcement_of_an_earlier_flow_does_not_end_the_retries() -> None:
+    """Guards against an opening packet that is not repeated because its port was used before."""
+    harness, _ = _build_harness()
+    harness.send(build_opening_packet())
+    token = _encode(harness, "a", TokenStage.FIRST_ATTEMPT)
+    harness.forwarder.record_opened_elsewhere(
+        _build_key(), SEQUENCE + 1_000_000, 1, token, harness.now_ms
+    )
+    harness.wait(150)
+    assert sorted(harness.list_targets()) == ["a", "b"]
+
+
+def test_tokens_tell_whether_the_flow_is_open() -> None:
+    """Guards against an instance that cannot tell a late answer from one of the open flow."""
+    harness, _ = _build_harness()
+    harness.send(build_opening_packet())
+    harness.wait(150)
+    first, second = harness.list_targets()
+    harness.send(build_packet(token=harness.output.tokens[1]))
+    assert harness.list_targets() == [first, second, second]
+    assert [decode_stage(token) for token in harness.output.tokens] == [
+        TokenStage.FIRST_ATTEMPT,
+        TokenStage.REPEATED_ATTEMPT,
+        TokenStage.OPEN,
+    ]
+
+
+def test_copy_of_an_opening_packet_that_another_instance_sent_counts_as_a_repeat() -> None:
+    """Guards against trusting the late answer to the copy when the first answer opened the flow."""
+    harness, peers = _build_harness()
+    harness.send(build_opening_packet(copy=1))
+    assert decode_stage(harness.output.tokens[0]) is TokenStage.REPEATED_ATTEMPT
+    harness.send(build_packet(token=harness.output.tokens[0]))
+    assert len(peers.announced) == 1
+
+
+def test_flow_with_the_token_of_a_repeat_goes_where_another_instance_knows_it() -> None:
+    """Guards against packets of an open flow at the upstream that answered a repeat too late."""
+    harness, peers = _build_harness()
+    token = _encode(harness, "b", TokenStage.REPEATED_ATTEMPT)
+    packets = [
+        build_packet(token=token, payload_size_bytes=10),
+        build_packet(token=token, sequence=SEQUENCE + 11, payload_size_bytes=10),
+    ]
+    for packet in packets:
+        harness.send(packet)
+    assert harness.list_targets() == []
+    harness.forwarder.record_flow_upstream(
+        _build_key(), SEQUENCE + 1, harness.find_token("a"), harness.now_ms
+    )
+    assert harness.output.forwarded == [(packet, "a") for packet in packets]
+    assert peers.announced == packets[:1]
+    harness.wait(HOLD_MS)
+    assert len(harness.list_targets()) == 2
+    assert harness.forwarder.counts["corrected"] == 1
+
+
+def test_flow_that_no_other_instance_knows_follows_its_token() -> None:
+    """Guards against flows that stop because the instance that knew them was killed."""
+    harness, _ = _build_harness()
+    token = _encode(harness, "b", TokenStage.REPEATED_ATTEMPT)
+    harness.send(build_packet(token=token, payload_size_bytes=10))
+    harness.wait(HOLD_MS)
+    assert harness.list_targets() == ["b"]
+
+
+def test_flow_of_an_instance_without_peers_is_not_delayed() -> None:
+    """Guards against a wait for answers that nobody can give."""
+    harness = ForwarderHarness(*UPSTREAMS)
+    token = _encode(harness, "b", TokenStage.REPEATED_ATTEMPT)
+    harness.send(build_packet(token=token, payload_size_bytes=10))
+    assert harness.list_targets() == ["b"]
+
+
+def test_end_of_a_handshake_is_announced_and_not_delayed() -> None:
+    """Guards against retries at the instance that got the opening packet, and against slow opens."""
+    harness, peers = _build_harness()
+    harness.send(build_packet(token=_encode(harness, "b", TokenStage.FIRST_ATTEMPT)))
+    assert harness.list_targets() == ["b"]
+    assert len(peers.announced) == 1
+
+
+def test_moved_flow_that_is_open_is_neither_announced_nor_delayed() -> None:
+    """Guards against messages in proportion to the open flows when the routers change."""
+    harness, peers = _build_harness()
+    token = _encode(harness, "b", TokenStage.OPEN)
+    harness.send(build_packet(token=token, payload_size_bytes=10))
+    assert harness.list_targets() == ["b"]
+    assert peers.announced == []
+
+
+def test_copy_of_the_opening_packet_of_a_held_flow_is_dropped() -> None:
+    """Guards against a second flow at another upstream while the first one is looked up."""
+    harness, _ = _build_harness()
+    token = _encode(harness, "b", TokenStage.REPEATED_ATTEMPT)
+    harness.send(build_packet(token=token, payload_size_bytes=10))
+    harness.send(build_opening_packet(copy=1))
+    harness.wait(HOLD_MS)
+    assert harness.list_targets() == ["b"]
+    assert harness.forwarder.counts["late_copy"] == 1
+
+
+def test_held_packets_are_limited() -> None:
+    """Guards against memory that grows with packets of unknown flows."""
+    harness, _ = _build_harness()
+    token = _encode(harness, "b", TokenStage.REPEATED_ATTEMPT)
+    for number in range(HELD_PACKETS_MAX + 1):
+        harness.send(build_packet(number + 1, token=token, payload_size_bytes=10))
+    assert harness.forwarder.counts["dropped_too_many_held"] == 1
+    harness.wait(HOLD_MS)
+    assert len(harness.list_targets()) == HELD_PACKETS_MAX
+
+
+def test_tells_only_the_upstream_of_the_same_open_flow() -> None:
+    """Guards against an answer about an earlier flow of the same ports, or about a closed one."""
+    harness, _ = _build_harness()
+    find = harness.forwarder.find_open_flow
+    harness.send(build_opening_packet())
+    assert find(_build_key(), SEQUENCE + 1) is None
+    first = harness.list_targets()[0]
+    harness.send(build_packet(token=harness.find_token(first)))
+    assert find(_build_key(), SEQUENCE + 1) is _find(harness, first)
+    assert find(_build_key(), SEQUENCE + 2 + SEQUENCE_TOLERANCE_BYTES) is None
+    harness.send(build_packet(token=harness.find_token(first), is_close=True))
+    assert find(_build_key(), SEQUENCE + 1) is None
+
+
+def test_leaving_instance_leaves_retries_to_the_callers() -> None:
+    """Guards against repeats of opening packets whose handshake ends at another instance.
+
+    The caller's own copy still goes to another upstream.
+    """
+    harness, _ = _build_harness()
+    harness.send(build_opening_packet())
+    harness.forwarder.begin_leaving(harness.now_ms)
+    harness.wait(190)
+    assert len(harness.list_targets()) == 1
+    harness.send(build_opening_packet(copy=1))
+    assert sorted(harness.list_targets()) == ["a", "b"]
+
+
+def test_packets_are_released_once_no_instance_knows_the_flow() -> None:
+    """Guards against a full wait for each moved flow of a caller that never changes its token."""
+    harness, _ = _build_harness()
+    token = _encode(harness, "b", TokenStage.FIRST_ATTEMPT)
+    harness.send(build_packet(token=token, payload_size_bytes=10))
+    harness.forwarder.record_flow_unknown(_build_key(), harness.now_ms)
+    assert harness.list_targets() == []
+    harness.forwarder.record_flow_unknown(_build_key(), harness.now_ms)
+    assert harness.list_targets() == ["b"]
+
+
+def test_remembers_a_flow_for_the_instance_that_held_it() -> None:
+    """Guards against following a wrong token after the instance that knew better was killed."""
+    harness, _ = _build_harness()
+    harness.forwarder.record_flow_upstream(
+        _build_key(), SEQUENCE + 1, harness.find_token("a"), harness.now_ms
+    )
+    token = _encode(harness, "b", TokenStage.REPEATED_ATTEMPT)
+    harness.send(build_packet(token=token, payload_size_bytes=10))
+    assert harness.list_targets() == ["a"]
+
+
+def test_contested_flows_are_told_to_others_at_once_and_before_a_stop() -> None:
+    """Guards against a kill or a stop of the only instance that knows where such a flow is open."""
+    harness, peers = _build_harness()
+    harness.send(build_opening_packet())
+    harness.wait(150)
+    first, second = harness.list_targets()
+    harness.send(build_packet(token=harness.output.tokens[0]))
+    assert peers.remembered == [(_build_key(), first)]
+    harness.forwarder.begin_leaving(harness.now_ms)
+    assert peers.remembered == [(_build_key(), first)] * 2
+
+
+def test_ordinary_flows_are_told_to_nobody() -> None:
+    """Guards against a record of each flow at other instances."""
+    harness, peers = _build_harness()
+    harness.send(build_opening_packet())
+    harness.send(build_packet(token=harness.output.tokens[0], payload_size_bytes=10))
+    harness.forwarder.begin_leaving(harness.now_ms)
+    assert (peers.announced, peers.remembered) == ([], [])
+
+
+def test_question_about_a_flow_ends_the_retries_but_tells_no_upstream() -> None:
+    """Guards against an answer with the wrong token that another instance asked about."""
+    harness, _ = _build_harness()
+    harness.send(build_opening_packet())
+    harness.forwarder.record_opened_elsewhere(
+        _build_key(),
+        SEQUENCE + 1,
+        1,
+        _encode(harness, "b", TokenStage.REPEATED_ATTEMPT),
+        harness.now_ms,
+        is_certain=False,
+    )
+    harness.wait(500)
+    assert len(harness.list_targets()) == 1
+    assert harness.forwarder.find_open_flow(_build_key(), SEQUENCE + 1) is None
+
+
+def test_flow_is_remembered_for_its_longest_life_only() -> None:
+    """Guards against a record that instances pass on to each other for ever at their stops."""
+    harness, peers = _build_harness()
+    harness.forwarder.record_flow_upstream(
+        _build_key(), SEQUENCE, harness.find_token("a"), harness.now_ms, age_ms=40_000
+    )
+    harness.clock.advance(19_000)
+    harness.forwarder.expire_flows(harness.now_ms)
+    harness.forwarder.begin_leaving(harness.now_ms)
+    assert peers.remembered == [(_build_key(), "a")]
+    harness.clock.advance(1_000)
+    harness.forwarder.expire_flows(harness.now_ms)
+    assert harness.forwarder.find_open_flow(_build_key(), SEQUENCE) is None
+
+
+def test_flow_that_returns_before_its_handshake_expires_here_is_asked_about() -> None:
+    """Guards against a late token in the first packet here of a flow that opened elsewhere.
+
+    The announcement of the other instance was lost.
+    """
+    harness, _ = _build_harness()
+    harness.send(build_opening_packet())
+    harness.wait(150)
+    first, second = harness.list_targets()
+    harness.send(build_packet(token=harness.output.tokens[1], payload_size_bytes=10))
+    assert harness.list_targets() == [first, second]
+    harness.forwarder.record_flow_upstream(
+        _build_key(), SEQUENCE + 1, harness.find_token(first), harness.now_ms
+    )
+    assert harness.list_targets() == [first, second, first]
+    assert harness.loads.list_in_flight() == {first: 1}
--- a/src/catkinspread/peers/__init__.py
+++ b/src/catkinspread/peers/__init__.py
@@ -4,6 +4,8 @@
 from catkinspread.peers.exchange import PeerExchange
 from catkinspread.peers.feed import FEED_REQUEST_MAX_BYTES, FeedServer, PeerSource
 from catkinspread.peers.messages import (
+    FlowAnnouncement,
+    FlowLocation,
     Hello,
     HelloReply,
     KnownMember,
@@ -23,6 +25,8 @@
     "FEED_REQUEST_MAX_BYTES",
     "AnsweredSpan",
     "FeedServer",
+    "FlowAnnouncement",
+    "FlowLocation",
     "Hello",
     "HelloReply",
     "KnownMember",
--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -158,6 +158,15 @@
             if peer.member.data_centre == self._member.data_centre
         ]
 
+    def list_staying_peers(self) -> list[Member]:
+        """Returns the other instances of this data centre that have not said that they leave."""
+        return [
+            peer.member
+            for peer in self._peers.values()
+            if peer.member.data_centre == self._member.data_centre
+            and (peer.status is None or not peer.status.is_leaving)
+        ]
+
     def choose_random_hosts(self, count: int) -> list[str]:
         """Returns the addresses of up to `count` random instances of all data centres."""
         peers = list(self._peers.values())
--- a/src/catkinspread/peers/exchange.py
+++ b/src/catkinspread/peers/exchange.py
@@ -10,6 +10,8 @@
 from catkinspread.model import Endpoint
 from catkinspread.peers.directory import RANDOM_PEER_INTERVAL_MS, PeerDirectory
 from catkinspread.peers.messages import (
+    FlowAnnouncement,
+    FlowLocation,
     Hello,
     HelloReply,
     LoadReport,
@@ -17,6 +19,7 @@
     MemberStatus,
     MessageError,
     PeerMessage,
+    Report,
     UnreachableReport,
     decode_message,
     encode_message,
@@ -52,6 +55,9 @@
         on_load_report: Called with each load report and the time of its arrival.
         on_unreachable_report: Called with each report of an unreachable upstream and the time of
             its arrival.
+        on_flow_announcement: Called with each announcement of a flow and the time of its arrival;
+            returns the answer to it, None if there is none.
+        on_flow_location: Called with each location of a flow and the time of its arrival.
         traffic: Counts the bytes sent.
         clock: Source of the time.
         rng: Source of random choices.
@@ -64,6 +70,8 @@
         "_clock",
         "_directory",
         "_member",
+        "_on_flow_announcement",
+        "_on_flow_location",
         "_on_load_report",
         "_on_unreachable_report",
         "_port",
@@ -86,6 +94,8 @@
         read_status: Callable[[], MemberStatus],
         on_load_report: Callable[[LoadReport, int], None],
         on_unreachable_report: Callable[[UnreachableReport, int], None],
+        on_flow_announcement: Callable[[FlowAnnouncement, int], FlowLocation | None],
+        on_flow_location: Callable[[FlowLocation, int], None],
         traffic: TrafficMeter,
         clock: Clock,
         rng: random.Random,
@@ -100,6 +110,8 @@
         self._on_load_report = on_load_report
         self._traffic = traffic
         self._on_unreachable_report = on_unreachable_report
+        self._on_flow_announcement = on_flow_announcement
+        self._on_flow_location = on_flow_location
         self._clock = clock
         self._rng = rng
         self._udp = UdpTransport(Endpoint(member.host, port), self._receive, clock)
@@ -157,13 +169,13 @@
     def _send(self, message: PeerMessage, hosts: list[str]) -> None:
         if hosts:
             datagram = encode_message(message)
-            is_report = isinstance(message, LoadReport | UnreachableReport)
+            is_report = isinstance(message, Report)
             kind = TrafficKind.REPORTS if is_report else TrafficKind.MEMBERSHIP
             for host in hosts:
                 self._traffic.record(kind, self._directory.is_remote_host(host), len(datagram))
                 self._udp.send(datagram, Endpoint(host, self._port))
 
-    def send_report(self, report: LoadReport | UnreachableReport, hosts: list[str]) -> None:
+    def send_report(self, report: Report, hosts: list[str]) -> None:
         """Sends a report to the given addresses."""
         self._send(report, hosts)
 
@@ -192,6 +204,14 @@
         if isinstance(message, UnreachableReport):
             self._on_unreachable_report(message, now_ms)
             return
+        if isinstance(message, FlowAnnouncement):
+            answer = self._on_flow_announcement(message, now_ms)
+            if answer is not None:
+                self._send(answer, [sender.host])
+            return
+        if isinstance(message, FlowLocation):
+            self._on_flow_location(message, now_ms)
+            return
         self._directory.apply_message(message, now_ms)
         if isinstance(message, Hello):
             members = self._directory.list_members_for_reply(message, now_ms)
--- a/src/catkinspread/peers/messages.py
+++ b/src/catkinspread/peers/messages.py
@@ -127,7 +127,55 @@
     unanswered_ms: int
 
 
-PeerMessage = Hello | HelloReply | LoadReport | UnreachableReport
+class FlowAnnouncement(msgspec.Struct, frozen=True, array_like=True, tag="flow"):
+    """Tells that a caller has ended the handshake of a flow.
+
+    Attributes:
+        caller_ip: IPv4 address of the caller as an integer.
+        caller_port: Port of the caller.
+        service_ip: IPv4 address that the flow was opened to, as an integer.
+        service_port: Port that the flow was opened to.
+        sequence: Sequence number of the packet that the sender got.
+        acknowledged: Acknowledgement number of that packet.
+        token: Token field of that packet.
+        needs_answer: Whether the receiver answers with a `FlowLocation`.
+    """
+
+    caller_ip: int
+    caller_port: int
+    service_ip: int
+    service_port: int
+    sequence: int
+    acknowledged: int
+    token: int
+    needs_answer: bool
+
+
+class FlowLocation(msgspec.Struct, frozen=True, array_like=True, tag="flow_at"):
+    """Tells where a flow is open, as an answer or before it is asked for.
+
+    Attributes:
+        caller_ip: IPv4 address of the caller as an integer.
+        caller_port: Port of the caller.
+        service_ip: IPv4 address that the flow was opened to, as an integer.
+        service_port: Port that the flow was opened to.
+        sequence: Sequence number of a packet of the flow.
+        token: Token of the upstream; 0 if the sender does not know it.
+        age_ms: Time in ms since an instance saw the flow and told its upstream.
+    """
+
+    caller_ip: int
+    caller_port: int
+    service_ip: int
+    service_port: int
+    sequence: int
+    token: int
+    age_ms: int
+
+
+# Messages that are sent when something happens, not at intervals.
+Report = LoadReport | UnreachableReport | FlowAnnouncement | FlowLocation
+PeerMessage = Hello | HelloReply | Report
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
--- a/src/catkinspread/peers/tests/test_messages.py
+++ b/src/catkinspread/peers/tests/test_messages.py
@@ -5,6 +5,8 @@
 import pytest
 
 from catkinspread.peers import (
+    FlowAnnouncement,
+    FlowLocation,
     Hello,
     HelloReply,
     KnownMember,
@@ -30,8 +32,10 @@
         Hello(STATUS, 1 << 63),
         HelloReply(STATUS, MEMBERS),
         LoadReport("edge-1", 7, {(1 << 31) + number: 3 for number in range(100)}),
+        FlowAnnouncement(0xFFFFFFFF, 65_535, 0xFFFFFFFF, 65_535, 1 << 31, 1 << 31, 1 << 31, True),
+        FlowLocation(0xFFFFFFFF, 65_535, 0xFFFFFFFF, 65_535, 1 << 31, 1 << 29, 60_000),
     ],
-    ids=["small", "members", "loads"],
+    ids=["small", "members", "loads", "flow", "location"],
 )
 def test_round_trip_is_lossless(message: PeerMessage) -> None:
     """Guards against a compressed or plain message that is read as another one."""
--- a/src/catkinspread/platform/packet_port.py
+++ b/src/catkinspread/platform/packet_port.py
@@ -64,10 +64,10 @@
         """Serves the socket until cancelled."""
         await self._udp.run()
 
-    def forward(self, packet: CallerPacket, upstream: KnownUpstream) -> None:
-        """Sends a packet to an upstream."""
+    def forward(self, packet: CallerPacket, upstream: KnownUpstream, token: int) -> None:
+        """Sends a packet to an upstream; see `PacketOutput`."""
         record = upstream.record
-        datagram = encode_for_upstream(packet, upstream)
+        datagram = encode_for_upstream(packet, upstream, token)
         is_remote = record.data_centre != self._data_centre
         self._traffic.record(TrafficKind.PACKETS, is_remote, len(datagram))
         self._udp.send(datagram, Endpoint(record.host, record.port))
--- a/src/catkinspread/platform/packets.py
+++ b/src/catkinspread/platform/packets.py
@@ -60,14 +60,14 @@
     )
 
 
-def encode_for_upstream(packet: CallerPacket, upstream: KnownUpstream) -> bytes:
-    """Returns the datagram for an upstream; only the token of the packet is replaced."""
+def encode_for_upstream(packet: CallerPacket, upstream: KnownUpstream, token: int) -> bytes:
+    """Returns the datagram for an upstream; only the token field of the packet is replaced."""
     datagram = packet.datagram
     return b"".join(
         (
             UPSTREAM_KEY.pack(upstream.record.key),
             datagram[:_TOKEN_OFFSET],
-            _TOKEN.pack(upstream.token),
+            _TOKEN.pack(token),
             datagram[_TOKEN_END:],
         )
     )
--- a/src/catkinspread/platform/tests/test_packets.py
+++ b/src/catkinspread/platform/tests/test_packets.py
@@ -43,10 +43,10 @@
 
 def test_changes_nothing_but_the_token() -> None:
     """Guards against packets that upstreams refuse because a field was changed."""
-    datagram = encode_for_upstream(decode_packet(OPENING), UPSTREAM)
+    datagram = encode_for_upstream(decode_packet(OPENING), UPSTREAM, 0x8BADF00D)
     assert datagram[:8] == (0x7F3A91C2).to_bytes(8, "big")
     assert datagram[8:18] == OPENING[:10]
-    assert datagram[18:22] == UPSTREAM.token.to_bytes(4, "big")
+    assert datagram[18:22] == (0x8BADF00D).to_bytes(4, "big")
     assert datagram[22:] == OPENING[14:]
 
 
--- a/src/catkinspread/platform/tests/test_whole_path.py
+++ b/src/catkinspread/platform/tests/test_whole_path.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from catkinspread.deployment import compute_token
+from catkinspread.deployment import TOKEN_MAX, compute_token
 from catkinspread.platform.packets import FLAG_RST as RST
 from catkinspread.platform.stand_ins import StoreMode
 from catkinspread.platform.tests.deployment import (
@@ -83,7 +83,7 @@
         flows: dict[int, int] = {}  # Port of a flow by the token of its upstream.
         while len(flows) < len(UPSTREAMS):
             port, head = await caller.open(ADDRESS)
-            flows[head[3]] = port
+            flows[head[3] & TOKEN_MAX] = port
         dead, live = sorted(flows, key=lambda token: token != compute_token("i-0a"))
         deployment.upstreams[0].crash()
         head: tuple[int, ...] = (0,) * 11
--- /dev/null
+++ b/src/catkinspread/runtime/flow_announcer.py
@@ -0,0 +1,169 @@
+"""Messages about flows between the instances of a data centre.
+
+An instance that sees the first packets of a flow which another one opened announces it: the others
+end their retries of its opening packet, and those that know where it is open answer. The number of
+messages depends on the handshakes under way while the routers change their rotation, not on the
+number of flows.
+"""
+
+import random
+
+from catkinspread.clock import Clock
+from catkinspread.deployment import KnownUpstream, ServiceAddress
+from catkinspread.forwarding import (
+    CallerPacket,
+    FlowKey,
+    Forwarder,
+    TokenStage,
+    decode_stage,
+)
+from catkinspread.peers import FlowAnnouncement, FlowLocation, PeerDirectory, PeerExchange
+
+# Long-term limit of the announcements of an instance: a third of the 3 KB/s for all its messages.
+BYTES_PER_S = 1_000.0
+# Announcements that may be sent at once: 15 flows in a data centre of 107 instances, which is what
+# an instance with 48 new flows/s takes over when another one leaves.
+BURST_BYTES = 80_000.0
+# Part of the burst that is kept for announcements that end retries or settle a repeated attempt.
+# Callers that never change their token need no others, but cause one for each flow that is moved.
+RESERVED_BYTES = 40_000.0
+# Estimates of the sizes of the messages, without the headers of the network layers.
+ANNOUNCEMENT_BYTES = 42
+LOCATION_BYTES = 41
+# Instances that keep where a contested flow is open, besides the one that its packets reach.
+REMEMBERING_INSTANCES = 2
+# Token in a location that stands for no upstream.
+UNKNOWN_UPSTREAM = 0
+_MS_PER_S = 1_000
+
+
+class FlowAnnouncer:
+    """Announces flows to the other instances of the data centre within a rate limit.
+
+    Args:
+        directory: Directory of the other instances.
+        exchange: Sends the messages.
+        clock: Source of the time.
+        rng: Source of random choices.
+
+    Attributes:
+        withheld_count: Messages that the rate limit did not allow.
+    """
+
+    __slots__ = (
+        "_available_bytes",
+        "_clock",
+        "_directory",
+        "_exchange",
+        "_refilled_at_ms",
+        "_rng",
+        "withheld_count",
+    )
+
+    def __init__(
+        self,
+        directory: PeerDirectory,
+        exchange: PeerExchange,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._directory = directory
+        self._exchange = exchange
+        self._clock = clock
+        self._rng = rng
+        self._available_bytes = BURST_BYTES
+        self._refilled_at_ms = clock.now_ms()
+        self.withheld_count = 0
+
+    def announce(self, packet: CallerPacket, needs_answers: bool) -> int:
+        """Announces a flow; see `FlowPeers`."""
+        hosts = [member.host for member in self._directory.list_local_peers()]
+        size_bytes = len(hosts) * (ANNOUNCEMENT_BYTES + LOCATION_BYTES * needs_answers)
+        is_repeated = decode_stage(packet.token) is TokenStage.REPEATED_ATTEMPT
+        if not self._try_spend(size_bytes, is_repeated or not needs_answers):
+            return 0
+        self._exchange.send_report(build_announcement(packet, needs_answers), hosts)
+        return len(self._directory.list_staying_peers())
+
+    def remember(self, key: FlowKey, sequence: int, upstream: KnownUpstream, age_ms: int) -> None:
+        """Tells a few instances where a flow is open; see `FlowPeers`."""
+        hosts = [member.host for member in self._directory.list_staying_peers()]
+        chosen = self._rng.sample(hosts, min(REMEMBERING_INSTANCES, len(hosts)))
+        if self._try_spend(len(chosen) * LOCATION_BYTES, is_preferred=True):
+            location = _build_location(key, sequence, upstream.token, age_ms)
+            self._exchange.send_report(location, chosen)
+
+    def _try_spend(self, size_bytes: int, is_preferred: bool) -> bool:
+        now_ms = self._clock.now_ms()
+        refill_bytes = (now_ms - self._refilled_at_ms) * BYTES_PER_S / _MS_PER_S
+        self._available_bytes = min(BURST_BYTES, self._available_bytes + refill_bytes)
+        self._refilled_at_ms = now_ms
+        reserved_bytes = 0.0 if is_preferred else RESERVED_BYTES
+        if self._available_bytes - reserved_bytes < size_bytes:
+            self.withheld_count += 1
+            return False
+        self._available_bytes -= size_bytes
+        return True
+
+
+def build_announcement(packet: CallerPacket, needs_answer: bool) -> FlowAnnouncement:
+    """Returns the announcement of the flow of a packet."""
+    key = packet.key
+    return FlowAnnouncement(
+        key.caller_ip,
+        key.caller_port,
+        key.address.ip,
+        key.address.port,
+        packet.sequence,
+        packet.acknowledged,
+        packet.token,
+        needs_answer,
+    )
+
+
+def apply_announcement(
+    forwarder: Forwarder, announcement: FlowAnnouncement, now_ms: int
+) -> FlowLocation | None:
+    """Applies the announcement of another instance.
+
+    Returns:
+        The answer if the other instance needs one; None otherwise.
+    """
+    key, sequence = _build_key(announcement), announcement.sequence
+    upstream = forwarder.find_open_flow(key, sequence)
+    if upstream is None:
+        forwarder.record_opened_elsewhere(
+            key,
+            sequence,
+            announcement.acknowledged,
+            announcement.token,
+            now_ms,
+            is_certain=not announcement.needs_answer,
+        )
+    if not announcement.needs_answer:
+        return None
+    token = upstream.token if upstream else UNKNOWN_UPSTREAM
+    return _build_location(key, sequence, token, age_ms=0)
+
+
+def apply_location(forwarder: Forwarder, location: FlowLocation, now_ms: int) -> None:
+    """Applies where another instance knows a flow to be open, or that it does not know it."""
+    key = _build_key(location)
+    if location.token == UNKNOWN_UPSTREAM:
+        forwarder.record_flow_unknown(key, now_ms)
+    else:
+        forwarder.record_flow_upstream(
+            key, location.sequence, location.token, now_ms, location.age_ms
+        )
+
+
+def _build_location(key: FlowKey, sequence: int, token: int, age_ms: int) -> FlowLocation:
+    address = key.address
+    return FlowLocation(
+        key.caller_ip, key.caller_port, address.ip, address.port, sequence, token, age_ms
+    )
+
+
+def _build_key(message: FlowAnnouncement | FlowLocation) -> FlowKey:
+    address = ServiceAddress(message.service_ip, message.service_port)
+    return FlowKey(message.caller_ip, message.caller_port, address)
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -34,6 +34,8 @@
     FEED_REQUEST_MAX_BYTES,
     AnsweredSpan,
     FeedServer,
+    FlowAnnouncement,
+    FlowLocation,
     Member,
     MemberStatus,
     PeerDirectory,
@@ -44,6 +46,11 @@
     UnreachableReport,
 )
 from catkinspread.platform import PacketPort, ReadinessServer, StoreClient, read_request_id
+from catkinspread.runtime.flow_announcer import (
+    FlowAnnouncer,
+    apply_announcement,
+    apply_location,
+)
 from catkinspread.runtime.graceful_shutdown import wait_until_unused
 from catkinspread.runtime.isolation import IsolationCheck
 from catkinspread.runtime.load_reports import LoadReporter
@@ -100,6 +107,7 @@
         "_directory",
         "_events",
         "_exchange",
+        "_flow_announcer",
         "_forwarder",
         "_is_leaving",
         "_isolation",
@@ -162,6 +170,7 @@
             self._traffic,
         )
         self._exchange = self._build_exchange()
+        self._flow_announcer = FlowAnnouncer(self._directory, self._exchange, clock, self._rng)
         self._reloader = SettingsReloader(
             settings, read_settings, self._exchange, self._events, clock
         )
@@ -217,6 +226,7 @@
             self._packet_port,
             log,
             read_request_id,
+            self._flow_announcer,
         )
 
     def _build_upstream_monitor(self) -> UpstreamMonitor:
@@ -234,6 +244,14 @@
     def _apply_unreachable_report(self, report: UnreachableReport, now_ms: int) -> None:
         self._upstream_monitor.apply_report(report, now_ms)
 
+    def _apply_flow_announcement(
+        self, announcement: FlowAnnouncement, now_ms: int
+    ) -> FlowLocation | None:
+        return apply_announcement(self._forwarder, announcement, now_ms)
+
+    def _apply_flow_location(self, answer: FlowLocation, now_ms: int) -> None:
+        apply_location(self._forwarder, answer, now_ms)
+
     def _build_exchange(self) -> PeerExchange:
         return PeerExchange(
             self._member,
@@ -243,6 +261,8 @@
             self._read_status,
             self._reporter.apply_report,
             self._apply_unreachable_report,
+            self._apply_flow_announcement,
+            self._apply_flow_location,
             self._traffic,
             self._clock,
             self._rng,
@@ -313,6 +333,7 @@
             **{f"bytes_{name}": count for name, count in self._traffic.bytes_by_name.items()},
             "malformed_packet": self._packet_port.malformed_count,
             "malformed_message": self._exchange.malformed_count,
+            "announcement_withheld": self._flow_announcer.withheld_count,
             "dropped_log_line": self._events.dropped_count,
         }
 
@@ -333,6 +354,7 @@
             now_ms = self._clock.now_ms()
             self._check_pause(now_ms)
             self._forwarder.send_due_retries(now_ms)
+            self._forwarder.adopt_due_flows(now_ms)
             self._upstream_monitor.update(now_ms)
             self._send_load_report(now_ms)
             self._isolation.update(now_ms)
@@ -406,9 +428,14 @@
             self._reloader.reload()
 
     async def _shut_down(self) -> None:
-        """Reports that the instance is not ready and forwards until no more packets arrive."""
+        """Reports that the instance is not ready and forwards until no more packets arrive.
+
+        Contested flows are handed over first, because others then no longer wait for the answers of
+        this instance to their announcements.
+        """
         self._is_leaving = True
         self._exchange.send_hello()
+        self._forwarder.begin_leaving(self._clock.now_ms())
         self._events.write_always("leaving", self._clock.now_ms(), flows=self._forwarder.flow_count)
         await wait_until_unused(
             lambda: self._packet_port.last_packet_at_ms, self._settings.grace_ms, self._clock
--- /dev/null
+++ b/src/catkinspread/runtime/tests/test_restarts.py
@@ -0,0 +1,94 @@
+"""Flows that stay open while instances stop and start."""
+
+import pytest
+
+from catkinspread.runtime.tests.restart_site import (
+    CALLER_LINK_MS,
+    UPSTREAM_LINK_MS,
+    WORK_MS,
+    RestartSite,
+    TokenHabit,
+)
+
+GAP_MS = 3_000
+INTERVAL_MS = 20
+LONGEST_ANSWER_MS = WORK_MS[1] + 2 * CALLER_LINK_MS + UPSTREAM_LINK_MS
+SETTLE_MS = 20_000
+HABITS = [TokenHabit.LAST, TokenHabit.HOLDER, TokenHabit.FIRST]
+
+
+def _play(
+    seed: int, is_steady: bool = True, is_planned: bool = True, rounds: int = 5, *changes: str
+) -> RestartSite:
+    """Stops and starts three instances in turn, one every GAP_MS, while callers open flows."""
+    site = RestartSite(seed, is_steady)
+    site.build(instances=3, upstreams=9)
+    stops = rounds * len(site.instances)
+    site.open_flows((stops + 2) * GAP_MS // INTERVAL_MS, INTERVAL_MS, HABITS)
+    site.run(GAP_MS)
+    for number in range(stops):
+        instance = site.instances[number % len(site.instances)]
+        (site.stop_and_start if is_planned else site.kill_and_start)(instance)
+        for change in changes:
+            _CHANGES[change](site, number)
+        site.run(GAP_MS)
+    site.run(SETTLE_MS)
+    for instance in site.instances:
+        site.count_process(instance.harness)
+    return site
+
+
+def _release(site: RestartSite, number: int) -> None:
+    site.put_upstream(f"v-{number}", "east" if number % 3 else "west")
+    site.put_upstream(f"u-{number % 9}", "east" if number % 9 % 3 else "west", is_draining=True)
+
+
+def _evacuate(site: RestartSite, number: int) -> None:
+    site.set_evacuated("west", number % 2 == 0)
+
+
+def _cut_upstreams(site: RestartSite, number: int) -> None:
+    for position, instance in enumerate(site.instances):
+        cut = [f"u-{(number + 3 * position + k) % 9}" for k in range(2)]
+        instance.unreachable_upstreams = set(cut) if number % 2 else set()
+
+
+def _lose_messages(site: RestartSite, _: int) -> None:
+    site.message_loss_share = 0.05
+
+
+_CHANGES = {
+    "releases": _release,
+    "evacuations": _evacuate,
+    "cut_upstreams": _cut_upstreams,
+    "losses": _lose_messages,
+}
+
+
+@pytest.mark.parametrize("is_steady", [True, False], ids=["steady", "mod"])
+def test_rolling_restart_resets_no_open_flow(is_steady: bool) -> None:
+    """Guards against flows that a restarted instance sends to an upstream that doesn't hold them.
+
+    The instance that got the opening packet repeated it although the handshake had ended through
+    another one, and the late answer to it replaced the token of the caller.
+    """
+    site = _play(1, is_steady)
+    assert site.outcomes == {"done": site.outcomes.total()}
+    assert site.counts["opened_elsewhere"] > 0
+    assert max(site.silences_ms) <= 1.1 * LONGEST_ANSWER_MS
+
+
+@pytest.mark.parametrize("is_steady", [True, False], ids=["steady", "mod"])
+def test_rolling_restart_with_releases_evacuations_and_cuts_resets_no_open_flow(
+    is_steady: bool,
+) -> None:
+    """Guards against resets where repeats of opening packets are common and messages are lost."""
+    site = _play(2, is_steady, True, 4, "releases", "evacuations", "cut_upstreams", "losses")
+    assert site.outcomes["reset_by_other"] == 0
+    assert site.outcomes["not_opened"] == 0
+
+
+def test_killed_instances_reset_no_open_flow() -> None:
+    """Guards against contested flows that only the killed instance could tell from others."""
+    site = _play(2, False, False, 4, "releases", "evacuations")
+    assert site.outcomes["reset_by_other"] == 0
--- a/src/catkinspread/soak/callers.py
+++ b/src/catkinspread/soak/callers.py
@@ -72,6 +72,7 @@
         "ends",
         "expected",
         "is_open",
+        "keeps_token",
         "port",
         "reset_by",
         "route",
@@ -87,6 +88,9 @@
         self.expected = 0
         self.token = 0
         self.is_open = False
+        # The protocol does not say whether the answer of another upstream to the opening packet
+        # counts as received on an open flow. Callers of both kinds are played.
+        self.keeps_token = self.port % 2 == 0
         self.reset_by: str = ""
         self.answer = b""
         self.changed = anyio.Event()
@@ -294,7 +298,8 @@
         if packet.is_reset:
             self._handle_reset(flow, packet, sender)
             return
-        flow.token = packet.token
+        if not (packet.is_open and flow.is_open and flow.keeps_token):
+            flow.token = packet.token
         if packet.is_open:
             if not flow.is_open:
                 flow.is_open = True
