Tell upstreams apart whose names have the same token

By chance a pair exists with 0.6% at 7,000 upstreams with 32 bits, and with 2.3% with the 30 bits of now.

Cause: the table from tokens to upstreams kept the upstream added last.

Change: among upstreams with the same token the one that was born first keeps it, and the others use a second token, computed from the name as well. Both tokens are found for each upstream, so flows stay where they are when the first one is added late, started again or deleted.

Not played with instances and colliding names.

--- a/src/catkinspread/deployment/__init__.py
+++ b/src/catkinspread/deployment/__init__.py
@@ -21,12 +21,9 @@
 )
 from catkinspread.deployment.state import (
     MISSING_GRACE_MS,
-    TOKEN_BITS,
-    TOKEN_MAX,
     ApplyOutcome,
     DeploymentState,
     KnownUpstream,
-    compute_token,
 )
 from catkinspread.deployment.synchroniser import (
     SourceHealth,
@@ -34,6 +31,7 @@
     Synchroniser,
     SynchroniserSettings,
 )
+from catkinspread.deployment.tokens import TOKEN_BITS, TOKEN_MAX, compute_token
 
 __all__ = [
     "MISSING_GRACE_MS",
--- a/src/catkinspread/deployment/state.py
+++ b/src/catkinspread/deployment/state.py
@@ -27,35 +27,21 @@
     ServiceLimits,
     UpstreamRecord,
 )
-from catkinspread.hashing import hash_text
+from catkinspread.deployment.tokens import TOKEN_MAX, TokenTable, compute_token
 
 # Time that an upstream is missing before it is removed, counted from the end of an outage of the
 # source if there was one. Upstreams that are alive write an expired record again within 2 s. The
 # value does not follow the heartbeat_ms setting.
 MISSING_GRACE_MS = 2_300
-# The token field of packets has 32 bits; the two highest ones tell the stage of the handshake.
-TOKEN_BITS = 30
-TOKEN_MAX = (1 << TOKEN_BITS) - 1
 _UNKNOWN_SERVICE_LIMITS = ServiceLimits(name="", cold_rate_per_s=0.0, connections_max=1)
 
 
-def compute_token(name: str) -> int:
-    """Returns the 30-bit number that identifies an upstream in the packets of a flow.
-
-    It depends on the name alone, so all instances compute the same token. 0 means no upstream.
-    Two names can have the same token. `DeploymentState.find_upstream_by_token` then returns the
-    upstream that was added last, so a flow of the other one that is looked up by its token, for
-    example when another instance adopts it, goes to the wrong upstream.
-    """
-    return hash_text(name) & TOKEN_MAX or 1
-
-
 class KnownUpstream:
     """An upstream with the data that this instance keeps about it.
 
     Attributes:
         record: Latest record of the upstream.
-        token: Number that identifies it in packets.
+        token: Number that identifies it in packets; see `TokenTable`.
         cold_until_ms: End of its cold start.
         missing_since_ms: When its record disappeared from the source or became unreadable; None
             while there is a readable one.
@@ -83,6 +69,16 @@
         self.is_removed = False
         self.is_gone = False
 
+    @property
+    def name(self) -> str:
+        """Name of the upstream."""
+        return self.record.name
+
+    @property
+    def born_ms(self) -> int:
+        """When its process started."""
+        return self.record.born_ms
+
     def update(self, record: UpstreamRecord, now_ms: int) -> None:
         """Applies a newer record of the same upstream."""
         self.record = record
@@ -122,11 +118,11 @@
 
     __slots__ = (
         "_eligible_by_service",
-        "_by_token",
         "_evacuated",
         "_flow_lifetime_max_ms",
         "_routes",
         "_services",
+        "_tokens",
         "_upstreams",
         "configuration",
         "evacuations_loaded",
@@ -141,7 +137,7 @@
         self._routes: dict[ServiceAddress, Route] = {}
         self._services: dict[str, ServiceLimits] = {}
         self._upstreams: dict[str, KnownUpstream] = {}
-        self._by_token: dict[int, KnownUpstream] = {}
+        self._tokens: TokenTable[KnownUpstream] = TokenTable()
         self._eligible_by_service: dict[str, list[KnownUpstream]] = {}
         self._evacuated: set[str] = set()
 
@@ -171,7 +167,7 @@
         Args:
             token: The token, or a token field of a packet, whose stage is ignored.
         """
-        return self._by_token.get(token & TOKEN_MAX)
+        return self._tokens.find(token & TOKEN_MAX)
 
     def list_upstreams(self) -> tuple[KnownUpstream, ...]:
         """Returns all upstreams, including removed ones."""
@@ -212,12 +208,13 @@
         if known is None:
             known = KnownUpstream(record, now_ms)
             self._upstreams[record.name] = known
-            self._by_token[known.token] = known
+            self._tokens.add(known)
             self._eligible_by_service.clear()
             return ApplyOutcome(True, "new")
         if known.record == record and known.missing_since_ms is None:
             return _UNCHANGED
         known.update(record, now_ms)
+        self._tokens.update(known)
         self._eligible_by_service.clear()
         return ApplyOutcome(True, "draining" if record.is_draining else "reported")
 
@@ -300,8 +297,7 @@
 
     def _delete_upstream(self, known: KnownUpstream) -> None:
         del self._upstreams[known.record.name]
-        if self._by_token.get(known.token) is known:
-            del self._by_token[known.token]
+        self._tokens.remove(known)
 
     def _is_eligible(self, upstream: KnownUpstream) -> bool:
         record = upstream.record
