--- a/src/catkinspread/deployment/__init__.py
+++ b/src/catkinspread/deployment/__init__.py
@@ -24,7 +24,6 @@
     ApplyOutcome,
     DeploymentState,
     KnownUpstream,
-    compute_token,
 )
 from catkinspread.deployment.synchroniser import (
     SourceHealth,
@@ -32,9 +31,12 @@
     Synchroniser,
     SynchroniserSettings,
 )
+from catkinspread.deployment.tokens import TOKEN_BITS, TOKEN_MAX, compute_token
 
 __all__ = [
     "MISSING_GRACE_MS",
+    "TOKEN_BITS",
+    "TOKEN_MAX",
     "ApplyOutcome",
     "DeploymentState",
     "HistoryLost",
--- a/src/catkinspread/peers/__init__.py
+++ b/src/catkinspread/peers/__init__.py
@@ -12,6 +12,8 @@
 from catkinspread.peers.feed import FEED_REQUEST_MAX_BYTES, FeedServer, PeerSource
 from catkinspread.peers.instance_count import UNKNOWN_INSTANCE_COUNT
 from catkinspread.peers.messages import (
+    FlowAnnouncement,
+    FlowLocation,
     Hello,
     HelloReply,
     KnownMember,
@@ -35,6 +37,8 @@
     "ContactList",
     "ContactRegistry",
     "FeedServer",
+    "FlowAnnouncement",
+    "FlowLocation",
     "Hello",
     "HelloReply",
     "KnownMember",
--- a/src/catkinspread/peers/messages.py
+++ b/src/catkinspread/peers/messages.py
@@ -8,7 +8,15 @@
 
 import msgspec
 
-from catkinspread.deployment.bounds import Amount, Count, HostAddress, Name, Unsigned64
+from catkinspread.deployment.bounds import (
+    PORT_MAX,
+    Amount,
+    Count,
+    HostAddress,
+    Ip,
+    Name,
+    Unsigned64,
+)
 from catkinspread.peers.compression import decompress_completely
 
 # Smaller messages are sent as they are; compression would gain little.
@@ -24,8 +32,10 @@
 _MEMBERS_MAX = 256
 # Upstreams in one report; as many as MESSAGE_MAX_BYTES can hold.
 _LOADS_MAX = 32 * 1024
-_TOKEN_MAX = 0xFFFF_FFFF
-_Token = Annotated[int, msgspec.Meta(ge=0, le=_TOKEN_MAX)]
+_Field32 = Annotated[int, msgspec.Meta(ge=0, le=0xFFFF_FFFF)]
+_Token = _Field32
+# A packet may hold 0.
+_PortField = Annotated[int, msgspec.Meta(ge=0, le=PORT_MAX)]
 
 
 class MessageError(Exception):
@@ -143,7 +153,55 @@
     unanswered_ms: Count
 
 
-PeerMessage = Hello | HelloReply | LoadReport | UnreachableReport
+class FlowAnnouncement(msgspec.Struct, frozen=True, array_like=True, tag="flow"):
+    """Tells that a caller has ended the handshake of a flow.
+
+    Attributes:
+        caller_ip: IPv4 address of the caller as an integer.
+        caller_port: Port of the caller.
+        service_ip: IPv4 address that the flow was opened to, as an integer.
+        service_port: Port that the flow was opened to.
+        sequence: Sequence number of the packet that the sender got.
+        acknowledged: Acknowledgement number of that packet.
+        token: Token field of that packet.
+        needs_answer: Whether the receiver answers with a `FlowLocation`.
+    """
+
+    caller_ip: Ip
+    caller_port: _PortField
+    service_ip: Ip
+    service_port: _PortField
+    sequence: _Field32
+    acknowledged: _Field32
+    token: _Field32
+    needs_answer: bool
+
+
+class FlowLocation(msgspec.Struct, frozen=True, array_like=True, tag="flow_at"):
+    """Tells where a flow is open, as an answer or before it is asked for.
+
+    Attributes:
+        caller_ip: IPv4 address of the caller as an integer.
+        caller_port: Port of the caller.
+        service_ip: IPv4 address that the flow was opened to, as an integer.
+        service_port: Port that the flow was opened to.
+        sequence: Sequence number of a packet of the flow.
+        token: Token of the upstream; 0 if the sender does not know it.
+        age_ms: Time in ms since an instance saw the flow and told its upstream.
+    """
+
+    caller_ip: Ip
+    caller_port: _PortField
+    service_ip: Ip
+    service_port: _PortField
+    sequence: _Field32
+    token: _Field32
+    age_ms: Count
+
+
+# Messages that are sent when something happens, not at intervals.
+Report = LoadReport | UnreachableReport | FlowAnnouncement | FlowLocation
+PeerMessage = Hello | HelloReply | Report
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
--- a/src/catkinspread/platform/tests/test_fuzz.py
+++ b/src/catkinspread/platform/tests/test_fuzz.py
@@ -19,6 +19,8 @@
 from catkinspread.deployment import StateChange, StateChanges, StateKind, UpstreamRecord
 from catkinspread.model import Endpoint
 from catkinspread.peers import (
+    FlowAnnouncement,
+    FlowLocation,
     Hello,
     HelloReply,
     KnownMember,
@@ -48,6 +50,8 @@
     for message in (
         Hello(STATUS, 2**64 - 1, (KnownMember(MEMBER, 5),)),
         HelloReply(STATUS, (KnownMember(MEMBER, 5),)),
+        FlowAnnouncement(1, 2, 3, 4, 2**32 - 1, 0, 5, True),
+        FlowLocation(1, 2, 3, 4, 5, 6, 7),
         LoadReport("edge-1", 7, {2**32 - 1: 3, 5: 1}),
         UnreachableReport("edge-1", 7, 3),
     )
@@ -222,8 +226,8 @@
         ("10.1.0.1",),
         directory,
         lambda: MemberStatus(me, None, True, False, 0),
-        lambda report, now_ms: None,
-        lambda report, now_ms: None,
+        lambda: True,
+        *[lambda message, now_ms: None] * 4,
         TrafficMeter(),
         clock,
         random.Random(1),
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -37,6 +37,8 @@
     FEED_REQUEST_MAX_BYTES,
     UNKNOWN_INSTANCE_COUNT,
     FeedServer,
+    FlowAnnouncement,
+    FlowLocation,
     Member,
     MemberStatus,
     PeerDirectory,
@@ -55,6 +57,11 @@
     StoreContactRegistry,
     read_request_id,
 )
+from catkinspread.runtime.flow_announcer import (
+    FlowAnnouncer,
+    apply_announcement,
+    apply_location,
+)
 from catkinspread.runtime.graceful_shutdown import wait_until_unused
 from catkinspread.runtime.isolation import IsolationCheck
 from catkinspread.runtime.load_reports import LoadReporter
@@ -115,6 +122,7 @@
         "_events",
         "_exchange",
         "_failures",
+        "_flow_announcer",
         "_forwarder",
         "_is_leaving",
         "_isolation",
@@ -181,6 +189,7 @@
             self._traffic,
         )
         self._exchange = self._build_exchange()
+        self._flow_announcer = FlowAnnouncer(self._directory, self._exchange, clock, self._rng)
         self._reloader = SettingsReloader(
             settings, read_settings, self._exchange, self._events, clock
         )
@@ -255,6 +264,7 @@
             self._clock, self._supervisor, self._pauses, self._forwarder.get_next_retry_at_ms
         )
         tasks.add("opening_retries", self._forwarder.send_due_retries)
+        tasks.add("flow_adoption", self._forwarder.adopt_due_flows)
         tasks.add("upstream_monitor", self._upstream_monitor.update)
         tasks.add("load_reports", self._send_load_report)
         tasks.add("isolation_check", self._isolation.update)
@@ -324,6 +334,7 @@
             self._packet_port,
             log,
             read_request_id,
+            self._flow_announcer,
         )
 
     def _build_upstream_monitor(self) -> UpstreamMonitor:
@@ -341,6 +352,14 @@
     def _apply_unreachable_report(self, report: UnreachableReport, now_ms: int) -> None:
         self._upstream_monitor.apply_report(report, now_ms)
 
+    def _apply_flow_announcement(
+        self, announcement: FlowAnnouncement, now_ms: int
+    ) -> FlowLocation | None:
+        return apply_announcement(self._forwarder, announcement, now_ms)
+
+    def _apply_flow_location(self, answer: FlowLocation, now_ms: int) -> None:
+        apply_location(self._forwarder, answer, now_ms)
+
     def _build_exchange(self) -> PeerExchange:
         return PeerExchange(
             self._member,
@@ -351,6 +370,8 @@
             lambda: self._cache.is_complete,
             self._reporter.apply_report,
             self._apply_unreachable_report,
+            self._apply_flow_announcement,
+            self._apply_flow_location,
             self._traffic,
             self._clock,
             self._rng,
@@ -427,6 +448,7 @@
             "malformed_packet": self._packet_port.malformed_count,
             "malformed_message": self._exchange.malformed_count,
             "refused_object": self._refusals.count,
+            "announcement_withheld": self._flow_announcer.withheld_count,
             "dropped_log_line": self._events.dropped_count,
         }
 
@@ -495,10 +517,18 @@
                 return
             self._supervisor.run_step("settings", self._reloader.reload)
 
+    def _hand_over_flows(self) -> None:
+        self._forwarder.begin_leaving(self._clock.now_ms())
+
     async def _shut_down(self) -> None:
-        """Reports that the instance is not ready and forwards until no more packets arrive."""
+        """Reports that the instance is not ready and forwards until no more packets arrive.
+
+        Contested flows are handed over first, because others then no longer wait for the answers of
+        this instance to their announcements.
+        """
         self._is_leaving = True
         self._exchange.send_hello()
+        self._supervisor.run_step("flow_handover", self._hand_over_flows)
         self._events.write_always("leaving", self._clock.now_ms(), flows=self._forwarder.flow_count)
         await wait_until_unused(
             lambda: self._packet_port.last_packet_at_ms, self._settings.grace_ms, self._clock
