--- a/src/catkinspread/platform/tests/deployment.py
+++ b/src/catkinspread/platform/tests/deployment.py
@@ -41,8 +41,8 @@
     def __init__(self, group: anyio.abc.TaskGroup) -> None:
         self._group = group
         # Drawn together, because ports drawn one by one may be equal until they are bound.
-        self._packet_port, self.peer_port, *self._readiness_ports = find_free_ports(
-            2 + len(INSTANCES)
+        self._packet_port, self.peer_port, self.metrics_port, *self._readiness_ports = (
+            find_free_ports(3 + len(INSTANCES))
         )
         self.store = StoreStandIn()
         self.upstreams = [
@@ -115,6 +115,7 @@
             packet_address=Endpoint(host, self._packet_port),
             readiness_address=Endpoint(host, self._readiness_ports[number]),
             peer_port=self.peer_port,
+            metrics_port=self.metrics_port,
             grace_ms=2_000,
             flow_lifetime_max_ms=60_000,
             seeds=tuple(Endpoint(seed, 1) for seed in seeds),
--- a/src/catkinspread/platform/tests/test_contact_registry.py
+++ b/src/catkinspread/platform/tests/test_contact_registry.py
@@ -12,7 +12,6 @@
 from catkinspread.platform import StoreContactRegistry
 from catkinspread.platform.stand_ins import StoreMode
 from catkinspread.platform.tests.deployment import INSTANCES, Deployment, play
-from catkinspread.runtime.metrics import METRICS_PORT
 
 KIND = "instance-contacts"
 # Addresses at which no instance is.
@@ -125,8 +124,8 @@
     assert client.calls[1][2] == {"serializable": "1"}
 
 
-async def _read_page(client: HttpClient, host: str) -> bytes:
-    return (await client.get(Endpoint(host, METRICS_PORT), "/metrics", {}, 1_000, 1_000)).body
+async def _read_page(client: HttpClient, host: str, port: int) -> bytes:
+    return (await client.get(Endpoint(host, port), "/metrics", {}, 1_000, 1_000)).body
 
 
 async def _wait_for_contacts(deployment: Deployment, *hosts: str) -> None:
@@ -148,7 +147,7 @@
             with anyio.fail_after(FOUND_TIMEOUT_S):
                 for host in INSTANCES:
                     while b"catkinspread_instances_estimated 2.0" not in await _read_page(
-                        client, host
+                        client, host, deployment.metrics_port
                     ):
                         await anyio.sleep(0.05)
 
--- a/src/catkinspread/platform/tests/test_whole_path.py
+++ b/src/catkinspread/platform/tests/test_whole_path.py
@@ -19,7 +19,6 @@
     Deployment,
     play,
 )
-from catkinspread.runtime.metrics import METRICS_PORT
 
 
 def test_request_reaches_an_upstream_and_its_answer_the_caller() -> None:
@@ -70,7 +69,7 @@
     """Guards against callers that are not served because a part that they do not need failed."""
 
     async def scenario(deployment: Deployment) -> None:
-        with socket.create_server((INSTANCES[1], METRICS_PORT)):
+        with socket.create_server((INSTANCES[1], deployment.metrics_port)):
             await deployment.start_instance(1)
             deployment.caller.use_instance(INSTANCES[1])
             port, head = await deployment.caller.open(ADDRESS)
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -67,7 +67,6 @@
 from catkinspread.runtime.load_reports import LoadReporter
 from catkinspread.runtime.metrics import (
     METRICS_CONNECTIONS_MAX,
-    METRICS_PORT,
     METRICS_REQUEST_MAX_BYTES,
     MetricsPage,
 )
@@ -231,7 +230,7 @@
         """
         settings = self._settings
         peers = Endpoint(self._member.host, settings.peer_port)
-        metrics = Endpoint(self._member.host, METRICS_PORT)
+        metrics = Endpoint(self._member.host, settings.metrics_port)
         readiness = ReadinessServer(
             settings.readiness_address,
             self._is_ready,
--- a/src/catkinspread/runtime/metrics.py
+++ b/src/catkinspread/runtime/metrics.py
@@ -9,7 +9,6 @@
 from catkinspread.supervision import FailureLog
 from catkinspread.transport.http_server import HttpRequest, HttpServerResponse
 
-METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 METRICS_REQUEST_MAX_BYTES = 1_024
 METRICS_CONNECTIONS_MAX = 64
--- a/src/catkinspread/runtime/settings.py
+++ b/src/catkinspread/runtime/settings.py
@@ -19,6 +19,8 @@
 _MS_PER_S = 1_000
 _HOUR_MS = 3_600_000
 _PORT_MAX = 65_535
+# Commonly used by exporters, so another program of the machine may have it.
+METRICS_PORT_DEFAULT = 9_464
 
 
 class ForwardingSettings(msgspec.Struct, frozen=True):
@@ -31,6 +33,7 @@
         packet_address: Address that receives the packets of callers.
         readiness_address: Address of the readiness check.
         peer_port: UDP and TCP port for traffic between instances.
+        metrics_port: TCP port of the metrics page, on the host of the packet address.
         grace_ms: Time from the stop signal until the platform kills the process.
         flow_lifetime_max_ms: Maximum lifetime of a flow; an upstream whose record is missing is
             kept for this time after the record went missing.
@@ -46,6 +49,7 @@
     packet_address: Endpoint
     readiness_address: Endpoint
     peer_port: int
+    metrics_port: int
     grace_ms: int
     flow_lifetime_max_ms: int
     seeds: tuple[Endpoint, ...]
@@ -81,6 +85,7 @@
     Field("instance", "packet_address", parse_ipv4_endpoint),
     Field("instance", "readiness_address", parse_endpoint),
     Field("instance", "peer_port", parse_integer(1, _PORT_MAX)),
+    Field("instance", "metrics_port", parse_integer(1, _PORT_MAX), METRICS_PORT_DEFAULT),
     Field("instance", "grace_s", _parse_seconds),
     Field("instance", "flow_lifetime_max_s", _parse_seconds),
     Field("peers", "seeds", _parse_endpoints),
--- a/src/catkinspread/runtime/tests/program.py
+++ b/src/catkinspread/runtime/tests/program.py
@@ -10,7 +10,6 @@
 from typing import Any
 
 from catkinspread.platform.stand_ins import build_environment
-from catkinspread.runtime.metrics import METRICS_PORT
 from catkinspread.sockets import find_free_ports
 
 PROGRAM = pathlib.Path(__file__).resolve().parents[4] / "deploy" / "instance.py"
@@ -22,6 +21,7 @@
 packet_address = {packet_address}
 readiness_address = {host}:{readiness_port}
 peer_port = {peer_port}
+metrics_port = {metrics_port}
 grace_s = 3
 flow_lifetime_max_s = 60
 
@@ -47,11 +47,11 @@
     """
 
     def __init__(self, directory: pathlib.Path, host: str) -> None:
-        packet_port, readiness_port, self._peer_port = find_free_ports(3)
+        packet_port, readiness_port, self._peer_port, metrics_port = find_free_ports(4)
         self.ports = {
             "readiness": readiness_port,
             "feed": self._peer_port,
-            "metrics": METRICS_PORT,
+            "metrics": metrics_port,
         }
         self._host = host
         self.packet_address = (host, packet_port)
@@ -75,6 +75,7 @@
             "source_address": f"{host}:1",
             "readiness_port": self.readiness_address[1],
             "peer_port": self._peer_port,
+            "metrics_port": self.ports["metrics"],
             **changes,
         }
         self.settings_path.write_text(SETTINGS.format(**values))
--- a/src/catkinspread/runtime/tests/test_settings.py
+++ b/src/catkinspread/runtime/tests/test_settings.py
@@ -19,6 +19,7 @@
 packet_address = 10.1.0.10:8172
 readiness_address = 10.1.0.10:8167
 peer_port = 7720
+metrics_port = 9464
 grace_s = 6
 flow_lifetime_max_s = 60
 
--- a/src/catkinspread/runtime/tests/test_signals.py
+++ b/src/catkinspread/runtime/tests/test_signals.py
@@ -17,7 +17,6 @@
 _PROGRAM = pathlib.Path(__file__).resolve().parents[4] / "deploy" / "instance.py"
 _EXIT_STARTUP_FAILED = 2
 _TIMEOUT_S = 20
-# The program listens on a fixed port for metrics, so the test has an address of its own.
 _HOST = "127.241.0.1"
 _SETTINGS = """[instance]
 name = one
@@ -26,6 +25,7 @@
 packet_address = {host}:{packet_port}
 readiness_address = {host}:{readiness_port}
 peer_port = {peer_port}
+metrics_port = {metrics_port}
 grace_s = 6
 flow_lifetime_max_s = 60
 
@@ -53,7 +53,7 @@
     """An instance that has started, without a source and without peers."""
 
     def __init__(self, directory: pathlib.Path) -> None:
-        packet_port, readiness_port, peer_port = find_free_ports(3)
+        packet_port, readiness_port, peer_port, metrics_port = find_free_ports(4)
         settings = directory / "instance.ini"
         settings.write_text(
             _SETTINGS.format(
@@ -61,6 +61,7 @@
                 packet_port=packet_port,
                 readiness_port=readiness_port,
                 peer_port=peer_port,
+                metrics_port=metrics_port,
             )
         )
         self._log_path = directory / "log"
