--- a/src/catkinspread/peers/tests/test_feed.py
+++ b/src/catkinspread/peers/tests/test_feed.py
@@ -17,3 +17,9 @@
     )
     request = HttpRequest("GET", "/state/upstreams", {}, b"")
     assert anyio.run(FeedServer(cache).answer, request).status == 503
+
+
+def test_target_that_cannot_be_parsed_is_answered() -> None:
+    """Guards against a connection that breaks off, with a traceback in the log, for a bad target."""
+    request = HttpRequest("GET", "//[/state/upstreams", {}, b"")
+    assert anyio.run(FeedServer(StateCache(settling_ms=4_800)).answer, request).status == 400
