Failures of servers, feeds and handlers end or are seen

* A new connection takes the place of the one that has waited longest for a request. 600 idle connections kept out the readiness check since its limit is 512.
* A server that had no free descriptor counts as running again once one is free.
Other instances leave a feed that counts as failing, so it got no connection that could end this.
* An error of the last hello does not end the process before the shutdown is over.
* Metrics count the packets and messages whose handling failed.
* Tracebacks of connections are limited to one in 10 s, and a target that is no URL is answered with 400.

--- a/src/catkinspread/peers/exchange.py
+++ b/src/catkinspread/peers/exchange.py
@@ -111,6 +111,11 @@
         self.malformed_count = 0
         self.replace_seeds(seeds)
 
+    @property
+    def handler_error_count(self) -> int:
+        """Messages whose handling raised an exception."""
+        return self._udp.handler_error_count
+
     def replace_seeds(self, seeds: tuple[str, ...]) -> None:
         """Sets the IP addresses of the seeds; the address of this instance is ignored."""
         self._seeds = tuple(seed for seed in seeds if seed != self._member.host)
--- a/src/catkinspread/peers/feed.py
+++ b/src/catkinspread/peers/feed.py
@@ -57,7 +57,10 @@
 
     async def answer(self, request: HttpRequest) -> HttpServerResponse:
         """Answers `GET /state/KIND`; with `era`, `after` and `wait_ms`, a long poll for changes."""
-        target = urlsplit(request.target)
+        try:
+            target = urlsplit(request.target)
+        except ValueError:
+            return HttpServerResponse(_BAD_REQUEST)
         try:
             kind = StateKind(target.path.removeprefix(_PATH_PREFIX))
         except ValueError:
--- a/src/catkinspread/platform/packet_port.py
+++ b/src/catkinspread/platform/packet_port.py
@@ -63,6 +63,11 @@
         self.malformed_count = 0
         self.last_packet_at_ms = 0
 
+    @property
+    def handler_error_count(self) -> int:
+        """Packets whose handling raised an exception."""
+        return self._udp.handler_error_count
+
     async def run(self, *, task_status: anyio.abc.TaskStatus = anyio.TASK_STATUS_IGNORED) -> None:
         """Serves the socket until cancelled.
 
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -415,6 +415,8 @@
             **{f"bytes_{name}": count for name, count in self._traffic.bytes_by_name.items()},
             "malformed_packet": self._packet_port.malformed_count,
             "malformed_message": self._exchange.malformed_count,
+            "failed_packet": self._packet_port.handler_error_count,
+            "failed_message": self._exchange.handler_error_count,
             "refused_object": self._refusals.count,
             "dropped_log_line": self._events.dropped_count,
         }
@@ -483,7 +485,7 @@
     async def _shut_down(self) -> None:
         """Reports that the instance is not ready and forwards until no more packets arrive."""
         self._is_leaving = True
-        self._exchange.send_hello()
+        self._supervisor.run_step("last_hello", self._exchange.send_hello)
         self._events.write_always("leaving", self._clock.now_ms(), flows=self._forwarder.flow_count)
         await wait_until_unused(
             lambda: self._packet_port.last_packet_at_ms, self._settings.grace_ms, self._clock
--- a/src/catkinspread/transport/http_server.py
+++ b/src/catkinspread/transport/http_server.py
@@ -20,6 +20,8 @@
 IDLE_TIMEOUT_MS = 120_000
 # Delay after a connection could not be accepted, for example without a free descriptor.
 ACCEPT_RETRY_DELAY_MS = 100
+# Clients may repeat a request that fails as fast as they like.
+_FAILURE_LOG_INTERVAL_S = 10
 _RECEIVE_BYTES = 65_536
 
 
@@ -65,10 +67,11 @@
 class HttpServer:
     """Serves a limited number of connections.
 
-    Further connections are closed at once, without a response or a log line. A connection that
-    receives nothing for `IDLE_TIMEOUT_MS` while the server waits for data is closed. An unexpected
-    error in one connection is logged and closes only that connection. If a connection cannot be
-    accepted, the open ones go on and the next attempt follows after `ACCEPT_RETRY_DELAY_MS`.
+    A further connection takes the place of the one that has waited longest for a request; if none
+    waits, it is closed at once, without a response or a log line. A connection that receives
+    nothing for `IDLE_TIMEOUT_MS` while the server waits for data is closed. An unexpected error in
+    one connection is logged and closes only that connection. If a connection cannot be accepted,
+    the open ones go on and the next attempt follows after `ACCEPT_RETRY_DELAY_MS`.
     """
 
     __slots__ = (
@@ -79,6 +82,7 @@
         "_log_prefix",
         "_on_accept",
         "_on_malformed",
+        "_waiting",
     )
 
     def __init__(
@@ -99,7 +103,7 @@
             log_prefix: Prefix of log lines, without the colon.
             on_malformed: Called once for each connection that is closed for an HTTP protocol error.
             on_accept: Called after each attempt to accept a connection, with the error that it ended
-                with; None after a success.
+                with; None after a success, or once a descriptor is free after an error.
             connections_max: Maximum number of open connections.
         """
         self._handler = handler
@@ -109,6 +113,8 @@
         self._on_accept = on_accept
         self._connections_max = connections_max
         self._connections = 0
+        # Connections that wait for a request, longest wait first.
+        self._waiting: dict[anyio.abc.SocketStream, None] = {}
 
     async def run(
         self,
@@ -145,35 +151,75 @@
             except OSError as error:
                 self._on_accept(error)
                 await anyio.sleep(ACCEPT_RETRY_DELAY_MS / 1000)
+                self._report_free_descriptor(listener)
                 continue
             self._on_accept(None)
             group.start_soon(self._serve, stream)
 
+    def _report_free_descriptor(self, listener: anyio.abc.Listener) -> None:
+        """Reports the end of a failure; the next connection may be a long time away."""
+        try:
+            listener.extra(anyio.abc.SocketAttribute.raw_socket).dup().close()
+        except OSError:
+            return
+        self._on_accept(None)
+
+    async def _close_longest_waiting(self) -> bool:
+        """Closes the connection that has waited longest for a request; False if none waits."""
+        if not self._waiting:
+            return False
+        stream = next(iter(self._waiting))
+        del self._waiting[stream]
+        await stream.aclose()
+        return True
+
     async def _serve(self, stream: anyio.abc.SocketStream) -> None:
         async with stream:
-            if self._connections >= self._connections_max:
+            if (
+                self._connections >= self._connections_max
+                and not await self._close_longest_waiting()
+            ):
                 return
             self._connections += 1
             try:
-                connection = _Connection(self._handler, self._body_max_bytes, stream)
+                connection = _Connection(self._handler, self._body_max_bytes, stream, self._waiting)
                 if not await connection.run():
                     self._on_malformed()
             except (anyio.BrokenResourceError, anyio.ClosedResourceError, TimeoutError):
                 pass
             except Exception:  # An error in one connection must not stop the server.
-                logging.exception("%s: connection failed", self._log_prefix)
+                logging.log_every_n_seconds(
+                    logging.ERROR,
+                    "%s: connection failed",
+                    _FAILURE_LOG_INTERVAL_S,
+                    self._log_prefix,
+                    exc_info=True,
+                )
             finally:
+                self._waiting.pop(stream, None)
                 self._connections -= 1
 
 
 class _Connection:
-    """One HTTP/1.1 connection."""
+    """One HTTP/1.1 connection.
 
-    __slots__ = ("_body_max_bytes", "_handler", "_http", "_stream")
+    Args:
+        handler: See `HttpServer`.
+        body_max_bytes: See `HttpServer`.
+        stream: The connection.
+        waiting: Receives the connection while it waits for a request.
+    """
+
+    __slots__ = ("_body_max_bytes", "_handler", "_http", "_stream", "_waiting")
 
     def __init__(
-        self, handler: HttpHandler, body_max_bytes: int, stream: anyio.abc.SocketStream
+        self,
+        handler: HttpHandler,
+        body_max_bytes: int,
+        stream: anyio.abc.SocketStream,
+        waiting: dict[anyio.abc.SocketStream, None],
     ) -> None:
+        self._waiting = waiting
         self._handler = handler
         self._body_max_bytes = body_max_bytes
         self._stream = stream
@@ -196,6 +242,7 @@
 
     async def _serve_next_request(self) -> bool:
         """Serves one request; returns whether the connection can serve another one."""
+        self._waiting[self._stream] = None
         head = await self._next_event()
         if not isinstance(head, h11.Request):
             return False
@@ -205,6 +252,7 @@
                 head, HttpServerResponse(413, b"body is too large", content_type="text/plain")
             )
             return False
+        self._waiting.pop(self._stream, None)
         response = await self._handler(_convert_request(head, body))
         if response.is_dropped:
             return False
