--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -446,6 +446,8 @@
             **{f"bytes_{name}": count for name, count in self._traffic.bytes_by_name.items()},
             "malformed_packet": self._packet_port.malformed_count,
             "malformed_message": self._exchange.malformed_count,
+            "failed_packet": self._packet_port.handler_error_count,
+            "failed_message": self._exchange.handler_error_count,
             "refused_object": self._refusals.count,
             "announcement_withheld": self._flow_announcer.withheld_count,
             "dropped_log_line": self._events.dropped_count,
@@ -526,7 +528,7 @@
         this instance to their announcements.
         """
         self._is_leaving = True
-        self._exchange.send_hello()
+        self._supervisor.run_step("last_hello", self._exchange.send_hello)
         self._supervisor.run_step("flow_handover", self._hand_over_flows)
         self._events.write_always("leaving", self._clock.now_ms(), flows=self._forwarder.flow_count)
         await wait_until_unused(
