--- a/src/catkinspread/eventlog/event_log.py
+++ b/src/catkinspread/eventlog/event_log.py
@@ -50,8 +50,9 @@
 
         Returns:
             False if the line was dropped because the pipe is full or closed, the disk is full, or the
-            descriptor cannot be set to non-blocking mode; True if it was written completely or in part. The rest of a line written in part is kept and written before the
-            next line; it is lost if the program ends first.
+            descriptor cannot be set to non-blocking mode; True if it was written completely or in
+            part. The rest of a line written in part is kept and written before the next line; it is
+            lost if the program ends first.
         """
         if not self._is_usable:
             return False
--- a/src/catkinspread/runtime/tests/test_startup.py
+++ b/src/catkinspread/runtime/tests/test_startup.py
@@ -20,8 +20,7 @@
 from catkinspread.runtime.tests.program import PROGRAM, TIMEOUT_S, Program
 from catkinspread.sockets import find_free_ports
 
-# The program listens on a fixed port for metrics, so each run of the tests has an address of its own:
-# runs at the same time would otherwise end each other's programs.
+# Each run of the tests has an address of its own, so that runs at the same time do not meet.
 _HOST = f"127.242.{random.SystemRandom().randint(1, 254)}.{os.getpid() % 254 + 1}"
 _MIB = 1_048_576
 _MEMORY_LIMIT_MIB = 300
