Tell which source a program was built from

Ruled out: comparing at each start of an instance, which would read 300 files before the first packet.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -5,6 +5,9 @@
 prepared in a folder beside the final one and renamed at the end, so an interrupted build leaves
 nothing that looks complete.
 
+The copy holds a digest of the source, which the program writes into its log. With `--check` nothing
+is built; the exit status is 1 if `target/app` was built from other source than that of the checkout.
+
 The module uses only syntax that older versions of Python can read, so that they get to the check of
 the version.
 """
@@ -20,21 +23,28 @@
 PYTHON_MIN = (3, 11)  # `requires-python` of pyproject.toml
 EXIT_FAILED = 1
 STAMP_NAME = ".complete"
+DIGEST_NAME = "source-digest"  # Read by `catkinspread.runtime.source_digest`.
+DIGEST_DIGITS = 16
+CHECK_OPTION = "--check"
 
 _ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 _DEPLOY = os.path.join(_ROOT, "deploy")
 _REQUIREMENTS = os.path.join(_DEPLOY, "requirements.txt")
 _DEPENDENCIES = os.path.join(_ROOT, "target", "deps")
 _PROGRAM = os.path.join(_ROOT, "target", "app")
+_PACKAGE = os.path.join(_ROOT, "src", "catkinspread")
+_ENTRY_POINT = os.path.join(_DEPLOY, "instance.py")
 
 
 class BuildFailed(Exception):
     """The build cannot be completed."""
 
 
-def main():
-    """Runs the build and returns its exit status."""
+def main(arguments):
+    """Runs the build, or the check, and returns the exit status."""
     try:
+        if CHECK_OPTION in arguments:
+            return check_program()
         check_python_version()
         os.makedirs(os.path.join(_ROOT, "target"), exist_ok=True)
         install_dependencies()
@@ -45,6 +55,17 @@
     return 0
 
 
+def check_program():
+    """Prints of which source `target/app` is a copy, and returns 1 unless it is that of the checkout."""
+    wanted = compute_source_digest()
+    built = read_text(os.path.join(_PROGRAM, DIGEST_NAME)) or "unknown"
+    if built.strip() == wanted:
+        print(f"target/app was built from this source ({wanted})")
+        return 0
+    print(f"target/app was built from other source ({built.strip()}) than this one ({wanted})")
+    return EXIT_FAILED
+
+
 def check_python_version():
     """Raises BuildFailed if this Python is too old to run the program."""
     if sys.version_info < PYTHON_MIN:
@@ -91,13 +112,34 @@
 
 def read_stamp(folder):
     """Returns the stamp of a folder; None if it has none."""
+    return read_text(os.path.join(folder, STAMP_NAME))
+
+
+def read_text(path):
+    """Returns the content of a small file; None if it cannot be read."""
     try:
-        with open(os.path.join(folder, STAMP_NAME), encoding="utf-8") as file:
+        with open(path, encoding="utf-8") as file:
             return file.read()
     except (OSError, UnicodeDecodeError):
         return None
 
 
+def compute_source_digest():
+    """Returns the digest of the files that `copy_program` copies, with their names."""
+    files = {"instance.py": _ENTRY_POINT}
+    for folder, subfolders, names in os.walk(_PACKAGE):
+        subfolders[:] = [name for name in subfolders if name != "__pycache__"]
+        for name in names:
+            path = os.path.join(folder, name)
+            files[os.path.relpath(path, os.path.dirname(_PACKAGE)).replace(os.sep, "/")] = path
+    digest = hashlib.sha256()
+    for name in sorted(files):
+        with open(files[name], "rb") as file:
+            content = hashlib.sha256(file.read()).hexdigest()
+        digest.update(f"{name} {content}\n".encode())
+    return digest.hexdigest()[:DIGEST_DIGITS]
+
+
 def find_missing_file(folder):
     """Returns the first file of the installed packages that is absent or cut off; None if none is.
 
@@ -126,15 +168,19 @@
     prepared = _PROGRAM + ".new"
     remove(prepared)
     shutil.copytree(
-        os.path.join(_ROOT, "src", "catkinspread"),
+        _PACKAGE,
         os.path.join(prepared, "catkinspread"),
         ignore=shutil.ignore_patterns("__pycache__"),
     )
-    shutil.copy2(os.path.join(_DEPLOY, "instance.py"), prepared)
+    shutil.copy2(_ENTRY_POINT, prepared)
+    digest = compute_source_digest()
+    with open(os.path.join(prepared, DIGEST_NAME), "w", encoding="utf-8") as file:
+        file.write(f"{digest}\n")
     # Tracebacks show the final folder.
     if not compileall.compile_dir(prepared, quiet=1, stripdir=prepared, prependdir=_PROGRAM):
         raise BuildFailed(f"a module of {prepared} could not be compiled")
     replace(prepared, _PROGRAM)
+    print(f"built target/app from source {digest}")
 
 
 def replace(prepared, final):
@@ -156,4 +202,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- a/deploy/instance.py
+++ b/deploy/instance.py
@@ -43,6 +43,14 @@
         os.write(descriptor, f"{line}\n".encode("utf-8", "backslashreplace"))
 
 
+def _read_source_digest() -> str:
+    # As `catkinspread.runtime.source_digest`, which cannot be imported here.
+    try:
+        return pathlib.Path(__file__).with_name("source-digest").read_text().strip()
+    except (OSError, UnicodeDecodeError):
+        return "unbuilt"
+
+
 def report_load_error(error: Exception) -> int:
     """Reports that the program cannot be loaded, in one line on each standard stream.
 
@@ -71,6 +79,7 @@
         "cause": "program_not_loaded",
         "status": EXIT_NOT_LOADED,
         "detail": detail,
+        "source": _read_source_digest(),
     }
     _write(_STDOUT_FD, json.dumps(line, separators=(",", ":")))
     _write(_STDERR_FD, f"cannot start: {detail}")
--- a/src/catkinspread/runtime/exit_status.py
+++ b/src/catkinspread/runtime/exit_status.py
@@ -5,6 +5,7 @@
 
 from catkinspread.clock import SystemClock
 from catkinspread.eventlog import EventLog, LineSink
+from catkinspread.runtime.source_digest import read_source_digest
 
 # Errors of one failure that a line names; the traceback has all.
 _ERRORS_MAX = 3
@@ -38,6 +39,7 @@
         cause=status.name.lower(),
         status=status.value,
         detail=detail,
+        source=read_source_digest(),
     )
     print(detail, file=sys.stderr)
     return status
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -74,6 +74,7 @@
 from catkinspread.runtime.periodic_tasks import PeriodicTasks
 from catkinspread.runtime.reloader import SettingsReloader
 from catkinspread.runtime.settings import ForwardingSettings
+from catkinspread.runtime.source_digest import read_source_digest
 from catkinspread.runtime.startup_times import StartupTimes
 from catkinspread.runtime.upstream_monitor import UpstreamMonitor
 from catkinspread.supervision import FailureLog, Part, Supervisor
@@ -136,6 +137,7 @@
         "_rng",
         "_settings",
         "_settling_ms",
+        "_source_digest",
         "_startup",
         "_state",
         "_supervisor",
@@ -156,6 +158,7 @@
         self._settings = settings
         self._clock = clock
         self._startup = startup or StartupTimes(clock.now_ms())
+        self._source_digest = read_source_digest()
         self._rng = random.Random()
         self._events = EventLog(settings.name, sink, clock)
         self._failures = FailureLog(self._events)
@@ -203,7 +206,9 @@
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             now_ms = self._clock.now_ms()
             loading_ms = now_ms - self._startup.opened_at_ms
-            self._events.write_always("started", now_ms, loading_ms=loading_ms)
+            self._events.write_always(
+                "started", now_ms, loading_ms=loading_ms, source=self._source_digest
+            )
             await self._run_components(signals)
         self._events.write_always(
             "stopped", self._clock.now_ms(), dropped_lines_total=self._events.dropped_count
@@ -306,7 +311,11 @@
 
     def _build_metrics_server(self, endpoint: Endpoint) -> HttpServer:
         page = MetricsPage(
-            self._read_counts, self._read_gauges, self._forwarder.histograms, self._failures
+            self._read_counts,
+            self._read_gauges,
+            self._forwarder.histograms,
+            self._failures,
+            self._source_digest,
         )
         return HttpServer(
             page.answer,
--- a/src/catkinspread/runtime/metrics.py
+++ b/src/catkinspread/runtime/metrics.py
@@ -25,9 +25,10 @@
         read_gauges: Returns the gauges by name.
         histograms: Latency histograms by name.
         failures: Failures of the parts of the program.
+        source_digest: Digest of the source that the program was built from.
     """
 
-    __slots__ = ("_failures", "_histograms", "_read_counts", "_read_gauges")
+    __slots__ = ("_failures", "_histograms", "_read_counts", "_read_gauges", "_source_digest")
 
     def __init__(
         self,
@@ -35,8 +36,10 @@
         read_gauges: Callable[[], Mapping[str, float]],
         histograms: Mapping[str, LatencyHistogram],
         failures: FailureLog,
+        source_digest: str,
     ) -> None:
         self._failures = failures
+        self._source_digest = source_digest
         self._read_counts = read_counts
         self._read_gauges = read_gauges
         self._histograms = histograms
@@ -65,6 +68,11 @@
         for name, count in sorted(self._read_counts().items()):
             events.add_metric([name], count)
         yield events
+        build = GaugeMetricFamily(
+            "catkinspread_build_info", "Source that the program was built from.", labels=["source"]
+        )
+        build.add_metric([self._source_digest], 1)
+        yield build
         yield from self._collect_failures()
         for name, value in self._read_gauges().items():
             yield GaugeMetricFamily(f"catkinspread_{name}", name.replace("_", " "), value)
--- a/src/catkinspread/runtime/tests/test_build.py
+++ b/src/catkinspread/runtime/tests/test_build.py
@@ -12,6 +12,8 @@
 
 import pytest
 
+from catkinspread.runtime.source_digest import DIGEST_NAME, UNBUILT, read_source_digest
+
 _REPOSITORY = pathlib.Path(__file__).resolve().parents[4]
 _PACKAGE_VERSION = "1.0"
 _TIMEOUT_S = 120
@@ -57,8 +59,13 @@
         # An old checkout, so that each folder under `target` is newer.
         os.utime(requirements, (0, 0))
 
+    def check(self) -> subprocess.CompletedProcess[str]:
+        return self._run("python3 deploy/build.py --check")
+
     def build(self) -> subprocess.CompletedProcess[str]:
-        line = tomllib.loads((self.root / "deploy" / "system.toml").read_text())["build"]
+        return self._run(tomllib.loads((self.root / "deploy/system.toml").read_text())["build"])
+
+    def _run(self, line: str) -> subprocess.CompletedProcess[str]:
         path = os.pathsep.join((os.path.dirname(sys.executable), os.environ.get("PATH", "")))
         return subprocess.run(
             ["sh", "-c", line],
@@ -99,6 +106,42 @@
     assert sorted(path.name for path in (checkout.root / "target").iterdir()) == ["app", "deps"]
 
 
+def test_check_tells_a_program_of_other_source(checkout: Checkout) -> None:
+    """Guards against runs of an earlier build that are taken for runs of the checkout."""
+    assert checkout.check().returncode == 1  # Nothing is built.
+    checkout.build_successfully()
+    assert checkout.check().returncode == 0
+    module = checkout.root / "src" / "catkinspread" / "__init__.py"
+    module.write_text("CHANGED = True\n")
+    changed = checkout.check()
+    assert changed.returncode == 1
+    assert read_source_digest(checkout.root / "target" / "app") in changed.stdout
+    checkout.build_successfully()
+    assert checkout.check().returncode == 0
+
+
+def test_folder_of_a_build_without_a_digest_is_told(checkout: Checkout) -> None:
+    """Guards against a folder of a version that wrote no digest, which was carried over."""
+    checkout.build_successfully()
+    program = checkout.root / "target" / "app"
+    (program / DIGEST_NAME).unlink()
+    assert checkout.check().returncode == 1
+    assert read_source_digest(program) == UNBUILT
+
+
+def test_digest_depends_on_the_source_alone(checkout: Checkout) -> None:
+    """Guards against digests that differ between two machines with the same source."""
+    checkout.build_successfully()
+    program = checkout.root / "target" / "app"
+    before = read_source_digest(program)
+    caches = checkout.root / "src" / "catkinspread" / "__pycache__"
+    caches.mkdir(exist_ok=True)
+    (caches / "other.pyc").write_text("other")
+    os.utime(checkout.root / "deploy" / "instance.py", (0, 0))
+    checkout.build_successfully()
+    assert read_source_digest(program) == before
+
+
 def test_folder_of_another_platform_is_replaced(checkout: Checkout) -> None:
     """Guards against extension modules for another processor or version of Python."""
     checkout.build_successfully()
--- a/src/catkinspread/runtime/tests/test_metrics.py
+++ b/src/catkinspread/runtime/tests/test_metrics.py
@@ -23,12 +23,13 @@
     for took_ms in (4, 40, 40, 9_000):
         histogram.add(took_ms)
     page = MetricsPage(
-        lambda: {"opened": 7}, lambda: {"flows": 3}, {"response": histogram}, failures
+        lambda: {"opened": 7}, lambda: {"flows": 3}, {"response": histogram}, failures, "0f1e"
     )
     answer = anyio.run(page.answer, HttpRequest("GET", "/metrics", {}, b""))
     text = answer.body.decode()
     assert 'catkinspread_events_total{event="opened"} 7.0' in text
     assert "catkinspread_flows 3.0" in text
+    assert 'catkinspread_build_info{source="0f1e"} 1.0' in text
     assert 'catkinspread_part_failures_total{part="feed"} 1.0' in text
     assert 'catkinspread_part_failing{part="feed"} 1.0' in text
     assert 'catkinspread_response_seconds_bucket{le="0.05"} 3.0' in text
@@ -38,5 +39,5 @@
 
 def test_other_paths_are_not_found() -> None:
     """Guards against serving metrics under other paths."""
-    page = MetricsPage(dict, dict, {}, _build_failures())
+    page = MetricsPage(dict, dict, {}, _build_failures(), "0f1e")
     assert anyio.run(page.answer, HttpRequest("GET", "/", {}, b"")).status == 404
