Ask other instances once about a flow whose end of handshake was lost

Callers saw: packets of a flow that was opened with a repeated attempt, whose end of handshake was lost, were delayed for up to the handshake time-out, and other open flows were reset during rolling restarts. Cause: once no other instance knew the flow, the held packets were handled like new ones. The handshake still counted as under way with several attempts, so the others were asked again, each some ms. That used up the budget for messages about flows (1 KB/s, 80 kB at once); then flows with the token of a late answer followed it. Change: packets that nobody knows about go to the flow that is under way here.

--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -499,10 +499,14 @@
         if upstream is not assumed:
             self.counts["corrected"] += 1
         pending = self._flows.find(packets[0].key)
+        first = packets.pop(0)
         if pending is None or told is not None:
             if pending is not None:
                 self._waits.stop(pending)
-            self._adopt_flow(packets.pop(0), upstream, now_ms)
+            self._adopt_flow(first, upstream, now_ms)
+        else:
+            # Not by `handle`, which would ask the others again.
+            self._handle_flow_packet(first, pending, now_ms)
         for packet in packets:
             self.handle(packet, now_ms)
 
--- a/src/catkinspread/forwarding/tests/test_adopted_flows.py
+++ b/src/catkinspread/forwarding/tests/test_adopted_flows.py
@@ -296,3 +296,21 @@
     )
     assert harness.list_targets() == [first, second, first]
     assert harness.loads.list_in_flight() == {first: 1}
+
+
+def test_others_are_asked_once_about_a_flow_whose_end_of_handshake_was_lost() -> None:
+    """Guards against packets that wait while the others are asked again after each answer.
+
+    The questions used up the budget for messages about flows, so that other flows followed tokens
+    of late answers and were reset.
+    """
+    harness, peers = _build_harness()
+    harness.send(build_opening_packet())
+    harness.wait(150)
+    first, second = harness.list_targets()
+    data = build_packet(token=harness.output.tokens[1], payload_size_bytes=10)
+    harness.send(data)
+    for _ in range(2):
+        harness.forwarder.record_flow_unknown(_build_key(), harness.now_ms)
+    assert harness.list_targets() == [first, second, second]
+    assert peers.announced == [data]
--- a/src/catkinspread/runtime/tests/restart_site.py
+++ b/src/catkinspread/runtime/tests/restart_site.py
@@ -42,6 +42,8 @@
 REQUESTS_PER_FLOW = 3
 PAUSE_MS = (500, 4_000)
 OPEN_COPIES_MS = (0, 200, 600)
+# Delays after which an upstream repeats its answer to an opening packet while the flow is not open.
+REPEATED_ANSWERS_MS = (200, 600, 1_400, 3_000)
 OPEN_TIMEOUT_MS = 1_400
 RETRANSMIT_FIRST_MS = 200
 RETRANSMIT_MAX_MS = 1_600
@@ -93,6 +95,7 @@
                 self._learn(other, False)
                 other._learn(self, False)
         announcer = FlowAnnouncer(directory, self, self.site.clock, rng)  # type: ignore[arg-type]
+        self.site.announcers.append(announcer)
         self.harness = ForwarderHarness(
             *self.site.records.values(),
             seed=rng.randrange(1 << 30),
@@ -202,6 +205,11 @@
             work_ms = self._site.rng.randint(*WORK_MS) if is_new else 0
             self._site.call_after(work_ms, self._answer, packet, flow)
 
+    def holds(self, key: FlowKey) -> bool:
+        """Whether a flow is open here."""
+        flow = self._flows.get(key)
+        return flow is not None and flow.is_open
+
     def _answer_opening(self, packet: CallerPacket, flow: _HeldFlow | None, token: int) -> None:
         if flow is None:
             flow = _HeldFlow(self._site.rng.randrange(_SEQUENCE_MODULUS))
@@ -209,12 +217,21 @@
         if flow.is_open:
             return
         flow.token = token
+        self._send_handshake(packet.key, flow, token)
+        for delay_ms in REPEATED_ANSWERS_MS if self._site.repeats_answers else ():
+            self._site.call_after(delay_ms, self._repeat_handshake, packet.key, flow)
+
+    def _repeat_handshake(self, key: FlowKey, flow: _HeldFlow) -> None:
+        if not flow.is_open:
+            self._send_handshake(key, flow, flow.token)
+
+    def _send_handshake(self, key: FlowKey, flow: _HeldFlow, token: int) -> None:
         is_slow = self._site.rng.random() < SLOW_HANDSHAKE_SHARE
         delay_ms = self._site.rng.randint(*SLOW_HANDSHAKE_MS) if is_slow else 0
         self._site.call_after(
             CALLER_LINK_MS + delay_ms,
             self._site.deliver_handshake,
-            packet.key,
+            key,
             self.name,
             flow.sequence,
             token,
@@ -227,7 +244,14 @@
 
 
 class SimulatedCaller:
-    """The caller's end of a flow: some requests with pauses."""
+    """The caller's end of a flow: some requests with pauses.
+
+    Attributes:
+        holder: Upstream whose answer the caller has acknowledged; empty if none.
+        outcome: What became of the flow; empty while it goes on.
+        was_open: Whether the end of the handshake had reached `holder` when another one reset the
+            flow. Only then was the flow open.
+    """
 
     def __init__(self, site: "RestartSite", port: int, habit: TokenHabit) -> None:
         self._site = site
@@ -235,6 +259,7 @@
         self.habit = habit
         self.holder = ""
         self.outcome = ""
+        self.was_open = False
         self._token = 0
         self._first = site.rng.randrange(_SEQUENCE_MODULUS)
         self._sequence = _advance(self._first, 1)
@@ -256,6 +281,8 @@
         if self.holder:
             if self.habit is TokenHabit.LAST:
                 self._token = token
+            if self._site.acknowledges_other_answers:
+                self._send()
             return
         self.holder = upstream
         self._token = token
@@ -285,6 +312,7 @@
         if self.outcome:
             return
         if self.holder and sender != self.holder:
+            self.was_open = self._site.upstreams[self.holder].holds(self.key)
             self._finish("reset_by_other")
         else:
             self._finish("reset" if self.holder else "refused")
@@ -354,7 +382,11 @@
         silences_ms: Times that requests waited for their answers.
         counts: Counts of all processes of instances that have ended.
         messages: Number of messages between instances.
+        announcers: Announcers of all processes of instances.
         message_loss_share: Share of these messages that is lost.
+        packet_loss_share: Share of the packets of callers that is lost.
+        repeats_answers: Whether upstreams repeat their answers to opening packets.
+        acknowledges_other_answers: Whether callers acknowledge such answers on an open flow.
     """
 
     def __init__(self, seed: int, is_steady: bool = True) -> None:
@@ -364,7 +396,11 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self.silences_ms: list[int] = []
         self.messages = 0
+        self.announcers: list[FlowAnnouncer] = []
         self.message_loss_share = 0.0
+        self.packet_loss_share = 0.0
+        self.repeats_answers = False
+        self.acknowledges_other_answers = False
         self.evacuated: set[str] = set()
         self.records: dict[str, UpstreamRecord] = {}
         self.upstreams: dict[str, SimulatedUpstream] = {}
@@ -374,6 +410,15 @@
         self._queue: list[tuple[int, int, Callable[..., None], tuple[object, ...]]] = []
         self._sequence = 0
 
+    @property
+    def withheld(self) -> int:
+        """Number of messages between instances that their rate limit did not allow."""
+        return sum(announcer.withheld_count for announcer in self.announcers)
+
+    def count_reset_open_flows(self) -> int:
+        """Returns the number of open flows that were reset by one that does not hold them."""
+        return sum(caller.was_open for caller in self.callers.values())
+
     def build(self, instances: int, upstreams: int) -> None:
         """Starts instances, and upstreams in two data centres."""
         for number in range(upstreams):
@@ -435,6 +480,8 @@
 
     def route(self, packet: CallerPacket) -> None:
         """Hands a packet to the instance that the routers choose."""
+        if self.packet_loss_share and self.rng.random() < self.packet_loss_share:
+            return
         ready = [found for found in self.instances if found.is_in_rotation]
         if 2 * len(ready) < len(self.instances):
             ready = self.instances
--- a/src/catkinspread/runtime/tests/test_restarts.py
+++ b/src/catkinspread/runtime/tests/test_restarts.py
@@ -57,7 +57,22 @@
     site.message_loss_share = 0.05
 
 
+def _lose_packets(site: RestartSite, _: int) -> None:
+    site.packet_loss_share = 0.01
+
+
+def _repeat_answers(site: RestartSite, _: int) -> None:
+    site.repeats_answers = True
+
+
+def _acknowledge_other_answers(site: RestartSite, _: int) -> None:
+    site.acknowledges_other_answers = True
+
+
 _CHANGES = {
+    "packet_losses": _lose_packets,
+    "repeated_answers": _repeat_answers,
+    "acknowledged_answers": _acknowledge_other_answers,
     "releases": _release,
     "evacuations": _evacuate,
     "cut_upstreams": _cut_upstreams,
@@ -88,6 +103,18 @@
     assert site.outcomes["not_opened"] == 0
 
 
+@pytest.mark.parametrize("is_steady", [True, False], ids=["steady", "mod"])
+def test_lost_packets_of_callers_use_up_no_messages(is_steady: bool) -> None:
+    """Guards against a lost end of a handshake that costs the budget of later questions.
+
+    A flow of which all packets after the opening one are lost is not open, and nobody can tell from
+    its token which upstream the caller has chosen.
+    """
+    site = _play(2, is_steady, True, 5, "packet_losses")
+    assert site.count_reset_open_flows() == 0
+    assert site.withheld == 0
+
+
 def test_killed_instances_reset_no_open_flow() -> None:
     """Guards against contested flows that only the killed instance could tell from others."""
     site = _play(2, False, False, 4, "releases", "evacuations")
