Tell flows before a planned stop in steps and with messages of their own

Callers saw: open flows reset during rolling restarts where many answers to opening packets are late (slow upstreams, a busy machine). Cause: at the stop signal an instance told two others all flows that tokens do not tell, at once and from the budget for messages about flows (80 kB at once, then 1 KB/s). With many such flows nothing was left for those whose handshake ended during the stop, and the kept flows of other instances went first, the oldest before. Change: runtime/flow_handover sends these messages in steps of 64 with a limit of their own (84 kB a stop); open flows first, newest first; a flow that is only kept for another instance is told to one, as a second one keeps it. Messages that are built and applied move to runtime/flow_messages. Metrics handover_sent and handover_withheld. Failed before: test_many_late_answers_leave_messages_for_flows_that_open_during_a_stop and the test of the order.

--- a/src/catkinspread/forwarding/__init__.py
+++ b/src/catkinspread/forwarding/__init__.py
@@ -16,6 +16,7 @@
     CallerPacket,
     FlowKey,
     FlowPeers,
+    HandedOverFlow,
     PacketOutput,
     RejectionReason,
 )
@@ -30,6 +31,7 @@
     "FlowPeers",
     "FlowTable",
     "Forwarder",
+    "HandedOverFlow",
     "LatencyHistogram",
     "LoadTracker",
     "LocalAvailability",
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -30,6 +30,7 @@
     CallerPacket,
     FlowKey,
     FlowPeers,
+    HandedOverFlow,
     NoFlowPeers,
     PacketOutput,
     RejectionReason,
@@ -294,15 +295,29 @@
         upstream only when its caller retransmits it.
         """
         self._is_leaving = True
-        for flow in self._flows.list_contested():
-            self._peers.remember(
-                flow.key, flow.next_sequence, flow.upstream, now_ms - flow.last_packet_at_ms
+        self._peers.hand_over(self._list_handed_over(now_ms))
+
+    def _list_handed_over(self, now_ms: int) -> list[HandedOverFlow]:
+        """Returns the flows that tokens do not tell, those of this instance first, newest first."""
+        contested = self._flows.list_contested()
+        open_here = [
+            HandedOverFlow(
+                flow.key, flow.next_sequence, flow.upstream, now_ms - flow.last_packet_at_ms, True
             )
-        for remembered in self._remembered:
-            upstream = self._state.find_upstream_by_token(remembered.token)
-            if upstream is not None and self._flows.find(remembered.key) is None:
-                age_ms = now_ms - remembered.recorded_at_ms
-                self._peers.remember(remembered.key, remembered.sequence, upstream, age_ms)
+            for flow in contested
+        ]
+        kept = [
+            HandedOverFlow(
+                flow.key, flow.sequence, upstream, max(0, now_ms - flow.recorded_at_ms), False
+            )
+            for flow in self._remembered
+            if self._flows.find(flow.key) is None
+            and (upstream := self._state.find_upstream_by_token(flow.token)) is not None
+        ]
+        return [
+            *sorted(open_here, key=lambda flow: flow.age_ms),
+            *sorted(kept, key=lambda flow: flow.age_ms),
+        ]
 
     def handle_pause(self, now_ms: int) -> None:
         """Discards what was concluded from time-outs that ran while the process was paused.
--- a/src/catkinspread/forwarding/packets.py
+++ b/src/catkinspread/forwarding/packets.py
@@ -100,6 +100,25 @@
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
 
 
+class HandedOverFlow(msgspec.Struct, frozen=True):
+    """A flow that an instance tells others before it stops.
+
+    Attributes:
+        key: Key of the flow.
+        sequence: Sequence number of a packet of it.
+        upstream: Where it is open.
+        age_ms: Time since an instance saw the flow there.
+        is_open_here: Whether its packets reach this instance, which does not only keep it for
+            another one.
+    """
+
+    key: FlowKey
+    sequence: int
+    upstream: KnownUpstream
+    age_ms: int
+    is_open_here: bool
+
+
 class FlowPeers(Protocol):
     """Tells the other instances of the data centre about flows."""
 
@@ -125,6 +144,9 @@
             age_ms: Time since an instance saw the flow there.
         """
 
+    def hand_over(self, flows: list[HandedOverFlow]) -> None:
+        """Tells other instances flows before a planned stop, the first ones first."""
+
 
 class NoFlowPeers:
     """There are no other instances."""
@@ -138,6 +160,9 @@
     def remember(self, key: FlowKey, sequence: int, upstream: KnownUpstream, age_ms: int) -> None:
         """Does nothing."""
 
+    def hand_over(self, flows: list[HandedOverFlow]) -> None:
+        """Does nothing."""
+
 
 class PacketOutput(Protocol):
     """Sends packets according to the forwarding decisions."""
--- a/src/catkinspread/forwarding/tests/test_adopted_flows.py
+++ b/src/catkinspread/forwarding/tests/test_adopted_flows.py
@@ -1,7 +1,7 @@
 """Flows whose packets reach an instance that did not open them."""
 
 from catkinspread.deployment import KnownUpstream
-from catkinspread.forwarding import CallerPacket, FlowKey, TokenStage
+from catkinspread.forwarding import CallerPacket, FlowKey, HandedOverFlow, TokenStage
 from catkinspread.forwarding.flow_tokens import decode_stage, encode_flow_token
 from catkinspread.forwarding.flows import SEQUENCE_TOLERANCE_BYTES
 from catkinspread.forwarding.held_packets import HELD_PACKETS_MAX, HOLD_MS
@@ -22,6 +22,10 @@
     def __init__(self) -> None:
         self.announced: list[CallerPacket] = []
         self.remembered: list[tuple[FlowKey, str]] = []
+        self.handed_over: list[HandedOverFlow] = []
+
+    def list_handed_over(self) -> list[tuple[FlowKey, str, bool]]:
+        return [(f.key, f.upstream.record.name, f.is_open_here) for f in self.handed_over]
 
     def announce(self, packet: CallerPacket, needs_answers: bool) -> int:
         self.announced.append(packet)
@@ -30,6 +34,9 @@
     def remember(self, key: FlowKey, sequence: int, upstream: KnownUpstream, age_ms: int) -> None:
         self.remembered.append((key, upstream.record.name))
 
+    def hand_over(self, flows: list[HandedOverFlow]) -> None:
+        self.handed_over = flows
+
 
 def _build_harness() -> tuple[ForwarderHarness, _RecordingPeers]:
     peers = _RecordingPeers()
@@ -307,7 +314,25 @@
     harness.send(build_packet(token=harness.output.tokens[0]))
     assert peers.remembered == [(_build_key(), first)]
     harness.forwarder.begin_leaving(harness.now_ms)
-    assert peers.remembered == [(_build_key(), first)] * 2
+    assert peers.list_handed_over() == [(_build_key(), first, True)]
+
+
+def test_flows_of_this_instance_are_handed_over_first_and_the_newest_before() -> None:
+    """Guards against a limit that leaves out open flows and tells those that have ended long ago."""
+    harness, peers = _build_harness()
+    for port in (4_001, 4_002):
+        key = build_packet(port).key
+        harness.forwarder.record_flow_upstream(
+            key, SEQUENCE, harness.find_token("a"), harness.now_ms
+        )
+        harness.clock.advance(1_000)
+    for port in (4_003, 4_004):
+        harness.send(build_opening_packet(port))
+        harness.wait(150)
+        harness.send(build_packet(port, token=harness.output.tokens[-1]))
+    harness.forwarder.begin_leaving(harness.now_ms)
+    ports = [flow.key.caller_port for flow in peers.handed_over]
+    assert ports == [4_004, 4_003, 4_002, 4_001]
 
 
 def test_ordinary_flows_are_told_to_nobody() -> None:
@@ -316,7 +341,7 @@
     harness.send(build_opening_packet())
     harness.send(build_packet(token=harness.output.tokens[0], payload_size_bytes=10))
     harness.forwarder.begin_leaving(harness.now_ms)
-    assert (peers.announced, peers.remembered) == ([], [])
+    assert (peers.announced, peers.remembered, peers.handed_over) == ([], [], [])
 
 
 def test_question_about_a_flow_ends_the_retries_but_tells_no_upstream() -> None:
@@ -345,7 +370,7 @@
     harness.clock.advance(19_000)
     harness.forwarder.expire_flows(harness.now_ms)
     harness.forwarder.begin_leaving(harness.now_ms)
-    assert peers.remembered == [(_build_key(), "a")]
+    assert peers.list_handed_over() == [(_build_key(), "a", False)]
     harness.clock.advance(1_000)
     harness.forwarder.expire_flows(harness.now_ms)
     assert harness.forwarder.find_open_flow(_build_key(), SEQUENCE) is None
--- a/src/catkinspread/runtime/flow_announcer.py
+++ b/src/catkinspread/runtime/flow_announcer.py
@@ -9,15 +9,17 @@
 import random
 
 from catkinspread.clock import Clock
-from catkinspread.deployment import KnownUpstream, ServiceAddress
+from catkinspread.deployment import KnownUpstream
 from catkinspread.forwarding import (
     CallerPacket,
     FlowKey,
-    Forwarder,
+    HandedOverFlow,
     TokenStage,
     decode_stage,
 )
-from catkinspread.peers import FlowAnnouncement, FlowLocation, PeerDirectory, PeerExchange
+from catkinspread.peers import PeerDirectory, PeerExchange
+from catkinspread.runtime.flow_handover import FlowHandover
+from catkinspread.runtime.flow_messages import build_announcement, build_location
 
 # Long-term limit of the announcements of an instance: a third of the 3 KB/s for all its messages.
 BYTES_PER_S = 1_000.0
@@ -32,8 +34,6 @@
 LOCATION_BYTES = 41
 # Instances that keep where a contested flow is open, besides the one that its packets reach.
 REMEMBERING_INSTANCES = 2
-# Token in a location that stands for no upstream.
-UNKNOWN_UPSTREAM = 0
 _MS_PER_S = 1_000
 
 
@@ -47,6 +47,7 @@
         rng: Source of random choices.
 
     Attributes:
+        handover: Sends the messages of a planned stop.
         withheld_count: Messages that the rate limit did not allow.
     """
 
@@ -57,6 +58,7 @@
         "_exchange",
         "_refilled_at_ms",
         "_rng",
+        "handover",
         "withheld_count",
     )
 
@@ -73,6 +75,7 @@
         self._rng = rng
         self._available_bytes = BURST_BYTES
         self._refilled_at_ms = clock.now_ms()
+        self.handover = FlowHandover(directory, exchange, rng)
         self.withheld_count = 0
 
     def announce(self, packet: CallerPacket, needs_answers: bool) -> int:
@@ -92,9 +95,13 @@
         hosts = [member.host for member in self._directory.list_staying_peers()]
         chosen = self._rng.sample(hosts, min(REMEMBERING_INSTANCES, len(hosts)))
         if self._try_spend(len(chosen) * LOCATION_BYTES, is_preferred=True):
-            location = _build_location(key, sequence, upstream.token, age_ms)
+            location = build_location(key, sequence, upstream.token, age_ms)
             self._exchange.send_report(location, chosen)
 
+    def hand_over(self, flows: list[HandedOverFlow]) -> None:
+        """Starts to tell others the flows before a planned stop; see `FlowPeers`."""
+        self.handover.start(flows)
+
     def _try_spend(self, size_bytes: int, is_preferred: bool) -> bool:
         now_ms = self._clock.now_ms()
         refill_bytes = (now_ms - self._refilled_at_ms) * BYTES_PER_S / _MS_PER_S
@@ -106,66 +113,3 @@
             return False
         self._available_bytes -= size_bytes
         return True
-
-
-def build_announcement(packet: CallerPacket, needs_answer: bool) -> FlowAnnouncement:
-    """Returns the announcement of the flow of a packet."""
-    key = packet.key
-    return FlowAnnouncement(
-        key.caller_ip,
-        key.caller_port,
-        key.address.ip,
-        key.address.port,
-        packet.sequence,
-        packet.acknowledged,
-        packet.token,
-        needs_answer,
-    )
-
-
-def apply_announcement(
-    forwarder: Forwarder, announcement: FlowAnnouncement, now_ms: int
-) -> FlowLocation | None:
-    """Applies the announcement of another instance.
-
-    Returns:
-        The answer if the other instance needs one; None otherwise.
-    """
-    key, sequence = _build_key(announcement), announcement.sequence
-    upstream = forwarder.find_open_flow(key, sequence)
-    if upstream is None:
-        forwarder.record_opened_elsewhere(
-            key,
-            sequence,
-            announcement.acknowledged,
-            announcement.token,
-            now_ms,
-            is_certain=not announcement.needs_answer,
-        )
-    if not announcement.needs_answer:
-        return None
-    token = upstream.token if upstream else UNKNOWN_UPSTREAM
-    return _build_location(key, sequence, token, age_ms=0)
-
-
-def apply_location(forwarder: Forwarder, location: FlowLocation, now_ms: int) -> None:
-    """Applies where another instance knows a flow to be open, or that it does not know it."""
-    key = _build_key(location)
-    if location.token == UNKNOWN_UPSTREAM:
-        forwarder.record_flow_unknown(key, now_ms)
-    else:
-        forwarder.record_flow_upstream(
-            key, location.sequence, location.token, now_ms, location.age_ms
-        )
-
-
-def _build_location(key: FlowKey, sequence: int, token: int, age_ms: int) -> FlowLocation:
-    address = key.address
-    return FlowLocation(
-        key.caller_ip, key.caller_port, address.ip, address.port, sequence, token, age_ms
-    )
-
-
-def _build_key(message: FlowAnnouncement | FlowLocation) -> FlowKey:
-    address = ServiceAddress(message.service_ip, message.service_port)
-    return FlowKey(message.caller_ip, message.caller_port, address)
--- /dev/null
+++ b/src/catkinspread/runtime/flow_handover.py
@@ -0,0 +1,73 @@
+"""Tells other instances, before a planned stop, the flows that cannot be found by their tokens.
+
+The messages are sent in steps while the routers still send packets here, so that they neither
+overflow the socket of a receiver nor use the budget for flows that end their handshake meanwhile.
+"""
+
+import collections
+import random
+from collections.abc import Iterable
+
+from catkinspread.forwarding import HandedOverFlow
+from catkinspread.peers import FlowLocation, PeerDirectory, PeerExchange
+from catkinspread.runtime.flow_messages import build_location
+
+# Instances that are told a flow that is open here. A flow that this instance only keeps for another
+# one is told to one, because a second one keeps it as well.
+RECIPIENTS_OF_OPEN = 2
+RECIPIENTS_OF_REMEMBERED = 1
+# Messages of one step; a receiver queues about 270 small datagrams.
+MESSAGES_PER_STEP = 64
+# Messages of one stop: 84 KB, which an instance that is restarted each 5 hours sends on top of 1 KB/s.
+MESSAGES_MAX = 2_048
+
+
+class FlowHandover:
+    """Queue of the messages of a planned stop.
+
+    Args:
+        directory: Directory of the other instances.
+        exchange: Sends the messages.
+        rng: Source of random choices.
+
+    Attributes:
+        sent_count: Messages that were sent.
+        withheld_count: Messages beyond MESSAGES_MAX, or without an instance to tell.
+    """
+
+    __slots__ = ("_directory", "_exchange", "_queue", "_rng", "sent_count", "withheld_count")
+
+    def __init__(
+        self, directory: PeerDirectory, exchange: PeerExchange, rng: random.Random
+    ) -> None:
+        self._directory = directory
+        self._exchange = exchange
+        self._rng = rng
+        self._queue: collections.deque[FlowLocation] = collections.deque()
+        self.sent_count = 0
+        self.withheld_count = 0
+
+    def start(self, flows: Iterable[HandedOverFlow]) -> None:
+        """Queues the messages about flows; of too many, those of the last flows are left out."""
+        for flow in flows:
+            location = build_location(flow.key, flow.sequence, flow.upstream.token, flow.age_ms)
+            copies = RECIPIENTS_OF_OPEN if flow.is_open_here else RECIPIENTS_OF_REMEMBERED
+            if len(self._queue) + copies > MESSAGES_MAX:
+                self.withheld_count += copies
+            else:
+                self._queue.extend([location] * copies)
+
+    def send_due(self, _: int) -> None:
+        """Sends the messages of one step."""
+        if not self._queue:
+            return
+        hosts = [member.host for member in self._directory.list_staying_peers()]
+        if not hosts:
+            self.withheld_count += len(self._queue)
+            self._queue.clear()
+            return
+        self._rng.shuffle(hosts)
+        for number in range(min(MESSAGES_PER_STEP, len(self._queue))):
+            # Copies of a message follow each other, so they go to different instances.
+            self._exchange.send_report(self._queue.popleft(), [hosts[number % len(hosts)]])
+            self.sent_count += 1
--- /dev/null
+++ b/src/catkinspread/runtime/flow_messages.py
@@ -0,0 +1,72 @@
+"""Builds the messages about flows between instances, and applies those that arrive."""
+
+from catkinspread.deployment import ServiceAddress
+from catkinspread.forwarding import CallerPacket, FlowKey, Forwarder
+from catkinspread.peers import FlowAnnouncement, FlowLocation
+
+# Token in a location that stands for no upstream.
+UNKNOWN_UPSTREAM = 0
+
+
+def build_announcement(packet: CallerPacket, needs_answer: bool) -> FlowAnnouncement:
+    """Returns the announcement of the flow of a packet."""
+    key = packet.key
+    return FlowAnnouncement(
+        key.caller_ip,
+        key.caller_port,
+        key.address.ip,
+        key.address.port,
+        packet.sequence,
+        packet.acknowledged,
+        packet.token,
+        needs_answer,
+    )
+
+
+def build_location(key: FlowKey, sequence: int, token: int, age_ms: int) -> FlowLocation:
+    """Returns the message that tells where a flow is open; see `FlowLocation`."""
+    address = key.address
+    return FlowLocation(
+        key.caller_ip, key.caller_port, address.ip, address.port, sequence, token, age_ms
+    )
+
+
+def apply_announcement(
+    forwarder: Forwarder, announcement: FlowAnnouncement, now_ms: int
+) -> FlowLocation | None:
+    """Applies the announcement of another instance.
+
+    Returns:
+        The answer if the other instance needs one; None otherwise.
+    """
+    key, sequence = _build_key(announcement), announcement.sequence
+    upstream = forwarder.find_open_flow(key, sequence)
+    if upstream is None:
+        forwarder.record_opened_elsewhere(
+            key,
+            sequence,
+            announcement.acknowledged,
+            announcement.token,
+            now_ms,
+            is_certain=not announcement.needs_answer,
+        )
+    if not announcement.needs_answer:
+        return None
+    token = upstream.token if upstream else UNKNOWN_UPSTREAM
+    return build_location(key, sequence, token, age_ms=0)
+
+
+def apply_location(forwarder: Forwarder, location: FlowLocation, now_ms: int) -> None:
+    """Applies where another instance knows a flow to be open, or that it does not know it."""
+    key = _build_key(location)
+    if location.token == UNKNOWN_UPSTREAM:
+        forwarder.record_flow_unknown(key, now_ms)
+    else:
+        forwarder.record_flow_upstream(
+            key, location.sequence, location.token, now_ms, location.age_ms
+        )
+
+
+def _build_key(message: FlowAnnouncement | FlowLocation) -> FlowKey:
+    address = ServiceAddress(message.service_ip, message.service_port)
+    return FlowKey(message.caller_ip, message.caller_port, address)
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -57,11 +57,8 @@
     StoreContactRegistry,
     read_request_id,
 )
-from catkinspread.runtime.flow_announcer import (
-    FlowAnnouncer,
-    apply_announcement,
-    apply_location,
-)
+from catkinspread.runtime.flow_announcer import FlowAnnouncer
+from catkinspread.runtime.flow_messages import apply_announcement, apply_location
 from catkinspread.runtime.graceful_shutdown import wait_until_unused
 from catkinspread.runtime.isolation import IsolationCheck
 from catkinspread.runtime.load_reports import LoadReporter
@@ -269,6 +266,7 @@
         )
         tasks.add("opening_retries", self._forwarder.send_due_retries)
         tasks.add("flow_adoption", self._forwarder.adopt_due_flows)
+        tasks.add("flow_handover", self._flow_announcer.handover.send_due)
         tasks.add("upstream_monitor", self._upstream_monitor.update)
         tasks.add("load_reports", self._send_load_report)
         tasks.add("isolation_check", self._isolation.update)
@@ -459,6 +457,8 @@
             "failed_message": self._exchange.handler_error_count,
             "refused_object": self._refusals.count,
             "announcement_withheld": self._flow_announcer.withheld_count,
+            "handover_sent": self._flow_announcer.handover.sent_count,
+            "handover_withheld": self._flow_announcer.handover.withheld_count,
             "dropped_log_line": self._events.dropped_count,
         }
 
--- a/src/catkinspread/runtime/tests/restart_site.py
+++ b/src/catkinspread/runtime/tests/restart_site.py
@@ -29,7 +29,8 @@
     MemberStatus,
     PeerDirectory,
 )
-from catkinspread.runtime.flow_announcer import FlowAnnouncer, apply_announcement, apply_location
+from catkinspread.runtime.flow_announcer import FlowAnnouncer
+from catkinspread.runtime.flow_messages import apply_announcement, apply_location
 
 CALLER_LINK_MS = 15
 UPSTREAM_LINK_MS = 1
@@ -105,7 +106,7 @@
         )
         for data_centre in self.site.evacuated:
             self.harness.state.set_evacuated(data_centre, True)
-        self._tick(self.harness)
+        self._tick(self.harness, announcer)
 
     def leave(self) -> None:
         """Begins a planned stop."""
@@ -160,13 +161,14 @@
         if answer is not None:
             self.send_report(answer, [sender])
 
-    def _tick(self, harness: ForwarderHarness) -> None:
+    def _tick(self, harness: ForwarderHarness, announcer: FlowAnnouncer) -> None:
         if harness is self.harness:
             now_ms = self.site.clock.now_ms()
+            announcer.handover.send_due(now_ms)
             harness.forwarder.send_due_retries(now_ms)
             harness.forwarder.adopt_due_flows(now_ms)
             harness.forwarder.expire_flows(now_ms)
-            self.site.call_after(TICK_MS, self._tick, harness)
+            self.site.call_after(TICK_MS, self._tick, harness, announcer)
 
 
 class _HeldFlow:
@@ -226,8 +228,8 @@
             self._send_handshake(key, flow, flow.token)
 
     def _send_handshake(self, key: FlowKey, flow: _HeldFlow, token: int) -> None:
-        is_slow = self._site.rng.random() < SLOW_HANDSHAKE_SHARE
-        delay_ms = self._site.rng.randint(*SLOW_HANDSHAKE_MS) if is_slow else 0
+        is_slow = self._site.rng.random() < self._site.slow_handshake_share
+        delay_ms = self._site.rng.randint(*self._site.slow_handshake_ms) if is_slow else 0
         self._site.call_after(
             CALLER_LINK_MS + delay_ms,
             self._site.deliver_handshake,
@@ -384,6 +386,8 @@
         messages: Number of messages between instances.
         announcers: Announcers of all processes of instances.
         message_loss_share: Share of these messages that is lost.
+        slow_handshake_share: Share of the answers to opening packets that are late.
+        slow_handshake_ms: Shortest and longest delay of these answers.
         packet_loss_share: Share of the packets of callers that is lost.
         repeats_answers: Whether upstreams repeat their answers to opening packets.
         acknowledges_other_answers: Whether callers acknowledge such answers on an open flow.
@@ -398,6 +402,8 @@
         self.messages = 0
         self.announcers: list[FlowAnnouncer] = []
         self.message_loss_share = 0.0
+        self.slow_handshake_share = SLOW_HANDSHAKE_SHARE
+        self.slow_handshake_ms = SLOW_HANDSHAKE_MS
         self.packet_loss_share = 0.0
         self.repeats_answers = False
         self.acknowledges_other_answers = False
@@ -413,7 +419,7 @@
     @property
     def withheld(self) -> int:
         """Number of messages between instances that their rate limit did not allow."""
-        return sum(announcer.withheld_count for announcer in self.announcers)
+        return sum(a.withheld_count + a.handover.withheld_count for a in self.announcers)
 
     def count_reset_open_flows(self) -> int:
         """Returns the number of open flows that were reset by one that does not hold them."""
--- a/src/catkinspread/runtime/tests/test_restarts.py
+++ b/src/catkinspread/runtime/tests/test_restarts.py
@@ -12,19 +12,25 @@
 
 GAP_MS = 3_000
 INTERVAL_MS = 20
+BUSY_INTERVAL_MS = 7
 LONGEST_ANSWER_MS = WORK_MS[1] + 2 * CALLER_LINK_MS + UPSTREAM_LINK_MS
 SETTLE_MS = 20_000
 HABITS = [TokenHabit.LAST, TokenHabit.HOLDER, TokenHabit.FIRST]
 
 
 def _play(
-    seed: int, is_steady: bool = True, is_planned: bool = True, rounds: int = 5, *changes: str
+    seed: int,
+    is_steady: bool = True,
+    is_planned: bool = True,
+    rounds: int = 5,
+    *changes: str,
+    interval_ms: int = INTERVAL_MS,
 ) -> RestartSite:
     """Stops and starts three instances in turn, one every GAP_MS, while callers open flows."""
     site = RestartSite(seed, is_steady)
     site.build(instances=3, upstreams=9)
     stops = rounds * len(site.instances)
-    site.open_flows((stops + 2) * GAP_MS // INTERVAL_MS, INTERVAL_MS, HABITS)
+    site.open_flows((stops + 2) * GAP_MS // interval_ms, interval_ms, HABITS)
     site.run(GAP_MS)
     for number in range(stops):
         instance = site.instances[number % len(site.instances)]
@@ -69,7 +75,13 @@
     site.acknowledges_other_answers = True
 
 
+def _slow_answers(site: RestartSite, _: int) -> None:
+    site.slow_handshake_share = 0.2
+    site.slow_handshake_ms = (30, 2_000)
+
+
 _CHANGES = {
+    "slow_answers": _slow_answers,
     "packet_losses": _lose_packets,
     "repeated_answers": _repeat_answers,
     "acknowledged_answers": _acknowledge_other_answers,
@@ -127,6 +139,12 @@
     assert max(site.silences_ms) <= 1.1 * LONGEST_ANSWER_MS
 
 
+def test_many_late_answers_leave_messages_for_flows_that_open_during_a_stop() -> None:
+    """Guards against a stop that tells flows which are open and has no message left for new ones."""
+    site = _play(1, False, True, 5, "slow_answers", interval_ms=BUSY_INTERVAL_MS)
+    assert site.withheld == 0
+
+
 def test_killed_instances_reset_no_open_flow() -> None:
     """Guards against contested flows that only the killed instance could tell from others."""
     site = _play(2, False, False, 4, "releases", "evacuations")
