Wait for the answer of an instance that leaves while it still runs

Callers saw: an open flow reset when its packets moved to another instance a few ms after a stop signal. Cause: questions about a flow did not wait for instances that leave. The one that held the flow answered 1 ms after the others had said that they do not know it, and the packet had followed the token of a late answer. Change: an instance that leaves is awaited for 1.2 s from its first word on; the stop takes 1.3 s at least. It is still not told flows. The test that such instances are not awaited is replaced by one with both times.

--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -38,6 +38,9 @@
 SOURCE_TIMEOUT_MS = 2_200
 # Time without a status after which a feeder is replaced by the next instance in rendezvous order.
 FEEDER_TIMEOUT_MS = 4_000
+# Time for which an instance that leaves goes on to answer: a planned stop takes longer, see
+# `runtime.graceful_shutdown.SHUTDOWN_MIN_MS`.
+LEAVING_ANSWERS_MS = 1_200
 # Time for which a feeder is not selected again after its answers have failed.
 FAILED_FEEDER_PAUSE_MS = 5_000
 # Time without news of an instance after which it is removed. The second constant is added for each
@@ -188,6 +191,20 @@
             and (peer.status is None or not peer.status.is_leaving)
         ]
 
+    def count_answering_peers(self, now_ms: int) -> int:
+        """Returns how many other instances of this data centre answer questions.
+
+        One that leaves still answers for LEAVING_ANSWERS_MS, and may be the only one that knows.
+        """
+        return sum(
+            1
+            for peer in self._peers.values()
+            if peer.member.data_centre == self._member.data_centre
+            and (
+                peer.leaving_since_ms is None or now_ms - peer.leaving_since_ms < LEAVING_ANSWERS_MS
+            )
+        )
+
     def choose_random_hosts(self, count: int) -> list[str]:
         """Returns the addresses of up to `count` random instances of all data centres."""
         peers = list(self._peers.values())
@@ -204,10 +221,7 @@
             return
         self._instance_count.record_told(status.known_instances, now_ms)
         peer = self._record_peer(status.member, now_ms, now_ms)
-        # The sender knows best; its wall clock may have been set back before it restarted.
-        peer.member = status.member
-        peer.status = status
-        peer.status_at_ms = now_ms
+        peer.record_status(status, now_ms)
         if peer.is_unresponsive:
             peer.is_unresponsive = False
             self._update_ranking_and_digest()
--- a/src/catkinspread/runtime/flow_announcer.py
+++ b/src/catkinspread/runtime/flow_announcer.py
@@ -88,7 +88,7 @@
         if not self._try_spend(size_bytes, is_preferred):
             return 0
         self._exchange.send_report(build_announcement(packet, needs_answers), hosts)
-        return len(self._directory.list_staying_peers())
+        return self._directory.count_answering_peers(self._clock.now_ms())
 
     def remember(self, key: FlowKey, sequence: int, upstream: KnownUpstream, age_ms: int) -> None:
         """Tells a few instances where a flow is open; see `FlowPeers`."""
--- a/src/catkinspread/runtime/tests/restart_site.py
+++ b/src/catkinspread/runtime/tests/restart_site.py
@@ -119,7 +119,7 @@
         if other is not self and self.directory is not None:
             member = Member(other.name, "east", other.name, 1)
             status = MemberStatus(member, None, True, is_leaving, 0)
-            self.directory.apply_message(Hello(status, 0), 0)
+            self.directory.apply_message(Hello(status, 0), self.site.clock.now_ms())
 
     def end(self) -> None:
         """Ends the process."""
--- a/src/catkinspread/runtime/tests/test_flow_announcer.py
+++ b/src/catkinspread/runtime/tests/test_flow_announcer.py
@@ -23,8 +23,10 @@
     RESERVED_BYTES,
     FlowAnnouncer,
 )
+from catkinspread.runtime.graceful_shutdown import SHUTDOWN_MIN_MS
 
 PEERS = 100
+START_MS = 1_000
 
 
 class _RecordingExchange:
@@ -46,8 +48,10 @@
     directory = PeerDirectory(Member("one", "east", "10.0.0.1", 1), random.Random(1))
     for number in range(PEERS):
         member = Member(f"peer-{number}", "east", f"10.0.1.{number}", 1)
-        directory.apply_message(Hello(MemberStatus(member, None, True, number == 0, 0), 0), 0)
-    exchange, clock = _RecordingExchange(), ManualClock(1_000)
+        directory.apply_message(
+            Hello(MemberStatus(member, None, True, number == 0, 0), 0), START_MS
+        )
+    exchange, clock = _RecordingExchange(), ManualClock(START_MS)
     announcer = FlowAnnouncer(directory, exchange, clock, random.Random(1))  # type: ignore[arg-type]
     return announcer, exchange, clock
 
@@ -83,9 +87,14 @@
     assert announcer.announce(build_packet(), needs_answers=False) > 0
 
 
-def test_instances_that_leave_are_told_but_not_awaited() -> None:
-    """Guards against packets that wait for the answer of a process that has ended."""
-    announcer, exchange, _ = _build()
+def test_instances_that_leave_are_awaited_while_their_process_still_runs() -> None:
+    """Guards against a wrong token that is followed before the only instance that knows has answered.
+
+    Later on, no packet waits for the answer of a process that has ended.
+    """
+    announcer, exchange, clock = _build()
+    assert announcer.announce(build_packet(), needs_answers=False) == PEERS
+    clock.advance(SHUTDOWN_MIN_MS)
     assert announcer.announce(build_packet(), needs_answers=False) == PEERS - 1
     assert len(exchange.sent[0][1]) == PEERS
 
--- a/src/catkinspread/runtime/tests/test_restarts.py
+++ b/src/catkinspread/runtime/tests/test_restarts.py
@@ -145,6 +145,13 @@
     assert site.withheld == 0
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_instance_that_leaves_answers_where_a_flow_is_open(seed: int) -> None:
+    """Guards against a token that is followed while the only instance that knows better leaves."""
+    site = _play(seed, seed == 2, True, 5, "slow_answers", interval_ms=BUSY_INTERVAL_MS)
+    assert site.count_reset_open_flows() == 0
+
+
 def test_killed_instances_reset_no_open_flow() -> None:
     """Guards against contested flows that only the killed instance could tell from others."""
     site = _play(2, False, False, 4, "releases", "evacuations")
