Tell in the log what the adoption of a flow relied on; adoption in a module of its own

Callers saw: open flows reset after a restart. Behaviour is unchanged. Result: forwarding, flow messages, restarts and explain tests pass.

--- a/src/catkinspread/forwarding/__init__.py
+++ b/src/catkinspread/forwarding/__init__.py
@@ -5,6 +5,7 @@
 
 from catkinspread.forwarding.cold_start_limiter import ColdStartLimiter
 from catkinspread.forwarding.decision_log import DecisionLog, format_ip
+from catkinspread.forwarding.flow_adoption import AdoptionBasis, FlowAdoption
 from catkinspread.forwarding.flow_resets import UpstreamCheck
 from catkinspread.forwarding.flow_tokens import TokenStage, decode_stage, encode_flow_token
 from catkinspread.forwarding.flows import Flow, FlowTable
@@ -23,10 +24,12 @@
 from catkinspread.forwarding.placement import Placement, SelectionTier, UpstreamChoice
 
 __all__ = [
+    "AdoptionBasis",
     "CallerPacket",
     "ColdStartLimiter",
     "DecisionLog",
     "Flow",
+    "FlowAdoption",
     "FlowKey",
     "FlowPeers",
     "FlowTable",
--- a/src/catkinspread/forwarding/decision_log.py
+++ b/src/catkinspread/forwarding/decision_log.py
@@ -110,14 +110,21 @@
             upstream=upstream.record.name,
         )
 
-    def log_adoption(self, flow: Flow, now_ms: int) -> None:
-        """Logs that this instance takes over a flow that another instance opened."""
+    def log_adoption(self, flow: Flow, basis: str, now_ms: int) -> None:
+        """Logs that this instance takes over a flow that another instance opened.
+
+        Args:
+            flow: The flow.
+            basis: What told its upstream; a value of `AdoptionBasis`.
+            now_ms: Current time.
+        """
         self._events.write(
             "flow_adopted",
             now_ms,
             flow=format_flow(flow.key),
             upstream=flow.upstream.record.name,
             removed=flow.upstream.is_removed,
+            basis=basis,
         )
 
     def log_opened_elsewhere(self, flow: Flow, now_ms: int) -> None:
--- a/src/catkinspread/forwarding/flow_tokens.py
+++ b/src/catkinspread/forwarding/flow_tokens.py
@@ -35,3 +35,8 @@
 def decode_stage(token: int) -> TokenStage:
     """Returns the stage in a token field received from a caller."""
     return TokenStage(token >> TOKEN_BITS & _STAGE_MASK)
+
+
+def is_attempt_token(token: int) -> bool:
+    """Whether a token field comes from an answer to an opening packet, and so proves little."""
+    return decode_stage(token) in (TokenStage.FIRST_ATTEMPT, TokenStage.REPEATED_ATTEMPT)
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -5,39 +5,32 @@
 time-out, the instance sends the packet to another upstream before the caller retransmits it. Flows
 of upstreams that no longer serve them are reset.
 
-A flow that this instance has no entry for was opened through another one. While its token field does
-not prove where it is open, the other instances are asked, and its packets are held meanwhile. The
-same message ends the retries of the instance that got the opening packet.
+A flow that this instance has no entry for was opened through another one; see `flow_adoption`.
 """
 
 import collections
 from collections.abc import Callable
 
-import msgspec
-
 from catkinspread.deployment import TOKEN_MAX, DeploymentState, KnownUpstream
 from catkinspread.forwarding.decision_log import DecisionLog
+from catkinspread.forwarding.flow_adoption import FlowAdoption
 from catkinspread.forwarding.flow_resets import FlowResetter, UpstreamCheck
-from catkinspread.forwarding.flow_tokens import TokenStage, decode_stage, encode_flow_token
+from catkinspread.forwarding.flow_tokens import TokenStage, encode_flow_token
 from catkinspread.forwarding.flows import Flow, FlowTable
 from catkinspread.forwarding.handshake_timeouts import HandshakeTimeouts
 from catkinspread.forwarding.handshakes import HandshakeEstimator
-from catkinspread.forwarding.held_packets import HeldPackets
 from catkinspread.forwarding.histogram import LatencyHistogram
 from catkinspread.forwarding.load import LoadTracker
 from catkinspread.forwarding.local_availability import LocalAvailability
 from catkinspread.forwarding.packets import (
     CallerPacket,
-    FlowKey,
     FlowPeers,
-    HandedOverFlow,
     NoFlowPeers,
     PacketOutput,
     RejectionReason,
 )
 from catkinspread.forwarding.placement import Placement
 from catkinspread.forwarding.reachability import ReachabilityTracker
-from catkinspread.forwarding.remembered_flows import RememberedFlow, RememberedFlows
 from catkinspread.forwarding.retry_budget import RetryBudget
 from catkinspread.forwarding.sequence_numbers import advance_sequence, is_sequence_after
 from catkinspread.forwarding.waiting import WaitTracker
@@ -70,9 +63,11 @@
         peers: Tells the other instances about flows.
 
     Attributes:
-        counts: Number of events by name. REASON is a value of `RejectionReason`.
+        adoption: Finds the upstreams of flows that other instances opened.
+        counts: Number of events by name. REASON is a value of `RejectionReason`, BASIS one of
+            `AdoptionBasis`.
             opened: A caller opened a flow.
-            adopted: This instance took over a flow that another one opened.
+            adopted, adopted_BASIS: This instance took over a flow that another one opened.
             held: The packets of a flow wait for the answers of other instances.
             corrected: Another instance knew a flow on another upstream than its token told.
             opened_elsewhere: The handshake of a flow ended through another instance.
@@ -99,7 +94,6 @@
     __slots__ = (
         "_flows",
         "_handshakes",
-        "_held",
         "_loads",
         "_is_leaving",
         "_local_availability",
@@ -109,12 +103,12 @@
         "_placement",
         "_read_request_id",
         "_refuses_from_ms",
-        "_remembered",
         "_resetter",
         "_retry_budget",
         "_state",
         "_timeouts",
         "_waits",
+        "adoption",
         "counts",
         "histograms",
         "reachability",
@@ -139,8 +133,6 @@
         self._log = log
         self._read_request_id = read_request_id
         self._peers = peers or NoFlowPeers()
-        self._held = HeldPackets()
-        self._remembered = RememberedFlows()
         # Earlier opening packets are dropped instead, because the state may be outdated.
         self._refuses_from_ms = 0
         self._is_leaving = False
@@ -154,6 +146,17 @@
         self._retry_budget = RetryBudget()
         self._timeouts = HandshakeTimeouts(self._handshakes)
         self.counts: collections.Counter[str] = collections.Counter()
+        self.adoption = FlowAdoption(
+            state,
+            self._flows,
+            self._waits,
+            self._peers,
+            log,
+            self.counts,
+            self.handle,
+            self._handle_flow_packet,
+            self._drop,
+        )
         self.histograms = {"handshake": LatencyHistogram(), "response": LatencyHistogram()}
 
     @property
@@ -166,10 +169,10 @@
         flow = self._flows.find(packet.key)
         if packet.is_opening:
             self._handle_opening_packet(packet, flow, now_ms)
-        elif flow is None or packet.key in self._held:
-            self._handle_unknown_flow(packet, now_ms)
+        elif flow is None or self.adoption.is_holding(packet.key):
+            self.adoption.handle_unknown(packet, now_ms)
         elif flow.is_doubtful(packet):
-            self._handle_doubtful_flow(packet, flow, now_ms)
+            self.adoption.handle_doubtful(packet, flow, now_ms)
         else:
             self._handle_flow_packet(packet, flow, now_ms)
 
@@ -191,102 +194,6 @@
                 continue  # The retransmission of the caller will go to another upstream.
             self._try_next_upstream(flow, flow.opening_packet, now_ms)
 
-    def adopt_due_flows(self, now_ms: int) -> None:
-        """Adopts the flows that other instances have not told about in time, by their tokens."""
-        for packets in self._held.pop_due(now_ms):
-            self._adopt_held(packets, None, now_ms)
-
-    def find_open_flow(self, key: FlowKey, sequence: int) -> KnownUpstream | None:
-        """Returns the upstream of an open flow; None if this instance does not know it.
-
-        Flows that other instances have told are known, too.
-
-        Args:
-            key: Key of the flow.
-            sequence: Sequence number of a packet of it, which tells it from others with its ports.
-        """
-        flow = self._flows.find(key)
-        if flow is not None and flow.is_same_open_flow(sequence):
-            return flow.upstream
-        token = self._remembered.find_token(key, sequence)
-        return None if token is None else self._state.find_upstream_by_token(token)
-
-    def record_opened_elsewhere(
-        self,
-        key: FlowKey,
-        sequence: int,
-        acknowledged: int,
-        token: int,
-        now_ms: int,
-        is_certain: bool = True,
-    ) -> None:
-        """Ends the handshake of a flow whose caller ended it through another instance.
-
-        Without this, the opening packet would be taken for unanswered and sent to others. Their
-        answers would change the token that the caller returns.
-
-        Args:
-            key: Key of the flow.
-            sequence: Sequence number of a packet that followed the handshake.
-            acknowledged: Acknowledgement number of that packet.
-            token: Its token field.
-            now_ms: Current time.
-            is_certain: Whether the flow is open on the upstream of the token.
-        """
-        flow = self._flows.find(key)
-        upstream = self._state.find_upstream_by_token(token)
-        if flow is None or upstream is None:
-            return
-        if flow.is_established or not flow.matches_sequence(sequence):
-            return
-        if is_certain:
-            flow.upstream = upstream
-            flow.acknowledged = acknowledged
-            flow.next_sequence = sequence
-            flow.is_contested = len(flow.attempted) > 1
-            self._flows.mark_established(flow)
-        self._end_handshake_elsewhere(flow, now_ms)
-
-    def _end_handshake_elsewhere(self, flow: Flow, now_ms: int) -> None:
-        """Ends the wait and the retries for a flow whose handshake another instance has seen end."""
-        if flow.opening_packet is None:
-            return
-        self._waits.stop(flow)
-        flow.opening_packet = None
-        self.counts["opened_elsewhere"] += 1
-        self._log.log_opened_elsewhere(flow, now_ms)
-
-    def record_flow_upstream(
-        self, key: FlowKey, sequence: int, token: int, now_ms: int, age_ms: int = 0
-    ) -> None:
-        """Handles where another instance knows a flow to be open.
-
-        Its packets are released if they are held here; otherwise it is remembered.
-
-        Args:
-            key: Key of the flow.
-            sequence: Sequence number of a packet of it.
-            token: Token of the upstream.
-            now_ms: Current time.
-            age_ms: Time since an instance saw the flow there.
-        """
-        packets = self._held.pop(key)
-        flow = self._flows.find(key)
-        if packets:
-            self._adopt_held(packets, self._state.find_upstream_by_token(token), now_ms)
-        elif flow is None or not flow.is_established:
-            if flow is not None and flow.matches_sequence(sequence):
-                self._end_handshake_elsewhere(flow, now_ms)
-            self._remembered.record(RememberedFlow(key, sequence, token, now_ms - age_ms))
-
-    def record_flow_unknown(self, key: FlowKey, now_ms: int) -> None:
-        """Handles that another instance does not know where a flow is open.
-
-        Its packets are released once no instance knows it.
-        """
-        if self._held.record_unknown(key):
-            self._adopt_held(self._held.pop(key), None, now_ms)
-
     def begin_leaving(self, now_ms: int) -> None:
         """Prepares for a planned stop.
 
@@ -295,29 +202,7 @@
         upstream only when its caller retransmits it.
         """
         self._is_leaving = True
-        self._peers.hand_over(self._list_handed_over(now_ms))
-
-    def _list_handed_over(self, now_ms: int) -> list[HandedOverFlow]:
-        """Returns the flows that tokens do not tell, those of this instance first, newest first."""
-        contested = self._flows.list_contested()
-        open_here = [
-            HandedOverFlow(
-                flow.key, flow.next_sequence, flow.upstream, now_ms - flow.last_packet_at_ms, True
-            )
-            for flow in contested
-        ]
-        kept = [
-            HandedOverFlow(
-                flow.key, flow.sequence, upstream, max(0, now_ms - flow.recorded_at_ms), False
-            )
-            for flow in self._remembered
-            if self._flows.find(flow.key) is None
-            and (upstream := self._state.find_upstream_by_token(flow.token)) is not None
-        ]
-        return [
-            *sorted(open_here, key=lambda flow: flow.age_ms),
-            *sorted(kept, key=lambda flow: flow.age_ms),
-        ]
+        self._peers.hand_over(self.adoption.list_handed_over(now_ms))
 
     def handle_pause(self, now_ms: int) -> None:
         """Discards what was concluded from time-outs that ran while the process was paused.
@@ -335,12 +220,12 @@
 
         The result is a time in ms on the clock of `now_ms`.
         """
-        times = (self._timeouts.get_next_due_at_ms(), self._held.get_next_due_at_ms())
+        times = (self._timeouts.get_next_due_at_ms(), self.adoption.get_next_due_at_ms())
         return min((time_ms for time_ms in times if time_ms is not None), default=None)
 
     def expire_flows(self, now_ms: int) -> None:
         """Removes expired flows and ends requests that were not answered in time."""
-        self._remembered.expire(now_ms)
+        self.adoption.expire(now_ms)
         for flow in self._flows.remove_expired(now_ms, self._idle_timeout_ms):
             self._waits.stop(flow)
             self._log.log_request_timeout(flow, now_ms)
@@ -386,7 +271,7 @@
 
     def _handle_opening_packet(self, packet: CallerPacket, flow: Flow | None, now_ms: int) -> None:
         is_late = flow is not None and flow.is_late_retransmission(packet, now_ms)
-        if is_late or packet.key in self._held:
+        if is_late or self.adoption.is_holding(packet.key):
             self.counts["late_copy"] += 1
             return
         if flow is not None and flow.is_handshake_retransmission(packet):
@@ -471,108 +356,6 @@
         self._output.forward(packet, upstream, encode_flow_token(upstream, stage))
         self._timeouts.schedule(flow, upstream, now_ms)
 
-    def _handle_unknown_flow(self, packet: CallerPacket, now_ms: int) -> None:
-        upstream = self._state.find_upstream_by_token(packet.token)
-        if upstream is None:
-            self._drop(packet, RejectionReason.UNKNOWN_TOKEN, now_ms)
-            return
-        if packet.key not in self._held and not self._ask_peers(packet, now_ms):
-            known = self.find_open_flow(packet.key, packet.sequence)
-            self._adopt_flow(packet, known or upstream, now_ms)
-        else:
-            self._hold(packet, now_ms)
-
-    def _handle_doubtful_flow(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
-        """Handles a packet of a flow whose handshake may have ended through another instance."""
-        flow.opening_packet = None  # The handshake has ended, so no retry is due.
-        known = self.find_open_flow(packet.key, packet.sequence)
-        if self._ask_peers(packet, now_ms):
-            self._hold(packet, now_ms)
-        elif known is not None:
-            self._waits.stop(flow)
-            self._adopt_flow(packet, known, now_ms)
-        else:
-            self._handle_flow_packet(packet, flow, now_ms)
-
-    def _hold(self, packet: CallerPacket, now_ms: int) -> None:
-        if not self._held.add(packet):
-            self._drop(packet, RejectionReason.TOO_MANY_HELD, now_ms)
-
-    def _ask_peers(self, packet: CallerPacket, now_ms: int) -> bool:
-        """Announces an unknown flow unless its token proves where it is open.
-
-        A packet without data waits, too: it may end the handshake, but also acknowledge a late
-        answer of an upstream that does not hold the flow.
-
-        Returns:
-            Whether the packets of the flow have to wait for the answers of other instances.
-        """
-        stage = decode_stage(packet.token)
-        if stage not in (TokenStage.FIRST_ATTEMPT, TokenStage.REPEATED_ATTEMPT):
-            return False
-        known = self.find_open_flow(packet.key, packet.sequence)
-        if known is not None:
-            token = encode_flow_token(known, stage)
-            self._peers.announce(msgspec.structs.replace(packet, token=token), needs_answers=False)
-            return False
-        told = self._peers.announce(packet, needs_answers=True)
-        if told:
-            self.counts["held"] += 1
-            self._held.start(packet.key, told, now_ms)
-        return told > 0
-
-    def _adopt_held(
-        self, packets: list[CallerPacket], told: KnownUpstream | None, now_ms: int
-    ) -> None:
-        """Takes over a flow whose packets were held.
-
-        Args:
-            packets: The packets, in the order of their arrival.
-            told: Upstream that another instance told; None if none did.
-            now_ms: Current time.
-        """
-        assumed = self._state.find_upstream_by_token(packets[0].token)
-        upstream = told or assumed
-        if upstream is None:
-            for packet in packets:
-                self._drop(packet, RejectionReason.UNKNOWN_TOKEN, now_ms)
-            return
-        if upstream is not assumed:
-            self.counts["corrected"] += 1
-        pending = self._flows.find(packets[0].key)
-        first = packets.pop(0)
-        if pending is None or told is not None:
-            if pending is not None:
-                self._waits.stop(pending)
-            self._adopt_flow(first, upstream, now_ms)
-        else:
-            # Not by `handle`, which would ask the others again.
-            self._handle_flow_packet(first, pending, now_ms)
-        for packet in packets:
-            self.handle(packet, now_ms)
-
-    def _adopt_flow(self, packet: CallerPacket, upstream: KnownUpstream, now_ms: int) -> None:
-        """Takes over a flow that another instance opened."""
-        route = self._state.find_route(packet.key.address)
-        services = [share.service for share in route.shares] if route else []
-        if route is not None and upstream.record.service not in services:
-            # The route now leads to another service; the flow stays on its upstream.
-            self.counts["kept_after_change"] += 1
-        flow = Flow(packet.key, route, upstream, now_ms)
-        flow.acknowledged = packet.acknowledged
-        flow.next_sequence = packet.sequence
-        is_corrected = upstream.token != packet.token & TOKEN_MAX
-        is_repeated = decode_stage(packet.token) is TokenStage.REPEATED_ATTEMPT
-        # The announcement that ends the retries of another instance may be lost.
-        flow.is_contested = is_corrected or is_repeated or _is_end_of_handshake(packet)
-        if flow.is_contested:
-            self._peers.remember(flow.key, packet.sequence, upstream, age_ms=0)
-        self._flows.add(flow)
-        self._flows.mark_established(flow)
-        self.counts["adopted"] += 1
-        self._log.log_adoption(flow, now_ms)
-        self._handle_flow_packet(packet, flow, now_ms)
-
     def _handle_flow_packet(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
         if flow.is_reset:
             self.counts["after_reset"] += 1
@@ -682,9 +465,3 @@
     def _drop(self, packet: CallerPacket, reason: RejectionReason, now_ms: int) -> None:
         self.counts[f"dropped_{reason.value}"] += 1
         self._log.log_drop(packet, reason, now_ms)
-
-
-def _is_end_of_handshake(packet: CallerPacket) -> bool:
-    """Whether a packet looks like the caller's acknowledgement of the answer to a first attempt."""
-    is_first_attempt = decode_stage(packet.token) is TokenStage.FIRST_ATTEMPT
-    return is_first_attempt and not packet.payload_size_bytes
--- a/src/catkinspread/forwarding/tests/builders.py
+++ b/src/catkinspread/forwarding/tests/builders.py
@@ -19,6 +19,7 @@
     CallerPacket,
     ColdStartLimiter,
     DecisionLog,
+    FlowAdoption,
     FlowKey,
     FlowPeers,
     Forwarder,
@@ -139,6 +140,10 @@
             peers,
         )
 
+    @property
+    def adoption(self) -> FlowAdoption:
+        return self.forwarder.adoption
+
     @property
     def now_ms(self) -> int:
         return self.clock.now_ms()
@@ -155,7 +160,7 @@
         for _ in range(0, duration_ms, 10):
             self.clock.advance(10)
             self.forwarder.send_due_retries(self.now_ms)
-            self.forwarder.adopt_due_flows(self.now_ms)
+            self.adoption.adopt_due(self.now_ms)
         self.forwarder.expire_flows(self.now_ms)
 
     def find_token(self, name: str) -> int:
--- a/src/catkinspread/forwarding/tests/test_adopted_flows.py
+++ b/src/catkinspread/forwarding/tests/test_adopted_flows.py
@@ -1,5 +1,7 @@
 """Flows whose packets reach an instance that did not open them."""
 
+import json
+
 from catkinspread.deployment import KnownUpstream
 from catkinspread.forwarding import CallerPacket, FlowKey, HandedOverFlow, TokenStage
 from catkinspread.forwarding.flow_tokens import decode_stage, encode_flow_token
@@ -64,7 +66,7 @@
     harness.send(build_opening_packet())
     first = harness.list_targets()[0]
     token = _encode(harness, first, TokenStage.FIRST_ATTEMPT)
-    harness.forwarder.record_opened_elsewhere(_build_key(), SEQUENCE + 1, 1, token, harness.now_ms)
+    harness.adoption.record_opened_elsewhere(_build_key(), SEQUENCE + 1, 1, token, harness.now_ms)
     harness.wait(1_000)
     harness.send(build_packet(token=0, payload_size_bytes=10))
     assert harness.list_targets() == [first, first]
@@ -76,7 +78,7 @@
     harness, _ = _build_harness()
     harness.send(build_opening_packet())
     token = _encode(harness, "a", TokenStage.FIRST_ATTEMPT)
-    harness.forwarder.record_opened_elsewhere(
+    harness.adoption.record_opened_elsewhere(
         _build_key(), SEQUENCE + 1_000_000, 1, token, harness.now_ms
     )
     harness.wait(150)
@@ -118,7 +120,7 @@
     for packet in packets:
         harness.send(packet)
     assert harness.list_targets() == []
-    harness.forwarder.record_flow_upstream(
+    harness.adoption.record_flow_upstream(
         _build_key(), SEQUENCE + 1, harness.find_token("a"), harness.now_ms
     )
     assert harness.output.forwarded == [(packet, "a") for packet in packets]
@@ -156,9 +158,9 @@
     for packet in packets:
         harness.send(packet)
     assert peers.announced == packets[:1]
-    harness.forwarder.record_flow_unknown(_build_key(), harness.now_ms)
+    harness.adoption.record_flow_unknown(_build_key(), harness.now_ms)
     assert harness.list_targets() == []
-    harness.forwarder.record_flow_unknown(_build_key(), harness.now_ms)
+    harness.adoption.record_flow_unknown(_build_key(), harness.now_ms)
     assert harness.output.forwarded == [(packet, "b") for packet in packets]
     assert peers.remembered == [(_build_key(), "b")]
 
@@ -179,7 +181,7 @@
     """
     harness, _ = _build_harness()
     harness.send(build_packet(token=_encode(harness, "b", TokenStage.FIRST_ATTEMPT)))
-    harness.forwarder.record_flow_upstream(
+    harness.adoption.record_flow_upstream(
         _build_key(), SEQUENCE + 1, harness.find_token("a"), harness.now_ms
     )
     assert harness.list_targets() == ["a"]
@@ -190,7 +192,7 @@
     harness, _ = _build_harness()
     token = _encode(harness, "b", TokenStage.FIRST_ATTEMPT)
     harness.send(build_packet(token=token, is_close=True))
-    harness.forwarder.record_flow_upstream(
+    harness.adoption.record_flow_upstream(
         _build_key(), SEQUENCE + 1, harness.find_token("a"), harness.now_ms
     )
     assert harness.list_targets() == ["a"]
@@ -202,7 +204,7 @@
     harness.send(build_opening_packet())
     (first,) = harness.list_targets()
     other = "b" if first == "a" else "a"
-    harness.forwarder.record_flow_upstream(
+    harness.adoption.record_flow_upstream(
         _build_key(), SEQUENCE + 1, harness.find_token(first), harness.now_ms
     )
     harness.wait(500)
@@ -215,7 +217,7 @@
 def test_known_flow_is_announced_with_the_upstream_that_holds_it() -> None:
     """Guards against an announcement that settles a handshake elsewhere on a late answer."""
     harness, peers = _build_harness()
-    harness.forwarder.record_flow_upstream(
+    harness.adoption.record_flow_upstream(
         _build_key(), SEQUENCE + 1, harness.find_token("a"), harness.now_ms
     )
     token = _encode(harness, "b", TokenStage.REPEATED_ATTEMPT)
@@ -258,7 +260,7 @@
 def test_tells_only_the_upstream_of_the_same_open_flow() -> None:
     """Guards against an answer about an earlier flow of the same ports, or about a closed one."""
     harness, _ = _build_harness()
-    find = harness.forwarder.find_open_flow
+    find = harness.adoption.find_open_flow
     harness.send(build_opening_packet())
     assert find(_build_key(), SEQUENCE + 1) is None
     first = harness.list_targets()[0]
@@ -288,16 +290,16 @@
     harness, _ = _build_harness()
     token = _encode(harness, "b", TokenStage.FIRST_ATTEMPT)
     harness.send(build_packet(token=token, payload_size_bytes=10))
-    harness.forwarder.record_flow_unknown(_build_key(), harness.now_ms)
+    harness.adoption.record_flow_unknown(_build_key(), harness.now_ms)
     assert harness.list_targets() == []
-    harness.forwarder.record_flow_unknown(_build_key(), harness.now_ms)
+    harness.adoption.record_flow_unknown(_build_key(), harness.now_ms)
     assert harness.list_targets() == ["b"]
 
 
 def test_remembers_a_flow_for_the_instance_that_held_it() -> None:
     """Guards against following a wrong token after the instance that knew better was killed."""
     harness, _ = _build_harness()
-    harness.forwarder.record_flow_upstream(
+    harness.adoption.record_flow_upstream(
         _build_key(), SEQUENCE + 1, harness.find_token("a"), harness.now_ms
     )
     token = _encode(harness, "b", TokenStage.REPEATED_ATTEMPT)
@@ -322,7 +324,7 @@
     harness, peers = _build_harness()
     for port in (4_001, 4_002):
         key = build_packet(port).key
-        harness.forwarder.record_flow_upstream(
+        harness.adoption.record_flow_upstream(
             key, SEQUENCE, harness.find_token("a"), harness.now_ms
         )
         harness.clock.advance(1_000)
@@ -348,7 +350,7 @@
     """Guards against an answer with the wrong token that another instance asked about."""
     harness, _ = _build_harness()
     harness.send(build_opening_packet())
-    harness.forwarder.record_opened_elsewhere(
+    harness.adoption.record_opened_elsewhere(
         _build_key(),
         SEQUENCE + 1,
         1,
@@ -358,13 +360,13 @@
     )
     harness.wait(500)
     assert len(harness.list_targets()) == 1
-    assert harness.forwarder.find_open_flow(_build_key(), SEQUENCE + 1) is None
+    assert harness.adoption.find_open_flow(_build_key(), SEQUENCE + 1) is None
 
 
 def test_flow_is_remembered_for_its_longest_life_only() -> None:
     """Guards against a record that instances pass on to each other for ever at their stops."""
     harness, peers = _build_harness()
-    harness.forwarder.record_flow_upstream(
+    harness.adoption.record_flow_upstream(
         _build_key(), SEQUENCE, harness.find_token("a"), harness.now_ms, age_ms=40_000
     )
     harness.clock.advance(19_000)
@@ -373,7 +375,7 @@
     assert peers.list_handed_over() == [(_build_key(), "a", False)]
     harness.clock.advance(1_000)
     harness.forwarder.expire_flows(harness.now_ms)
-    assert harness.forwarder.find_open_flow(_build_key(), SEQUENCE) is None
+    assert harness.adoption.find_open_flow(_build_key(), SEQUENCE) is None
 
 
 def test_flow_that_returns_before_its_handshake_expires_here_is_asked_about() -> None:
@@ -387,7 +389,7 @@
     first, second = harness.list_targets()
     harness.send(build_packet(token=harness.output.tokens[1], payload_size_bytes=10))
     assert harness.list_targets() == [first, second]
-    harness.forwarder.record_flow_upstream(
+    harness.adoption.record_flow_upstream(
         _build_key(), SEQUENCE + 1, harness.find_token(first), harness.now_ms
     )
     assert harness.list_targets() == [first, second, first]
@@ -407,6 +409,35 @@
     data = build_packet(token=harness.output.tokens[1], payload_size_bytes=10)
     harness.send(data)
     for _ in range(2):
-        harness.forwarder.record_flow_unknown(_build_key(), harness.now_ms)
+        harness.adoption.record_flow_unknown(_build_key(), harness.now_ms)
     assert harness.list_targets() == [first, second, second]
     assert peers.announced == [data]
+
+
+def test_log_and_counters_tell_what_an_adoption_is_based_on() -> None:
+    """Guards against resets after a restart whose cause no log or metric tells from others."""
+    harness, _ = _build_harness()
+    attempt = _encode(harness, "b", TokenStage.REPEATED_ATTEMPT)
+    key = {port: build_packet(port).key for port in range(1, 6)}
+    harness.send(build_packet(1, token=_encode(harness, "b", TokenStage.OPEN)))
+    for port in (2, 3, 4):
+        harness.send(build_packet(port, token=attempt))
+    location = (SEQUENCE + 1, harness.find_token("a"), harness.now_ms)
+    harness.adoption.record_flow_upstream(key[2], *location)
+    for _ in range(2):
+        harness.adoption.record_flow_unknown(key[3], harness.now_ms)
+    harness.wait(HOLD_MS)
+    harness.adoption.record_flow_upstream(key[5], *location)
+    harness.send(build_packet(5, token=attempt))
+    alone = ForwarderHarness(*UPSTREAMS)
+    alone.send(build_packet(token=attempt))
+    bases = [
+        json.loads(line)["basis"]
+        for found in (harness, alone)
+        for line in found.lines.lines
+        if b'"flow_adopted"' in line
+    ]
+    expected = ["open_token", "told", "known_to_none", "answers_missing", "remembered", "not_asked"]
+    assert bases == expected
+    counts = harness.forwarder.counts + alone.forwarder.counts
+    assert {name: counts[f"adopted_{name}"] for name in expected} == dict.fromkeys(expected, 1)
--- a/src/catkinspread/runtime/flow_messages.py
+++ b/src/catkinspread/runtime/flow_messages.py
@@ -40,9 +40,9 @@
         The answer if the other instance needs one; None otherwise.
     """
     key, sequence = _build_key(announcement), announcement.sequence
-    upstream = forwarder.find_open_flow(key, sequence)
+    upstream = forwarder.adoption.find_open_flow(key, sequence)
     if upstream is None:
-        forwarder.record_opened_elsewhere(
+        forwarder.adoption.record_opened_elsewhere(
             key,
             sequence,
             announcement.acknowledged,
@@ -60,9 +60,9 @@
     """Applies where another instance knows a flow to be open, or that it does not know it."""
     key = _build_key(location)
     if location.token == UNKNOWN_UPSTREAM:
-        forwarder.record_flow_unknown(key, now_ms)
+        forwarder.adoption.record_flow_unknown(key, now_ms)
     else:
-        forwarder.record_flow_upstream(
+        forwarder.adoption.record_flow_upstream(
             key, location.sequence, location.token, now_ms, location.age_ms
         )
 
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -265,7 +265,7 @@
             self._clock, self._supervisor, self._pauses, self._forwarder.get_next_retry_at_ms
         )
         tasks.add("opening_retries", self._forwarder.send_due_retries)
-        tasks.add("flow_adoption", self._forwarder.adopt_due_flows)
+        tasks.add("flow_adoption", self._forwarder.adoption.adopt_due)
         tasks.add("flow_handover", self._flow_announcer.handover.send_due)
         tasks.add("upstream_monitor", self._upstream_monitor.update)
         tasks.add("load_reports", self._send_load_report)
--- a/src/catkinspread/runtime/tests/restart_site.py
+++ b/src/catkinspread/runtime/tests/restart_site.py
@@ -166,7 +166,7 @@
             now_ms = self.site.clock.now_ms()
             announcer.handover.send_due(now_ms)
             harness.forwarder.send_due_retries(now_ms)
-            harness.forwarder.adopt_due_flows(now_ms)
+            harness.forwarder.adoption.adopt_due(now_ms)
             harness.forwarder.expire_flows(now_ms)
             self.site.call_after(TICK_MS, self._tick, harness, announcer)
 
