Count late answers of upstreams, and give them the time of a usual handshake

Cause: an answer counted only for the last upstream that was tried, and only before its time-out. Where each handshake takes longer than the time-out (150 ms at most) or the copy of the caller (200 ms), every upstream was avoided in turn until none was left, each flow was sent to several, and the messages about such flows exceeded their budget. Change: the answer to an earlier attempt counts as its handshake and ends the back-off that its own time-out began. An attempt has the time of a usual handshake (1.25 times the average, 700 ms at most); below 120 ms that changes nothing. A copy that comes sooner goes to the same upstream. A remembered flow is announced only while there may be retries, and not told to others again.

--- a/src/catkinspread/forwarding/decision_log.py
+++ b/src/catkinspread/forwarding/decision_log.py
@@ -52,7 +52,7 @@
             copy: How often the caller sent the packet before.
             now_ms: Current time.
         """
-        if len(flow.attempted) == 0 and copy == 0:
+        if len(flow.attempts) == 0 and copy == 0:
             # To limit the log volume, a first attempt is logged only by the line of its request,
             # which does not have the inputs of the choice.
             return
@@ -64,7 +64,7 @@
             standing=choice.tier.value,
             expected_ms=choice.expected_ms,
             candidates=choice.candidate_count,
-            attempt=len(flow.attempted) + 1,
+            attempt=len(flow.attempts) + 1,
             copy=copy,
             version=self._version(),
         )
@@ -79,7 +79,7 @@
             route=flow.route.name if flow.route else "",
             upstream=flow.upstream.record.name,
             data_centre=flow.upstream.record.data_centre,
-            tried=len(flow.attempted),
+            tried=len(flow.attempts),
             opening_ms=now_ms - flow.created_at_ms,
             version=self._version(),
         )
@@ -134,7 +134,7 @@
             now_ms,
             flow=format_flow(flow.key),
             upstream=flow.upstream.record.name,
-            tried=len(flow.attempted),
+            tried=len(flow.attempts),
         )
 
     def log_caller_close(self, flow: Flow, is_reset: bool, now_ms: int) -> None:
@@ -174,7 +174,7 @@
             request=flow.request_id,
             flow=format_flow(flow.key),
             upstream=flow.upstream.record.name,
-            tried=len(flow.attempted),
+            tried=len(flow.attempts),
             age_ms=now_ms - flow.created_at_ms,
             retransmissions=flow.retransmissions,
             **fields,
--- a/src/catkinspread/forwarding/flow_adoption.py
+++ b/src/catkinspread/forwarding/flow_adoption.py
@@ -20,7 +20,7 @@
     encode_flow_token,
     is_attempt_token,
 )
-from catkinspread.forwarding.flows import Flow, FlowTable
+from catkinspread.forwarding.flows import HANDSHAKE_TIMEOUT_MS, Flow, FlowTable
 from catkinspread.forwarding.held_packets import HeldPackets
 from catkinspread.forwarding.packets import (
     CallerPacket,
@@ -132,8 +132,8 @@
         flow = self._flows.find(key)
         if flow is not None and flow.is_same_open_flow(sequence):
             return flow.upstream
-        token = self._remembered.find_token(key, sequence)
-        return None if token is None else self._state.find_upstream_by_token(token)
+        kept = self._remembered.find(key, sequence)
+        return None if kept is None else self._state.find_upstream_by_token(kept.token)
 
     def record_opened_elsewhere(
         self,
@@ -167,7 +167,7 @@
             flow.upstream = upstream
             flow.acknowledged = acknowledged
             flow.next_sequence = sequence
-            flow.is_contested = len(flow.attempted) > 1
+            flow.is_contested = len(flow.attempts) > 1
             self._flows.mark_established(flow)
         self._end_handshake_elsewhere(flow, now_ms)
 
@@ -275,8 +275,7 @@
             return False
         known = self.find_open_flow(packet.key, packet.sequence)
         if known is not None:
-            token = encode_flow_token(known, decode_stage(packet.token))
-            self._peers.announce(msgspec.structs.replace(packet, token=token), needs_answers=False)
+            self._announce_known(packet, known, now_ms)
             return False
         told = self._peers.announce(packet, needs_answers=True)
         if told:
@@ -284,6 +283,14 @@
             self._held.start(packet.key, told, now_ms)
         return told > 0
 
+    def _announce_known(self, packet: CallerPacket, known: KnownUpstream, now_ms: int) -> None:
+        """Ends the retries of the instance that got the opening packet, if there may be any."""
+        kept = self._remembered.find(packet.key, packet.sequence)
+        if kept is None or now_ms - kept.recorded_at_ms >= HANDSHAKE_TIMEOUT_MS:
+            return
+        token = encode_flow_token(known, decode_stage(packet.token))
+        self._peers.announce(msgspec.structs.replace(packet, token=token), needs_answers=False)
+
     def _adopt_held(
         self,
         packets: list[CallerPacket],
@@ -335,7 +342,8 @@
         is_repeated = decode_stage(packet.token) is TokenStage.REPEATED_ATTEMPT
         # The announcement that ends the retries of another instance may be lost.
         flow.is_contested = is_corrected or is_repeated or _is_end_of_handshake(packet)
-        if flow.is_contested:
+        # A flow that is remembered here is kept by another instance as well.
+        if flow.is_contested and basis is not AdoptionBasis.REMEMBERED:
             self._peers.remember(flow.key, packet.sequence, upstream, age_ms=0)
         self._flows.add(flow)
         self._flows.mark_established(flow)
--- a/src/catkinspread/forwarding/flows.py
+++ b/src/catkinspread/forwarding/flows.py
@@ -7,6 +7,7 @@
 import heapq
 
 from catkinspread.deployment import KnownUpstream, Route
+from catkinspread.forwarding.flow_tokens import TokenStage
 from catkinspread.forwarding.packets import CallerPacket, FlowKey
 from catkinspread.forwarding.sequence_numbers import compute_sequence_distance
 
@@ -31,6 +32,28 @@
     return min(ahead, behind) <= SEQUENCE_TOLERANCE_BYTES
 
 
+class Attempt:
+    """An opening packet that was sent to an upstream.
+
+    Attributes:
+        upstream: The upstream.
+        sent_at_ms: When the packet was sent.
+        timed_out_at_ms: When it had timed out; None before.
+    """
+
+    __slots__ = ("sent_at_ms", "timed_out_at_ms", "upstream")
+
+    def __init__(self, upstream: KnownUpstream, sent_at_ms: int) -> None:
+        self.upstream = upstream
+        self.sent_at_ms = sent_at_ms
+        self.timed_out_at_ms: int | None = None
+
+    @property
+    def awaited_until_ms(self) -> int:
+        """When the attempt had timed out, or was made if it had not; see `UpstreamLoad`."""
+        return self.sent_at_ms if self.timed_out_at_ms is None else self.timed_out_at_ms
+
+
 class Flow:
     """The state of one flow.
 
@@ -38,7 +61,7 @@
         key: Both ends of the flow.
         route: Route of the service address; None if there was none for an adopted flow.
         upstream: Upstream that serves the flow; during the handshake, the last one attempted.
-        attempted: Upstreams that the opening packet was sent to, in order.
+        attempts: Attempts to open the flow, in order.
         opening_packet: The opening packet; None once an upstream has answered it.
         opening_sequence: Sequence number of the opening packet; None if another instance
             opened the flow.
@@ -64,7 +87,7 @@
 
     __slots__ = (
         "acknowledged",
-        "attempted",
+        "attempts",
         "created_at_ms",
         "is_closed",
         "is_contested",
@@ -91,7 +114,7 @@
         self.key = key
         self.route = route
         self.upstream = upstream
-        self.attempted: tuple[KnownUpstream, ...] = ()
+        self.attempts: list[Attempt] = []
         self.opening_packet: CallerPacket | None = None
         self.opening_sequence: int | None = None
         self.last_attempt_at_ms = now_ms
@@ -109,6 +132,26 @@
         self.next_sequence = 0
         self.next_check_at_ms = now_ms
 
+    @property
+    def attempted(self) -> tuple[KnownUpstream, ...]:
+        """Upstreams that the opening packet was sent to, in order."""
+        return tuple(attempt.upstream for attempt in self.attempts)
+
+    @property
+    def last_attempt_stage(self) -> TokenStage:
+        """Stage in the token of the last attempt."""
+        is_first = len(self.attempts) == 1 and not self.is_opened_by_copy
+        return TokenStage.FIRST_ATTEMPT if is_first else TokenStage.REPEATED_ATTEMPT
+
+    def find_attempt(self, token: int) -> Attempt | None:
+        """Returns the attempt at the upstream with a token; None if there was none."""
+        return next((found for found in self.attempts if found.upstream.token == token), None)
+
+    def record_timeout(self, now_ms: int) -> None:
+        """Notes that the last attempt was not answered in time."""
+        if self.attempts and self.attempts[-1].timed_out_at_ms is None:
+            self.attempts[-1].timed_out_at_ms = now_ms
+
     def is_handshake_retransmission(self, packet: CallerPacket) -> bool:
         """Whether a packet is a retransmission of the opening packet during the handshake."""
         opening = self.opening_packet
@@ -125,7 +168,7 @@
         if self.is_established or not self.matches_sequence(packet.sequence):
             return False
         has_ended_elsewhere = self.opening_packet is None and self.opening_sequence is not None
-        is_repeated = len(self.attempted) > 1
+        is_repeated = len(self.attempts) > 1
         return has_ended_elsewhere or (is_repeated and packet.payload_size_bytes > 0)
 
     def matches_sequence(self, sequence: int) -> bool:
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -16,7 +16,7 @@
 from catkinspread.forwarding.flow_adoption import FlowAdoption
 from catkinspread.forwarding.flow_resets import FlowResetter, UpstreamCheck
 from catkinspread.forwarding.flow_tokens import TokenStage, encode_flow_token
-from catkinspread.forwarding.flows import Flow, FlowTable
+from catkinspread.forwarding.flows import Attempt, Flow, FlowTable
 from catkinspread.forwarding.handshake_timeouts import HandshakeTimeouts
 from catkinspread.forwarding.handshakes import HandshakeEstimator
 from catkinspread.forwarding.histogram import LatencyHistogram
@@ -79,6 +79,8 @@
             tries_exhausted: There was no retry because ATTEMPTS_MAX was reached or the flow has
                 no route any more.
             no_other_upstream_REASON: There was no other upstream for a retry.
+            copy_forwarded: A retransmission of an opening packet went to the same upstream, because
+                its answer is not overdue.
             late_copy: A late or delayed retransmission of an opening packet was dropped.
             retransmitted: A caller retransmitted data.
             given_up: A caller closed or reset a flow whose upstream owed an answer.
@@ -186,6 +188,7 @@
             if self._is_leaving:
                 self.counts["retry_left_to_caller"] += 1
                 continue
+            flow.record_timeout(now_ms)
             backoff_ms = self._loads.get(upstream.record.name).record_timeout(now_ms)
             self._log.log_open_timeout(flow, upstream, backoff_ms, now_ms)
             self._record_unanswered(upstream, now_ms)
@@ -312,6 +315,14 @@
             # Both packets were delayed in the socket buffer, so the upstream had no time to answer.
             self.counts["late_copy"] += 1
             return
+        usual_ms = self._handshakes.compute_usual_ms(flow.upstream.record.data_centre)
+        if now_ms - flow.last_attempt_at_ms < usual_ms:
+            # The answer may be under way to the caller; a second one of this upstream does no harm.
+            self.counts["copy_forwarded"] += 1
+            stage = flow.last_attempt_stage
+            self._output.forward(packet, flow.upstream, encode_flow_token(flow.upstream, stage))
+            return
+        flow.record_timeout(now_ms)
         self._loads.get(flow.upstream.record.name).record_timeout(now_ms)
         reason = self._try_next_upstream(flow, packet, now_ms)
         # For any other reason, an upstream that was tried before may still answer.
@@ -328,7 +339,7 @@
             The reason why there is no other upstream; None if the packet was sent.
         """
         route = self._state.find_route(flow.key.address)
-        if route is None or len(flow.attempted) >= ATTEMPTS_MAX:
+        if route is None or len(flow.attempts) >= ATTEMPTS_MAX:
             self.counts["tries_exhausted"] += 1
             return RejectionReason.TRIES_EXHAUSTED
         choice = self._placement.choose(route, flow.key, now_ms, flow.attempted)
@@ -347,13 +358,12 @@
     def _send_opening_packet(
         self, flow: Flow, packet: CallerPacket, upstream: KnownUpstream, now_ms: int
     ) -> None:
-        is_first = not flow.attempted and not flow.is_opened_by_copy
-        stage = TokenStage.FIRST_ATTEMPT if is_first else TokenStage.REPEATED_ATTEMPT
-        flow.attempted = (*flow.attempted, upstream)
+        flow.attempts.append(Attempt(upstream, now_ms))
         flow.opening_packet = packet
         flow.last_attempt_at_ms = now_ms
         flow.last_packet_at_ms = now_ms
-        self._output.forward(packet, upstream, encode_flow_token(upstream, stage))
+        token = encode_flow_token(upstream, flow.last_attempt_stage)
+        self._output.forward(packet, upstream, token)
         self._timeouts.schedule(flow, upstream, now_ms)
 
     def _handle_flow_packet(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
@@ -378,24 +388,20 @@
 
     def _establish(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
         """Assigns a flow to the upstream whose answer the caller received first."""
-        token = packet.token & TOKEN_MAX
-        upstream = next((tried for tried in flow.attempted if tried.token == token), None)
-        if upstream is None or flow.is_opened_by_copy:
+        attempt = flow.find_attempt(packet.token & TOKEN_MAX)
+        if attempt is None or flow.is_opened_by_copy:
             # Another instance has the opening packet too, and would send it to more upstreams.
             self._peers.announce(packet, needs_answers=False)
             flow.is_contested = True
-        if upstream is None:
+        if attempt is not None:
+            upstream = attempt.upstream
+            self._record_handshake(flow, attempt, now_ms)
+        else:
             upstream = self._state.find_upstream_by_token(packet.token) or flow.upstream
-        if flow.is_contested or len(flow.attempted) > 1:
+        if flow.is_contested or len(flow.attempts) > 1:
             flow.is_contested = True
             self._peers.remember(flow.key, packet.sequence, upstream, age_ms=0)
-        if upstream is flow.upstream:
-            handshake_ms = now_ms - flow.last_attempt_at_ms
-            self._handshakes.record(upstream.record.data_centre, handshake_ms)
-            self.histograms["handshake"].add(handshake_ms)
-            if self._loads.get(upstream.record.name).record_response(flow.last_attempt_at_ms):
-                self._log.log_recovery(flow, upstream, now_ms)
-        else:
+        if upstream is not flow.upstream:
             self._waits.stop(flow)
             flow.upstream = upstream
             self._waits.start(flow, now_ms)
@@ -406,6 +412,15 @@
         self._waits.start(flow, now_ms)
         flow.pending_since_ms = now_ms
 
+    def _record_handshake(self, flow: Flow, attempt: Attempt, now_ms: int) -> None:
+        """Records the answer to an attempt, also if it was late and others were made meanwhile."""
+        upstream = attempt.upstream
+        handshake_ms = now_ms - attempt.sent_at_ms
+        self._handshakes.record(upstream.record.data_centre, handshake_ms)
+        self.histograms["handshake"].add(handshake_ms)
+        if self._loads.get(upstream.record.name).record_response(attempt.awaited_until_ms):
+            self._log.log_recovery(flow, upstream, now_ms)
+
     def _process_acknowledgement(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
         """Handles an acknowledgement of data that the upstream sent."""
         self.reachability.record_answer(flow.upstream.record.name, now_ms)
--- a/src/catkinspread/forwarding/handshakes.py
+++ b/src/catkinspread/forwarding/handshakes.py
@@ -2,9 +2,13 @@
 
 # Bounds of the time-out of an opening packet. The lower bound allows for the network latency to
 # callers and for timers that fire late. The upper bound is below the 200 ms after which callers
-# retransmit the packet.
+# retransmit the packet; it does not hold where a usual handshake takes longer.
 TIMEOUT_MIN_MS = 50
 TIMEOUT_MAX_MS = 150
+# Time that an attempt has at least, as a multiple of the average handshake time.
+_USUAL_MULTIPLIER = 1.25
+# Callers give up opening a flow after 1.4 s.
+USUAL_MAX_MS = 700
 # Time-out as a multiple of the average handshake time.
 _TIMEOUT_MULTIPLIER = 3.0
 # Weight of a new sample in the moving average.
@@ -32,4 +36,10 @@
     def compute_timeout_ms(self, data_centre: str) -> int:
         """Returns the time after which an opening packet has timed out."""
         timeout_ms = _TIMEOUT_MULTIPLIER * self._average_ms.get(data_centre, _INITIAL_AVERAGE_MS)
-        return int(min(TIMEOUT_MAX_MS, max(TIMEOUT_MIN_MS, timeout_ms)))
+        bounded_ms = int(min(TIMEOUT_MAX_MS, max(TIMEOUT_MIN_MS, timeout_ms)))
+        return max(bounded_ms, self.compute_usual_ms(data_centre))
+
+    def compute_usual_ms(self, data_centre: str) -> int:
+        """Returns the time within which most handshakes end."""
+        average_ms = self._average_ms.get(data_centre, _INITIAL_AVERAGE_MS)
+        return int(min(USUAL_MAX_MS, _USUAL_MULTIPLIER * average_ms))
--- a/src/catkinspread/forwarding/load.py
+++ b/src/catkinspread/forwarding/load.py
@@ -93,18 +93,19 @@
         decay = 0.5 ** (age_ms / RESPONSE_HALF_LIFE_MS)
         return RESPONSE_DEFAULT_MS + (self._average_response_ms - RESPONSE_DEFAULT_MS) * decay
 
-    def record_response(self, opened_at_ms: int) -> bool:
+    def record_response(self, awaited_until_ms: int) -> bool:
         """Records a response to an opening packet, which ends the back-off.
 
-        A response to a packet that was sent before the latest time-out is ignored.
+        A response to a packet that was sent before the latest time-out is ignored, unless the
+        packet itself had timed out then: its late response shows that the time-out was wrong.
 
         Args:
-            opened_at_ms: When the opening packet was sent.
+            awaited_until_ms: When the opening packet had timed out, or was sent if it had not.
 
         Returns:
             Whether the upstream recovered from time-outs.
         """
-        if self._backoff_ms == 0 or opened_at_ms < self._backoff_since_ms:
+        if self._backoff_ms == 0 or awaited_until_ms < self._backoff_since_ms:
             return False
         self._backoff_until_ms = 0
         self._backoff_ms = 0
--- a/src/catkinspread/forwarding/remembered_flows.py
+++ b/src/catkinspread/forwarding/remembered_flows.py
@@ -54,15 +54,16 @@
         if len(self._flows) > REMEMBERED_MAX:
             del self._flows[next(iter(self._flows))]
 
-    def find_token(self, key: FlowKey, sequence: int) -> int | None:
-        """Returns the token of the upstream of a flow; None if the flow is not known.
+    def find(self, key: FlowKey, sequence: int) -> RememberedFlow | None:
+        """Returns what is known of a flow; None if it is not known.
 
         Args:
             key: Key of the flow.
             sequence: Sequence number of a packet of it, which tells it from others with its ports.
         """
         flow = self._flows.get(key)
-        return flow.token if flow is not None and is_same_flow(sequence, flow.sequence) else None
+        is_known = flow is not None and is_same_flow(sequence, flow.sequence)
+        return flow if is_known else None
 
     def expire(self, now_ms: int) -> None:
         """Removes the flows that no instance has seen for REMEMBERED_MS."""
--- a/src/catkinspread/forwarding/tests/test_forwarder.py
+++ b/src/catkinspread/forwarding/tests/test_forwarder.py
@@ -278,3 +278,50 @@
     assert events["request"]["request"] == "id-1"
     assert events["request"]["flow"] == events["open_unanswered"]["flow"]
     assert events["request_abandoned"]["upstream"] == answered
+
+
+def test_late_answer_ends_the_back_off_that_its_time_out_began() -> None:
+    """Guards against avoiding an upstream that answers, because its callers are far away."""
+    harness = ForwarderHarness(build_upstream("a"), build_upstream("b"))
+    harness.send(build_opening_packet())
+    harness.wait(150)
+    first = harness.list_targets()[0]
+    assert harness.loads.get(first).is_in_backoff(harness.now_ms)
+    harness.send(build_packet(token=harness.find_token(first)))
+    assert not harness.loads.get(first).is_in_backoff(harness.now_ms)
+
+
+def test_answer_from_before_the_last_time_out_does_not_end_a_back_off() -> None:
+    """Guards against trusting an upstream that answered once and is silent now."""
+    harness = ForwarderHarness(build_upstream("a"))
+    harness.send(build_opening_packet(1))
+    harness.wait(10)
+    harness.send(build_opening_packet(2))
+    harness.clock.advance(60)
+    harness.forwarder.send_due_retries(harness.now_ms)  # The one of port 1 has timed out.
+    harness.wait(1_000)
+    harness.send(build_opening_packet(3))
+    harness.wait(100)
+    assert harness.loads.get("a").is_in_backoff(harness.now_ms)
+    harness.send(build_packet(2, token=harness.find_token("a")))
+    assert harness.loads.get("a").is_in_backoff(harness.now_ms)
+
+
+def test_upstreams_of_distant_callers_have_the_time_of_a_usual_handshake() -> None:
+    """Guards against several answers to each opening packet, all but one of them late."""
+    harness = ForwarderHarness(build_upstream("a"), build_upstream("b"))
+    for port in range(1, 60):
+        harness.send(build_opening_packet(port))
+        answered = harness.output.tokens[-1]
+        harness.wait(200)
+        harness.send(build_opening_packet(port, copy=1))
+        harness.wait(40)
+        harness.send(build_packet(port, token=answered))
+    before = len(harness.list_targets())
+    harness.send(build_opening_packet(100))
+    harness.wait(200)
+    harness.send(build_opening_packet(100, copy=1))
+    harness.wait(40)
+    first, second = harness.list_targets()[before:]
+    assert first == second
+    assert harness.output.tokens[-1] == harness.output.tokens[-2]
--- a/src/catkinspread/runtime/tests/restart_site.py
+++ b/src/catkinspread/runtime/tests/restart_site.py
@@ -140,7 +140,7 @@
 
     def reset(self, key: FlowKey, _: int) -> None:
         """Sends a reset of the forwarder to a caller."""
-        self.site.call_after(CALLER_LINK_MS, self.site.reset_flow, key, self.name)
+        self.site.call_after(self.site.caller_link_ms, self.site.reset_flow, key, self.name)
 
     def send_report(self, report: FlowAnnouncement | FlowLocation, hosts: list[str]) -> None:
         """Sends a message to other instances."""
@@ -198,7 +198,9 @@
         if flow is not None and not flow.is_open:
             flow.is_open = packet.acknowledged == _advance(flow.sequence, 1)
         if flow is None or not flow.is_open:
-            self._site.call_after(CALLER_LINK_MS, self._site.reset_flow, packet.key, self.name)
+            self._site.call_after(
+                self._site.caller_link_ms, self._site.reset_flow, packet.key, self.name
+            )
             return
         flow.token = token
         if packet.payload_size_bytes:
@@ -231,7 +233,7 @@
         is_slow = self._site.rng.random() < self._site.slow_handshake_share
         delay_ms = self._site.rng.randint(*self._site.slow_handshake_ms) if is_slow else 0
         self._site.call_after(
-            CALLER_LINK_MS + delay_ms,
+            self._site.caller_link_ms + delay_ms,
             self._site.deliver_handshake,
             key,
             self.name,
@@ -241,7 +243,12 @@
 
     def _answer(self, packet: CallerPacket, flow: _HeldFlow) -> None:
         self._site.call_after(
-            CALLER_LINK_MS, self._site.deliver_answer, packet.key, self.name, packet, flow.token
+            self._site.caller_link_ms,
+            self._site.deliver_answer,
+            packet.key,
+            self.name,
+            packet,
+            flow.token,
         )
 
 
@@ -322,7 +329,7 @@
     def _send_opening(self, copy: int) -> None:
         if not self.holder and not self.outcome:
             packet = self._build(self._first, copy, is_opening=True)
-            self._site.call_after(CALLER_LINK_MS, self._site.route, packet)
+            self._site.call_after(self._site.caller_link_ms, self._site.route, packet)
 
     def _give_up_opening(self) -> None:
         if not self.holder and not self.outcome:
@@ -343,13 +350,17 @@
         if self._site.clock.now_ms() - self._sent_at_ms >= DEADLINE_MS:
             self._finish("timed_out")
             return
-        self._site.call_after(CALLER_LINK_MS, self._site.route, self._build(sequence, size=100))
+        self._site.call_after(
+            self._site.caller_link_ms, self._site.route, self._build(sequence, size=100)
+        )
         self._site.call_after(
             wait_ms, self._transmit, sequence, min(RETRANSMIT_MAX_MS, 2 * wait_ms)
         )
 
     def _send(self) -> None:
-        self._site.call_after(CALLER_LINK_MS, self._site.route, self._build(self._sequence))
+        self._site.call_after(
+            self._site.caller_link_ms, self._site.route, self._build(self._sequence)
+        )
 
     def _finish(self, outcome: str) -> None:
         self.outcome = outcome
@@ -386,6 +397,7 @@
         messages: Number of messages between instances.
         announcers: Announcers of all processes of instances.
         message_loss_share: Share of these messages that is lost.
+        caller_link_ms: One way between callers and instances or upstreams.
         slow_handshake_share: Share of the answers to opening packets that are late.
         slow_handshake_ms: Shortest and longest delay of these answers.
         packet_loss_share: Share of the packets of callers that is lost.
@@ -402,6 +414,7 @@
         self.messages = 0
         self.announcers: list[FlowAnnouncer] = []
         self.message_loss_share = 0.0
+        self.caller_link_ms = CALLER_LINK_MS
         self.slow_handshake_share = SLOW_HANDSHAKE_SHARE
         self.slow_handshake_ms = SLOW_HANDSHAKE_MS
         self.packet_loss_share = 0.0
--- a/src/catkinspread/runtime/tests/test_restarts.py
+++ b/src/catkinspread/runtime/tests/test_restarts.py
@@ -25,9 +25,11 @@
     rounds: int = 5,
     *changes: str,
     interval_ms: int = INTERVAL_MS,
+    caller_link_ms: int = CALLER_LINK_MS,
 ) -> RestartSite:
     """Stops and starts three instances in turn, one every GAP_MS, while callers open flows."""
     site = RestartSite(seed, is_steady)
+    site.caller_link_ms = caller_link_ms
     site.build(instances=3, upstreams=9)
     stops = rounds * len(site.instances)
     site.open_flows((stops + 2) * GAP_MS // interval_ms, interval_ms, HABITS)
@@ -152,6 +154,17 @@
     assert site.count_reset_open_flows() == 0
 
 
+@pytest.mark.parametrize("is_steady", [True, False], ids=["steady", "mod"])
+def test_distant_callers_are_neither_refused_nor_reset(is_steady: bool) -> None:
+    """Guards against answers that are taken for missing because the caller is far away.
+
+    Each handshake takes longer than the time after which callers retransmit the opening packet. All
+    upstreams were avoided in turn and callers refused.
+    """
+    site = _play(1, is_steady, True, 3, caller_link_ms=120)
+    assert site.outcomes == {"done": site.outcomes.total()}
+
+
 def test_killed_instances_reset_no_open_flow() -> None:
     """Guards against contested flows that only the killed instance could tell from others."""
     site = _play(2, False, False, 4, "releases", "evacuations")
