Wait for the answers of the instances that were awaited, not for their number

Callers saw: an open flow reset during rolling restarts with many late answers, although an instance knew where it was open. Cause: the wait for answers counted them. An instance that had just restarted was told the question, but still counted as one that had left; its answer stood for that of the instance that knew, which arrived 1 ms later. Change: the addresses of the awaited instances are kept, and only their answers count. Failed before: test_answer_of_an_instance_that_is_not_awaited_does_not_stand_for_another_one (the old call had no sender; with the count, the second answer of one instance ended the wait).

--- a/src/catkinspread/forwarding/flow_adoption.py
+++ b/src/catkinspread/forwarding/flow_adoption.py
@@ -204,12 +204,17 @@
                 self._end_handshake_elsewhere(flow, now_ms)
             self._remembered.record(RememberedFlow(key, sequence, token, now_ms - age_ms))
 
-    def record_flow_unknown(self, key: FlowKey, now_ms: int) -> None:
+    def record_flow_unknown(self, key: FlowKey, host: str, now_ms: int) -> None:
         """Handles that another instance does not know where a flow is open.
 
         Its packets are released once no instance knows it.
+
+        Args:
+            key: Key of the flow.
+            host: Address of the other instance.
+            now_ms: Current time.
         """
-        if self._held.record_unknown(key):
+        if self._held.record_unknown(key, host):
             self._adopt_held(self._held.pop(key), None, AdoptionBasis.KNOWN_TO_NONE, now_ms)
 
     def list_handed_over(self, now_ms: int) -> list[HandedOverFlow]:
@@ -277,11 +282,11 @@
         if known is not None:
             self._announce_known(packet, known, now_ms)
             return False
-        told = self._peers.announce(packet, needs_answers=True)
-        if told:
+        awaited = self._peers.announce(packet, needs_answers=True)
+        if awaited:
             self._counts["held"] += 1
-            self._held.start(packet.key, told, now_ms)
-        return told > 0
+            self._held.start(packet.key, awaited, now_ms)
+        return bool(awaited)
 
     def _announce_known(self, packet: CallerPacket, known: KnownUpstream, now_ms: int) -> None:
         """Ends the retries of the instance that got the opening packet, if there may be any."""
--- a/src/catkinspread/forwarding/held_packets.py
+++ b/src/catkinspread/forwarding/held_packets.py
@@ -12,12 +12,12 @@
 
 
 class _HeldFlow:
-    """Packets of a flow, and the number of instances that have not answered."""
+    """Packets of a flow, and the addresses of the instances that have not answered."""
 
     __slots__ = ("awaited", "packets")
 
-    def __init__(self, awaited: int) -> None:
-        self.awaited = awaited
+    def __init__(self, awaited: frozenset[str]) -> None:
+        self.awaited = set(awaited)
         self.packets: list[CallerPacket] = []
 
 
@@ -35,12 +35,12 @@
     def __contains__(self, key: FlowKey) -> bool:
         return key in self._flows
 
-    def start(self, key: FlowKey, awaited: int, now_ms: int) -> None:
+    def start(self, key: FlowKey, awaited: frozenset[str], now_ms: int) -> None:
         """Starts the wait of a flow.
 
         Args:
             key: Key of the flow.
-            awaited: Number of instances that will answer.
+            awaited: Addresses of the instances that will answer.
             now_ms: Current time.
         """
         self._flows[key] = _HeldFlow(awaited)
@@ -55,13 +55,17 @@
         self._count += 1
         return True
 
-    def record_unknown(self, key: FlowKey) -> bool:
-        """Notes that an instance does not know a flow; returns whether no answer is missing now."""
+    def record_unknown(self, key: FlowKey, host: str) -> bool:
+        """Notes that an instance does not know a flow; returns whether no answer is missing now.
+
+        The answer of an instance that is not awaited, for example because it has just started, does
+        not stand for that of another one.
+        """
         held = self._flows.get(key)
         if held is None:
             return False
-        held.awaited -= 1
-        return held.awaited <= 0
+        held.awaited.discard(host)
+        return not held.awaited
 
     def pop(self, key: FlowKey) -> list[CallerPacket]:
         """Removes the packets of a flow and returns them in the order of their arrival."""
--- a/src/catkinspread/forwarding/packets.py
+++ b/src/catkinspread/forwarding/packets.py
@@ -122,7 +122,7 @@
 class FlowPeers(Protocol):
     """Tells the other instances of the data centre about flows."""
 
-    def announce(self, packet: CallerPacket, needs_answers: bool) -> int:
+    def announce(self, packet: CallerPacket, needs_answers: bool) -> frozenset[str]:
         """Tells that a caller has ended the handshake of a flow.
 
         Args:
@@ -130,8 +130,8 @@
             needs_answers: Whether the others answer where they know the flow to be open.
 
         Returns:
-            Number of instances that are expected to answer; 0 also if the rate limit does not allow
-            the announcement.
+            Addresses of the instances that are expected to answer; none also if the rate limit does
+            not allow the announcement.
         """
 
     def remember(self, key: FlowKey, sequence: int, upstream: KnownUpstream, age_ms: int) -> None:
@@ -153,9 +153,9 @@
 
     __slots__ = ()
 
-    def announce(self, packet: CallerPacket, needs_answers: bool) -> int:
-        """Returns 0."""
-        return 0
+    def announce(self, packet: CallerPacket, needs_answers: bool) -> frozenset[str]:
+        """Returns no address."""
+        return frozenset()
 
     def remember(self, key: FlowKey, sequence: int, upstream: KnownUpstream, age_ms: int) -> None:
         """Does nothing."""
--- a/src/catkinspread/forwarding/tests/test_adopted_flows.py
+++ b/src/catkinspread/forwarding/tests/test_adopted_flows.py
@@ -15,6 +15,7 @@
     build_upstream,
 )
 
+HOSTS = ("10.0.0.2", "10.0.0.3")
 UPSTREAMS = (build_upstream("a"), build_upstream("b"))
 
 
@@ -29,9 +30,9 @@
     def list_handed_over(self) -> list[tuple[FlowKey, str, bool]]:
         return [(f.key, f.upstream.record.name, f.is_open_here) for f in self.handed_over]
 
-    def announce(self, packet: CallerPacket, needs_answers: bool) -> int:
+    def announce(self, packet: CallerPacket, needs_answers: bool) -> frozenset[str]:
         self.announced.append(packet)
-        return 2
+        return frozenset(HOSTS)
 
     def remember(self, key: FlowKey, sequence: int, upstream: KnownUpstream, age_ms: int) -> None:
         self.remembered.append((key, upstream.record.name))
@@ -158,9 +159,9 @@
     for packet in packets:
         harness.send(packet)
     assert peers.announced == packets[:1]
-    harness.adoption.record_flow_unknown(_build_key(), harness.now_ms)
+    harness.adoption.record_flow_unknown(_build_key(), HOSTS[0], harness.now_ms)
     assert harness.list_targets() == []
-    harness.adoption.record_flow_unknown(_build_key(), harness.now_ms)
+    harness.adoption.record_flow_unknown(_build_key(), HOSTS[1], harness.now_ms)
     assert harness.output.forwarded == [(packet, "b") for packet in packets]
     assert peers.remembered == [(_build_key(), "b")]
 
@@ -290,12 +291,26 @@
     harness, _ = _build_harness()
     token = _encode(harness, "b", TokenStage.FIRST_ATTEMPT)
     harness.send(build_packet(token=token, payload_size_bytes=10))
-    harness.adoption.record_flow_unknown(_build_key(), harness.now_ms)
+    harness.adoption.record_flow_unknown(_build_key(), HOSTS[0], harness.now_ms)
     assert harness.list_targets() == []
-    harness.adoption.record_flow_unknown(_build_key(), harness.now_ms)
+    harness.adoption.record_flow_unknown(_build_key(), HOSTS[1], harness.now_ms)
     assert harness.list_targets() == ["b"]
 
 
+def test_answer_of_an_instance_that_is_not_awaited_does_not_stand_for_another_one() -> None:
+    """Guards against a restarted instance whose answer ends the wait for the one that knows."""
+    harness, _ = _build_harness()
+    token = _encode(harness, "b", TokenStage.REPEATED_ATTEMPT)
+    harness.send(build_packet(token=token, payload_size_bytes=10))
+    for host in (HOSTS[0], HOSTS[0], "10.0.0.9"):
+        harness.adoption.record_flow_unknown(_build_key(), host, harness.now_ms)
+    assert harness.list_targets() == []
+    harness.adoption.record_flow_upstream(
+        _build_key(), SEQUENCE + 1, harness.find_token("a"), harness.now_ms
+    )
+    assert harness.list_targets() == ["a"]
+
+
 def test_remembers_a_flow_for_the_instance_that_held_it() -> None:
     """Guards against following a wrong token after the instance that knew better was killed."""
     harness, _ = _build_harness()
@@ -408,8 +423,8 @@
     first, second = harness.list_targets()
     data = build_packet(token=harness.output.tokens[1], payload_size_bytes=10)
     harness.send(data)
-    for _ in range(2):
-        harness.adoption.record_flow_unknown(_build_key(), harness.now_ms)
+    for host in HOSTS:
+        harness.adoption.record_flow_unknown(_build_key(), host, harness.now_ms)
     assert harness.list_targets() == [first, second, second]
     assert peers.announced == [data]
 
@@ -424,8 +439,8 @@
         harness.send(build_packet(port, token=attempt))
     location = (SEQUENCE + 1, harness.find_token("a"), harness.now_ms)
     harness.adoption.record_flow_upstream(key[2], *location)
-    for _ in range(2):
-        harness.adoption.record_flow_unknown(key[3], harness.now_ms)
+    for host in HOSTS:
+        harness.adoption.record_flow_unknown(key[3], host, harness.now_ms)
     harness.wait(HOLD_MS)
     harness.adoption.record_flow_upstream(key[5], *location)
     harness.send(build_packet(5, token=attempt))
--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -191,13 +191,13 @@
             and (peer.status is None or not peer.status.is_leaving)
         ]
 
-    def count_answering_peers(self, now_ms: int) -> int:
-        """Returns how many other instances of this data centre answer questions.
+    def list_answering_hosts(self, now_ms: int) -> frozenset[str]:
+        """Returns the addresses of the other instances of this data centre that answer questions.
 
         One that leaves still answers for LEAVING_ANSWERS_MS, and may be the only one that knows.
         """
-        return sum(
-            1
+        return frozenset(
+            peer.member.host
             for peer in self._peers.values()
             if peer.member.data_centre == self._member.data_centre
             and (
--- a/src/catkinspread/peers/exchange.py
+++ b/src/catkinspread/peers/exchange.py
@@ -59,7 +59,8 @@
             its arrival.
         on_flow_announcement: Called with each announcement of a flow and the time of its arrival;
             returns the answer to it, None if there is none.
-        on_flow_location: Called with each location of a flow and the time of its arrival.
+        on_flow_location: Called with each location of a flow, the address of its sender and the time
+            of its arrival.
         traffic: Counts the bytes sent.
         clock: Source of the time.
         rng: Source of random choices.
@@ -99,7 +100,7 @@
         on_load_report: Callable[[LoadReport, int], None],
         on_unreachable_report: Callable[[UnreachableReport, int], None],
         on_flow_announcement: Callable[[FlowAnnouncement, int], FlowLocation | None],
-        on_flow_location: Callable[[FlowLocation, int], None],
+        on_flow_location: Callable[[FlowLocation, str, int], None],
         traffic: TrafficMeter,
         clock: Clock,
         rng: random.Random,
@@ -230,7 +231,7 @@
                 self._send(answer, [sender.host])
             return
         if isinstance(message, FlowLocation):
-            self._on_flow_location(message, now_ms)
+            self._on_flow_location(message, sender.host, now_ms)
             return
         self._directory.apply_message(message, now_ms)
         if isinstance(message, Hello):
--- a/src/catkinspread/platform/tests/test_fuzz.py
+++ b/src/catkinspread/platform/tests/test_fuzz.py
@@ -227,7 +227,7 @@
         directory,
         lambda: MemberStatus(me, None, True, False, 0),
         lambda: True,
-        *[lambda message, now_ms: None] * 4,
+        *[lambda *arguments: None] * 4,
         TrafficMeter(),
         clock,
         random.Random(1),
--- a/src/catkinspread/runtime/flow_announcer.py
+++ b/src/catkinspread/runtime/flow_announcer.py
@@ -78,7 +78,7 @@
         self.handover = FlowHandover(directory, exchange, rng)
         self.withheld_count = 0
 
-    def announce(self, packet: CallerPacket, needs_answers: bool) -> int:
+    def announce(self, packet: CallerPacket, needs_answers: bool) -> frozenset[str]:
         """Announces a flow; see `FlowPeers`."""
         hosts = [member.host for member in self._directory.list_local_peers()]
         size_bytes = len(hosts) * (ANNOUNCEMENT_BYTES + LOCATION_BYTES * needs_answers)
@@ -86,9 +86,9 @@
         may_end_handshake = not packet.payload_size_bytes
         is_preferred = is_repeated or may_end_handshake or not needs_answers
         if not self._try_spend(size_bytes, is_preferred):
-            return 0
+            return frozenset()
         self._exchange.send_report(build_announcement(packet, needs_answers), hosts)
-        return self._directory.count_answering_peers(self._clock.now_ms())
+        return self._directory.list_answering_hosts(self._clock.now_ms())
 
     def remember(self, key: FlowKey, sequence: int, upstream: KnownUpstream, age_ms: int) -> None:
         """Tells a few instances where a flow is open; see `FlowPeers`."""
--- a/src/catkinspread/runtime/flow_messages.py
+++ b/src/catkinspread/runtime/flow_messages.py
@@ -56,11 +56,13 @@
     return build_location(key, sequence, token, age_ms=0)
 
 
-def apply_location(forwarder: Forwarder, location: FlowLocation, now_ms: int) -> None:
+def apply_location(
+    forwarder: Forwarder, location: FlowLocation, sender_host: str, now_ms: int
+) -> None:
     """Applies where another instance knows a flow to be open, or that it does not know it."""
     key = _build_key(location)
     if location.token == UNKNOWN_UPSTREAM:
-        forwarder.adoption.record_flow_unknown(key, now_ms)
+        forwarder.adoption.record_flow_unknown(key, sender_host, now_ms)
     else:
         forwarder.adoption.record_flow_upstream(
             key, location.sequence, location.token, now_ms, location.age_ms
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -363,8 +363,8 @@
     ) -> FlowLocation | None:
         return apply_announcement(self._forwarder, announcement, now_ms)
 
-    def _apply_flow_location(self, answer: FlowLocation, now_ms: int) -> None:
-        apply_location(self._forwarder, answer, now_ms)
+    def _apply_flow_location(self, answer: FlowLocation, sender_host: str, now_ms: int) -> None:
+        apply_location(self._forwarder, answer, sender_host, now_ms)
 
     def _build_exchange(self) -> PeerExchange:
         return PeerExchange(
--- a/src/catkinspread/runtime/tests/restart_site.py
+++ b/src/catkinspread/runtime/tests/restart_site.py
@@ -155,7 +155,7 @@
             return
         forwarder, now_ms = self.harness.forwarder, self.site.clock.now_ms()
         if isinstance(report, FlowLocation):
-            apply_location(forwarder, report, now_ms)
+            apply_location(forwarder, report, sender, now_ms)
             return
         answer = apply_announcement(forwarder, report, now_ms)
         if answer is not None:
--- a/src/catkinspread/runtime/tests/test_flow_announcer.py
+++ b/src/catkinspread/runtime/tests/test_flow_announcer.py
@@ -84,7 +84,7 @@
     while announcer.announce(build_packet(payload_size_bytes=10), needs_answers=True):
         pass
     assert exchange.sent_bytes <= BURST_BYTES - RESERVED_BYTES
-    assert announcer.announce(build_packet(), needs_answers=False) > 0
+    assert announcer.announce(build_packet(), needs_answers=False)
 
 
 def test_instances_that_leave_are_awaited_while_their_process_still_runs() -> None:
@@ -93,9 +93,9 @@
     Later on, no packet waits for the answer of a process that has ended.
     """
     announcer, exchange, clock = _build()
-    assert announcer.announce(build_packet(), needs_answers=False) == PEERS
+    assert len(announcer.announce(build_packet(), needs_answers=False)) == PEERS
     clock.advance(SHUTDOWN_MIN_MS)
-    assert announcer.announce(build_packet(), needs_answers=False) == PEERS - 1
+    assert len(announcer.announce(build_packet(), needs_answers=False)) == PEERS - 1
     assert len(exchange.sent[0][1]) == PEERS
 
 
