Read large unreadable objects of the store in steps

Cause: an answer that cannot be decoded as a whole is separated by a scanner, three times, with one token for each bracket, comma and string, all in one turn of the event loop. Change: the scanner takes runs of brackets, pairs, strings and other values as one token of limited length, and is a generator; the client of the store gives the event loop a turn between its steps. Tried and not kept: runs with the strings between brackets matched as one token and counted again, 6.4 s for alternating brackets. Failed before: 18 cases of test_large_unreadable_entry_leaves_turns_to_other_tasks (0 turns).

--- a/src/catkinspread/platform/answers.py
+++ b/src/catkinspread/platform/answers.py
@@ -6,9 +6,14 @@
 An answer is decoded as a whole first. If one object makes that fail, a scanner separates the objects
 and each is decoded by itself. The scanner only follows strings and brackets, so it needs no recursion
 and does not care what the strings hold.
+
+An object of 1 MB can consist of nothing but brackets, which takes the scanner up to a second. It
+therefore works in steps, as a generator that yields between them, so that the event loop can handle
+packets meanwhile.
 """
 
 import re
+from collections.abc import Generator
 from typing import TypeVar
 
 import msgspec
@@ -23,11 +28,24 @@
 # UnicodeDecodeError is a ValueError. RecursionError comes with deep nesting.
 DECODER_FAILURES = (msgspec.DecodeError, ValueError, OverflowError, RecursionError)
 
-# A string without an end matches up to the end of the answer, so that the scan takes linear time.
-_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*(?:"|\\?\Z)|[\[\]{},:]', re.DOTALL)
+# Key of a member; those of the store are shorter.
+_KEY = re.compile(rb'"(?:[^"\\]|\\.){0,256}+"', re.DOTALL)
+# Matching a token cannot be interrupted, so the length of each is limited. A longer string begins with
+# a token of its quote alone; what stands between strings and brackets is skipped as a token, too.
+_TOKEN = re.compile(rb'"[^"\\]{0,256}+"|"|[\[\]{},:]|[^\[\]{},:"]{1,256}+')
+# Inside of an element only the depth matters, so a run of brackets is one token, and so are pairs of
+# them without another bracket inside.
+_NESTED_TOKEN = re.compile(
+    rb'(?P<pairs>(?:[\[{][^\[\]{}"]{0,64}+[\]}][^\[\]{}"]{0,64}+){1,32}+)|'
+    rb'(?:"[^"\\]{0,256}+"[^\[\]{}"]{0,64}+){1,16}+|"|[\[{]{1,512}+|[\]}]{1,512}+'
+    rb'|[^\[\]{}"]{1,256}+'
+)
+_STRING_PART = re.compile(rb'[^"\\]{1,256}+|(?:\\.){1,128}+', re.DOTALL)
+# Tokens of one step; a step takes about a millisecond.
+_STEP_TOKENS = 512
 _OPENING = frozenset(b"[{")
 _CLOSING = frozenset(b"]}")
-_STRING = ord('"')
+_QUOTE = ord('"')
 _COMMA = ord(",")
 
 
@@ -97,6 +115,9 @@
 
 
 _Frame = TypeVar("_Frame", bound=msgspec.Struct)
+_Result = TypeVar("_Result")
+# Yields between two steps and returns a result.
+Steps = Generator[None, None, _Result]
 
 
 class _ListingFrame(msgspec.Struct):
@@ -122,7 +143,26 @@
 _decode_key = msgspec.json.Decoder(str).decode
 
 
+def complete(steps: Steps[_Result]) -> _Result:
+    """Runs all steps at once and returns the result."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
+
+
 def read_listing(kind: StateKind, body: bytes) -> ReadAnswer:
+    """Reads a page of a listing at once; see `read_listing_in_steps`."""
+    return complete(read_listing_in_steps(kind, body))
+
+
+def read_changes(kind: StateKind, body: bytes) -> ReadAnswer:
+    """Reads the answer to a watch at once; see `read_changes_in_steps`."""
+    return complete(read_changes_in_steps(kind, body))
+
+
+def read_listing_in_steps(kind: StateKind, body: bytes) -> Steps[ReadAnswer]:
     """Reads a page of a listing.
 
     Raises:
@@ -132,17 +172,18 @@
     try:
         listing = _decode_listing(body)
     except DECODER_FAILURES:
-        members = _split_answer(body)
+        members = yield from _split_answer(body)
         frame = _decode_frame(members, _ListingFrame)
-        for item in _split_array(members.get("items", b"")):
-            reader.read_separated(item, False)
+        items = yield from _split_array(members.get("items", b""))
+        for item in items:
+            yield from reader.read_separated(item, False)
         return reader.build_answer(frame.at_rev, frame.has_more)
     for item in listing.items:
         reader.read(item.meta, item.spec, False)
     return reader.build_answer(listing.at_rev, listing.has_more)
 
 
-def read_changes(kind: StateKind, body: bytes) -> ReadAnswer:
+def read_changes_in_steps(kind: StateKind, body: bytes) -> Steps[ReadAnswer]:
     """Reads the answer to a watch.
 
     Raises:
@@ -152,10 +193,11 @@
     try:
         watched = _decode_watched(body)
     except DECODER_FAILURES:
-        members = _split_answer(body)
+        members = yield from _split_answer(body)
         frame = _decode_frame(members, _WatchedFrame)
-        for event in _split_array(members.get("events", b"")):
-            reader.read_separated_event(event)
+        events = yield from _split_array(members.get("events", b""))
+        for event in events:
+            yield from reader.read_separated_event(event)
         return reader.build_answer(frame.at_rev)
     for event in watched.events:
         reader.read(event.object.meta, event.object.spec, event.removed)
@@ -193,37 +235,39 @@
             return
         self._changes.append(StateChange(meta.name, record))
 
-    def read_separated_event(self, event: bytes) -> None:
+    def read_separated_event(self, event: bytes) -> Steps[None]:
         """Reads an event that the scanner has separated."""
+        yield
         try:
             decoded = _decode_event(event)
         except DECODER_FAILURES:
-            self._read_event_members(event)
+            yield from self._read_event_members(event)
             return
         self.read(decoded.object.meta, decoded.object.spec, decoded.removed)
 
-    def _read_event_members(self, event: bytes) -> None:
+    def _read_event_members(self, event: bytes) -> Steps[None]:
         try:
-            members = _split_object(event)
+            members = yield from _split_object(event)
             is_removed = _decode_bool(members.get("removed", b"false"))
         except (AnswerError, *DECODER_FAILURES) as error:
             self._refuse("", 0, f"event: {error}")
             return
-        self.read_separated(members.get("object", b"null"), is_removed)
+        yield from self.read_separated(members.get("object", b"null"), is_removed)
 
-    def read_separated(self, item: bytes, is_removed: bool) -> None:
+    def read_separated(self, item: bytes, is_removed: bool) -> Steps[None]:
         """Reads an object that the scanner has separated."""
+        yield
         try:
             decoded = _decode_object(item)
         except DECODER_FAILURES:
-            self._read_members(item, is_removed)
+            yield from self._read_members(item, is_removed)
             return
         self.read(decoded.meta, decoded.spec, is_removed)
 
-    def _read_members(self, item: bytes, is_removed: bool) -> None:
+    def _read_members(self, item: bytes, is_removed: bool) -> Steps[None]:
         """Reads an object from what of its members can be decoded."""
         try:
-            members = _split_object(item)
+            members = yield from _split_object(item)
             meta_bytes = members.get("meta", b"null")
             name = _decode_name(meta_bytes).name
         except (AnswerError, *DECODER_FAILURES) as error:
@@ -244,9 +288,9 @@
             self._changes.append(StateChange(name, None, is_unreadable=True))
 
 
-def _split_answer(body: bytes) -> dict[str, bytes]:
+def _split_answer(body: bytes) -> Steps[dict[str, bytes]]:
     try:
-        return _split_object(body)
+        return (yield from _split_object(body))
     except DECODER_FAILURES as error:
         raise AnswerError(f"answer cannot be read: {error}") from error
 
@@ -262,7 +306,7 @@
         raise AnswerError(f"answer cannot be read: {error}") from error
 
 
-def _split_object(value: bytes) -> dict[str, bytes]:
+def _split_object(value: bytes) -> Steps[dict[str, bytes]]:
     """Returns the members of a JSON object, not decoded; of equal keys the last one.
 
     Raises:
@@ -270,9 +314,10 @@
         ValueError: If a key is not valid; also any other of DECODER_FAILURES.
     """
     members: dict[str, bytes] = {}
-    for member in _split_elements(value, b"{"):
-        key = _TOKEN.match(member)
-        if key is None or member[0] != _STRING:
+    elements = yield from _split_elements(value, b"{")
+    for member in elements:
+        key = _KEY.match(member)
+        if key is None:
             raise AnswerError("a member of an object has no key")
         rest = member[key.end() :].lstrip()
         if not rest.startswith(b":"):
@@ -281,39 +326,81 @@
     return members
 
 
-def _split_array(value: bytes) -> list[bytes]:
+def _split_array(value: bytes) -> Steps[list[bytes]]:
     """Returns the elements of a JSON array, not decoded.
 
     Raises:
         AnswerError: If the value is not an array whose strings and brackets match.
     """
-    return _split_elements(value, b"[")
+    return (yield from _split_elements(value, b"["))
 
 
-def _split_elements(value: bytes, opening: bytes) -> list[bytes]:
+def _split_elements(value: bytes, opening: bytes) -> Steps[list[bytes]]:
     """Returns the parts between the commas of the outermost level of an array or object."""
     value = value.strip()
     if not value.startswith(opening):
         raise AnswerError(f"expected {opening.decode()!r}")
     elements = []
-    depth = 0
-    start = 1
-    end = 0
-    for token in _TOKEN.finditer(value):
-        char = value[token.start()]
-        if char in _OPENING:
-            depth += 1
-        elif char in _CLOSING:
-            depth -= 1
-        if depth == 0:
-            end = token.start()
+    start = position = 1
+    tokens = 0
+    while token := _TOKEN.match(value, position):
+        tokens += 1
+        if tokens % _STEP_TOKENS == 0:
+            yield
+        char = value[position]
+        if char in _CLOSING:
             break
-        if depth == 1 and char == _COMMA:
-            elements.append(value[start : token.start()].strip())
-            start = token.end()
-    if end == 0 or end + 1 != len(value):
+        if char in _OPENING:
+            position = yield from _skip_nested(value, position)
+            continue
+        if char == _COMMA:
+            elements.append(value[start:position].strip())
+            start = position + 1
+        is_long_string = char == _QUOTE and token.end() == position + 1
+        position = (yield from _skip_string(value, position)) if is_long_string else token.end()
+    if position != len(value) - 1:
         raise AnswerError("answer is incomplete")
-    last = value[start:end].strip()
+    last = value[start:position].strip()
     if last or elements:
         elements.append(last)
     return elements
+
+
+def _skip_nested(value: bytes, start: int) -> Steps[int]:
+    """Returns the position after the bracket that closes the one at `start`."""
+    depth = 1
+    tokens = 0
+    position = start + 1
+    while position < len(value):
+        for token in _NESTED_TOKEN.finditer(value, position):
+            tokens += 1
+            if tokens % _STEP_TOKENS == 0:
+                yield
+            begin, position = token.span()
+            char = value[begin]
+            if token.lastgroup:  # Pairs leave the depth as it is.
+                continue
+            if char in _CLOSING:
+                if position - begin >= depth:
+                    return begin + depth
+                depth -= position - begin
+            elif char in _OPENING:
+                depth += position - begin
+            elif char == _QUOTE and position - begin == 1:
+                position = yield from _skip_string(value, begin)
+                break
+    raise AnswerError("answer is incomplete")
+
+
+def _skip_string(value: bytes, start: int) -> Steps[int]:
+    """Returns the position after the quote that ends the string at `start`."""
+    position = start + 1
+    parts = 0
+    while part := _STRING_PART.match(value, position):
+        parts += 1
+        if parts % _STEP_TOKENS == 0:
+            yield
+        position = part.end()
+    if value[position : position + 1] != b'"':
+        raise AnswerError("answer is incomplete")
+    return position + 1
--- a/src/catkinspread/platform/store.py
+++ b/src/catkinspread/platform/store.py
@@ -1,7 +1,8 @@
 """Client of the platform's metadata store."""
 
 import collections
-from collections.abc import Callable
+
+import anyio
 
 from catkinspread.deployment import (
     HistoryLost,
@@ -13,7 +14,13 @@
 )
 from catkinspread.httpclient import HttpClient, HttpFailure, HttpResponse
 from catkinspread.model import Endpoint
-from catkinspread.platform.answers import AnswerError, ReadAnswer, read_changes, read_listing
+from catkinspread.platform.answers import (
+    AnswerError,
+    ReadAnswer,
+    Steps,
+    read_changes_in_steps,
+    read_listing_in_steps,
+)
 from catkinspread.platform.objects import KIND_PATHS
 from catkinspread.platform.refusals import RefusalLog
 
@@ -63,7 +70,7 @@
         first: SourcePosition | None = None
         while True:
             answer = await self._call(kind, parameters, LIST_TIMEOUT_MS)
-            page = self._read(read_listing, kind, answer)
+            page = await self._read(read_listing_in_steps(kind, answer.body), kind)
             changes.extend(page.changes)
             position = SourcePosition(_read_era(answer), page.revision)
             if first is None:
@@ -85,17 +92,13 @@
         """Returns the changes after a position; see `StateSource`."""
         parameters = {"watch": str(position.revision), "wait_ms": str(timeout_ms)}
         answer = await self._call(kind, parameters, timeout_ms + ANSWER_TIMEOUT_MS)
-        watched = self._read(read_changes, kind, answer)
+        watched = await self._read(read_changes_in_steps(kind, answer.body), kind)
         return StateChanges(watched.changes, watched.revision, _read_era(answer))
 
-    def _read(
-        self,
-        read: Callable[[StateKind, bytes], ReadAnswer],
-        kind: StateKind,
-        answer: HttpResponse,
-    ) -> ReadAnswer:
+    async def _read(self, steps: Steps[ReadAnswer], kind: StateKind) -> ReadAnswer:
+        """Reads an answer; the event loop goes on between the steps."""
         try:
-            result = read(kind, answer.body)
+            result = await _run_steps(steps)
         except AnswerError as error:
             raise SourceUnavailable(f"{kind.value}: {error}") from error
         for refused in result.refused:
@@ -139,3 +142,12 @@
     if not value.isdigit() or len(value) > _ERA_DIGITS_MAX:
         raise SourceUnavailable(f"era {value[:_ERA_DIGITS_MAX]!r} of the store is not a number")
     return int(value)
+
+
+async def _run_steps(steps: Steps[ReadAnswer]) -> ReadAnswer:
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
+        await anyio.sleep(0)
--- a/src/catkinspread/platform/tests/test_store.py
+++ b/src/catkinspread/platform/tests/test_store.py
@@ -177,6 +177,63 @@
     assert [change.is_unreadable for change in read.changes] == [True, False]
 
 
+_LARGE_BYTES = 1_000_000
+_DEEP = (b"[" * 1_100, b"]" * 1_100)
+_LARGE = {
+    "nested": b"[" * (_LARGE_BYTES // 2) + b"]" * (_LARGE_BYTES // 2),
+    "nested objects": b'{"a":' * (_LARGE_BYTES // 6) + b"1" + b"}" * (_LARGE_BYTES // 6),
+    "values between": b"[1," * (_LARGE_BYTES // 4) + b"1" + b"]" * (_LARGE_BYTES // 4),
+    "empty lists": b"[],".join((_DEEP[0], *[b""] * (_LARGE_BYTES // 3), b"[]" + _DEEP[1])),
+    "strings": _DEEP[0] + b'"a",' * (_LARGE_BYTES // 4) + b"1" + _DEEP[1],
+    "lists of strings": _DEEP[0] + b'["a","b"],' * (_LARGE_BYTES // 10) + b"1" + _DEEP[1],
+    "one string": _DEEP[0] + b'"%b"' % (b"x" * _LARGE_BYTES) + _DEEP[1],
+    "escapes": _DEEP[0] + b'"%b"' % (rb"\"" * (_LARGE_BYTES // 2)) + _DEEP[1],
+    "commas": _DEEP[0] + b"," * _LARGE_BYTES + _DEEP[1],
+    "not closed": b"[" * _LARGE_BYTES,
+    "string not closed": _DEEP[0] + b'"' + b"x" * _LARGE_BYTES,
+}
+# The longest step may read a tenth of such an object.
+_LARGE_TURNS_MIN = 10
+
+
+@pytest.mark.parametrize("content", _LARGE.values(), ids=_LARGE.keys())
+@pytest.mark.parametrize("is_watch", [False, True])
+def test_large_unreadable_entry_leaves_turns_to_other_tasks(content: bytes, is_watch: bool) -> None:
+    """Guards against packets that wait for more than a second while one entry is read."""
+    bad = b'{"meta":{"name":"i-ff","revision":4},"spec":{"version":%b}}' % content
+    good = msgspec.json.encode(_object("i-1a", SERVER))
+    events = b'{"events":[{"object":%b},{"object":%b}],"at_rev":5}' % (good, bad)
+    answer = HttpResponse(200, events) if is_watch else _listing(good, bad)
+    turns = 0
+
+    async def count_turns() -> None:
+        nonlocal turns
+        while True:
+            await anyio.sleep(0)
+            turns += 1
+
+    async def read() -> list[bool] | None:
+        store, _ = _client(answer)
+        async with anyio.create_task_group() as group:
+            group.start_soon(count_turns)
+            try:
+                if is_watch:
+                    position = SourcePosition(0, 1)
+                    found = await store.wait_for_changes(StateKind.UPSTREAMS, position, 100)
+                else:
+                    found = await store.list_records(StateKind.UPSTREAMS)
+            except SourceUnavailable:
+                return None  # The entry takes what follows it with it.
+            finally:
+                group.cancel_scope.cancel()
+        return [change.is_unreadable for change in found.changes]
+
+    is_closed = content.endswith((b"]", b"}"))
+    assert anyio.run(read) == ([False, True] if is_closed else None)
+    if is_closed:
+        assert turns >= _LARGE_TURNS_MIN
+
+
 def test_removal_of_an_unreadable_entry_is_read() -> None:
     """Guards against an evacuation or an entry that stays because its last content is unreadable."""
     bad = b'{"meta":{"name":"east"},"spec":"\xfc"}'
