--- a/src/catkinspread/deployment/records.py
+++ b/src/catkinspread/deployment/records.py
@@ -78,6 +78,8 @@
         kind: Kind of its requests.
         timeout_ms: Time after which callers stop waiting for the answer to a request.
         priority: Priority of the route; 0 is the highest.
+        objective_ms: Time within which callers want the answer to a request; 0 if the route has no
+            such objective.
     """
 
     name: Name
@@ -86,6 +88,7 @@
     kind: RequestKind
     timeout_ms: Amount
     priority: Amount
+    objective_ms: Amount = 0
 
     def rank_services(self, flow_hash: int) -> list[str]:
         """Returns the services in order of preference for a flow.
--- a/src/catkinspread/forwarding/__init__.py
+++ b/src/catkinspread/forwarding/__init__.py
@@ -3,6 +3,13 @@
 A caller is a client of the services: it opens flows to their service addresses.
 """
 
+from catkinspread.forwarding.admission_policy import (
+    AdmissionPolicy,
+    AdmissionVerdict,
+    AdmitAll,
+    NoOccupancyView,
+    OccupancyView,
+)
 from catkinspread.forwarding.cold_start_limiter import ColdStartLimiter
 from catkinspread.forwarding.decision_log import DecisionLog, format_ip
 from catkinspread.forwarding.flow_adoption import AdoptionBasis, FlowAdoption
@@ -24,6 +31,9 @@
 from catkinspread.forwarding.placement import Placement, SelectionTier, UpstreamChoice
 
 __all__ = [
+    "AdmissionPolicy",
+    "AdmissionVerdict",
+    "AdmitAll",
     "AdoptionBasis",
     "CallerPacket",
     "ColdStartLimiter",
@@ -38,6 +48,8 @@
     "LatencyHistogram",
     "LoadTracker",
     "LocalAvailability",
+    "NoOccupancyView",
+    "OccupancyView",
     "PacketOutput",
     "Placement",
     "RejectionReason",
--- /dev/null
+++ b/src/catkinspread/forwarding/admission_policy.py
@@ -0,0 +1,87 @@
+"""Interfaces through which the forwarding asks about the room of services."""
+
+import enum
+from typing import Protocol
+
+from catkinspread.deployment import Route
+
+
+class AdmissionVerdict(enum.Enum):
+    """Whether a new flow is admitted."""
+
+    ADMITTED = "admitted"
+    # The share of the room that the route has is used up.
+    NO_ROOM = "no_room"
+    # The expected wait exceeds the time until the deadline of the request.
+    TOO_LATE = "too_late"
+
+
+class AdmissionPolicy(Protocol):
+    """Decides which new flows are admitted, and learns from the traffic."""
+
+    def decide(self, route: Route, caller_ip: int, copy: int, now_ms: int) -> AdmissionVerdict:
+        """Decides about a new flow and counts it as demand.
+
+        Args:
+            route: Route of the flow.
+            caller_ip: IPv4 address of the caller as an integer.
+            copy: How often the caller sent the opening packet before.
+            now_ms: Current time.
+        """
+
+    def record_request(self, route: Route, is_first: bool, now_ms: int) -> None:
+        """Counts a request that was forwarded.
+
+        Args:
+            route: Route of its flow.
+            is_first: Whether it is the first request on its flow.
+            now_ms: Current time.
+        """
+
+    def record_response(
+        self, route: Route, response_ms: int, occupied: float, work_slots: int
+    ) -> None:
+        """Learns from an answered request.
+
+        Args:
+            route: Route of its flow.
+            response_ms: Time from the request to the first acknowledged data of the answer.
+            occupied: Requests in flight on its upstream when the request was forwarded, including
+                itself.
+            work_slots: Work slots of its upstream.
+        """
+
+
+class AdmitAll:
+    """Admits every flow."""
+
+    __slots__ = ()
+
+    def decide(self, route: Route, caller_ip: int, copy: int, now_ms: int) -> AdmissionVerdict:
+        """Returns ADMITTED."""
+        return AdmissionVerdict.ADMITTED
+
+    def record_request(self, route: Route, is_first: bool, now_ms: int) -> None:
+        """Does nothing."""
+
+    def record_response(
+        self, route: Route, response_ms: int, occupied: float, work_slots: int
+    ) -> None:
+        """Does nothing."""
+
+
+class OccupancyView(Protocol):
+    """Tells how busy the upstreams of a service in one data centre are."""
+
+    def find_occupancy(self, service: str, data_centre: str, now_ms: int) -> float | None:
+        """Returns the requests in flight per work slot; None if unknown or stale."""
+
+
+class NoOccupancyView:
+    """Knows nothing about the upstreams of other data centres."""
+
+    __slots__ = ()
+
+    def find_occupancy(self, service: str, data_centre: str, now_ms: int) -> float | None:
+        """Returns None."""
+        return None
--- a/src/catkinspread/platform/objects.py
+++ b/src/catkinspread/platform/objects.py
@@ -64,6 +64,8 @@
     backends: Annotated[list[_WireBackend], msgspec.Meta(max_length=_ITEMS_MAX)] = []
     timeout_ms: Amount = 0
     priority: Amount = 0
+    # Latency objective.
+    aim_ms: Amount = 0
 
 
 class _WireService(msgspec.Struct):
@@ -151,6 +153,7 @@
         kind=_REQUEST_KINDS.get(wire.kind, RequestKind.NON_IDEMPOTENT),
         timeout_ms=wire.timeout_ms,
         priority=wire.priority,
+        objective_ms=wire.aim_ms,
     )
 
 
