Ask an admission policy before a new flow is placed

Cause: the forwarder had no way to refuse flows for lack of room, and nothing learned the demand and the work of routes.

Change: Forwarder takes an optional AdmissionPolicy, AdmitAll by default. A new flow without room is reset at once (NO_ROOM, TOO_LATE), with the inputs of the decision in flow_refused; flows in the table are never refused. A retransmission whose first copy did not reach this instance is dropped, because another instance may have sent that copy to an upstream, so that a reset could be false. Requests and answers are reported with the requests in flight when the request began. Placed and refused flows are counted by route for the metrics.

--- a/src/catkinspread/forwarding/__init__.py
+++ b/src/catkinspread/forwarding/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from catkinspread.forwarding.admission_policy import (
+    AdmissionInputs,
     AdmissionPolicy,
     AdmissionVerdict,
     AdmitAll,
@@ -31,6 +32,7 @@
 from catkinspread.forwarding.placement import Placement, SelectionTier, UpstreamChoice
 
 __all__ = [
+    "AdmissionInputs",
     "AdmissionPolicy",
     "AdmissionVerdict",
     "AdmitAll",
--- a/src/catkinspread/forwarding/admission_policy.py
+++ b/src/catkinspread/forwarding/admission_policy.py
@@ -3,6 +3,8 @@
 import enum
 from typing import Protocol
 
+import msgspec
+
 from catkinspread.deployment import Route
 
 
@@ -16,6 +18,22 @@
     TOO_LATE = "too_late"
 
 
+class AdmissionInputs(msgspec.Struct, frozen=True):
+    """What the latest decisions about the new flows of a route depended on.
+
+    Attributes:
+        service: Service that was checked for room.
+        priority: Priority of the route; 0 is the highest.
+        share: Share of the offered work of the route that is admitted, 0 to 1.
+        occupancy: Requests in flight per work slot of the service.
+    """
+
+    service: str
+    priority: int
+    share: float
+    occupancy: float
+
+
 class AdmissionPolicy(Protocol):
     """Decides which new flows are admitted, and learns from the traffic."""
 
@@ -51,6 +69,9 @@
             work_slots: Work slots of its upstream.
         """
 
+    def describe(self, route: Route) -> AdmissionInputs:
+        """Returns what decisions about a route depend on now, for the log."""
+
 
 class AdmitAll:
     """Admits every flow."""
@@ -69,6 +90,10 @@
     ) -> None:
         """Does nothing."""
 
+    def describe(self, route: Route) -> AdmissionInputs:
+        """Returns inputs without a limit."""
+        return AdmissionInputs(route.shares[0].service, route.priority, 1.0, 0.0)
+
 
 class OccupancyView(Protocol):
     """Tells how busy the upstreams of a service in one data centre are."""
--- a/src/catkinspread/forwarding/decision_log.py
+++ b/src/catkinspread/forwarding/decision_log.py
@@ -4,8 +4,11 @@
 contain its inputs and the version of the configuration.
 """
 
+import msgspec
+
 from catkinspread.deployment import DeploymentState, KnownUpstream
 from catkinspread.eventlog import EventLog
+from catkinspread.forwarding.admission_policy import AdmissionInputs
 from catkinspread.forwarding.flows import Flow
 from catkinspread.forwarding.packets import (
     CallerPacket,
@@ -163,6 +166,12 @@
         """Logs that an opening packet is answered with a reset."""
         self._write_packet("flow_refused", packet, reason, now_ms)
 
+    def log_admission_refusal(
+        self, packet: CallerPacket, reason: RejectionReason, inputs: AdmissionInputs, now_ms: int
+    ) -> None:
+        """Logs that an opening packet is answered with a reset for lack of room."""
+        self._write_packet("flow_refused", packet, reason, now_ms, **msgspec.structs.asdict(inputs))
+
     def log_drop(self, packet: CallerPacket, reason: RejectionReason, now_ms: int) -> None:
         """Logs that a packet is dropped."""
         self._write_packet("packet_dropped", packet, reason, now_ms)
@@ -181,7 +190,12 @@
         )
 
     def _write_packet(
-        self, name: str, packet: CallerPacket, reason: RejectionReason, now_ms: int
+        self,
+        name: str,
+        packet: CallerPacket,
+        reason: RejectionReason,
+        now_ms: int,
+        **fields: object,
     ) -> None:
         self._events.write(
             name,
@@ -190,6 +204,7 @@
             reason=reason.value,
             token=packet.token,
             version=self._version(),
+            **fields,
         )
 
     def _version(self) -> int:
--- a/src/catkinspread/forwarding/flows.py
+++ b/src/catkinspread/forwarding/flows.py
@@ -9,7 +9,7 @@
 from catkinspread.deployment import KnownUpstream, Route
 from catkinspread.forwarding.flow_tokens import TokenStage
 from catkinspread.forwarding.packets import CallerPacket, FlowKey
-from catkinspread.forwarding.sequence_numbers import compute_sequence_distance
+from catkinspread.forwarding.sequence_numbers import advance_sequence, compute_sequence_distance
 
 # Both ends may retransmit packets for this time after the caller closed a flow.
 CLOSED_RETENTION_MS = 4_000
@@ -76,6 +76,8 @@
             handshake starts the wait for the answer to the first request.
         acknowledged: Highest acknowledgement number received from the caller.
         request_id: Identifier of the latest request; empty if unknown.
+        occupied_at_request: Requests in flight on the upstream, own and reported, when the latest
+            request began, including itself. None once it is answered, or if no request was seen.
         is_contested: Whether an upstream that does not hold the flow may have answered its opening
             packet, so that the caller may return the token of that one.
         is_opened_by_copy: Whether the first packet that arrived here was a retransmission of the
@@ -99,6 +101,7 @@
         "last_packet_at_ms",
         "next_check_at_ms",
         "next_sequence",
+        "occupied_at_request",
         "opening_packet",
         "opening_sequence",
         "pending_since_ms",
@@ -128,6 +131,7 @@
         self.pending_since_ms: int | None = None
         self.acknowledged = 0
         self.request_id = ""
+        self.occupied_at_request: int | None = None
         self.retransmissions = 0
         self.next_sequence = 0
         self.next_check_at_ms = now_ms
@@ -183,6 +187,15 @@
         distance = compute_sequence_distance(sequence, self.opening_sequence)
         return distance <= FIRST_WINDOW_BYTES
 
+    def is_first_data(self, sequence: int) -> bool:
+        """Whether a packet with a sequence number has the first data of the flow.
+
+        It is unknown for a flow that another instance opened, and then taken as false.
+        """
+        return self.opening_sequence is not None and sequence == advance_sequence(
+            self.opening_sequence, 1
+        )
+
     def is_same_open_flow(self, sequence: int) -> bool:
         """Whether this flow is open and a packet with a sequence number can belong to it.
 
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -11,7 +11,8 @@
 import collections
 from collections.abc import Callable
 
-from catkinspread.deployment import TOKEN_MAX, DeploymentState, KnownUpstream
+from catkinspread.deployment import TOKEN_MAX, DeploymentState, KnownUpstream, Route
+from catkinspread.forwarding.admission_policy import AdmissionPolicy, AdmissionVerdict, AdmitAll
 from catkinspread.forwarding.decision_log import DecisionLog
 from catkinspread.forwarding.flow_adoption import FlowAdoption
 from catkinspread.forwarding.flow_resets import FlowResetter, UpstreamCheck
@@ -46,6 +47,10 @@
 # to the source or to a feeder ended meanwhile.
 REFUSAL_DELAY_AFTER_PAUSE_MS = 1_000
 IDLE_TIMEOUT_DEFAULT_MS = 15_000
+_ADMISSION_REJECTIONS = {
+    AdmissionVerdict.NO_ROOM: RejectionReason.NO_ROOM,
+    AdmissionVerdict.TOO_LATE: RejectionReason.TOO_LATE,
+}
 
 
 class Forwarder:
@@ -61,6 +66,7 @@
         read_request_id: Returns the identifier of the request that starts in a packet; empty
             if no request starts in it.
         peers: Tells the other instances about flows.
+        admission: Decides which new flows are admitted; all if it is None.
 
     Attributes:
         adoption: Finds the upstreams of flows that other instances opened.
@@ -90,10 +96,13 @@
             after_reset: A packet of a flow that was reset before was dropped.
             dropped_REASON: A packet was dropped.
         histograms: Latency histograms by name: `handshake` and `response`.
+        placed_by_route: Opened flows by name of the route and data centre of the first upstream.
+        refused_by_route: Refused opening packets by name of the route, empty without one, and reason.
         reachability: Tells which upstreams are unreachable.
     """
 
     __slots__ = (
+        "_admission",
         "_flows",
         "_handshakes",
         "_loads",
@@ -113,7 +122,9 @@
         "adoption",
         "counts",
         "histograms",
+        "placed_by_route",
         "reachability",
+        "refused_by_route",
     )
 
     def __init__(
@@ -126,6 +137,7 @@
         log: DecisionLog,
         read_request_id: Callable[[CallerPacket], str],
         peers: FlowPeers | None = None,
+        admission: AdmissionPolicy | None = None,
     ) -> None:
         self._state = state
         self._placement = placement
@@ -135,6 +147,7 @@
         self._log = log
         self._read_request_id = read_request_id
         self._peers = peers or NoFlowPeers()
+        self._admission = admission or AdmitAll()
         # Earlier opening packets are dropped instead, because the state may be outdated.
         self._refuses_from_ms = 0
         self._is_leaving = False
@@ -159,6 +172,8 @@
             self._handle_flow_packet,
             self._drop,
         )
+        self.placed_by_route: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.refused_by_route: collections.Counter[tuple[str, str]] = collections.Counter()
         self.histograms = {"handshake": LatencyHistogram(), "response": LatencyHistogram()}
 
     @property
@@ -292,11 +307,15 @@
             self._refuse(packet, RejectionReason.NO_ROUTE, now_ms)
             return
         self._local_availability.record_opening(route.shares[0].service)
+        verdict = self._admission.decide(route, packet.key.caller_ip, packet.acknowledged, now_ms)
+        replaced = self._flows.find(packet.key)
+        if verdict is not AdmissionVerdict.ADMITTED and not _is_opened_by(packet, replaced):
+            self._reject_by_admission(packet, route, _ADMISSION_REJECTIONS[verdict], now_ms)
+            return
         choice = self._placement.choose(route, packet.key, now_ms)
         if isinstance(choice, RejectionReason):
-            self._refuse(packet, choice, now_ms)
+            self._refuse(packet, choice, now_ms, route)
             return
-        replaced = self._flows.find(packet.key)
         if replaced is not None:
             self._waits.stop(replaced)
         flow = Flow(packet.key, route, choice.upstream, now_ms)
@@ -305,11 +324,31 @@
         flow.is_opened_by_copy = packet.acknowledged > 0
         self._flows.add(flow)
         self.counts["opened"] += 1
+        self.placed_by_route[route.name, choice.upstream.record.data_centre] += 1
         self._retry_budget.record_opening()
         self._waits.start(flow, now_ms)
         self._log.log_placement(flow, choice, packet.acknowledged, now_ms)
         self._send_opening_packet(flow, packet, choice.upstream, now_ms)
 
+    def _reject_by_admission(
+        self, packet: CallerPacket, route: Route, reason: RejectionReason, now_ms: int
+    ) -> None:
+        """Refuses a new flow for lack of room.
+
+        A retransmission whose first copy did not reach this instance is dropped instead. Another
+        instance may have admitted that copy and sent it to an upstream, so the flow may be open or
+        about to open, and a reset that says that nothing ran could be false.
+        """
+        if packet.acknowledged > 0:
+            self._drop(packet, reason, now_ms)
+            return
+        if now_ms < self._refuses_from_ms:
+            self._drop(packet, RejectionReason.OUTDATED_STATE, now_ms)
+            return
+        self._count_refusal(reason, route)
+        self._log.log_admission_refusal(packet, reason, self._admission.describe(route), now_ms)
+        self._output.reset(packet.key, 0)
+
     def _handle_retransmitted_opening(self, flow: Flow, packet: CallerPacket, now_ms: int) -> None:
         if now_ms - flow.created_at_ms < RETRANSMISSION_INTERVAL_MIN_MS:
             # Both packets were delayed in the socket buffer, so the upstream had no time to answer.
@@ -328,7 +367,7 @@
         # For any other reason, an upstream that was tried before may still answer.
         if reason is RejectionReason.NONE_ANSWERS:
             self._waits.stop(flow)
-            self._refuse(packet, reason, now_ms)
+            self._refuse(packet, reason, now_ms, flow.route)
 
     def _try_next_upstream(
         self, flow: Flow, packet: CallerPacket, now_ms: int
@@ -443,10 +482,18 @@
         if request_id:
             flow.request_id = request_id
             flow.pending_since_ms = now_ms
+            self._report_request(flow, packet, now_ms)
             self._log.log_request(flow, now_ms)
         self._flows.reschedule(flow, self._idle_timeout_ms)
         return self._resetter.reset_if_unreachable(flow, now_ms)
 
+    def _report_request(self, flow: Flow, packet: CallerPacket, now_ms: int) -> None:
+        load = self._loads.get(flow.upstream.record.name)
+        flow.occupied_at_request = load.in_flight + load.peer_in_flight
+        if flow.route is not None:
+            is_first = flow.is_first_data(packet.sequence)
+            self._admission.record_request(flow.route, is_first, now_ms)
+
     def _record_unanswered(self, upstream: KnownUpstream, now_ms: int) -> None:
         # Without an open flow there is nothing to reset, so the upstream need not be checked.
         if self._flows.has_open_flows(upstream):
@@ -457,6 +504,14 @@
         self._loads.get(flow.upstream.record.name).record_response_time(response_ms, now_ms)
         self.histograms["response"].add(response_ms)
         self._waits.stop(flow)
+        if flow.occupied_at_request is not None and flow.route is not None:
+            self._admission.record_response(
+                flow.route,
+                response_ms,
+                flow.occupied_at_request,
+                flow.upstream.record.work_slots,
+            )
+        flow.occupied_at_request = None
         self._log.log_answer(flow, response_ms, now_ms)
 
     def _close_flow(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
@@ -469,14 +524,29 @@
             self.counts["given_up"] += 1
         self._flows.reschedule(flow, self._idle_timeout_ms)
 
-    def _refuse(self, packet: CallerPacket, reason: RejectionReason, now_ms: int) -> None:
+    def _refuse(
+        self,
+        packet: CallerPacket,
+        reason: RejectionReason,
+        now_ms: int,
+        route: Route | None = None,
+    ) -> None:
         if now_ms < self._refuses_from_ms:
             self._drop(packet, RejectionReason.OUTDATED_STATE, now_ms)
             return
-        self.counts[f"refused_{reason.value}"] += 1
+        self._count_refusal(reason, route)
         self._log.log_refusal(packet, reason, now_ms)
         self._output.reset(packet.key, 0)
 
+    def _count_refusal(self, reason: RejectionReason, route: Route | None) -> None:
+        self.counts[f"refused_{reason.value}"] += 1
+        self.refused_by_route[route.name if route else "", reason.value] += 1
+
     def _drop(self, packet: CallerPacket, reason: RejectionReason, now_ms: int) -> None:
         self.counts[f"dropped_{reason.value}"] += 1
         self._log.log_drop(packet, reason, now_ms)
+
+
+def _is_opened_by(packet: CallerPacket, flow: Flow | None) -> bool:
+    """Whether an opening packet is a copy of the one that opened a flow of this instance."""
+    return flow is not None and flow.opening_sequence == packet.sequence
--- a/src/catkinspread/forwarding/packets.py
+++ b/src/catkinspread/forwarding/packets.py
@@ -77,6 +77,12 @@
     NONE_ANSWERS = "none_answers"
     # Refused: all eligible upstreams are in cold start and none is within its rate limit.
     ALL_COLD = "all_cold"
+    # Refused: the share of the service's room that the route has is used up. A retransmission that may
+    # have been sent to an upstream by another instance is dropped instead.
+    NO_ROOM = "no_room"
+    # Refused, or dropped like NO_ROOM: the expected wait exceeds the time until the deadline of the
+    # request.
+    TOO_LATE = "too_late"
     # Not sent again: the flow has had the maximum number of attempts, or has no route any more.
     TRIES_EXHAUSTED = "tries_exhausted"
     # Dropped: the instance has not read the complete state of the deployment yet.
--- a/src/catkinspread/forwarding/tests/builders.py
+++ b/src/catkinspread/forwarding/tests/builders.py
@@ -16,6 +16,7 @@
 )
 from catkinspread.eventlog import EventLog
 from catkinspread.forwarding import (
+    AdmissionPolicy,
     CallerPacket,
     ColdStartLimiter,
     DecisionLog,
@@ -110,6 +111,7 @@
         peers: FlowPeers | None = None,
         clock: ManualClock | None = None,
         output: PacketOutput | None = None,
+        admission: AdmissionPolicy | None = None,
     ) -> None:
         self.clock = clock or ManualClock(START_MS)
         self.state = DeploymentState(flow_lifetime_max_ms=60_000)
@@ -138,6 +140,7 @@
             DecisionLog(events, self.state),
             lambda packet: "id-1" if packet.payload_size_bytes else "",
             peers,
+            admission,
         )
 
     @property
