explain: tell what decided a refused flow

Cause: a flow that is refused has no request identifier, so explain could only count it by reason, and a refusal for lack of room depends on the service, the priority and the admission of that moment.

The report describes the reasons and counts refusals for lack of room by service, priority and reason.

--- a/src/catkinspread/console/explain.py
+++ b/src/catkinspread/console/explain.py
@@ -9,8 +9,10 @@
 
 from catkinspread.console.registry import EXIT_FAILURE, EXIT_OK, register_subcommand
 from catkinspread.explain import (
+    CallerUnknownError,
     LogIndex,
     build_report,
+    format_caller_story,
     format_report,
     format_request_story,
     read_log_lines,
@@ -21,19 +23,25 @@
 def _configure(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("logs", nargs="+", type=pathlib.Path, help="files with log lines")
     parser.add_argument("--request", help="show all lines of one request and its cause")
+    parser.add_argument(
+        "--caller", help="show the refused flows of an address, with or without port, and why"
+    )
     parser.add_argument("--json", action="store_true", help="print the report as JSON")
 
 
 @register_subcommand("explain", "list requests without an answer by cause, from logs", _configure)
 def explain_logs(arguments: argparse.Namespace) -> int:
-    """Prints the report or the story of one request; returns EXIT_FAILURE if it cannot."""
+    """Prints the report, or what concerns one request or caller; EXIT_FAILURE if it cannot."""
     try:
         lines = [path.read_text(errors="replace").splitlines() for path in arguments.logs]
         index = LogIndex(read_log_lines(itertools.chain.from_iterable(lines)))
         if arguments.request:
             print(format_request_story(index, arguments.request))
             return EXIT_OK
-    except (OSError, RequestUnknownError) as error:
+        if arguments.caller:
+            print(format_caller_story(index, arguments.caller))
+            return EXIT_OK
+    except (OSError, RequestUnknownError, CallerUnknownError) as error:
         print(f"error: {error}", file=sys.stderr)
         return EXIT_FAILURE
     report = build_report(index)
--- a/src/catkinspread/explain/log_index.py
+++ b/src/catkinspread/explain/log_index.py
@@ -40,20 +40,35 @@
         lines: All lines.
         traces: Requests by identifier.
         refusals: Number of refused openings by reason.
+        room_refusals: Number of those for lack of room by service, priority and reason.
     """
 
-    __slots__ = ("_starts", "_stops", "_upstream_losses", "lines", "refusals", "traces")
+    __slots__ = (
+        "_admission_changes",
+        "_starts",
+        "_stops",
+        "_upstream_losses",
+        "lines",
+        "refusals",
+        "room_refusals",
+        "traces",
+    )
 
     def __init__(self, lines: Iterable[LogLine]) -> None:
         self.lines = sorted(lines, key=lambda line: line.at_ms)
         self.traces: dict[str, RequestTrace] = {}
         self.refusals: collections.Counter[str] = collections.Counter()
+        self.room_refusals: collections.Counter[tuple[str, int | None, str]] = collections.Counter()
+        self._admission_changes: dict[tuple[str, str], list[LogLine]] = collections.defaultdict(
+            list
+        )
         self._starts: dict[str, list[int]] = collections.defaultdict(list)
         self._stops: dict[str, list[int]] = collections.defaultdict(list)
         self._upstream_losses: dict[str, list[int]] = collections.defaultdict(list)
         for line in self.lines:
             self._add_process_line(line)
             self._add_upstream_line(line)
+            self._add_admission_line(line)
             self._add_request_line(line)
 
     @property
@@ -77,6 +92,12 @@
         """Whether the record of an upstream disappeared after a time."""
         return _find_first(self._upstream_losses[name], at_ms, within_ms) is not None
 
+    def find_admission_change(self, instance: str, service: str, at_ms: int) -> LogLine | None:
+        """Returns the last change of admission that an instance logged for a service until a time."""
+        changes = self._admission_changes[instance, service]
+        count = bisect.bisect_right(changes, at_ms, key=lambda line: line.at_ms)
+        return changes[count - 1] if count else None
+
     def _add_process_line(self, line: LogLine) -> None:
         if line.event == "started":
             self._starts[line.instance].append(line.at_ms)
@@ -88,9 +109,15 @@
         if is_lost or line.event in ("upstream_gone", "upstream_unreachable"):
             self._upstream_losses[line.name].append(line.at_ms)
 
-    def _add_request_line(self, line: LogLine) -> None:
-        if line.event == "flow_refused":
+    def _add_admission_line(self, line: LogLine) -> None:
+        if line.event == "admission_changed":
+            self._admission_changes[line.instance, line.service].append(line)
+        elif line.event == "flow_refused":
             self.refusals[line.reason] += 1
+            if line.service:
+                self.room_refusals[line.service, line.priority, line.reason] += 1
+
+    def _add_request_line(self, line: LogLine) -> None:
         if not line.request:
             return
         if line.event == "request":
--- a/src/catkinspread/explain/log_lines.py
+++ b/src/catkinspread/explain/log_lines.py
@@ -18,6 +18,10 @@
         name: Name of the record that changed; empty if the line is not about a record.
         reason: Reason of a refusal, drop or reset.
         detail: What changed in the record.
+        service: Service that lacked room or whose admission changed; empty if the line names none.
+        priority: Priority of the route of a flow that was refused for lack of room.
+        share: Share of the callers of its route that was admitted then, 0 to 1.
+        occupancy: Requests in flight per work slot then; None also if there were no work slots.
         text: The line as written.
     """
 
@@ -30,6 +34,10 @@
     name: str = ""
     reason: str = ""
     detail: str = ""
+    service: str = ""
+    priority: int | None = None
+    share: float | None = None
+    occupancy: float | None = None
     text: str = ""
 
 
--- a/src/catkinspread/explain/report.py
+++ b/src/catkinspread/explain/report.py
@@ -6,6 +6,7 @@
 
 from catkinspread.explain.causes import find_cause, list_causes
 from catkinspread.explain.log_index import LogIndex
+from catkinspread.explain.refusals import DESCRIPTIONS, RoomRefusalCount, count_room_refusals
 
 _MS_PER_S = 1_000
 _PERCENT = 100
@@ -38,6 +39,7 @@
         span_ms: Time that the lines cover, in ms.
         causes: Causes with at least one request, the most frequent first; the shares add up to 1.
         refusals: Number of openings that were refused, by reason. They have no request identifier.
+        room_refusals: Those for lack of room, by service and priority.
     """
 
     request_count: int
@@ -45,6 +47,7 @@
     span_ms: int
     causes: tuple[CauseCount, ...]
     refusals: dict[str, int]
+    room_refusals: tuple[RoomRefusalCount, ...]
 
 
 def build_report(index: LogIndex) -> FailureReport:
@@ -62,7 +65,12 @@
         for name, count in counts.most_common()
     )
     return FailureReport(
-        len(index.traces), len(unanswered), index.span_ms, causes, dict(index.refusals)
+        len(index.traces),
+        len(unanswered),
+        index.span_ms,
+        causes,
+        dict(index.refusals),
+        count_room_refusals(index),
     )
 
 
@@ -78,5 +86,11 @@
             f"first: {found.example}"
         )
     for reason, count in sorted(report.refusals.items()):
-        lines.append(f"{count:7d} openings refused: {reason}")
+        description = f": {DESCRIPTIONS[reason]}" if reason in DESCRIPTIONS else ""
+        lines.append(f"{count:7d} openings refused: {reason}{description}")
+    for found in report.room_refusals:
+        lines.append(
+            f"{found.count:7d} openings refused for lack of room: service {found.service}, "
+            f"priority {found.priority}, {found.reason}"
+        )
     return "\n".join(lines)
--- a/src/catkinspread/explain/tests/test_explain.py
+++ b/src/catkinspread/explain/tests/test_explain.py
@@ -1,22 +1,28 @@
 """Explanations of failed requests from log lines."""
 
 import json
+import pathlib
 
 import pytest
 
+from catkinspread.console.main import main
 from catkinspread.explain import (
+    CallerUnknownError,
     LogIndex,
     build_report,
+    format_caller_story,
     format_report,
     format_request_story,
     read_log_lines,
 )
+from catkinspread.explain.refusals import DESCRIPTIONS
 from catkinspread.explain.request_story import RequestUnknownError
+from catkinspread.forwarding import RejectionReason
 
 START_MS = 1_000_000
 
 
-def _write(at_ms: int, event: str, instance: str = "one", **fields: str) -> str:
+def _write(at_ms: int, event: str, instance: str = "one", **fields: object) -> str:
     line = {"at_ms": START_MS + at_ms, "instance": instance, "event": event, **fields}
     return f"  12.5 {instance} {json.dumps(line)}\n"
 
@@ -85,3 +91,85 @@
 def test_no_lines_give_an_empty_report() -> None:
     """Guards against a division by zero for an empty log."""
     assert build_report(_index()).unanswered_count == 0
+
+
+def _refuse(at_ms: int, port: int, reason: str, instance: str = "one", **fields: object) -> str:
+    flow = f"100.64.0.7:{port}>198.18.0.1:443"
+    return _write(at_ms, "flow_refused", instance, flow=flow, reason=reason, **fields)
+
+
+def _change(at_ms: int, service: str, is_limited: bool, instance: str = "one") -> str:
+    return _write(
+        at_ms, "admission_changed", instance, service=service, is_limited=is_limited, slots=4
+    )
+
+
+PAGES = {"service": "pages", "priority": 2, "share": 0.25, "occupancy": 2.5}
+REFUSED_LOG = (
+    _change(10, "pages", True),
+    _change(11, "plates", True),
+    _change(12, "pages", True, "two"),
+    _refuse(20, 1_024, "no_room", **PAGES),
+    _change(30, "pages", False),
+    _refuse(40, 1_025, "too_late", "two", **{**PAGES, "occupancy": None}),
+    _refuse(50, 1_026, "no_route"),
+    _write(60, "flow_refused", flow="100.64.0.70:1024>198.18.0.1:443", reason="no_room", **PAGES),
+)
+
+
+def test_report_counts_refusals_for_lack_of_room_by_service_and_priority() -> None:
+    """Guards against a shortage of one service that hides among the refusals of all."""
+    report = build_report(_index(*REFUSED_LOG))
+    assert report.refusals == {"no_room": 2, "too_late": 1, "no_route": 1}
+    found = [(row.service, row.priority, row.reason, row.count) for row in report.room_refusals]
+    assert found == [("pages", 2, "no_room", 2), ("pages", 2, "too_late", 1)]
+    text = format_report(report)
+    assert "2 openings refused for lack of room: service pages, priority 2, no_room" in text
+    assert "1 openings refused: no_route: no route has the service address" in text
+
+
+def test_story_of_a_caller_tells_what_decided_each_refused_flow() -> None:
+    """Guards against naming the admission of another service, instance or time as the cause."""
+    lines = format_caller_story(_index(*REFUSED_LOG), "100.64.0.7").splitlines()
+    assert [json.loads(line)["at_ms"] - START_MS for line in lines if line[0] == "{"] == [
+        10,
+        20,
+        12,
+        40,
+        50,
+    ]
+    sentences = [line for line in lines if line[0] != "{"]
+    assert sentences[0].endswith(
+        "service pages, priority 2, 25.0% of the callers of the route admitted, "
+        "requests in flight: 2.50 per work slot"
+    )
+    assert sentences[1].endswith("requests in flight: no work slots")
+    assert sentences[2] == "no_route: no route has the service address"
+
+
+def test_story_of_a_caller_may_be_of_one_port() -> None:
+    """Guards against a busy caller whose refused flow cannot be found among others."""
+    story = format_caller_story(_index(*REFUSED_LOG), "100.64.0.7:1026")
+    assert len(story.splitlines()) == 2
+
+
+def test_caller_without_a_refused_flow_is_an_error() -> None:
+    """Guards against an empty story that looks like an answer."""
+    with pytest.raises(CallerUnknownError, match=r"100\.64\.0\.9"):
+        format_caller_story(_index(*REFUSED_LOG), "100.64.0.9")
+
+
+def test_each_reason_of_a_refusal_has_a_description() -> None:
+    """Guards against a reason that is renamed or removed, but still described."""
+    assert set(DESCRIPTIONS) <= {reason.value for reason in RejectionReason}
+
+
+def test_command_prints_the_story_of_a_caller(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against an option of the command that is not connected."""
+    file = tmp_path / "one.log"
+    file.write_text("".join(REFUSED_LOG))
+    assert main(["explain", str(file), "--caller", "100.64.0.7:1024"]) == 0
+    assert "no_room: the service had too little room" in capsys.readouterr().out
+    assert main(["explain", str(file), "--caller", "100.64.0.9"]) == 1
