ini: parse decimal numbers and choices

Cause: the margins of admission control are numbers with a fraction, and its mode is one of three words; the parsers know neither.

Change: parse_number and parse_choice. A number has digits only; texts that Python reads as floats, such as 1e0 or nan, are refused.

--- a/src/catkinspread/ini/fields.py
+++ b/src/catkinspread/ini/fields.py
@@ -4,6 +4,7 @@
 import difflib
 import ipaddress
 import pathlib
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -17,6 +18,7 @@
 _VALUE_MAX_CHARS = 100
 # A number with more digits exceeds every limit, and `int` rejects one of several thousand.
 _DIGITS_MAX = 20
+_DECIMAL = re.compile(r"-?[0-9]+(\.[0-9]+)?")
 
 
 class SettingsProblem(msgspec.Struct, frozen=True):
@@ -152,6 +154,38 @@
     return parse
 
 
+def parse_number(minimum: float, maximum: float) -> Callable[[str], float]:
+    """Returns a parser for decimal numbers from `minimum` to `maximum`, both inclusive.
+
+    The parser raises ValueError if the text is not such a number. Exponents, infinity and NaN are
+    not numbers of a settings file.
+    """
+
+    def parse(text: str) -> float:
+        is_decimal = len(text) <= _DIGITS_MAX and _DECIMAL.fullmatch(text) is not None
+        if not is_decimal or not minimum <= float(text) <= maximum:
+            raise ValueError(
+                f"expected a number from {minimum:g} to {maximum:g}, found {_shorten(text)!r}"
+            )
+        return float(text)
+
+    return parse
+
+
+def parse_choice(*choices: str) -> Callable[[str], str]:
+    """Returns a parser for one of several words.
+
+    The parser raises ValueError if the text is none of them.
+    """
+
+    def parse(text: str) -> str:
+        if text not in choices:
+            raise ValueError(f"expected {', '.join(choices)}, found {_shorten(text)!r}")
+        return text
+
+    return parse
+
+
 def parse_url(text: str) -> str:
     """Parses a URL of the form `http://IP:PORT` and removes trailing slashes.
 
