Metrics of placed and refused flows by route

Cause: the metrics page had flat names only, so that nobody saw which routes are refused, why, and which flows go to another data centre.

Change: the page takes metrics with labels; placed_flows by route, data centre and place, and refused_flows by route and reason are the first.

--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -59,12 +59,14 @@
 )
 from catkinspread.runtime.flow_announcer import FlowAnnouncer
 from catkinspread.runtime.flow_messages import apply_announcement, apply_location
+from catkinspread.runtime.flow_metrics import list_flow_metrics
 from catkinspread.runtime.graceful_shutdown import wait_until_unused
 from catkinspread.runtime.isolation import IsolationCheck
 from catkinspread.runtime.load_reports import LoadReporter
 from catkinspread.runtime.metrics import (
     METRICS_CONNECTIONS_MAX,
     METRICS_REQUEST_MAX_BYTES,
+    LabelledMetric,
     MetricsPage,
 )
 from catkinspread.runtime.pauses import PauseDetector
@@ -311,6 +313,7 @@
         page = MetricsPage(
             self._read_counts,
             self._read_gauges,
+            self._read_labelled,
             self._forwarder.histograms,
             self._failures,
             self._source_digest,
@@ -473,6 +476,13 @@
             "source_era": self._cache.era,
         }
 
+    def _read_labelled(self) -> list[LabelledMetric]:
+        return list_flow_metrics(
+            self._forwarder.placed_by_route,
+            self._forwarder.refused_by_route,
+            self._settings.data_centre,
+        )
+
     def _handle_pause(self, pause_ms: int, now_ms: int) -> None:
         """Discards conclusions from a time in which the process was paused.
 
--- a/src/catkinspread/runtime/metrics.py
+++ b/src/catkinspread/runtime/metrics.py
@@ -5,6 +5,8 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
+import msgspec
+
 from catkinspread.forwarding import LatencyHistogram
 from catkinspread.supervision import FailureLog
 from catkinspread.transport.http_server import HttpRequest, HttpServerResponse
@@ -17,23 +19,50 @@
 _MS_PER_S = 1_000
 
 
+class LabelledMetric(msgspec.Struct, frozen=True):
+    """A metric with one value for each combination of labels.
+
+    Attributes:
+        name: Name without the prefix, and without `_total` for a counter.
+        description: What it counts or measures, in one sentence.
+        is_counter: Whether it only grows during the life of the process.
+        labels: Names of the labels.
+        values: Values by the values of the labels, in the order of `labels`.
+    """
+
+    name: str
+    description: str
+    is_counter: bool
+    labels: tuple[str, ...]
+    values: Mapping[tuple[str, ...], float]
+
+
 class MetricsPage:
     """HTTP handler for scrapes.
 
     Args:
         read_counts: Returns the counters by name.
         read_gauges: Returns the gauges by name.
+        read_labelled: Returns the metrics with labels.
         histograms: Latency histograms by name.
         failures: Failures of the parts of the program.
         source_digest: Digest of the source that the program was built from.
     """
 
-    __slots__ = ("_failures", "_histograms", "_read_counts", "_read_gauges", "_source_digest")
+    __slots__ = (
+        "_failures",
+        "_histograms",
+        "_read_counts",
+        "_read_gauges",
+        "_read_labelled",
+        "_source_digest",
+    )
 
     def __init__(
         self,
         read_counts: Callable[[], Mapping[str, int]],
         read_gauges: Callable[[], Mapping[str, float]],
+        read_labelled: Callable[[], Iterable[LabelledMetric]],
         histograms: Mapping[str, LatencyHistogram],
         failures: FailureLog,
         source_digest: str,
@@ -42,6 +71,7 @@
         self._source_digest = source_digest
         self._read_counts = read_counts
         self._read_gauges = read_gauges
+        self._read_labelled = read_labelled
         self._histograms = histograms
 
     async def answer(self, request: HttpRequest) -> HttpServerResponse:
@@ -76,6 +106,12 @@
         yield from self._collect_failures()
         for name, value in self._read_gauges().items():
             yield GaugeMetricFamily(f"catkinspread_{name}", name.replace("_", " "), value)
+        for metric in self._read_labelled():
+            kind = CounterMetricFamily if metric.is_counter else GaugeMetricFamily
+            family = kind(f"catkinspread_{metric.name}", metric.description, labels=metric.labels)
+            for values, value in sorted(metric.values.items()):
+                family.add_metric(values, value)
+            yield family
         for name, histogram in self._histograms.items():
             buckets = [
                 ("+Inf" if bound is None else str(bound / _MS_PER_S), count)
