Instances exchange summaries of demand and load

Cause: an instance has no message that tells others the demand of its callers. Change: RoomSummary is one of the messages between instances, counted as a report; PeerExchange passes it to a new callback, and its callers in the code and in tests pass one. An instance ignores the message until the estimator of the room is wired.

--- a/src/catkinspread/peers/exchange.py
+++ b/src/catkinspread/peers/exchange.py
@@ -7,6 +7,7 @@
 import anyio.abc
 from absl import logging
 
+from catkinspread.admission.types import RoomSummary
 from catkinspread.clock import Clock
 from catkinspread.model import Endpoint
 from catkinspread.peers.directory import RANDOM_PEER_INTERVAL_MS, PeerDirectory
@@ -61,6 +62,7 @@
             returns the answer to it, None if there is none.
         on_flow_location: Called with each location of a flow, the address of its sender and the time
             of its arrival.
+        on_room_summary: Called with each summary of demand and load and the time of its arrival.
         traffic: Counts the bytes sent.
         clock: Source of the time.
         rng: Source of random choices.
@@ -77,6 +79,7 @@
         "_on_flow_announcement",
         "_on_flow_location",
         "_on_load_report",
+        "_on_room_summary",
         "_on_unreachable_report",
         "_port",
         "_random_peer_due_ms",
@@ -101,6 +104,7 @@
         on_unreachable_report: Callable[[UnreachableReport, int], None],
         on_flow_announcement: Callable[[FlowAnnouncement, int], FlowLocation | None],
         on_flow_location: Callable[[FlowLocation, str, int], None],
+        on_room_summary: Callable[[RoomSummary, int], None],
         traffic: TrafficMeter,
         clock: Clock,
         rng: random.Random,
@@ -118,6 +122,7 @@
         self._on_unreachable_report = on_unreachable_report
         self._on_flow_announcement = on_flow_announcement
         self._on_flow_location = on_flow_location
+        self._on_room_summary = on_room_summary
         self._clock = clock
         self._rng = rng
         self._udp = UdpTransport(Endpoint(member.host, port), self._receive, clock)
@@ -222,6 +227,9 @@
         if isinstance(message, LoadReport):
             self._on_load_report(message, now_ms)
             return
+        if isinstance(message, RoomSummary):
+            self._on_room_summary(message, now_ms)
+            return
         if isinstance(message, UnreachableReport):
             self._on_unreachable_report(message, now_ms)
             return
--- a/src/catkinspread/peers/messages.py
+++ b/src/catkinspread/peers/messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from catkinspread.admission.types import RoomSummary
 from catkinspread.deployment.bounds import (
     PORT_MAX,
     Amount,
@@ -199,8 +200,8 @@
     age_ms: Count
 
 
-# Messages that are sent when something happens, not at intervals.
-Report = LoadReport | UnreachableReport | FlowAnnouncement | FlowLocation
+# Messages about traffic, which are counted apart from those about membership.
+Report = LoadReport | UnreachableReport | FlowAnnouncement | FlowLocation | RoomSummary
 PeerMessage = Hello | HelloReply | Report
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/catkinspread/peers/tests/test_messages.py
+++ b/src/catkinspread/peers/tests/test_messages.py
@@ -5,6 +5,13 @@
 import msgspec
 import pytest
 
+from catkinspread.admission import (
+    DEMANDS_MAX,
+    IN_FLIGHT_MAX,
+    RoomSummary,
+    RouteDemand,
+    ServiceInFlight,
+)
 from catkinspread.peers import (
     FlowAnnouncement,
     FlowLocation,
@@ -26,6 +33,9 @@
     for number in range(16)
 )
 STATUS = MemberStatus(MEMBERS[0].member, 120, True, False, 0)
+DEMAND = RouteDemand("pages", "pages", 1, 32.5, 1_200.25, 300.0)
+IN_FLIGHT = ServiceInFlight("pages", "khomas-a", 17.0)
+ROOM = RoomSummary("edge-1", 7, "khomas-a", 1, (DEMAND,), (IN_FLIGHT,))
 
 
 @pytest.mark.parametrize(
@@ -36,8 +46,12 @@
         LoadReport("edge-1", 7, {(1 << 31) + number: 3 for number in range(100)}),
         FlowAnnouncement(0xFFFFFFFF, 65_535, 0xFFFFFFFF, 65_535, 1 << 31, 1 << 31, 1 << 31, True),
         FlowLocation(0xFFFFFFFF, 65_535, 0xFFFFFFFF, 65_535, 1 << 31, 1 << 29, 60_000),
+        ROOM,
+        msgspec.structs.replace(
+            ROOM, demands=(DEMAND,) * DEMANDS_MAX, in_flight=(IN_FLIGHT,) * IN_FLIGHT_MAX
+        ),
     ],
-    ids=["small", "members", "loads", "flow", "location"],
+    ids=["small", "members", "loads", "flow", "location", "room", "largest room"],
 )
 def test_round_trip_is_lossless(message: PeerMessage) -> None:
     """Guards against a compressed or plain message that is read as another one."""
@@ -71,6 +85,18 @@
     return encode_message(Hello(msgspec.structs.replace(STATUS, member=member), 1))
 
 
+def _change_room(**change: object) -> bytes:
+    return encode_message(msgspec.structs.replace(ROOM, **change))
+
+
+def _change_demand(**change: object) -> bytes:
+    return _change_room(demands=(msgspec.structs.replace(DEMAND, **change),))
+
+
+def _change_in_flight(**change: object) -> bytes:
+    return _change_room(in_flight=(msgspec.structs.replace(IN_FLIGHT, **change),))
+
+
 @pytest.mark.parametrize(
     "datagram",
     [
@@ -94,6 +120,21 @@
         encode_message(HelloReply(STATUS, MEMBERS))[:-1],
         b"\x91" * 5_000,
         b"\x94\xa5hello" + b"\x91" * 5_000,
+        _change_room(sender=""),
+        _change_room(sequence=1 << 63),
+        _change_room(data_centre="d" * 256),
+        _change_room(instance_count=-1),
+        _change_room(demands=(DEMAND,) * (DEMANDS_MAX + 1)),
+        _change_room(in_flight=(IN_FLIGHT,) * (IN_FLIGHT_MAX + 1)),
+        _change_demand(route=""),
+        _change_demand(priority=-1),
+        _change_demand(work_ms=float("nan")),
+        _change_demand(offered_work_ms_per_s=float("inf")),
+        _change_demand(committed_work_ms_per_s=-0.5),
+        _change_in_flight(service="s" * 256),
+        _change_in_flight(data_centre=""),
+        _change_in_flight(requests=float("-inf")),
+        _change_in_flight(requests=2.0**60),
     ],
     ids=[
         "host name",
@@ -116,6 +157,21 @@
         "without its checksum",
         "nested",
         "nested status",
+        "room without a sender",
+        "room with a sequence beyond 63 bits",
+        "room with a long data centre",
+        "room with a negative number of instances",
+        "room with too many demands",
+        "room with too many counts",
+        "demand without a route",
+        "demand with a negative priority",
+        "demand with work that is no number",
+        "demand with infinite work",
+        "demand with negative work",
+        "count with a long service",
+        "count without a data centre",
+        "count with minus infinity",
+        "count beyond the bound",
     ],
 )
 def test_message_beyond_a_bound_raises(datagram: bytes) -> None:
--- a/src/catkinspread/platform/tests/test_fuzz.py
+++ b/src/catkinspread/platform/tests/test_fuzz.py
@@ -15,6 +15,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from catkinspread.admission import RoomSummary, RouteDemand, ServiceInFlight
 from catkinspread.clock import ManualClock
 from catkinspread.deployment import StateChange, StateChanges, StateKind, UpstreamRecord
 from catkinspread.model import Endpoint
@@ -54,6 +55,14 @@
         FlowLocation(1, 2, 3, 4, 5, 6, 7),
         LoadReport("edge-1", 7, {2**32 - 1: 3, 5: 1}),
         UnreachableReport("edge-1", 7, 3),
+        RoomSummary(
+            "edge-1",
+            120,
+            "khomas-a",
+            5,
+            (RouteDemand("pages", "pages", 5, 45.5, 120, 5),),
+            (ServiceInFlight("pages", "khomas-a", 5), ServiceInFlight("pages", "khomas-b", 120)),
+        ),
     )
 )
 LISTING = msgspec.msgpack.encode(
@@ -192,6 +201,7 @@
     ("edge-1", ["me", "n" * 255, "n" * 256, "\n", ""]),
     (120, [0, 2**63 - 1, 2**63, 2**64 - 1, -1]),
     (5, [0, 2**63 - 1, 2**64 - 1, -1]),
+    (45.5, [0.0, 5e-324, 2.0**53, float("nan"), float("inf"), -0.5]),
 )
 
 
@@ -227,7 +237,7 @@
         directory,
         lambda: MemberStatus(me, None, True, False, 0),
         lambda: True,
-        *[lambda *arguments: None] * 4,
+        *[lambda *arguments: None] * 5,
         TrafficMeter(),
         clock,
         random.Random(1),
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -12,6 +12,7 @@
 import anyio
 import anyio.abc
 
+from catkinspread.admission import RoomSummary
 from catkinspread.clock import Clock
 from catkinspread.deployment import (
     DeploymentState,
@@ -366,6 +367,9 @@
     def _apply_flow_location(self, answer: FlowLocation, sender_host: str, now_ms: int) -> None:
         apply_location(self._forwarder, answer, sender_host, now_ms)
 
+    def _apply_room_summary(self, summary: RoomSummary, now_ms: int) -> None:
+        """Ignores a summary: no component of this instance uses it yet."""
+
     def _build_exchange(self) -> PeerExchange:
         return PeerExchange(
             self._member,
@@ -378,6 +382,7 @@
             self._apply_unreachable_report,
             self._apply_flow_announcement,
             self._apply_flow_location,
+            self._apply_room_summary,
             self._traffic,
             self._clock,
             self._rng,
