Look-ups of upstreams and instances for admission control

Cause: load is known by the name of an upstream, and neither its service nor whether it may get flows can be looked up by it; the directory lists only local instances. Change: DeploymentState.find_upstream and is_eligible, UpstreamLoad.has_timed_out, and PeerDirectory.list_remote_peers.

--- a/src/catkinspread/deployment/state.py
+++ b/src/catkinspread/deployment/state.py
@@ -175,6 +175,10 @@
         """
         return self._tokens.find(token & TOKEN_MAX)
 
+    def find_upstream(self, name: str) -> KnownUpstream | None:
+        """Returns the upstream with a name, including removed ones; None if there is none."""
+        return self._upstreams.get(name)
+
     def list_upstreams(self) -> tuple[KnownUpstream, ...]:
         """Returns all upstreams, including removed ones."""
         return tuple(self._upstreams.values())
@@ -193,11 +197,20 @@
             found = [
                 upstream
                 for upstream in self._upstreams.values()
-                if upstream.record.service == service and self._is_eligible(upstream)
+                if upstream.record.service == service and self.is_eligible(upstream)
             ]
             self._eligible_by_service[service] = found
         return found
 
+    def is_eligible(self, upstream: KnownUpstream) -> bool:
+        """Whether an upstream may get new flows."""
+        record = upstream.record
+        return (
+            not upstream.is_removed
+            and not record.is_draining
+            and record.data_centre not in self._evacuated
+        )
+
     def put_configuration(self, configuration: RoutingConfiguration) -> ApplyOutcome:
         """Replaces the configuration unless the given one is not newer."""
         if not configuration.is_newer_than(self.configuration):
@@ -329,11 +342,3 @@
     def _delete_upstream(self, known: KnownUpstream) -> None:
         del self._upstreams[known.record.name]
         self._tokens.remove(known)
-
-    def _is_eligible(self, upstream: KnownUpstream) -> bool:
-        record = upstream.record
-        return (
-            not upstream.is_removed
-            and not record.is_draining
-            and record.data_centre not in self._evacuated
-        )
--- a/src/catkinspread/deployment/tests/test_state.py
+++ b/src/catkinspread/deployment/tests/test_state.py
@@ -54,6 +54,19 @@
     return StateApplier(state, EventLog("one", _NullWriter(), ManualClock(NOW_MS)), 1_200)
 
 
+def test_upstream_is_found_by_its_name_while_it_is_kept() -> None:
+    """Guards against load of a removed upstream that cannot be assigned to its service."""
+    state = _build_state(_build_upstream())
+    known = state.find_upstream("i-1")
+    assert known is not None
+    assert state.is_eligible(known)
+    state.put_upstream(_build_upstream(is_draining=True), NOW_MS)
+    state.mark_upstream_missing("i-1", NOW_MS)
+    assert state.find_upstream("i-1") is known
+    assert not state.is_eligible(known)
+    assert state.find_upstream("i-2") is None
+
+
 def test_older_configuration_is_ignored() -> None:
     """Guards against a stale response that replaces the configuration by an older one."""
     state = DeploymentState(flow_lifetime_max_ms=60_000)
--- a/src/catkinspread/forwarding/load.py
+++ b/src/catkinspread/forwarding/load.py
@@ -130,6 +130,11 @@
         """Whether it is avoided because of time-outs."""
         return now_ms < self._backoff_until_ms
 
+    @property
+    def has_timed_out(self) -> bool:
+        """Whether an opening packet timed out and none was answered since."""
+        return self._backoff_ms > 0
+
     def may_be_probed(self, now_ms: int) -> bool:
         """Whether a flow may be placed on it while no upstream responds.
 
--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -182,6 +182,14 @@
             if peer.member.data_centre == self._member.data_centre
         ]
 
+    def list_remote_peers(self) -> list[Member]:
+        """Returns the instances of other data centres."""
+        return [
+            peer.member
+            for peer in self._peers.values()
+            if peer.member.data_centre != self._member.data_centre
+        ]
+
     def list_staying_peers(self) -> list[Member]:
         """Returns the other instances of this data centre that have not said that they leave."""
         return [
