Summaries of other instances are checked and summed

Cause: an instance sees only its own callers. Change: SummaryTable keeps the latest summary of each sender for 3 s, drops stale, impossible and future ones, and keeps exact sums, so that a merge does not visit each summary again.

--- /dev/null
+++ b/src/catkinspread/admission/summaries.py
@@ -0,0 +1,472 @@
+"""Summaries of other instances and their sum.
+
+In a large data centre an instance hears only from a few others while their summaries are used. There,
+some summaries are therefore partial sums over several instances, and the sum is an average of all
+that was heard, weighted by the numbers of instances. A partial sum is made of the summaries of single
+instances only, so that figures do not go round.
+
+The sums over the local data centre are kept up to date with each summary, in whole units, so that a
+merge does not visit every summary again and no rounding errors accumulate.
+"""
+
+import collections
+import enum
+import math
+from collections.abc import Callable, Iterable
+
+from catkinspread.admission.demand import compute_demanded_work
+from catkinspread.admission.types import (
+    DEMANDS_MAX,
+    IN_FLIGHT_MAX,
+    RoomSummary,
+    RouteDemand,
+    ServiceInFlight,
+)
+from catkinspread.admission.work import WORK_MIN_MS
+from catkinspread.deployment.bounds import AMOUNT_MAX
+
+# Age at which a summary is no longer used.
+SUMMARY_TIMEOUT_MS = 3_000
+# Summaries are reordered by a few positions at most. A sequence number that is lower by more means
+# that the instance has restarted.
+SUMMARY_REORDER_MAX = 16
+# Highest rate at which the sequence numbers of an instance increase: four times that of
+# `runtime.room_reports`, so that a delay of the previous summary does not matter.
+SEQUENCE_RATE_MAX_PER_S = 16
+# Number of instances of a data centre up to which an instance hears from most others directly.
+PARTIAL_SUMS_MIN = 16
+# Age up to which a summary is part of a partial sum. It adds to the age of the partial sum itself.
+PARTIAL_SUM_AGE_MAX_MS = 1_500
+# Instances in a partial sum. 12 summaries arrive within PARTIAL_SUM_AGE_MAX_MS on average under load.
+PARTIAL_SUM_MAX = 32
+# Bounds of what is kept. The target of docs/CAPACITY.md is 640 instances in 8 data centres.
+INSTANCE_COUNT_MAX = 4_096
+DATA_CENTRES_MAX = 64
+# Time after which a data centre that is silent is forgotten.
+DATA_CENTRE_TIMEOUT_MS = 600_000
+# Time without a summary after which a data centre counts as silent, if it has as many instances as
+# this one. Its summaries then arrive once in 1,000 ms on average and at random: 1 of 150 gaps is
+# longer.
+SILENCE_MS = 5_000
+# Numbers in a summary are rounded to whole ones, which are encoded in fewer bytes, if that changes
+# them by at most this part.
+ROUNDING_MAX = 0.02
+_UNITS_PER_ONE = 1_024
+_MS_PER_S = 1_000
+
+
+class SummaryResult(enum.Enum):
+    """What became of a summary."""
+
+    APPLIED = "applied"
+    # It is not newer than the last one of its sender.
+    STALE = "stale"
+    # Its sequence number is higher than the sender can have reached.
+    FUTURE = "future"
+    # It holds a value that cannot be true.
+    IMPOSSIBLE = "impossible"
+
+
+class _Heard:
+    """The latest summary of an instance or a data centre."""
+
+    __slots__ = ("received_at_ms", "summary")
+
+    def __init__(self, summary: RoomSummary, received_at_ms: int) -> None:
+        self.summary = summary
+        self.received_at_ms = received_at_ms
+
+    def is_fresh(self, now_ms: int) -> bool:
+        """Whether it is still used."""
+        return now_ms - self.received_at_ms < SUMMARY_TIMEOUT_MS
+
+
+class _DemandSum:
+    """Sum of demands of one route to one service, in units of 1 / _UNITS_PER_ONE."""
+
+    __slots__ = ("committed", "count", "offered", "priority", "requests")
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.offered = 0
+        self.committed = 0
+        # Requests per 1,000 s, of which the work of a request follows.
+        self.requests = 0
+        self.priority = 0
+
+    def add(self, demand: RouteDemand, sign: int, factor: float) -> None:
+        """Adds a demand, multiplied by a factor; subtracts it if the sign is -1."""
+        requests = _MS_PER_S * compute_demanded_work(demand) / demand.work_ms
+        self.count += sign
+        self.offered += sign * _to_units(demand.offered_work_ms_per_s * factor)
+        self.committed += sign * _to_units(demand.committed_work_ms_per_s * factor)
+        self.requests += sign * _to_units(requests * factor)
+        if sign > 0:
+            self.priority = demand.priority
+
+
+class LoadSum:
+    """Sum of demand and requests in flight over summaries.
+
+    Attributes:
+        in_flight: Requests in flight by service and data centre of the upstreams.
+    """
+
+    __slots__ = ("_demands", "_in_flight")
+
+    def __init__(self) -> None:
+        self._demands: dict[tuple[str, str], _DemandSum] = {}
+        self._in_flight: dict[tuple[str, str], int] = collections.defaultdict(int)
+
+    def add(self, summary: RoomSummary, sign: int = 1, factor: float = 1.0) -> None:
+        """Adds a summary, multiplied by a factor; removes one that was added if the sign is -1."""
+        for demand in summary.demands:
+            key = (demand.route, demand.service)
+            demand_sum = self._demands.get(key)
+            if demand_sum is None:
+                demand_sum = self._demands[key] = _DemandSum()
+            demand_sum.add(demand, sign, factor)
+            if not demand_sum.count:
+                del self._demands[key]
+        for entry in summary.in_flight:
+            place = (entry.service, entry.data_centre)
+            self._in_flight[place] += sign * _to_units(entry.requests * factor)
+            if not self._in_flight[place]:
+                del self._in_flight[place]
+
+    def add_sum(self, other: "LoadSum", factor: float) -> None:
+        """Adds another sum, multiplied by a factor."""
+        for key, added in other._demands.items():
+            demand_sum = self._demands.get(key)
+            if demand_sum is None:
+                demand_sum = self._demands[key] = _DemandSum()
+            demand_sum.count += added.count
+            demand_sum.offered += round(added.offered * factor)
+            demand_sum.committed += round(added.committed * factor)
+            demand_sum.requests += round(added.requests * factor)
+            demand_sum.priority = added.priority
+        for place, units in other._in_flight.items():
+            self._in_flight[place] += round(units * factor)
+
+    def list_demands(self) -> list[RouteDemand]:
+        """Returns the demand by route and service, in order of decreasing work."""
+        demands = []
+        for (route, service), demand_sum in self._demands.items():
+            work = demand_sum.offered + demand_sum.committed
+            if work <= 0 or demand_sum.requests <= 0:
+                continue
+            demands.append(
+                RouteDemand(
+                    route,
+                    service,
+                    demand_sum.priority,
+                    max(WORK_MIN_MS, _MS_PER_S * work / demand_sum.requests),
+                    _from_units(demand_sum.offered),
+                    _from_units(demand_sum.committed),
+                )
+            )
+        demands.sort(key=compute_demanded_work, reverse=True)
+        return demands
+
+    @property
+    def in_flight(self) -> dict[tuple[str, str], float]:
+        """Requests in flight by service and data centre of the upstreams."""
+        return {place: _from_units(units) for place, units in self._in_flight.items() if units > 0}
+
+
+class MergedLoad:
+    """Demand and load of all instances, merged from their summaries.
+
+    Attributes:
+        demands_by_service: Demand by route, for each service.
+        in_flight: Requests in flight by service and data centre of the upstreams.
+        fresh_data_centres: Other data centres that a summary was heard from in time.
+        age_ms: Age of the oldest summary that was used.
+        is_estimate: Whether less than half of the known instances of the own data centre have been
+            heard from, directly or in a partial sum.
+    """
+
+    __slots__ = ("age_ms", "demands_by_service", "fresh_data_centres", "in_flight", "is_estimate")
+
+    def __init__(
+        self,
+        load_sum: LoadSum,
+        fresh_data_centres: frozenset[str],
+        age_ms: int,
+        is_estimate: bool,
+    ) -> None:
+        self.demands_by_service: dict[str, list[RouteDemand]] = collections.defaultdict(list)
+        for demand in load_sum.list_demands():
+            self.demands_by_service[demand.service].append(demand)
+        self.in_flight = load_sum.in_flight
+        self.fresh_data_centres = fresh_data_centres
+        self.age_ms = age_ms
+        self.is_estimate = is_estimate
+
+
+class SummaryTable:
+    """Keeps the latest summaries of other instances and merges them.
+
+    Args:
+        name: Name of this instance.
+        data_centre: Data centre of this instance.
+        find_requests_max: Returns a bound of the requests in flight to a service in a data centre
+            at a time; None if there is none.
+
+    Attributes:
+        counts: Number of summaries by result.
+    """
+
+    __slots__ = (
+        "_by_data_centre",
+        "_by_sender",
+        "_data_centre",
+        "_find_requests_max",
+        "_local_count",
+        "_local_sum",
+        "_name",
+        "counts",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        find_requests_max: Callable[[str, str, int], float | None],
+    ) -> None:
+        self._name = name
+        self._data_centre = data_centre
+        self._find_requests_max = find_requests_max
+        self._by_sender: dict[str, _Heard] = {}
+        # Latest aggregate of each other data centre, kept also when it is no longer used.
+        self._by_data_centre: dict[str, _Heard] = {}
+        # Sum over the summaries of the local instances in `_by_sender`.
+        self._local_sum = LoadSum()
+        # Instances in that sum; one that is in several summaries counts several times.
+        self._local_count = 0
+        self.counts: collections.Counter[SummaryResult] = collections.Counter()
+
+    def apply(self, summary: RoomSummary, now_ms: int) -> bool:
+        """Replaces the summary of an instance.
+
+        Returns:
+            Whether it is used. It is not if it is stale, a duplicate, from the future, or tells
+            something that is impossible.
+        """
+        self.expire(now_ms)
+        result = self._judge(summary, now_ms)
+        self.counts[result] += 1
+        if result is not SummaryResult.APPLIED:
+            return False
+        self._remove(summary.sender)
+        self._by_sender[summary.sender] = heard = _Heard(summary, now_ms)
+        if summary.data_centre == self._data_centre:
+            self._local_sum.add(summary)
+            self._local_count += summary.instance_count
+        else:
+            self._by_data_centre[summary.data_centre] = heard
+        return True
+
+    def expire(self, now_ms: int) -> None:
+        """Forgets the instances whose last summary is too old."""
+        # The order is that of arrival, because each summary is inserted anew.
+        for sender, heard in list(self._by_sender.items()):
+            if heard.is_fresh(now_ms):
+                break
+            self._remove(sender)
+        for data_centre, heard in list(self._by_data_centre.items()):
+            if now_ms - heard.received_at_ms >= DATA_CENTRE_TIMEOUT_MS:
+                del self._by_data_centre[data_centre]
+
+    def merge(self, own: RoomSummary, local_instance_count: int, now_ms: int) -> MergedLoad:
+        """Returns the demand and load of all instances.
+
+        Args:
+            own: Summary of this instance.
+            local_instance_count: Number of known instances of this data centre, including this one.
+            now_ms: Current time.
+        """
+        self.expire(now_ms)
+        heard_count = 1 + self._local_count
+        load_sum = self._sum_local(own, local_instance_count)
+        fresh = {
+            data_centre: heard
+            for data_centre, heard in self._by_data_centre.items()
+            if heard.is_fresh(now_ms)
+        }
+        used = [heard.received_at_ms for heard in fresh.values()]
+        for heard in fresh.values():
+            load_sum.add(heard.summary)
+        local = [
+            heard.received_at_ms
+            for heard in self._by_sender.values()
+            if heard.summary.data_centre == self._data_centre
+        ]
+        oldest_at_ms = min([*used, *local], default=now_ms)
+        return MergedLoad(
+            load_sum,
+            frozenset(fresh),
+            max(0, now_ms - oldest_at_ms),
+            2 * heard_count < local_instance_count,
+        )
+
+    def build_partial_sum(self, own: RoomSummary, now_ms: int) -> RoomSummary:
+        """Returns the sum over this instance and those of its data centre heard from lately."""
+        load_sum = LoadSum()
+        load_sum.add(own)
+        instance_count = 1
+        for heard in reversed(self._by_sender.values()):
+            is_recent = now_ms - heard.received_at_ms < PARTIAL_SUM_AGE_MAX_MS
+            if not is_recent or instance_count == PARTIAL_SUM_MAX:
+                break
+            if heard.summary.data_centre == self._data_centre and heard.summary.instance_count == 1:
+                load_sum.add(heard.summary)
+                instance_count += 1
+        return self._summarise(load_sum, own, instance_count)
+
+    def build_aggregate(
+        self, own: RoomSummary, local_instance_count: int, now_ms: int
+    ) -> RoomSummary:
+        """Returns the sum over this data centre, for the instances of others.
+
+        Args:
+            own: Summary of this instance, whose sequence number the sum gets.
+            local_instance_count: Number of known instances of this data centre, including this one.
+            now_ms: Current time.
+        """
+        self.expire(now_ms)
+        load_sum = self._sum_local(own, local_instance_count)
+        return self._summarise(load_sum, own, min(INSTANCE_COUNT_MAX, local_instance_count))
+
+    def _summarise(self, load_sum: LoadSum, own: RoomSummary, instance_count: int) -> RoomSummary:
+        in_flight = sorted(load_sum.in_flight.items(), key=lambda item: item[1], reverse=True)
+        return RoomSummary(
+            own.sender,
+            own.sequence,
+            self._data_centre,
+            instance_count,
+            tuple(load_sum.list_demands()[:DEMANDS_MAX]),
+            tuple(
+                ServiceInFlight(service, data_centre, min(AMOUNT_MAX, requests))
+                for (service, data_centre), requests in in_flight[:IN_FLIGHT_MAX]
+            ),
+        )
+
+    def is_silent(self, data_centre: str, local_instance_count: int, now_ms: int) -> bool:
+        """Whether a data centre told something before, but nothing for some time.
+
+        An instance of a large data centre hears less often from a small one, because each instance
+        of that one tells only one here.
+        """
+        heard = self._by_data_centre.get(data_centre)
+        if heard is None:
+            return False
+        ratio = max(1.0, local_instance_count / heard.summary.instance_count)
+        return now_ms - heard.received_at_ms >= SILENCE_MS * ratio
+
+    def _sum_local(self, own: RoomSummary, local_instance_count: int) -> LoadSum:
+        factor = local_instance_count / (1 + self._local_count)
+        load_sum = LoadSum()
+        load_sum.add_sum(self._local_sum, factor)
+        load_sum.add(own, factor=factor)
+        return load_sum
+
+    def _remove(self, sender: str) -> None:
+        heard = self._by_sender.pop(sender, None)
+        if heard is not None and heard.summary.data_centre == self._data_centre:
+            self._local_sum.add(heard.summary, -1)
+            self._local_count -= heard.summary.instance_count
+
+    def _judge(self, summary: RoomSummary, now_ms: int) -> SummaryResult:
+        if not self._is_possible(summary, now_ms):
+            return SummaryResult.IMPOSSIBLE
+        previous = self._by_sender.get(summary.sender)
+        if previous is None:
+            return SummaryResult.APPLIED
+        advance = summary.sequence - previous.summary.sequence
+        if -SUMMARY_REORDER_MAX < advance <= 0:
+            return SummaryResult.STALE
+        age_ms = now_ms - previous.received_at_ms
+        advance_max = SUMMARY_REORDER_MAX + SEQUENCE_RATE_MAX_PER_S * age_ms / _MS_PER_S
+        return SummaryResult.APPLIED if advance <= advance_max else SummaryResult.FUTURE
+
+    def _is_possible(self, summary: RoomSummary, now_ms: int) -> bool:
+        is_local = summary.data_centre == self._data_centre
+        count_max = PARTIAL_SUM_MAX if is_local else INSTANCE_COUNT_MAX
+        if summary.sender == self._name or not 1 <= summary.instance_count <= count_max:
+            return False
+        if len(self._by_sender) >= INSTANCE_COUNT_MAX and summary.sender not in self._by_sender:
+            return False
+        is_new_data_centre = not is_local and summary.data_centre not in self._by_data_centre
+        if is_new_data_centre and len(self._by_data_centre) >= DATA_CENTRES_MAX:
+            return False
+        return (
+            len(summary.demands) <= DEMANDS_MAX
+            and len(summary.in_flight) <= IN_FLIGHT_MAX
+            and _are_distinct((demand.route, demand.service) for demand in summary.demands)
+            and _are_distinct((entry.service, entry.data_centre) for entry in summary.in_flight)
+            and all(_is_demand_possible(demand) for demand in summary.demands)
+            and all(self._is_in_flight_possible(entry, now_ms) for entry in summary.in_flight)
+        )
+
+    def _is_in_flight_possible(self, entry: ServiceInFlight, now_ms: int) -> bool:
+        if not _is_amount(entry.requests):
+            return False
+        requests_max = self._find_requests_max(entry.service, entry.data_centre, now_ms)
+        return requests_max is None or entry.requests <= requests_max
+
+
+def shorten_numbers(summary: RoomSummary) -> RoomSummary:
+    """Returns a summary whose numbers are whole where that changes them by little."""
+    return RoomSummary(
+        summary.sender,
+        summary.sequence,
+        summary.data_centre,
+        summary.instance_count,
+        tuple(
+            RouteDemand(
+                demand.route,
+                demand.service,
+                demand.priority,
+                _shorten(demand.work_ms),
+                _shorten(demand.offered_work_ms_per_s),
+                _shorten(demand.committed_work_ms_per_s),
+            )
+            for demand in summary.demands
+        ),
+        tuple(
+            ServiceInFlight(entry.service, entry.data_centre, _shorten(entry.requests))
+            for entry in summary.in_flight
+        ),
+    )
+
+
+def _shorten(number: float) -> float:
+    rounded = round(number)
+    return rounded if abs(rounded - number) <= ROUNDING_MAX * number else number
+
+
+def _to_units(number: float) -> int:
+    return round(number * _UNITS_PER_ONE)
+
+
+def _from_units(units: int) -> float:
+    return min(float(AMOUNT_MAX), units / _UNITS_PER_ONE)
+
+
+def _is_amount(number: float) -> bool:
+    return math.isfinite(number) and 0 <= number <= AMOUNT_MAX
+
+
+def _is_demand_possible(demand: RouteDemand) -> bool:
+    return (
+        demand.work_ms >= WORK_MIN_MS
+        and _is_amount(demand.work_ms)
+        and _is_amount(demand.offered_work_ms_per_s)
+        and _is_amount(demand.committed_work_ms_per_s)
+    )
+
+
+def _are_distinct(keys: Iterable[tuple[str, str]]) -> bool:
+    listed = list(keys)
+    return len(set(listed)) == len(listed)
