--- a/src/catkinspread/admission/__init__.py
+++ b/src/catkinspread/admission/__init__.py
@@ -3,6 +3,11 @@
 See `docs/admission.md`.
 """
 
+from catkinspread.admission.capacity import UpstreamCapacity
+from catkinspread.admission.demand import DemandMeter
+from catkinspread.admission.own_summary import OwnSummaryBuilder
+from catkinspread.admission.room import RoomEstimator
+from catkinspread.admission.summaries import SummaryResult, SummaryTable
 from catkinspread.admission.types import (
     DEMANDS_MAX,
     IN_FLIGHT_MAX,
@@ -12,13 +17,21 @@
     ServiceInFlight,
     ServiceRoom,
 )
+from catkinspread.admission.work import WorkEstimator
 
 __all__ = [
     "DEMANDS_MAX",
     "IN_FLIGHT_MAX",
+    "DemandMeter",
+    "OwnSummaryBuilder",
+    "RoomEstimator",
     "RoomSummary",
     "RoomView",
     "RouteDemand",
     "ServiceInFlight",
     "ServiceRoom",
+    "SummaryResult",
+    "SummaryTable",
+    "UpstreamCapacity",
+    "WorkEstimator",
 ]
