A killed instance of a small data centre is not replaced in the sums

Cause: directories list a killed instance for 20 s, while the others have its callers; the sum of three instances was scaled by 3/2. Change: with up to three known instances, of which each hears every summary, those that are silent while another is heard count as ended. An instance that hears none still assumes its own load for the others.

--- a/src/catkinspread/admission/summaries.py
+++ b/src/catkinspread/admission/summaries.py
@@ -33,6 +33,10 @@
 # Highest rate at which the sequence numbers of an instance increase: four times that of
 # `runtime.room_reports`, so that a delay of the previous summary does not matter.
 SEQUENCE_RATE_MAX_PER_S = 16
+# Number of instances of a data centre up to which each one hears every summary of the others, because
+# it has two recipients. One that is silent there while another is heard has ended: a directory goes
+# on listing a killed instance for 20 s, in which the sum would count its load twice.
+DIRECT_INSTANCES_MAX = 3
 # Number of instances of a data centre up to which an instance hears from most others directly.
 PARTIAL_SUMS_MIN = 16
 # Age up to which a summary is part of a partial sum. It adds to the age of the partial sum itself.
@@ -366,6 +370,8 @@
 
     def _sum_local(self, own: RoomSummary, local_instance_count: int) -> LoadSum:
         factor = local_instance_count / (1 + self._local_count)
+        if self._local_count and local_instance_count <= DIRECT_INSTANCES_MAX:
+            factor = min(1.0, factor)
         load_sum = LoadSum()
         load_sum.add_sum(self._local_sum, factor)
         load_sum.add(own, factor=factor)
