Admission controller describes the inputs of its decisions

Cause: the line of a refused flow needs the service, share and occupancy that decided, and AdmissionPolicy has describe() for it.

Change: AdmissionController.describe, with the occupancy of the last update; the package exports what the wiring uses.

Result: test_controller passes with 2 new tests.

--- a/src/catkinspread/admission/__init__.py
+++ b/src/catkinspread/admission/__init__.py
@@ -4,9 +4,12 @@
 """
 
 from catkinspread.admission.capacity import UpstreamCapacity
+from catkinspread.admission.controller import AdmissionController
 from catkinspread.admission.demand import DemandMeter
 from catkinspread.admission.own_summary import OwnSummaryBuilder
 from catkinspread.admission.room import RoomEstimator
+from catkinspread.admission.service_level import AdmissionChange
+from catkinspread.admission.settings import AdmissionMode, AdmissionSettings
 from catkinspread.admission.summaries import SummaryResult, SummaryTable
 from catkinspread.admission.types import (
     DEMANDS_MAX,
@@ -22,6 +25,10 @@
 __all__ = [
     "DEMANDS_MAX",
     "IN_FLIGHT_MAX",
+    "AdmissionChange",
+    "AdmissionController",
+    "AdmissionMode",
+    "AdmissionSettings",
     "DemandMeter",
     "OwnSummaryBuilder",
     "RoomEstimator",
--- a/src/catkinspread/admission/controller.py
+++ b/src/catkinspread/admission/controller.py
@@ -12,7 +12,7 @@
 from catkinspread.admission.settings import AdmissionMode, AdmissionSettings
 from catkinspread.admission.types import RoomView
 from catkinspread.deployment import Route
-from catkinspread.forwarding.admission_policy import AdmissionVerdict
+from catkinspread.forwarding.admission_policy import AdmissionInputs, AdmissionVerdict
 
 # Time for which a caller has waited when it sends the opening packet for the first, second and
 # third time.
@@ -224,6 +224,19 @@
             if level is not None:
                 level.recent_occupancy.record(occupied / work_slots)
 
+    def describe(self, route: Route) -> AdmissionInputs:
+        """Returns the inputs of decisions about a route; see `AdmissionPolicy`.
+
+        Of several services, the first limited one is described, otherwise the first one.
+        """
+        state = self._routes.get(route.name)
+        levels = [] if state is None else [level for level, _ in state.levels if level is not None]
+        level = next((level for level in levels if level.is_limited), None)
+        share = 1.0 if state is None or state.share is None else state.share
+        if level is None:
+            return AdmissionInputs(route.shares[0].service, route.priority, share, 0.0)
+        return AdmissionInputs(level.service, route.priority, share, level.occupancy)
+
     def _decide_first(
         self, state: RouteLevel, route: Route, caller_ip: int, waited_ms: int, now_ms: int
     ) -> AdmissionVerdict:
--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -168,6 +168,11 @@
         self.admitted_share = admitted / offered if offered else 1.0
         self.expected_wait_ms = max(0.0, room.occupancy - 1) * self._compute_mean_work_ms(room)
 
+    @property
+    def occupancy(self) -> float:
+        """Requests in flight per work slot at the last update; 0 before the first."""
+        return 0.0 if self._room is None else self._room.occupancy
+
     def find_change(self, now_ms: int) -> AdmissionChange | None:
         """Returns the change since `last_change`; None if there is none or that was too recent."""
         last = self.last_change
--- a/src/catkinspread/admission/tests/test_controller.py
+++ b/src/catkinspread/admission/tests/test_controller.py
@@ -5,7 +5,7 @@
 from catkinspread.admission.tests.load_play import SERVICE, build_route
 from catkinspread.admission.types import RouteDemand, ServiceRoom
 from catkinspread.deployment import Route
-from catkinspread.forwarding.admission_policy import AdmissionVerdict
+from catkinspread.forwarding.admission_policy import AdmissionInputs, AdmissionVerdict
 
 ADMITTED, NO_ROOM, TOO_LATE = AdmissionVerdict
 HIGH = build_route("high", 1, 1_000, 500)
@@ -198,3 +198,21 @@
     harness.decide(LOW, 1)
     harness.update(60)
     assert 30 <= harness.estimate_count <= 41
+
+
+def test_inputs_of_decisions_are_those_of_the_limited_service() -> None:
+    """Guards against a log line that explains a refusal by figures of another moment."""
+    harness = _Harness()
+    assert harness.controller.describe(LOW) == AdmissionInputs(SERVICE, 2, 1.0, 0.0)
+    harness.limit(occupancy=2.25)
+    inputs = harness.controller.describe(LOW)
+    assert (inputs.service, inputs.priority, inputs.occupancy) == (SERVICE, 2, 2.25)
+    shares = {found.route: found.share for found in harness.controller.list_routes()}
+    assert inputs.share == shares["low"] < 1
+
+
+def test_route_that_is_not_known_has_inputs() -> None:
+    """Guards against a log line that fails for a route of the newest configuration."""
+    controller = _Harness().controller
+    unknown = build_route("unknown", 3, 1_000, 500)
+    assert controller.describe(unknown).share == 1.0
