Settings of admission control

Cause: the mode and the margins of admission control were constants.

Change: the optional section [admission] with the fields of AdmissionSettings. Each value is checked against its range, and values that do not fit one another are one problem of the section. Without the section the defaults hold, so that existing files stay valid.

--- a/src/catkinspread/runtime/settings.py
+++ b/src/catkinspread/runtime/settings.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from catkinspread.admission.settings import AdmissionSettings
 from catkinspread.ini import (
     Field,
     parse_endpoint,
@@ -15,6 +16,11 @@
     read_ini_file,
 )
 from catkinspread.model import Endpoint
+from catkinspread.runtime.admission_settings import (
+    ADMISSION_FIELDS,
+    SECTION,
+    build_admission_settings,
+)
 
 _MS_PER_S = 1_000
 _HOUR_MS = 3_600_000
@@ -41,6 +47,7 @@
             `peer_port`; the port is ignored.
         source_address: Address of the source of the deployment state.
         heartbeat_ms: Interval at which upstreams report.
+        admission: Mode and margins of admission control.
     """
 
     name: str
@@ -55,6 +62,7 @@
     seeds: tuple[Endpoint, ...]
     source_address: Endpoint
     heartbeat_ms: int
+    admission: AdmissionSettings = AdmissionSettings()
 
 
 def _parse_seconds(text: str) -> int:
@@ -91,6 +99,7 @@
     Field("peers", "seeds", _parse_endpoints),
     Field("source", "address", parse_endpoint),
     Field("source", "heartbeat_ms", parse_integer(1, _HOUR_MS)),
+    *ADMISSION_FIELDS,
 ]
 
 
@@ -124,4 +133,5 @@
         seeds=values["peers"]["seeds"],
         source_address=values["source"]["address"],
         heartbeat_ms=values["source"]["heartbeat_ms"],
+        admission=build_admission_settings(file_name, values[SECTION]),
     )
--- a/src/catkinspread/runtime/tests/test_settings.py
+++ b/src/catkinspread/runtime/tests/test_settings.py
@@ -7,6 +7,7 @@
 import pytest
 
 import catkinspread.platform
+from catkinspread.admission.settings import AdmissionMode, AdmissionSettings
 from catkinspread.ini import SettingsError, parse_ini
 from catkinspread.model import Endpoint
 from catkinspread.runtime.settings import build_forwarding_settings, read_forwarding_settings
@@ -83,3 +84,44 @@
     assert {name: set(filled[name]) for name in filled.sections()} == {
         name: set(expected[name]) for name in expected.sections()
     }
+
+
+def _read(section: str) -> AdmissionSettings:
+    return build_forwarding_settings("x.ini", parse_ini("x.ini", VALID + section)).admission
+
+
+def test_file_without_admission_has_the_defaults() -> None:
+    """Guards against a file of the version before that is refused, or changes what it means."""
+    assert _read("") == AdmissionSettings()
+
+
+def test_reads_the_margins_of_admission() -> None:
+    """Guards against a margin that is read into another field."""
+    settings = _read(
+        "[admission]\nmode = always\nlimit_occupancy = 3.5\nlimit_update_count = 4\n"
+        "release_occupancy = 2.25\nrelease_demand_share = 0.8\nrelease_after_ms = 500\n"
+        "minimum_share = 0.1\ntrim_lower_occupancy = 4\ntrim_raise_occupancy = 3\n"
+        "trim_min = 0.25\ntrim_max = 2\n"
+    )
+    assert settings == AdmissionSettings(
+        AdmissionMode.ALWAYS, 3.5, 4, 2.25, 0.8, 500, 0.1, 4.0, 3.0, 0.25, 2.0
+    )
+
+
+@pytest.mark.parametrize(
+    ("line", "place"),
+    [
+        ("mode = on", "[admission] mode = on: expected auto, always, off"),
+        ("limit_occupancy = 0.5", "[admission] limit_occupancy = 0.5: expected a number from 1"),
+        ("minimum_share = 2%", "[admission] minimum_share = 2%"),
+        ("release_after_ms = 1s", "[admission] release_after_ms = 1s"),
+        ("trim_min = 0", "[admission] trim_min = 0"),
+        ("minimum = 0.1", "[admission] minimum: unknown key"),
+        ("release_occupancy = 3", "[admission]: release_occupancy must be from 0 to 2"),
+    ],
+)
+def test_error_names_the_invalid_margin(line: str, place: str) -> None:
+    """Guards against an instance that refuses callers by a margin that nobody meant."""
+    with pytest.raises(SettingsError) as raised:
+        _read(f"[admission]\n{line}\n")
+    assert place in str(raised.value)
--- a/src/catkinspread/runtime/tests/test_settings_fuzz.py
+++ b/src/catkinspread/runtime/tests/test_settings_fuzz.py
@@ -14,7 +14,13 @@
 from catkinspread.runtime.settings import ForwardingSettings, read_forwarding_settings
 from catkinspread.runtime.tests.test_settings import VALID
 
-_LINES = [line for line in VALID.splitlines() if line]
+_ADMISSION = """
+[admission]
+mode = auto
+limit_occupancy = 2.0
+release_after_ms = 1000
+"""
+_LINES = [line for line in (VALID + _ADMISSION).splitlines() if line]
 # Values that parts of the standard library accept, reject or read in unexpected ways.
 _VALUES = [
     "",
@@ -95,9 +101,11 @@
 
 
 @pytest.mark.parametrize("value", _VALUES, ids=ascii)
-@pytest.mark.parametrize("key", ["packet_address", "peer_port"])
+@pytest.mark.parametrize(
+    "key", ["packet_address", "peer_port", "mode", "limit_occupancy", "release_after_ms"]
+)
 def test_unusual_value_is_rejected(path: pathlib.Path, key: str, value: str) -> None:
-    """Guards against an address or port that fails only once it is used."""
+    """Guards against an address, port or margin that fails only once it is used."""
     lines = [f"{key} = {value}" if line.startswith(key) else line for line in _LINES]
     path.write_text("\n".join(lines))
     error = _read(path)
