--- a/src/catkinspread/admission/room.py
+++ b/src/catkinspread/admission/room.py
@@ -69,6 +69,10 @@
             merged.is_estimate,
         )
 
+    def list_slots(self, service: str, now_ms: int) -> dict[str, float]:
+        """Returns the work slots of a service by data centre that can be reached."""
+        return dict(self._get_slots(service, self._get_merged(now_ms), now_ms))
+
     def list_loaded_services(self, now_ms: int) -> list[str]:
         """Returns the services with requests in flight."""
         return list({service for service, _ in self._get_merged(now_ms).in_flight})
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -12,7 +12,6 @@
 import anyio
 import anyio.abc
 
-from catkinspread.admission import RoomSummary
 from catkinspread.clock import Clock
 from catkinspread.deployment import (
     DeploymentState,
@@ -58,6 +57,7 @@
     StoreContactRegistry,
     read_request_id,
 )
+from catkinspread.runtime.admission_parts import AdmissionParts
 from catkinspread.runtime.flow_announcer import FlowAnnouncer
 from catkinspread.runtime.flow_messages import apply_announcement, apply_location
 from catkinspread.runtime.flow_metrics import list_flow_metrics
@@ -114,6 +114,7 @@
     """
 
     __slots__ = (
+        "_admission",
         "_cache",
         "_clock",
         "_cold_start_limiter",
@@ -182,6 +183,15 @@
         self._reporter = LoadReporter(
             self._member, self._state, self._loads, self._directory, self._rng
         )
+        self._admission = AdmissionParts(
+            self._member,
+            settings.admission,
+            self._state,
+            self._loads,
+            self._directory,
+            self._events,
+            self._rng,
+        )
         self._packet_port = PacketPort(
             settings.packet_address,
             self._handle_packet,
@@ -272,6 +282,7 @@
         tasks.add("flow_handover", self._flow_announcer.handover.send_due)
         tasks.add("upstream_monitor", self._upstream_monitor.update)
         tasks.add("load_reports", self._send_load_report)
+        self._admission.add_tasks(tasks, self._exchange.send_report)
         tasks.add("isolation_check", self._isolation.update)
         tasks.add("instance_count", self._update_instance_count)
         tasks.add("feeder_choice", lambda _: shared.update_feeder())
@@ -345,6 +356,7 @@
             log,
             read_request_id,
             self._flow_announcer,
+            self._admission.controller,
         )
 
     def _build_upstream_monitor(self) -> UpstreamMonitor:
@@ -370,9 +382,6 @@
     def _apply_flow_location(self, answer: FlowLocation, sender_host: str, now_ms: int) -> None:
         apply_location(self._forwarder, answer, sender_host, now_ms)
 
-    def _apply_room_summary(self, summary: RoomSummary, now_ms: int) -> None:
-        """Ignores a summary: no component of this instance uses it yet."""
-
     def _build_exchange(self) -> PeerExchange:
         return PeerExchange(
             self._member,
@@ -385,7 +394,7 @@
             self._apply_unreachable_report,
             self._apply_flow_announcement,
             self._apply_flow_location,
-            self._apply_room_summary,
+            self._admission.apply_summary,
             self._traffic,
             self._clock,
             self._rng,
@@ -458,6 +467,7 @@
     def _read_counts(self) -> dict[str, int]:
         return {
             **self._forwarder.counts,
+            **self._admission.read_counts(),
             **{f"bytes_{name}": count for name, count in self._traffic.bytes_by_name.items()},
             "malformed_packet": self._packet_port.malformed_count,
             "malformed_message": self._exchange.malformed_count,
@@ -482,11 +492,12 @@
         }
 
     def _read_labelled(self) -> list[LabelledMetric]:
-        return list_flow_metrics(
+        flows = list_flow_metrics(
             self._forwarder.placed_by_route,
             self._forwarder.refused_by_route,
             self._settings.data_centre,
         )
+        return [*flows, *self._admission.list_metrics(self._clock.now_ms())]
 
     def _handle_pause(self, pause_ms: int, now_ms: int) -> None:
         """Discards conclusions from a time in which the process was paused.
