Queues move towards a target while a service is limited

Cause: the room was divided by up to 3 while queues were nearly full, and a part was kept free from an occupancy of 2.5; queues swung between empty and full. Change: both are replaced by a correction of the room, 10% for each request per work slot off the target.

--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -25,19 +25,12 @@
 # the summaries are old. With changes at each update, it oscillated between 0.55 and 1 at 63
 # instances in the simulation, and upstreams between full queues and idle slots.
 TRIM_INTERVAL_MIN_MS = 500
-# Share of the room that is kept free for each queued request per work slot above
-# `trim_lower_occupancy`, so that full queues drain.
-DRAIN_SHARE = 0.1
-# Age of the summaries above which less is kept free, since older figures still show queues that
-# have drained.
-DRAIN_AGE_MS = 500
-# While own requests find queues that are nearly full, the room of all but the highest priority is
-# divided by a pressure that grows with each update, because demand is then larger than the
-# summaries show. It falls as soon as queues drain.
-PRESSURE_OCCUPANCY = 3.5
-PRESSURE_UP_FACTOR = 1.5
-PRESSURE_DOWN_FACTOR = 2.0
-PRESSURE_MAX = 3.0
+# Part of the room by which it is corrected for each request per work slot that queues are off their
+# target. Demand that is 5% more than the room fills queues within 5 s.
+QUEUE_GAIN = 0.1
+QUEUE_CORRECTION_MAX = 0.2
+# Age of summaries above which they correct less, as the queues have changed meanwhile.
+QUEUE_AGE_MS = 500
 # A change of the admitted share by less is not reported.
 REPORTED_CHANGE_MIN = 0.05
 REPORT_INTERVAL_MS = 1_000
@@ -93,7 +86,6 @@
         "_calm_since_ms",
         "_demands",
         "_hot_update_count",
-        "_pressure",
         "_room",
         "_settings",
         "_shares",
@@ -124,7 +116,6 @@
         self._shares: dict[str, float] = {}
         self._trim = 1.0
         self._trimmed_at_ms = 0
-        self._pressure = 1.0
         self._hot_update_count = 0
         self._calm_since_ms: int | None = None
 
@@ -154,7 +145,6 @@
             self.expected_wait_ms = 0.0
             return
         self._update_trim(room, now_ms)
-        self._update_pressure(room)
         self._shares = divide_room(
             self._compute_divided_room(room, growth), room.demands, self._settings.minimum_share
         )
@@ -270,7 +260,7 @@
         """
         total = self._compute_room(room)
         # Demand that grew by a factor has the same shares as a room that shrank by it.
-        reduced = total * (1 - self._compute_drain(room)) / max(growth, self._pressure)
+        reduced = total * self._compute_queue_correction(room) / growth
         highest = min((d.priority for d in room.demands if d.offered_work_ms_per_s), default=0)
         needed = sum(
             demand.committed_work_ms_per_s
@@ -279,20 +269,16 @@
         )
         return max(reduced, min(total, needed / (1 - self._settings.minimum_share)))
 
-    def _update_pressure(self, room: ServiceRoom) -> None:
+    def _compute_queue_correction(self, room: ServiceRoom) -> float:
+        """Returns the factor of the room that moves queues towards their target."""
         recent = self.recent_occupancy.estimate()
-        if (room.occupancy if recent is None else recent) >= PRESSURE_OCCUPANCY:
-            self._pressure = min(PRESSURE_MAX, self._pressure * PRESSURE_UP_FACTOR)
-        else:
-            self._pressure = max(1.0, self._pressure / PRESSURE_DOWN_FACTOR)
-
-    def _compute_drain(self, room: ServiceRoom) -> float:
-        """Returns the share of the room that is kept free for queued requests."""
-        recent = self.recent_occupancy.estimate()
-        occupancy = room.occupancy if recent is None else min(recent, room.occupancy)
-        excess = max(0.0, occupancy - self._settings.trim_lower_occupancy)
-        freshness = DRAIN_AGE_MS / max(DRAIN_AGE_MS, room.age_ms)
-        return min(0.5, DRAIN_SHARE * freshness * excess)
+        freshness = 1.0
+        if recent is None:
+            recent = room.occupancy
+            freshness = QUEUE_AGE_MS / max(QUEUE_AGE_MS, room.age_ms)
+        target = (self._settings.trim_raise_occupancy + self._settings.trim_lower_occupancy) / 2
+        correction = QUEUE_GAIN * freshness * (target - recent)
+        return 1 + min(QUEUE_CORRECTION_MAX, max(-QUEUE_CORRECTION_MAX, correction))
 
     def _compute_room(self, room: ServiceRoom) -> float:
         return room.slots * _MS_PER_S * self._trim
