Load: a quick answer counts as a usual one

Cause: an upstream that fails requests answers fast. Its average and its requests in flight fell, so it seemed the best one, here and, by the reports, on the other instances. Change: an answer in less than a third of the time that is usual in its data centre counts as a usual one in the average, in the load and in the reports. One sample raises the average at most threefold, since a single long request tells little about the next one.

--- a/src/catkinspread/forwarding/load.py
+++ b/src/catkinspread/forwarding/load.py
@@ -16,6 +16,21 @@
 RESPONSE_HALF_LIFE_MS = 1_500
 # Response time that is assumed for an upstream without samples.
 RESPONSE_DEFAULT_MS = 45.0
+# An answer that took less than this part of the usual response time is quick. Failed requests are
+# answered quickly; an upstream that is really faster than the others, but by less than the
+# reciprocal of this part, has no quick answers.
+QUICK_ANSWER_FRACTION = 0.33
+# Share of quick answers above which an upstream is not regarded as faster than the usual one. Below
+# it, quick answers shorten the average by at most as much.
+QUICK_SHARE_MAX = 0.1
+# Weight of a new answer in the share of quick answers.
+QUICK_SMOOTHING_FACTOR = 0.1
+# A sample counts as this multiple of the average at most: a single long request tells little about
+# the next one, while the average of an upstream that is slow for all requests still rises quickly.
+SAMPLE_MAX_MULTIPLE = 3.0
+# Weight of a new sample in the average of all answers. It is lower so that the average is close to
+# the mean although few requests take much longer than the others.
+TYPICAL_SMOOTHING_FACTOR = 0.05
 # An upstream that did not answer an opening packet in time is avoided for the back-off. A time-out
 # after the back-off has ended doubles the next one; time-outs before its end do not change it.
 BACKOFF_INITIAL_MS = 400
@@ -54,6 +69,12 @@
             packet or to a request.
         peer_in_flight: Number of such flows of other instances, according to their reports.
         last_placed_at_ms: When a flow was last placed on it.
+        usual_response_ms: Response time that is usual for the upstreams of its service in its data
+            centre; set by the placement.
+        typical_response_ms: Moving average of all measured response times as they are, which keeps
+            its value while there are no new samples; None before the first one.
+        quick_until_ms: For each quick answer, the time at which a usual answer would have come;
+            see `count_quick`.
     """
 
     __slots__ = (
@@ -61,28 +82,65 @@
         "_backoff_ms",
         "_backoff_since_ms",
         "_backoff_until_ms",
+        "_quick_share",
         "_sampled_at_ms",
         "in_flight",
         "last_placed_at_ms",
         "peer_in_flight",
+        "quick_until_ms",
+        "typical_response_ms",
+        "usual_response_ms",
     )
 
     def __init__(self) -> None:
         self.in_flight = 0
         self.peer_in_flight = 0
         self.last_placed_at_ms = 0
+        self.usual_response_ms = RESPONSE_DEFAULT_MS
+        self.typical_response_ms: float | None = None
+        self.quick_until_ms: list[float] = []
         self._average_response_ms = RESPONSE_DEFAULT_MS
         self._sampled_at_ms = 0
+        self._quick_share = 0.0
         self._backoff_ms = 0
         self._backoff_since_ms = 0
         self._backoff_until_ms = 0
 
     def record_response_time(self, response_ms: int, now_ms: int) -> None:
-        """Adds the measured response time of a request to the moving average."""
-        current = self.estimate_unqueued_response_ms(now_ms)
-        self._average_response_ms = current + RESPONSE_SMOOTHING_FACTOR * (response_ms - current)
+        """Adds the measured response time of a request to the moving averages.
+
+        A quick answer counts as a usual one, also for the load: otherwise an upstream that fails its
+        requests fast would seem the best one and get more of them.
+        """
+        typical_ms = self.typical_response_ms
+        if typical_ms is None:
+            self.typical_response_ms = float(response_ms)
+        else:
+            change_ms = TYPICAL_SMOOTHING_FACTOR * (response_ms - typical_ms)
+            self.typical_response_ms = typical_ms + change_ms
+        usual_ms = self.usual_response_ms
+        current_ms = self.estimate_unqueued_response_ms(now_ms)
+        counted_ms = min(float(response_ms), SAMPLE_MAX_MULTIPLE * current_ms)
+        is_quick = response_ms < QUICK_ANSWER_FRACTION * usual_ms
+        self._quick_share += QUICK_SMOOTHING_FACTOR * (is_quick - self._quick_share)
+        if is_quick:
+            counted_ms = usual_ms
+            self.quick_until_ms = [until for until in self.quick_until_ms if until > now_ms]
+            self.quick_until_ms.append(now_ms + usual_ms - response_ms)
+        self._average_response_ms = current_ms + RESPONSE_SMOOTHING_FACTOR * (
+            counted_ms - current_ms
+        )
         self._sampled_at_ms = now_ms
 
+    @property
+    def has_quick_answers(self) -> bool:
+        """Whether so many of its answers are quick that it may be failing requests."""
+        return self._quick_share > QUICK_SHARE_MAX
+
+    def count_quick(self, now_ms: int) -> int:
+        """Returns the number of requests that would be in flight still after a usual answer."""
+        return sum(until_ms > now_ms for until_ms in self.quick_until_ms)
+
     def estimate_unqueued_response_ms(self, now_ms: int) -> float:
         """Returns the response time that is expected of a request that does not queue.
 
@@ -180,6 +238,17 @@
         """Returns `UpstreamLoad.in_flight` by name of the upstream, without zero counts."""
         return {name: load.in_flight for name, load in self._loads.items() if load.in_flight}
 
+    def list_reported_load(self, now_ms: int) -> dict[str, int]:
+        """Returns the load that other instances are told, by name of the upstream.
+
+        It is the load in flight and the requests that were answered unusually fast, so that the
+        other instances do not prefer an upstream that fails its requests fast either.
+        """
+        counts = {
+            name: load.in_flight + load.count_quick(now_ms) for name, load in self._loads.items()
+        }
+        return {name: count for name, count in counts.items() if count}
+
     def _add_peer_load(self, in_flight: Mapping[str, int], sign: int) -> None:
         for name, count in in_flight.items():
             self._loads[name].peer_in_flight += sign * count
