Placement: measured penalty, load of other data centres, early spill-over

Cause: the penalty of another data centre was fixed, its load known only as far as this instance had placed it, and flows spilled over only once all slots of the own data centre were taken. Change: the penalty follows from the measured handshakes and the occupancy view gives the least load of each upstream elsewhere. An upstream elsewhere is never assumed to be faster than is usual there and in the own data centre. The figures of a service are computed every 250 ms.

--- /dev/null
+++ b/src/catkinspread/forwarding/response_estimates.py
@@ -0,0 +1,178 @@
+"""Figures about the upstreams of a service that the choices of a short time share.
+
+They would cost as much as a choice if each choice computed them.
+"""
+
+import statistics
+from collections.abc import Sequence
+
+from catkinspread.deployment import KnownUpstream
+from catkinspread.forwarding.admission_policy import OccupancyView
+from catkinspread.forwarding.handshakes import HandshakeEstimator
+from catkinspread.forwarding.load import RESPONSE_DEFAULT_MS, LoadTracker, UpstreamLoad
+from catkinspread.forwarding.spill_over import SpillOver
+
+# Added to the expected response time of upstreams in other data centres while the handshakes with
+# them are not measured. It exceeds the network latency because traffic between data centres costs
+# money and can be interrupted.
+REMOTE_PENALTY_MS = 25.0
+# Added to the measured difference of the handshakes, for the same reason.
+REMOTE_MARGIN_MS = 20.0
+REMOTE_PENALTY_MAX_MS = 200.0
+# Fraction of the time between the opening packet and the answer that the upstream spends on the
+# request; the rest is network latency.
+PROCESSING_FRACTION = 0.7
+# Interval between updates of the figures of a service. The averages that they are computed from
+# change by a few per cent in this time.
+UPDATE_INTERVAL_MS = 250
+
+
+class RemoteEstimate:
+    """What is assumed about the upstreams of a service in another data centre.
+
+    Attributes:
+        penalty_ms: Added to the expected response time.
+        occupancy: Least number of requests in flight per work slot of each upstream.
+        unqueued_min_ms: Least response time of a request that does not queue. Without it, an
+            upstream without samples would seem faster than the own ones of a slow service.
+        takes_spill_over: Whether its load is known to be clearly below that of the own data centre.
+    """
+
+    __slots__ = ("occupancy", "penalty_ms", "takes_spill_over", "unqueued_min_ms")
+
+    def __init__(
+        self, penalty_ms: float, occupancy: float, unqueued_min_ms: float, takes_spill_over: bool
+    ) -> None:
+        self.penalty_ms = penalty_ms
+        self.occupancy = occupancy
+        self.unqueued_min_ms = unqueued_min_ms
+        self.takes_spill_over = takes_spill_over
+
+
+class ServiceEstimates:
+    """Figures about the upstreams of one service.
+
+    Args:
+        service: Name of the service.
+        data_centre: Data centre of this instance.
+        loads: Load of the upstreams.
+        handshakes: Handshake times of the data centres.
+        occupancies: Load of the upstreams of other data centres.
+
+    Attributes:
+        spill_over: Share of the flows that may spill over.
+    """
+
+    __slots__ = (
+        "_data_centre",
+        "_handshakes",
+        "_loads",
+        "_occupancies",
+        "_own_usual_ms",
+        "_remotes",
+        "_service",
+        "_updated_at_ms",
+        "spill_over",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        data_centre: str,
+        loads: LoadTracker,
+        handshakes: HandshakeEstimator,
+        occupancies: OccupancyView,
+    ) -> None:
+        self._service = service
+        self._data_centre = data_centre
+        self._loads = loads
+        self._handshakes = handshakes
+        self._occupancies = occupancies
+        self.spill_over = SpillOver(data_centre)
+        self._own_usual_ms = 0.0
+        self._remotes: dict[str, RemoteEstimate] = {}
+        self._updated_at_ms: int | None = None
+
+    def update(self, usable: Sequence[KnownUpstream], now_ms: int) -> None:
+        """Computes the figures anew if the last update is UPDATE_INTERVAL_MS ago.
+
+        Args:
+            usable: Upstreams that get new flows.
+            now_ms: Current time.
+        """
+        last_ms = self._updated_at_ms
+        if last_ms is not None and now_ms - last_ms < UPDATE_INTERVAL_MS:
+            return
+        self._updated_at_ms = now_ms
+        by_data_centre: dict[str, list[tuple[KnownUpstream, UpstreamLoad]]] = {}
+        for upstream in usable:
+            record = upstream.record
+            members = by_data_centre.setdefault(record.data_centre, [])
+            members.append((upstream, self._loads.get(record.name)))
+        usual_ms = {name: _set_usual(members) for name, members in by_data_centre.items()}
+        own = by_data_centre.pop(self._data_centre, [])
+        own_occupancy = self._compute_own_occupancy(own, now_ms)
+        # The measured times include queueing, which the other data centre need not have.
+        queueing = max(1.0, PROCESSING_FRACTION * own_occupancy)
+        self._own_usual_ms = usual_ms.get(self._data_centre, 0.0) / queueing
+        self._remotes = {}
+        occupancies = {self._data_centre: own_occupancy}
+        for name in by_data_centre:
+            occupancy = self._occupancies.find_occupancy(self._service, name, now_ms)
+            if occupancy is not None:
+                occupancies[name] = occupancy
+        self.spill_over.update(occupancies, now_ms)
+        for name in by_data_centre:
+            self._remotes[name] = RemoteEstimate(
+                self._compute_penalty_ms(name),
+                occupancies.get(name, 0.0),
+                max(self._own_usual_ms, usual_ms[name]),
+                self.spill_over.may_take(name),
+            )
+
+    def get_remote(self, data_centre: str) -> RemoteEstimate:
+        """Returns what is assumed about the upstreams of another data centre."""
+        remote = self._remotes.get(data_centre)
+        if remote is None:
+            # Its upstreams became usable after the last update.
+            penalty_ms = self._compute_penalty_ms(data_centre)
+            remote = self._remotes[data_centre] = RemoteEstimate(
+                penalty_ms, 0.0, self._own_usual_ms, takes_spill_over=False
+            )
+        return remote
+
+    def _compute_own_occupancy(
+        self, own: Sequence[tuple[KnownUpstream, UpstreamLoad]], now_ms: int
+    ) -> float:
+        """Returns the load of the own data centre in requests in flight per work slot.
+
+        The view knows more than the reports of the other instances, which may reach this one in
+        part only.
+        """
+        seen = self._occupancies.find_occupancy(self._service, self._data_centre, now_ms)
+        slots = sum(upstream.record.work_slots for upstream, _ in own)
+        if seen is not None or not slots:
+            return seen or 0.0
+        return sum(load.in_flight + load.peer_in_flight for _, load in own) / slots
+
+    def _compute_penalty_ms(self, data_centre: str) -> float:
+        own_ms = self._handshakes.find_average_ms(self._data_centre)
+        other_ms = self._handshakes.find_average_ms(data_centre)
+        if own_ms is None or other_ms is None:
+            return REMOTE_PENALTY_MS
+        return min(REMOTE_PENALTY_MAX_MS, max(0.0, other_ms - own_ms) + REMOTE_MARGIN_MS)
+
+
+def _set_usual(members: Sequence[tuple[KnownUpstream, UpstreamLoad]]) -> float:
+    """Sets the usual response time of the upstreams of one data centre and returns it.
+
+    It is the median of their typical ones, so the upstreams that fail requests change it little
+    while they are the minority.
+    """
+    typical_ms = [
+        load.typical_response_ms for _, load in members if load.typical_response_ms is not None
+    ]
+    usual_ms = statistics.median(typical_ms) if typical_ms else RESPONSE_DEFAULT_MS
+    for _, load in members:
+        load.usual_response_ms = usual_ms
+    return usual_ms
