--- a/src/catkinspread/forwarding/load.py
+++ b/src/catkinspread/forwarding/load.py
@@ -73,6 +73,7 @@
             centre; set by the placement.
         typical_response_ms: Moving average of all measured response times as they are, which keeps
             its value while there are no new samples; None before the first one.
+        has_quick_answers: Whether so many of its answers are quick that it may be failing requests.
         quick_until_ms: For each quick answer, the time at which a usual answer would have come;
             see `count_quick`.
     """
@@ -84,6 +85,7 @@
         "_backoff_until_ms",
         "_quick_share",
         "_sampled_at_ms",
+        "has_quick_answers",
         "in_flight",
         "last_placed_at_ms",
         "peer_in_flight",
@@ -98,6 +100,7 @@
         self.last_placed_at_ms = 0
         self.usual_response_ms = RESPONSE_DEFAULT_MS
         self.typical_response_ms: float | None = None
+        self.has_quick_answers = False
         self.quick_until_ms: list[float] = []
         self._average_response_ms = RESPONSE_DEFAULT_MS
         self._sampled_at_ms = 0
@@ -123,6 +126,7 @@
         counted_ms = min(float(response_ms), SAMPLE_MAX_MULTIPLE * current_ms)
         is_quick = response_ms < QUICK_ANSWER_FRACTION * usual_ms
         self._quick_share += QUICK_SMOOTHING_FACTOR * (is_quick - self._quick_share)
+        self.has_quick_answers = self._quick_share > QUICK_SHARE_MAX
         if is_quick:
             counted_ms = usual_ms
             self.quick_until_ms = [until for until in self.quick_until_ms if until > now_ms]
@@ -132,11 +136,6 @@
         )
         self._sampled_at_ms = now_ms
 
-    @property
-    def has_quick_answers(self) -> bool:
-        """Whether so many of its answers are quick that it may be failing requests."""
-        return self._quick_share > QUICK_SHARE_MAX
-
     def count_quick(self, now_ms: int) -> int:
         """Returns the number of requests that would be in flight still after a usual answer."""
         return sum(until_ms > now_ms for until_ms in self.quick_until_ms)
--- a/src/catkinspread/forwarding/placement.py
+++ b/src/catkinspread/forwarding/placement.py
@@ -11,13 +11,17 @@
 
 import msgspec
 
-from catkinspread.deployment import DeploymentState, KnownUpstream, Route
+from catkinspread.deployment import DeploymentState, KnownUpstream, Route, UpstreamRecord
 from catkinspread.forwarding.admission_policy import NoOccupancyView, OccupancyView
 from catkinspread.forwarding.cold_start_limiter import ColdStartLimiter
 from catkinspread.forwarding.handshakes import HandshakeEstimator
 from catkinspread.forwarding.load import LoadTracker, UpstreamLoad
 from catkinspread.forwarding.packets import FlowKey, RejectionReason
-from catkinspread.forwarding.response_estimates import PROCESSING_FRACTION, ServiceEstimates
+from catkinspread.forwarding.response_estimates import (
+    PROCESSING_FRACTION,
+    Member,
+    ServiceEstimates,
+)
 
 # Step that expected response times are rounded to, so that upstreams with nearly equal ones
 # alternate.
@@ -132,34 +136,29 @@
     def _choose_in_service(
         self, service: str, now_ms: int, excluded: tuple[KnownUpstream, ...]
     ) -> UpstreamChoice | RejectionReason:
-        candidates = [
-            upstream
-            for upstream in self._state.list_eligible_upstreams(service)
-            if upstream not in excluded
-        ]
-        warm = [upstream for upstream in candidates if now_ms >= upstream.cold_until_ms]
+        estimates = self._find_estimates(service)
+        estimates.set_upstreams(self._state.list_eligible_upstreams(service))
+        estimates.update(now_ms)
+        candidates = estimates.list_members()
+        if excluded:
+            candidates = [member for member in candidates if member[0] not in excluded]
         responsive = [
-            upstream
-            for upstream in warm
-            if upstream.missing_since_ms is None
-            and not self._loads.get(upstream.record.name).is_in_backoff(now_ms)
+            (upstream, load)
+            for upstream, load in candidates
+            if now_ms >= upstream.cold_until_ms
+            and upstream.missing_since_ms is None
+            and not load.is_in_backoff(now_ms)
         ]
-        estimates = self._find_estimates(service)
         if responsive:
-            if not excluded:
-                estimates.update(responsive, now_ms)
             return self._choose_fastest(responsive, SelectionTier.NORMAL, estimates, now_ms)
         rate_per_s = self._state.find_service_limits(service).cold_rate_per_s
-        cold = self._find_cold_within_rate(candidates, rate_per_s, now_ms)
+        cold = self._list_cold_within_rate(candidates, rate_per_s, now_ms)
         if cold:
             choice = self._choose_fastest(cold, SelectionTier.COLD_START, estimates, now_ms)
             self._cold_start_limiter.record_flow(choice.upstream, rate_per_s, now_ms)
             return choice
-        probed = [
-            upstream
-            for upstream in warm
-            if self._loads.get(upstream.record.name).may_be_probed(now_ms)
-        ]
+        warm = [member for member in candidates if now_ms >= member[0].cold_until_ms]
+        probed = [member for member in warm if member[1].may_be_probed(now_ms)]
         if probed:
             return self._choose_fastest(probed, SelectionTier.UNRESPONSIVE, estimates, now_ms)
         if warm:
@@ -176,7 +175,7 @@
 
     def _choose_fastest(
         self,
-        candidates: list[KnownUpstream],
+        candidates: list[Member],
         tier: SelectionTier,
         estimates: ServiceEstimates,
         now_ms: int,
@@ -185,60 +184,58 @@
         share = estimates.spill_over.share
         if share and tier is SelectionTier.NORMAL and self._rng.random() < share:
             compared = self._list_spill_targets(candidates, estimates) or candidates
-        best = compared[0]
+        best, best_load = compared[0]
         best_rank = (float("inf"), 0, 0.0)
-        for upstream in compared:
-            load = self._loads.get(upstream.record.name)
-            estimate_ms = self._estimate_response_ms(upstream, load, estimates, now_ms)
+        for upstream, load in compared:
+            estimate_ms = self._estimate_response_ms(upstream.record, load, estimates, now_ms)
             if estimate_ms > best_rank[0]:
                 continue
             rank = (estimate_ms, load.last_placed_at_ms, self._rng.random())
             if rank < best_rank:
-                best, best_rank = upstream, rank
-        self._loads.get(best.record.name).last_placed_at_ms = now_ms
+                best, best_load, best_rank = upstream, load, rank
+        best_load.last_placed_at_ms = now_ms
         return UpstreamChoice(best, tier, best_rank[0], len(compared))
 
     def _list_spill_targets(
-        self, candidates: list[KnownUpstream], estimates: ServiceEstimates
-    ) -> list[KnownUpstream]:
+        self, candidates: list[Member], estimates: ServiceEstimates
+    ) -> list[Member]:
         return [
-            upstream
-            for upstream in candidates
+            (upstream, load)
+            for upstream, load in candidates
             if upstream.record.data_centre != self._data_centre
             and estimates.get_remote(upstream.record.data_centre).takes_spill_over
         ]
 
     def _estimate_response_ms(
         self,
-        upstream: KnownUpstream,
+        record: UpstreamRecord,
         load: UpstreamLoad,
         estimates: ServiceEstimates,
         now_ms: int,
     ) -> float:
-        record = upstream.record
         unqueued_ms = load.estimate_unqueued_response_ms(now_ms)
         in_flight: float = load.in_flight + load.peer_in_flight
         if load.quick_until_ms:
             in_flight += load.count_quick(now_ms)
-        if load.has_quick_answers:
-            unqueued_ms = max(unqueued_ms, load.usual_response_ms)
+        if load.has_quick_answers and unqueued_ms < load.usual_response_ms:
+            unqueued_ms = load.usual_response_ms
         penalty_ms = 0.0
+        slots = record.work_slots
         if record.data_centre != self._data_centre:
             remote = estimates.get_remote(record.data_centre)
             penalty_ms = remote.penalty_ms
             unqueued_ms = max(unqueued_ms, remote.unqueued_min_ms)
-            in_flight = max(in_flight, remote.occupancy * record.work_slots)
-        occupied = PROCESSING_FRACTION * in_flight
-        queue_rounds = max(0.0, occupied + 1 - record.work_slots) / record.work_slots
-        estimate_ms = (queue_rounds + 1) * unqueued_ms
+            in_flight = max(in_flight, remote.occupancy * slots)
+        queued = PROCESSING_FRACTION * in_flight + 1 - slots
+        estimate_ms = (queued / slots + 1) * unqueued_ms if queued > 0 else unqueued_ms
         return round(estimate_ms / ESTIMATE_STEP_MS) * ESTIMATE_STEP_MS + penalty_ms
 
-    def _find_cold_within_rate(
-        self, candidates: list[KnownUpstream], rate_per_s: float, now_ms: int
-    ) -> list[KnownUpstream]:
+    def _list_cold_within_rate(
+        self, candidates: list[Member], rate_per_s: float, now_ms: int
+    ) -> list[Member]:
         return [
-            upstream
-            for upstream in candidates
+            (upstream, load)
+            for upstream, load in candidates
             if now_ms < upstream.cold_until_ms
             and self._cold_start_limiter.allows(upstream, rate_per_s, now_ms)
         ]
--- a/src/catkinspread/forwarding/response_estimates.py
+++ b/src/catkinspread/forwarding/response_estimates.py
@@ -17,7 +17,8 @@
 # money and can be interrupted.
 REMOTE_PENALTY_MS = 25.0
 # Added to the measured difference of the handshakes, for the same reason.
-REMOTE_MARGIN_MS = 20.0
+REMOTE_MARGIN_MS = 10.0
+REMOTE_PENALTY_MIN_MS = 15.0
 REMOTE_PENALTY_MAX_MS = 200.0
 # Fraction of the time between the opening packet and the answer that the upstream spends on the
 # request; the rest is network latency.
@@ -26,6 +27,9 @@
 # change by a few per cent in this time.
 UPDATE_INTERVAL_MS = 250
 
+# An upstream and its load as observed by this instance.
+Member = tuple[KnownUpstream, UpstreamLoad]
+
 
 class RemoteEstimate:
     """What is assumed about the upstreams of a service in another data centre.
@@ -34,7 +38,8 @@
         penalty_ms: Added to the expected response time.
         occupancy: Least number of requests in flight per work slot of each upstream.
         unqueued_min_ms: Least response time of a request that does not queue. Without it, an
-            upstream without samples would seem faster than the own ones of a slow service.
+            upstream without samples, or one that fails requests fast, would seem faster than the
+            own ones of a slow service.
         takes_spill_over: Whether its load is known to be clearly below that of the own data centre.
     """
 
@@ -64,9 +69,12 @@
     """
 
     __slots__ = (
+        "_by_data_centre",
         "_data_centre",
+        "_eligible",
         "_handshakes",
         "_loads",
+        "_members",
         "_occupancies",
         "_own_usual_ms",
         "_remotes",
@@ -89,40 +97,55 @@
         self._handshakes = handshakes
         self._occupancies = occupancies
         self.spill_over = SpillOver(data_centre)
+        # The list that the members were looked up for. The state makes a new one for each change.
+        self._eligible: list[KnownUpstream] | None = None
+        self._members: list[Member] = []
+        self._by_data_centre: dict[str, list[Member]] = {}
         self._own_usual_ms = 0.0
         self._remotes: dict[str, RemoteEstimate] = {}
         self._updated_at_ms: int | None = None
 
-    def update(self, usable: Sequence[KnownUpstream], now_ms: int) -> None:
-        """Computes the figures anew if the last update is UPDATE_INTERVAL_MS ago.
+    def list_members(self) -> list[Member]:
+        """Returns the upstreams of the last call of `set_upstreams` with their loads."""
+        return self._members
+
+    def set_upstreams(self, eligible: list[KnownUpstream]) -> None:
+        """Sets the upstreams of the service.
 
         Args:
-            usable: Upstreams that get new flows.
-            now_ms: Current time.
+            eligible: The upstreams. The list must not be changed later.
         """
+        if eligible is self._eligible:
+            return
+        self._eligible = eligible
+        self._members = [(upstream, self._loads.get(upstream.record.name)) for upstream in eligible]
+        self._by_data_centre = {}
+        for member in self._members:
+            self._by_data_centre.setdefault(member[0].record.data_centre, []).append(member)
+
+    def update(self, now_ms: int) -> None:
+        """Computes the figures anew if the last update is UPDATE_INTERVAL_MS ago."""
         last_ms = self._updated_at_ms
         if last_ms is not None and now_ms - last_ms < UPDATE_INTERVAL_MS:
             return
         self._updated_at_ms = now_ms
-        by_data_centre: dict[str, list[tuple[KnownUpstream, UpstreamLoad]]] = {}
-        for upstream in usable:
-            record = upstream.record
-            members = by_data_centre.setdefault(record.data_centre, [])
-            members.append((upstream, self._loads.get(record.name)))
-        usual_ms = {name: _set_usual(members) for name, members in by_data_centre.items()}
-        own = by_data_centre.pop(self._data_centre, [])
+        usual_ms = {
+            name: _set_usual(members, now_ms) for name, members in self._by_data_centre.items()
+        }
+        own = self._by_data_centre.get(self._data_centre, [])
+        remotes = [name for name in self._by_data_centre if name != self._data_centre]
         own_occupancy = self._compute_own_occupancy(own, now_ms)
         # The measured times include queueing, which the other data centre need not have.
         queueing = max(1.0, PROCESSING_FRACTION * own_occupancy)
         self._own_usual_ms = usual_ms.get(self._data_centre, 0.0) / queueing
         self._remotes = {}
         occupancies = {self._data_centre: own_occupancy}
-        for name in by_data_centre:
+        for name in remotes:
             occupancy = self._occupancies.find_occupancy(self._service, name, now_ms)
             if occupancy is not None:
                 occupancies[name] = occupancy
         self.spill_over.update(occupancies, now_ms)
-        for name in by_data_centre:
+        for name in remotes:
             self._remotes[name] = RemoteEstimate(
                 self._compute_penalty_ms(name),
                 occupancies.get(name, 0.0),
@@ -141,36 +164,38 @@
             )
         return remote
 
-    def _compute_own_occupancy(
-        self, own: Sequence[tuple[KnownUpstream, UpstreamLoad]], now_ms: int
-    ) -> float:
+    def _compute_own_occupancy(self, own: Sequence[Member], now_ms: int) -> float:
         """Returns the load of the own data centre in requests in flight per work slot.
 
         The view knows more than the reports of the other instances, which may reach this one in
         part only.
         """
         seen = self._occupancies.find_occupancy(self._service, self._data_centre, now_ms)
+        if seen is not None:
+            return seen
         slots = sum(upstream.record.work_slots for upstream, _ in own)
-        if seen is not None or not slots:
-            return seen or 0.0
-        return sum(load.in_flight + load.peer_in_flight for _, load in own) / slots
+        requests = sum(load.in_flight + load.peer_in_flight for _, load in own)
+        return requests / slots if slots else 0.0
 
     def _compute_penalty_ms(self, data_centre: str) -> float:
         own_ms = self._handshakes.find_average_ms(self._data_centre)
         other_ms = self._handshakes.find_average_ms(data_centre)
         if own_ms is None or other_ms is None:
             return REMOTE_PENALTY_MS
-        return min(REMOTE_PENALTY_MAX_MS, max(0.0, other_ms - own_ms) + REMOTE_MARGIN_MS)
+        penalty_ms = other_ms - own_ms + REMOTE_MARGIN_MS
+        return min(REMOTE_PENALTY_MAX_MS, max(REMOTE_PENALTY_MIN_MS, penalty_ms))
 
 
-def _set_usual(members: Sequence[tuple[KnownUpstream, UpstreamLoad]]) -> float:
+def _set_usual(members: Sequence[Member], now_ms: int) -> float:
     """Sets the usual response time of the upstreams of one data centre and returns it.
 
-    It is the median of their typical ones, so the upstreams that fail requests change it little
-    while they are the minority.
+    It is the median of the typical ones of those that respond, so upstreams that fail requests
+    change it little while they are the minority.
     """
     typical_ms = [
-        load.typical_response_ms for _, load in members if load.typical_response_ms is not None
+        load.typical_response_ms
+        for _, load in members
+        if load.typical_response_ms is not None and not load.is_in_backoff(now_ms)
     ]
     usual_ms = statistics.median(typical_ms) if typical_ms else RESPONSE_DEFAULT_MS
     for _, load in members:
