Placement: an upstream with quick answers gets at most its fair share of the flows

Change: an upstream of whose answers a tenth are quick gets one flow in as many as there are upstreams in its data centre, and counts as no faster than usual.

--- a/src/catkinspread/forwarding/load.py
+++ b/src/catkinspread/forwarding/load.py
@@ -20,8 +20,8 @@
 # answered quickly; an upstream that is really faster than the others, but by less than the
 # reciprocal of this part, has no quick answers.
 QUICK_ANSWER_FRACTION = 0.33
-# Share of quick answers above which an upstream is not regarded as faster than the usual one. Below
-# it, quick answers shorten the average by at most as much.
+# Share of quick answers above which an upstream may be failing requests; see `Placement`. Below it,
+# quick answers shorten the average by at most as much.
 QUICK_SHARE_MAX = 0.1
 # Weight of a new answer in the share of quick answers.
 QUICK_SMOOTHING_FACTOR = 0.1
@@ -74,8 +74,8 @@
         typical_response_ms: Moving average of all measured response times as they are, which keeps
             its value while there are no new samples; None before the first one.
         has_quick_answers: Whether so many of its answers are quick that it may be failing requests.
-        quick_until_ms: For each quick answer, the time at which a usual answer would have come;
-            see `count_quick`.
+        placed_number: Number of flows that had been placed on the upstreams of its service in its
+            data centre when one was last placed on it, including this one; set by the placement.
     """
 
     __slots__ = (
@@ -89,7 +89,7 @@
         "in_flight",
         "last_placed_at_ms",
         "peer_in_flight",
-        "quick_until_ms",
+        "placed_number",
         "typical_response_ms",
         "usual_response_ms",
     )
@@ -101,7 +101,7 @@
         self.usual_response_ms = RESPONSE_DEFAULT_MS
         self.typical_response_ms: float | None = None
         self.has_quick_answers = False
-        self.quick_until_ms: list[float] = []
+        self.placed_number = 0
         self._average_response_ms = RESPONSE_DEFAULT_MS
         self._sampled_at_ms = 0
         self._quick_share = 0.0
@@ -112,8 +112,7 @@
     def record_response_time(self, response_ms: int, now_ms: int) -> None:
         """Adds the measured response time of a request to the moving averages.
 
-        A quick answer counts as a usual one, also for the load: otherwise an upstream that fails its
-        requests fast would seem the best one and get more of them.
+        It also determines whether the upstream has quick answers.
         """
         typical_ms = self.typical_response_ms
         if typical_ms is None:
@@ -121,25 +120,16 @@
         else:
             change_ms = TYPICAL_SMOOTHING_FACTOR * (response_ms - typical_ms)
             self.typical_response_ms = typical_ms + change_ms
-        usual_ms = self.usual_response_ms
-        current_ms = self.estimate_unqueued_response_ms(now_ms)
-        counted_ms = min(float(response_ms), SAMPLE_MAX_MULTIPLE * current_ms)
-        is_quick = response_ms < QUICK_ANSWER_FRACTION * usual_ms
+        is_quick = response_ms < QUICK_ANSWER_FRACTION * self.usual_response_ms
         self._quick_share += QUICK_SMOOTHING_FACTOR * (is_quick - self._quick_share)
         self.has_quick_answers = self._quick_share > QUICK_SHARE_MAX
-        if is_quick:
-            counted_ms = usual_ms
-            self.quick_until_ms = [until for until in self.quick_until_ms if until > now_ms]
-            self.quick_until_ms.append(now_ms + usual_ms - response_ms)
+        current_ms = self.estimate_unqueued_response_ms(now_ms)
+        counted_ms = min(float(response_ms), SAMPLE_MAX_MULTIPLE * current_ms)
         self._average_response_ms = current_ms + RESPONSE_SMOOTHING_FACTOR * (
             counted_ms - current_ms
         )
         self._sampled_at_ms = now_ms
 
-    def count_quick(self, now_ms: int) -> int:
-        """Returns the number of requests that would be in flight still after a usual answer."""
-        return sum(until_ms > now_ms for until_ms in self.quick_until_ms)
-
     def estimate_unqueued_response_ms(self, now_ms: int) -> float:
         """Returns the response time that is expected of a request that does not queue.
 
@@ -237,17 +227,6 @@
         """Returns `UpstreamLoad.in_flight` by name of the upstream, without zero counts."""
         return {name: load.in_flight for name, load in self._loads.items() if load.in_flight}
 
-    def list_reported_load(self, now_ms: int) -> dict[str, int]:
-        """Returns the load that other instances are told, by name of the upstream.
-
-        It is the load in flight and the requests that were answered unusually fast, so that the
-        other instances do not prefer an upstream that fails its requests fast either.
-        """
-        counts = {
-            name: load.in_flight + load.count_quick(now_ms) for name, load in self._loads.items()
-        }
-        return {name: count for name, count in counts.items() if count}
-
     def _add_peer_load(self, in_flight: Mapping[str, int], sign: int) -> None:
         for name, count in in_flight.items():
             self._loads[name].peer_in_flight += sign * count
--- a/src/catkinspread/forwarding/placement.py
+++ b/src/catkinspread/forwarding/placement.py
@@ -2,7 +2,9 @@
 
 Upstreams are compared by their expected response time, which depends on their queue, their measured
 response times and whether they are in another data centre. While the own data centre has much load,
-a part of the flows may go to another one before all slots of the own one are taken. Upstreams that do not respond are
+a part of the flows may go to another one before all slots of the own one are taken. An upstream with
+quick answers may be failing requests: it counts as no faster than usual and gets at most its fair
+share, which is one flow in as many as there are upstreams. Upstreams that do not respond are
 excluded while others do, and upstreams in cold start are used only within their rate limit.
 """
 
@@ -184,6 +186,10 @@
         share = estimates.spill_over.share
         if share and tier is SelectionTier.NORMAL and self._rng.random() < share:
             compared = self._list_spill_targets(candidates, estimates) or candidates
+        if estimates.has_quick_answers:
+            compared = [
+                member for member in compared if estimates.is_within_fair_share(*member)
+            ] or compared
         best, best_load = compared[0]
         best_rank = (float("inf"), 0, 0.0)
         for upstream, load in compared:
@@ -194,6 +200,7 @@
             if rank < best_rank:
                 best, best_load, best_rank = upstream, load, rank
         best_load.last_placed_at_ms = now_ms
+        estimates.record_placed(best, best_load)
         return UpstreamChoice(best, tier, best_rank[0], len(compared))
 
     def _list_spill_targets(
@@ -215,8 +222,6 @@
     ) -> float:
         unqueued_ms = load.estimate_unqueued_response_ms(now_ms)
         in_flight: float = load.in_flight + load.peer_in_flight
-        if load.quick_until_ms:
-            in_flight += load.count_quick(now_ms)
         if load.has_quick_answers and unqueued_ms < load.usual_response_ms:
             unqueued_ms = load.usual_response_ms
         penalty_ms = 0.0
--- a/src/catkinspread/forwarding/response_estimates.py
+++ b/src/catkinspread/forwarding/response_estimates.py
@@ -3,6 +3,7 @@
 They would cost as much as a choice if each choice computed them.
 """
 
+import collections
 import statistics
 from collections.abc import Sequence
 
@@ -66,6 +67,7 @@
 
     Attributes:
         spill_over: Share of the flows that may spill over.
+        has_quick_answers: Whether any of the upstreams has quick answers.
     """
 
     __slots__ = (
@@ -77,9 +79,11 @@
         "_members",
         "_occupancies",
         "_own_usual_ms",
+        "_placed_counts",
         "_remotes",
         "_service",
         "_updated_at_ms",
+        "has_quick_answers",
         "spill_over",
     )
 
@@ -97,10 +101,12 @@
         self._handshakes = handshakes
         self._occupancies = occupancies
         self.spill_over = SpillOver(data_centre)
+        self.has_quick_answers = False
         # The list that the members were looked up for. The state makes a new one for each change.
         self._eligible: list[KnownUpstream] | None = None
         self._members: list[Member] = []
         self._by_data_centre: dict[str, list[Member]] = {}
+        self._placed_counts: collections.Counter[str] = collections.Counter()
         self._own_usual_ms = 0.0
         self._remotes: dict[str, RemoteEstimate] = {}
         self._updated_at_ms: int | None = None
@@ -129,6 +135,7 @@
         if last_ms is not None and now_ms - last_ms < UPDATE_INTERVAL_MS:
             return
         self._updated_at_ms = now_ms
+        self.has_quick_answers = any(load.has_quick_answers for _, load in self._members)
         usual_ms = {
             name: _set_usual(members, now_ms) for name, members in self._by_data_centre.items()
         }
@@ -153,6 +160,24 @@
                 self.spill_over.may_take(name),
             )
 
+    def record_placed(self, upstream: KnownUpstream, load: UpstreamLoad) -> None:
+        """Counts a flow that was placed on an upstream."""
+        data_centre = upstream.record.data_centre
+        self._placed_counts[data_centre] += 1
+        load.placed_number = self._placed_counts[data_centre]
+
+    def is_within_fair_share(self, upstream: KnownUpstream, load: UpstreamLoad) -> bool:
+        """Whether a flow may be placed on an upstream.
+
+        One with quick answers gets a flow only after as many as there are other upstreams in its
+        data centre.
+        """
+        if not load.has_quick_answers:
+            return True
+        data_centre = upstream.record.data_centre
+        others = len(self._by_data_centre[data_centre]) - 1
+        return self._placed_counts[data_centre] - load.placed_number >= others
+
     def get_remote(self, data_centre: str) -> RemoteEstimate:
         """Returns what is assumed about the upstreams of another data centre."""
         remote = self._remotes.get(data_centre)
--- a/src/catkinspread/runtime/load_reports.py
+++ b/src/catkinspread/runtime/load_reports.py
@@ -64,8 +64,9 @@
         age_ms = now_ms - self._last_report_at_ms
         if age_ms < REPORT_INTERVAL_MS:
             return None
-        load = self._loads.list_reported_load(now_ms)
-        in_flight = {compute_token(name): count for name, count in load.items()}
+        in_flight = {
+            compute_token(name): count for name, count in self._loads.list_in_flight().items()
+        }
         if in_flight == self._last_in_flight and (not in_flight or age_ms < REPEAT_INTERVAL_MS):
             return None
         self._sequence += 1
