Placement uses the occupancy that the summaries tell

Cause: placement took the load of other data centres from an empty view, so spill-over never began early. Change: the composition root passes the room estimator, which implements OccupancyView.

--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -345,6 +345,7 @@
             self._loads,
             self._cold_start_limiter,
             self._rng,
+            self._admission.estimator,
         )
         log = DecisionLog(self._events, self._state)
         return Forwarder(
