Learn the work of requests without the network latency

Cause: the time from a request to its first acknowledged data was taken for its work, which includes the network latency to the caller. A limited service then admitted less than its room. Change: the usual handshake with the data centre of the upstream, which takes the same way without the processing, is subtracted. Result: test_work_is_learned_without_the_network_latency fails with the forwarder of before (50 in place of 20) and passes now.

--- a/src/catkinspread/admission/controller.py
+++ b/src/catkinspread/admission/controller.py
@@ -40,7 +40,7 @@
     """Learns the work of requests."""
 
     def record_response(
-        self, route: Route, response_ms: int, occupied: float, work_slots: int
+        self, route: Route, processing_ms: int, occupied: float, work_slots: int
     ) -> None:
         """Learns from an answered request."""
 
@@ -213,10 +213,10 @@
         self._meter.record_request(route, is_first, now_ms)
 
     def record_response(
-        self, route: Route, response_ms: int, occupied: float, work_slots: int
+        self, route: Route, processing_ms: int, occupied: float, work_slots: int
     ) -> None:
         """Learns from an answered request; see `AdmissionPolicy`."""
-        self._work.record_response(route, response_ms, occupied, work_slots)
+        self._work.record_response(route, processing_ms, occupied, work_slots)
         state = self._routes.get(route.name)
         # The service of a request is known only if the route has a single one.
         if state is not None and len(state.levels) == 1 and work_slots > 0:
--- a/src/catkinspread/admission/work.py
+++ b/src/catkinspread/admission/work.py
@@ -24,8 +24,7 @@
 class WorkEstimator:
     """Learns the work of a request by route.
 
-    The response time of a request that did not queue is used as its work. It includes the network
-    latency, so the work is overestimated by it.
+    The processing time of a request that did not queue is used as its work.
     """
 
     __slots__ = ("_routes", "_told_ms")
@@ -35,23 +34,24 @@
         self._told_ms: dict[str, float] = {}
 
     def record_response(
-        self, route: Route, response_ms: int, occupied: float, work_slots: int
+        self, route: Route, processing_ms: int, occupied: float, work_slots: int
     ) -> None:
         """Learns from an answered request; one that queued is ignored.
 
         Args:
             route: Route of its flow.
-            response_ms: Time from the request to the first acknowledged data of the answer.
+            processing_ms: Time from the request to the first acknowledged data of the answer, less
+                the usual network latency.
             occupied: Requests in flight on its upstream when the request was forwarded, including
                 itself.
             work_slots: Work slots of its upstream.
         """
-        if occupied > work_slots or response_ms < 0:
+        if occupied > work_slots or processing_ms < 0:
             return
         # Callers stop waiting after the time-out of the route, so that a longer time says nothing
         # about the work.
-        limit_ms = route.timeout_ms or response_ms
-        sample_ms = max(WORK_MIN_MS, float(min(response_ms, limit_ms)))
+        limit_ms = route.timeout_ms or processing_ms
+        sample_ms = max(WORK_MIN_MS, float(min(processing_ms, limit_ms)))
         learned = self._routes.get(route.name)
         if learned is None:
             learned = self._routes[route.name] = _RouteWork()
--- a/src/catkinspread/forwarding/admission_policy.py
+++ b/src/catkinspread/forwarding/admission_policy.py
@@ -57,13 +57,14 @@
         """
 
     def record_response(
-        self, route: Route, response_ms: int, occupied: float, work_slots: int
+        self, route: Route, processing_ms: int, occupied: float, work_slots: int
     ) -> None:
         """Learns from an answered request.
 
         Args:
             route: Route of its flow.
-            response_ms: Time from the request to the first acknowledged data of the answer.
+            processing_ms: Time from the request to the first acknowledged data of the answer, less
+                the usual network latency.
             occupied: Requests in flight on its upstream when the request was forwarded, including
                 itself.
             work_slots: Work slots of its upstream.
@@ -90,7 +91,7 @@
         """Does nothing."""
 
     def record_response(
-        self, route: Route, response_ms: int, occupied: float, work_slots: int
+        self, route: Route, processing_ms: int, occupied: float, work_slots: int
     ) -> None:
         """Does nothing."""
 
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -507,11 +507,14 @@
         self.histograms["response"].add(response_ms)
         self._waits.stop(flow)
         if flow.occupied_at_request is not None and flow.route is not None:
+            upstream = flow.upstream.record
+            # A handshake takes the same way as a request and its answer, without the processing.
+            latency_ms = self._handshakes.find_average_ms(upstream.data_centre) or 0.0
             self._admission.record_response(
                 flow.route,
-                response_ms,
+                max(0, round(response_ms - latency_ms)),
                 flow.occupied_at_request,
-                flow.upstream.record.work_slots,
+                upstream.work_slots,
             )
         flow.occupied_at_request = None
         self._log.log_answer(flow, response_ms, now_ms)
--- a/src/catkinspread/forwarding/tests/test_admission_of_flows.py
+++ b/src/catkinspread/forwarding/tests/test_admission_of_flows.py
@@ -36,9 +36,9 @@
         self.requests.append((route.name, is_first, now_ms))
 
     def record_response(
-        self, route: Route, response_ms: int, occupied: float, work_slots: int
+        self, route: Route, processing_ms: int, occupied: float, work_slots: int
     ) -> None:
-        self.responses.append((route.name, response_ms, occupied, work_slots))
+        self.responses.append((route.name, processing_ms, occupied, work_slots))
 
     def describe(self, route: Route) -> AdmissionInputs:
         return AdmissionInputs(SERVICE, route.priority, 0.25, 2.5)
@@ -251,6 +251,21 @@
     assert admission.responses == [("r1", 40, 4, 2)]
 
 
+def test_work_is_learned_without_the_network_latency(
+    harness: ForwarderHarness, admission: ScriptedAdmission
+) -> None:
+    """Guards against routes whose work seems higher, and their share lower, the farther callers are."""
+    for caller_port in range(4_001, 4_061):
+        harness.send(build_opening_packet(caller_port))
+        name = harness.list_targets()[-1]
+        harness.clock.advance(30)
+        harness.send(build_packet(caller_port, token=harness.find_token(name)))
+    send_request(harness, SEQUENCE + 1, caller_port=caller_port)
+    harness.clock.advance(50)
+    harness.send(build_packet(caller_port, sequence=SEQUENCE + 11, acknowledged=500))
+    assert [processing_ms for _, processing_ms, _, _ in admission.responses] == [20]
+
+
 def test_placed_flows_are_counted_by_route_and_data_centre(admission: ScriptedAdmission) -> None:
     """Guards against operators who cannot see that flows go to another data centre."""
     harness = ForwarderHarness(build_upstream("a", data_centre="west"), admission=admission)
