Let the package platform use the decoders of single configuration entries

Cause: the decoder of the configuration object stops at the first bad entry, and its parts were private to one module, so nothing could tell all bad entries. Change: the wire types of the configuration and the steps that decode the address and the shares of a route are public within the package; the steps are functions of their own. Result: no change of behaviour; the tests of platform/objects.py pass unchanged.

--- a/src/catkinspread/platform/objects.py
+++ b/src/catkinspread/platform/objects.py
@@ -49,40 +49,50 @@
 _Text = Annotated[str, msgspec.Meta(max_length=NAME_MAX)]
 
 
-class _WireBackend(msgspec.Struct):
+class WireBackend(msgspec.Struct):
+    """The entry of a service that shares the flows of a route."""
+
     service: Name
     weight: Rate = 1.0
 
 
-class _WireRoute(msgspec.Struct):
+class WireRoute(msgspec.Struct):
+    """The entry of a route."""
+
     name: Name
     host: Annotated[str, msgspec.Meta(max_length=_ADDRESS_MAX)]
     path_prefix: _Text
     kind: _Text
     service: _Text = ""
     # Services that share the flows of the route, in place of `service`.
-    backends: Annotated[list[_WireBackend], msgspec.Meta(max_length=_ITEMS_MAX)] = []
+    backends: Annotated[list[WireBackend], msgspec.Meta(max_length=_ITEMS_MAX)] = []
     timeout_ms: Amount = 0
     priority: Amount = 0
     # Latency objective.
     aim_ms: Amount = 0
 
 
-class _WireService(msgspec.Struct):
+class WireService(msgspec.Struct):
+    """The entry of a service."""
+
     name: Name
     max_flows: Amount = 0
     cold_per_s: Rate = 0.0
 
 
-class _WireLimits(msgspec.Struct):
+class WireLimits(msgspec.Struct):
+    """The limits that hold for all routes."""
+
     idle_timeout_ms: Amount = 15_000
 
 
-class _WireConfiguration(msgspec.Struct):
+class WireConfiguration(msgspec.Struct):
+    """The content of the configuration object."""
+
     version: Count
-    routes: Annotated[list[_WireRoute], msgspec.Meta(max_length=_ITEMS_MAX)]
-    services: Annotated[list[_WireService], msgspec.Meta(max_length=_ITEMS_MAX)]
-    limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+    routes: Annotated[list[WireRoute], msgspec.Meta(max_length=_ITEMS_MAX)]
+    services: Annotated[list[WireService], msgspec.Meta(max_length=_ITEMS_MAX)]
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
 
 
 class _WireServer(msgspec.Struct):
@@ -102,7 +112,7 @@
     seq: Count
 
 
-_decode_configuration_object = msgspec.json.Decoder(_WireConfiguration).decode
+decode_wire_configuration = msgspec.json.Decoder(WireConfiguration).decode
 _decode_server = msgspec.json.Decoder(_WireServer).decode
 
 
@@ -125,12 +135,12 @@
             return _decode_upstream(name, _decode_server(spec))
         if name != CONFIGURATION_NAME:
             return None
-        return _decode_configuration(_decode_configuration_object(spec))
+        return _decode_configuration(decode_wire_configuration(spec))
     except (msgspec.DecodeError, ValueError, OverflowError, RecursionError) as error:
         raise ObjectShapeError(f"{KIND_PATHS[kind]}/{name}: {error}") from error
 
 
-def _decode_configuration(wire: _WireConfiguration) -> RoutingConfiguration:
+def _decode_configuration(wire: WireConfiguration) -> RoutingConfiguration:
     return RoutingConfiguration(
         version=wire.version,
         routes=tuple(_decode_route(route) for route in wire.routes),
@@ -142,14 +152,11 @@
     )
 
 
-def _decode_route(wire: _WireRoute) -> Route:
-    address = ServiceAddress(
-        ip=int(ipaddress.IPv4Address(wire.host)), port=_decode_port(wire.path_prefix.strip("/"))
-    )
+def _decode_route(wire: WireRoute) -> Route:
     return Route(
         name=wire.name,
-        address=address,
-        shares=_decode_shares(wire),
+        address=ServiceAddress(ip=decode_route_ip(wire), port=decode_route_port(wire)),
+        shares=decode_shares(wire),
         kind=_REQUEST_KINDS.get(wire.kind, RequestKind.NON_IDEMPOTENT),
         timeout_ms=wire.timeout_ms,
         priority=wire.priority,
@@ -157,7 +164,30 @@
     )
 
 
-def _decode_shares(wire: _WireRoute) -> tuple[ServiceShare, ...]:
+def decode_route_ip(wire: WireRoute) -> int:
+    """Returns the IPv4 address of a route.
+
+    Raises:
+        ValueError: If the text is not an IPv4 address.
+    """
+    return int(ipaddress.IPv4Address(wire.host))
+
+
+def decode_route_port(wire: WireRoute) -> int:
+    """Returns the port of a route.
+
+    Raises:
+        ValueError: If the text is not a port.
+    """
+    return _decode_port(wire.path_prefix.strip("/"))
+
+
+def decode_shares(wire: WireRoute) -> tuple[ServiceShare, ...]:
+    """Returns the services that share the flows of a route.
+
+    Raises:
+        ValueError: If no backend has a weight above 0 and the route names no service.
+    """
     shares = tuple(
         ServiceShare(backend.service, backend.weight)
         for backend in wire.backends
