Add checks of a routing configuration before it is sent

Cause: an object that instances refuse, ignore or use otherwise than meant was noticed only after it was sent. Change: the subpackage configuration_check has checks in a registry, in four groups: refused values, entries without effect, limits that contradict each other, and differences from the version in force.

--- /dev/null
+++ b/src/catkinspread/configuration_check/registry.py
@@ -0,0 +1,80 @@
+"""Registry of the checks of a configuration."""
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from catkinspread.configuration_check.findings import (
+    Finding,
+    FindingKind,
+    Observation,
+    Severity,
+)
+
+# The arguments depend on the kind of the check: the decoding faults for REFUSED, the draft for
+# UNREACHABLE and CONTRADICTION, and the draft and the draft in force for DIFFERENCE.
+CheckFunction = Callable[..., Iterable[Observation]]
+
+
+class Check(msgspec.Struct, frozen=True):
+    """A check, as `register_check` registers it.
+
+    Attributes:
+        code: Stable identifier.
+        kind: Group of the check.
+        severity: Severity of its findings.
+        advice: What to do about its findings, as one or more sentences.
+        observe: Yields what the check finds; see CheckFunction for its arguments.
+    """
+
+    code: str
+    kind: FindingKind
+    severity: Severity
+    advice: str
+    observe: CheckFunction
+
+    def find(self, *arguments: object) -> list[Finding]:
+        """Runs the check and returns its findings.
+
+        Args:
+            *arguments: Arguments of `observe`.
+        """
+        return [
+            Finding(self.code, self.kind, self.severity, observation, self.advice)
+            for observation in self.observe(*arguments)
+        ]
+
+
+_CHECKS: dict[str, Check] = {}
+
+
+def register_check(
+    code: str, kind: FindingKind, severity: Severity, advice: str
+) -> Callable[[CheckFunction], CheckFunction]:
+    """Returns a decorator that registers a function as a check.
+
+    Args:
+        code: Stable identifier.
+        kind: Group of the check; it determines the arguments of the function, see CheckFunction.
+        severity: Severity of its findings.
+        advice: What to do about its findings, as one or more sentences.
+
+    Returns:
+        The decorator, which returns the function unchanged. It raises ValueError if the code is
+        already registered or the advice is empty.
+    """
+
+    def register(function: CheckFunction) -> CheckFunction:
+        if code in _CHECKS:
+            raise ValueError(f"check {code!r} is already registered")
+        if not advice:
+            raise ValueError(f"check {code!r} has no advice")
+        _CHECKS[code] = Check(code, kind, severity, advice, function)
+        return function
+
+    return register
+
+
+def list_checks(kind: FindingKind) -> list[Check]:
+    """Returns the checks of one group in the order of their registration."""
+    return [check for check in _CHECKS.values() if check.kind is kind]
--- /dev/null
+++ b/src/catkinspread/configuration_check/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the checks of a configuration."""
