--- a/src/catkinspread/console/main.py
+++ b/src/catkinspread/console/main.py
@@ -12,6 +12,7 @@
 _SUBCOMMAND_MODULES = (
     "bench",
     "check",
+    "check_configuration",
     "demo",
     "explain",
     "instance",
