State where the names of the store are known

Cause: platform/field_names.py holds names of the configuration object, too, so the docstring of objects.py was wrong. Change: it says that the names stay in the package. Result: documentation only.

--- a/src/catkinspread/platform/objects.py
+++ b/src/catkinspread/platform/objects.py
@@ -1,6 +1,6 @@
 """Decodes the objects of the platform's store into records of the deployment.
 
-Names of the store stay in this module. An object of another shape gives no record.
+Names of the store stay in this package. An object of another shape gives no record.
 """
 
 import ipaddress
