A sudden rise of the demand limits a service before queues are seen

Cause: queues of 8 requests fill within 150 ms, but answers show them 300 ms later and summaries up to 3 s later, so in a burst callers of the highest priority were rejected by upstreams meanwhile. Change: a rise of the own openings to twice the usual ones, by four standard deviations, counts at once if the demand then exceeds the room.

--- a/src/catkinspread/admission/demand_trend.py
+++ b/src/catkinspread/admission/demand_trend.py
@@ -7,15 +7,12 @@
 import collections
 
 UPDATE_INTERVAL_MS = 250
-# Updates whose openings count as recent.
-_RECENT_UPDATES = 2
+# Numbers of updates whose openings count as recent: one shows a large rise at once, two a small one.
+_RECENT_UPDATES = (1, 2)
 # Updates that are kept; covers the window of a summary and its lifetime.
 _UPDATES_MAX = 16
 # Time over which the demand in a summary is counted.
 _SUMMARY_WINDOW_MS = 1_000
-# A rise counts if it exceeds the usual variation of a Poisson process by this factor. About 2% of
-# the updates without a rise do.
-SIGNIFICANCE = 2.0
 
 
 class DemandTrend:
@@ -30,16 +27,29 @@
         """Adds the number of openings since the last update."""
         self._counts.append(opening_count)
 
-    def estimate_growth(self, age_ms: int) -> float:
-        """Returns the factor by which demand exceeds that of summaries of an age; at least 1."""
+    def estimate_growth(self, age_ms: int, significance: float) -> float:
+        """Returns the factor by which demand exceeds that of summaries of an age; at least 1.
+
+        Args:
+            age_ms: Age of the oldest summary.
+            significance: Standard deviations of a Poisson process by which openings must exceed
+                those before.
+        """
         counts = list(self._counts)
         covered = (_SUMMARY_WINDOW_MS + age_ms) // UPDATE_INTERVAL_MS
         # After a start, the openings before are unknown.
         if len(counts) < _SUMMARY_WINDOW_MS // UPDATE_INTERVAL_MS:
             return 1.0
         covered_counts = counts[-covered:]
-        recent = sum(counts[-_RECENT_UPDATES:])
-        usual = _RECENT_UPDATES * sum(covered_counts) / len(covered_counts)
-        if recent < usual + SIGNIFICANCE * (usual**0.5 + 1):
-            return 1.0
-        return recent / usual
+        mean = sum(covered_counts) / len(covered_counts)
+        return max(
+            _compute_growth(counts[-length:], mean, significance) for length in _RECENT_UPDATES
+        )
+
+
+def _compute_growth(recent_counts: list[int], mean: float, significance: float) -> float:
+    recent = sum(recent_counts)
+    usual = len(recent_counts) * mean
+    if recent < usual + significance * (usual**0.5 + 1):
+        return 1.0
+    return recent / usual
--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -31,6 +31,13 @@
 QUEUE_CORRECTION_MAX = 0.2
 # Age of summaries above which they correct less, as the queues have changed meanwhile.
 QUEUE_AGE_MS = 500
+# Standard deviations by which own openings must have risen while queues are seen. About 2% of the
+# updates without a rise exceed it.
+GROWTH_SIGNIFICANCE = 2.0
+# A rise by this factor and this many standard deviations may limit a service before queues are seen:
+# answers show them 300 ms after queues of 8 requests are full.
+SURGE_FACTOR = 2.0
+SURGE_SIGNIFICANCE = 4.0
 # A change of the admitted share by less is not reported.
 REPORTED_CHANGE_MIN = 0.05
 REPORT_INTERVAL_MS = 1_000
@@ -132,11 +139,10 @@
         self._trend.record(opening_count)
         self.recent_occupancy.end_interval()
         demand = sum(d.offered_work_ms_per_s + d.committed_work_ms_per_s for d in room.demands)
-        # Without queues, a rise of the own demand is local, or is no more than the room.
-        growth = self._trend.estimate_growth(room.age_ms) if self._finds_queues() else 1.0
+        growth = self._estimate_growth(room)
         if self.is_limited:
             self._update_release(room, demand, now_ms)
-        elif self._needs_limit(room, growth * demand):
+        elif self._needs_limit(room, growth * demand, growth):
             self._start_limit(now_ms)
         if not self.is_limited or room.slots <= 0:
             # Without a usable upstream, placement probes and refuses; nothing can be divided.
@@ -207,7 +213,15 @@
         recent = self.recent_occupancy.estimate()
         return recent is not None and recent >= self._settings.limit_occupancy
 
-    def _needs_limit(self, room: ServiceRoom, demand_ms_per_s: float) -> bool:
+    def _estimate_growth(self, room: ServiceRoom) -> float:
+        """Returns the factor by which demand exceeds the one in the summaries; at least 1."""
+        if self._finds_queues():
+            return self._trend.estimate_growth(room.age_ms, GROWTH_SIGNIFICANCE)
+        # Without queues, a small rise is local, or demand is still no more than the room.
+        growth = self._trend.estimate_growth(room.age_ms, SURGE_SIGNIFICANCE)
+        return growth if growth >= SURGE_FACTOR else 1.0
+
+    def _needs_limit(self, room: ServiceRoom, demand_ms_per_s: float, growth: float) -> bool:
         """Counts updates with a high occupancy and returns whether the limit starts."""
         if room.slots <= 0:
             return False
@@ -216,7 +230,7 @@
         if self._hot_update_count >= self._settings.limit_update_count:
             return True
         is_exceeded = demand_ms_per_s > room.slots * _MS_PER_S
-        return is_exceeded and (is_hot or self._finds_queues())
+        return is_exceeded and (is_hot or growth >= SURGE_FACTOR or self._finds_queues())
 
     def _start_limit(self, now_ms: int) -> None:
         self.is_limited = True
