check-configuration: a cold-start rate of 0 is information

Cause: configurations without cold starts have the rate 0, so each of them got a warning and status 1.

--- a/src/catkinspread/configuration_check/contradictions.py
+++ b/src/catkinspread/configuration_check/contradictions.py
@@ -65,7 +65,7 @@
 @register_check(
     "no-cold-start-flows",
     FindingKind.CONTRADICTION,
-    Severity.WARNING,
+    Severity.INFORMATION,
     "Set a rate above 0, unless upstreams of the service must not get flows in cold start.",
 )
 def find_zero_cold_rates(draft: ConfigurationDraft) -> Iterator[Observation]:
