Fewer calls on the path of an opening packet

Cause: admission control adds about 1 us to each opened flow, of 33 us.

Change: the handshake time-out is computed with one look-up and without min and max, and the retry budget without min. The time-outs are equal for averages from 0 to 1,000 ms in steps of 0.01 ms.

--- a/src/catkinspread/forwarding/handshakes.py
+++ b/src/catkinspread/forwarding/handshakes.py
@@ -36,8 +36,11 @@
     def compute_timeout_ms(self, data_centre: str) -> int:
         """Returns the time after which an opening packet has timed out."""
         timeout_ms = _TIMEOUT_MULTIPLIER * self._average_ms.get(data_centre, _INITIAL_AVERAGE_MS)
-        bounded_ms = int(min(TIMEOUT_MAX_MS, max(TIMEOUT_MIN_MS, timeout_ms)))
-        return max(bounded_ms, self.compute_usual_ms(data_centre))
+        if timeout_ms < TIMEOUT_MIN_MS:
+            return TIMEOUT_MIN_MS
+        if timeout_ms < TIMEOUT_MAX_MS:
+            return int(timeout_ms)  # A usual handshake takes less, by the ratio of the multipliers.
+        return max(TIMEOUT_MAX_MS, self.compute_usual_ms(data_centre))
 
     def compute_usual_ms(self, data_centre: str) -> int:
         """Returns the time within which most handshakes end."""
--- a/src/catkinspread/forwarding/retry_budget.py
+++ b/src/catkinspread/forwarding/retry_budget.py
@@ -22,7 +22,8 @@
 
     def record_opening(self) -> None:
         """Adds the share of one opening packet to the budget."""
-        self._available = min(RETRY_CAPACITY, self._available + RETRIES_PER_OPENING)
+        available = self._available + RETRIES_PER_OPENING
+        self._available = available if available < RETRY_CAPACITY else RETRY_CAPACITY
 
     def try_spend(self) -> bool:
         """Takes one retry from the budget; returns False if none is left."""
