Count demand and learn work with fewer steps

Change: an event in the current bucket does not advance the window, the counts of a known route are found with one look-up, and min, max and look-ups of members of an enumeration are replaced on these paths.

Result: tests of demand, work and controller pass.

--- a/src/catkinspread/admission/controller.py
+++ b/src/catkinspread/admission/controller.py
@@ -25,6 +25,9 @@
 # decision depends on it. With 960 services, estimates of all would take most of the CPU time.
 IDLE_AFTER_MS = 10_000
 
+# Reading a member from its enumeration takes longer than a call on Python 3.11.
+_ADMITTED = AdmissionVerdict.ADMITTED
+
 
 class DemandRecorder(Protocol):
     """Counts demand by route."""
@@ -203,7 +206,7 @@
         state.openings += 1
         if state.share is None:
             self._meter.record_opening(route, now_ms)
-            return AdmissionVerdict.ADMITTED
+            return _ADMITTED
         verdict = self._decide_first(state, route, caller_ip, 0, now_ms)
         self._record_demand(state, route, verdict, now_ms)
         return verdict
--- a/src/catkinspread/admission/demand.py
+++ b/src/catkinspread/admission/demand.py
@@ -39,8 +39,10 @@
 
     def add(self, bucket: int) -> None:
         """Counts an event in a bucket, or in the current one if the given one is earlier."""
-        self.advance(bucket)
-        self._counts[self._bucket % len(self._counts)] += 1
+        # Most events come in the current bucket; `advance` would cost more than the count.
+        if bucket > self._bucket:
+            self.advance(bucket)
+        self._counts[self._bucket % (_BUCKET_COUNT + 1)] += 1
         self.total += 1
 
 
@@ -76,7 +78,10 @@
 
     def record_opening(self, route: Route, now_ms: int) -> None:
         """Counts the first copy of an opening packet, whether the flow is admitted or refused."""
-        self._find_counts(route, now_ms).offered.add(now_ms // BUCKET_MS)
+        counts = self._counts.get(route.name)
+        if counts is None or counts.route is not route:
+            counts = self._find_counts(route, now_ms)
+        counts.offered.add(now_ms // BUCKET_MS)
 
     def record_request(self, route: Route, is_first: bool, now_ms: int) -> None:
         """Counts a forwarded request.
--- a/src/catkinspread/admission/work.py
+++ b/src/catkinspread/admission/work.py
@@ -50,13 +50,17 @@
             return
         # Callers stop waiting after the time-out of the route, so that a longer time says nothing
         # about the work.
-        limit_ms = route.timeout_ms or response_ms
-        sample_ms = max(WORK_MIN_MS, float(min(response_ms, limit_ms)))
+        timeout_ms = route.timeout_ms
+        sample_ms = float(timeout_ms if 0 < timeout_ms < response_ms else response_ms)
+        if sample_ms < WORK_MIN_MS:
+            sample_ms = WORK_MIN_MS
         learned = self._routes.get(route.name)
         if learned is None:
             learned = self._routes[route.name] = _RouteWork()
         learned.sample_count += 1
-        weight = max(SMOOTHING_FACTOR, 1 / learned.sample_count)
+        weight = 1 / learned.sample_count
+        if weight < SMOOTHING_FACTOR:
+            weight = SMOOTHING_FACTOR
         learned.work_ms += weight * (sample_ms - learned.work_ms)
 
     def record_told(self, route: str, work_ms: float) -> None:
