explain: include dropped packets in the story of a caller

Change: the story has packet_dropped, too, and describes all reasons.

Result: explain tests pass; each value of RejectionReason is described.

--- a/src/catkinspread/console/explain.py
+++ b/src/catkinspread/console/explain.py
@@ -24,7 +24,8 @@
     parser.add_argument("logs", nargs="+", type=pathlib.Path, help="files with log lines")
     parser.add_argument("--request", help="show all lines of one request and its cause")
     parser.add_argument(
-        "--caller", help="show the refused flows of an address, with or without port, and why"
+        "--caller",
+        help="show refused flows and dropped packets of an address, with or without port, and why",
     )
     parser.add_argument("--json", action="store_true", help="print the report as JSON")
 
--- a/src/catkinspread/explain/refusals.py
+++ b/src/catkinspread/explain/refusals.py
@@ -14,12 +14,21 @@
     "no_room": "the service had too little room for the priority and the work of the route",
     "too_late": "the expected wait was longer than the caller waits for the answer",
 }
+# What the other reasons in a line `packet_dropped` mean.
+DROP_DESCRIPTIONS = {
+    "no_state": "the instance had not read the state of the deployment yet",
+    "outdated_state": "the process had been paused, so that a refusal could be false",
+    "earlier_flow": "the packet belongs to an earlier flow of the same ports",
+    "unknown_token": "the flow is unknown and no upstream has the token of the packet",
+    "too_many_held": "too many packets waited for the answers of other instances",
+}
 _ROOM_REASONS = ("no_room", "too_late")
+_DROP_EVENT = "packet_dropped"
 _PERCENT = 100
 
 
 class CallerUnknownError(Exception):
-    """No line has a refused flow of the caller."""
+    """No line has a refused flow or a dropped packet of the caller."""
 
 
 class RoomRefusalCount(msgspec.Struct, frozen=True):
@@ -47,8 +56,11 @@
 
 
 def describe_refusal(line: LogLine) -> str:
-    """Returns what decided about a refused flow, as one sentence."""
-    described = f"{line.reason}: {DESCRIPTIONS.get(line.reason, 'the reason is not known here')}"
+    """Returns what decided about a refused flow or a dropped packet, as one sentence."""
+    known = {**DESCRIPTIONS, **DROP_DESCRIPTIONS}
+    described = f"{line.reason}: {known.get(line.reason, 'the reason is not known here')}"
+    if line.event == _DROP_EVENT and line.reason in _ROOM_REASONS:
+        return f"{described}; not refused, because another instance may have sent the first copy on"
     if line.reason not in _ROOM_REASONS or line.share is None:
         return described
     occupancy = "no work slots" if line.occupancy is None else f"{line.occupancy:.2f} per work slot"
@@ -60,25 +72,27 @@
 
 
 def format_caller_story(index: LogIndex, caller: str) -> str:
-    """Returns the refused flows of a caller, each with what decided and the state of the service.
+    """Returns the refused flows and dropped packets of a caller, each with what decided.
+
+    A refusal for lack of room follows the last change of admission of its service.
 
     Args:
         index: Lines of all instances.
         caller: Address of the caller, with or without its port.
 
     Raises:
-        CallerUnknownError: If no line has a refused flow of the caller.
+        CallerUnknownError: If no line has a refused flow or a dropped packet of the caller.
     """
     lines = []
     for line in index.lines:
-        if line.event != "flow_refused" or not _is_flow_of(line.flow, caller):
+        if line.event not in ("flow_refused", _DROP_EVENT) or not _is_flow_of(line.flow, caller):
             continue
         change = index.find_admission_change(line.instance, line.service, line.at_ms)
         if line.reason in _ROOM_REASONS and change is not None:
             lines.append(change.text)
         lines += [line.text, describe_refusal(line)]
     if not lines:
-        raise CallerUnknownError(f"no line has a refused flow of the caller {caller!r}")
+        raise CallerUnknownError(f"no line has a refused flow or a dropped packet of {caller!r}")
     return "\n".join(lines)
 
 
--- a/src/catkinspread/explain/tests/test_explain.py
+++ b/src/catkinspread/explain/tests/test_explain.py
@@ -15,7 +15,7 @@
     format_request_story,
     read_log_lines,
 )
-from catkinspread.explain.refusals import DESCRIPTIONS
+from catkinspread.explain.refusals import DESCRIPTIONS, DROP_DESCRIPTIONS
 from catkinspread.explain.request_story import RequestUnknownError
 from catkinspread.forwarding import RejectionReason
 
@@ -153,6 +153,20 @@
     assert len(story.splitlines()) == 2
 
 
+def test_story_of_a_caller_has_packets_that_were_dropped() -> None:
+    """Guards against a caller without any answer whose packets no line seems to name."""
+    flow = "100.64.0.8:1024>198.18.0.1:443"
+    story = format_caller_story(
+        _index(
+            _write(10, "packet_dropped", flow=flow, reason="outdated_state"),
+            _write(20, "packet_dropped", flow=flow, reason="no_room"),
+        ),
+        "100.64.0.8",
+    ).splitlines()
+    assert story[1].startswith("outdated_state: the process had been paused")
+    assert story[3].endswith("another instance may have sent the first copy on")
+
+
 def test_caller_without_a_refused_flow_is_an_error() -> None:
     """Guards against an empty story that looks like an answer."""
     with pytest.raises(CallerUnknownError, match=r"100\.64\.0\.9"):
@@ -160,8 +174,11 @@
 
 
 def test_each_reason_of_a_refusal_has_a_description() -> None:
-    """Guards against a reason that is renamed or removed, but still described."""
-    assert set(DESCRIPTIONS) <= {reason.value for reason in RejectionReason}
+    """Guards against a reason that is added or renamed and that operators have to guess."""
+    described = {*DESCRIPTIONS, *DROP_DESCRIPTIONS}
+    # A retry that is not sent has no line.
+    described.add(RejectionReason.TRIES_EXHAUSTED.value)
+    assert described == {reason.value for reason in RejectionReason}
 
 
 def test_command_prints_the_story_of_a_caller(
