--- a/src/catkinspread/forwarding/decision_log.py
+++ b/src/catkinspread/forwarding/decision_log.py
@@ -4,8 +4,6 @@
 contain its inputs and the version of the configuration.
 """
 
-import msgspec
-
 from catkinspread.deployment import DeploymentState, KnownUpstream
 from catkinspread.eventlog import EventLog
 from catkinspread.forwarding.admission_policy import AdmissionInputs
@@ -19,6 +17,8 @@
 from catkinspread.forwarding.placement import UpstreamChoice
 
 _BYTE_MASK = 0xFF
+# Decimals of shares and occupancies.
+_DIGITS = 3
 
 
 def format_ip(ip: int) -> str:
@@ -170,7 +170,16 @@
         self, packet: CallerPacket, reason: RejectionReason, inputs: AdmissionInputs, now_ms: int
     ) -> None:
         """Logs that an opening packet is answered with a reset for lack of room."""
-        self._write_packet("flow_refused", packet, reason, now_ms, **msgspec.structs.asdict(inputs))
+        self._write_packet(
+            "flow_refused",
+            packet,
+            reason,
+            now_ms,
+            service=inputs.service,
+            priority=inputs.priority,
+            share=round(inputs.share, _DIGITS),
+            occupancy=round(inputs.occupancy, _DIGITS),
+        )
 
     def log_drop(self, packet: CallerPacket, reason: RejectionReason, now_ms: int) -> None:
         """Logs that a packet is dropped."""
