Own answers without queues contradict a high occupancy

Cause: an occupancy that is estimated from few summaries can be several times too high. Change: it does not start a limit while the own recent answers found an occupancy below release_occupancy.

--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -225,7 +225,10 @@
         """Counts updates with a high occupancy and returns whether the limit starts."""
         if room.slots <= 0:
             return False
-        is_hot = room.occupancy >= self._settings.limit_occupancy
+        recent = self.recent_occupancy.estimate()
+        # An estimate from few summaries varies; own answers without queues contradict it.
+        is_contradicted = recent is not None and recent < self._settings.release_occupancy
+        is_hot = room.occupancy >= self._settings.limit_occupancy and not is_contradicted
         self._hot_update_count = self._hot_update_count + 1 if is_hot else 0
         if self._hot_update_count >= self._settings.limit_update_count:
             return True
