Queues drain faster, and few figures are smoothed

Cause: in a burst, queues stayed full too long for the highest priority; after all summaries were lost, the few own figures of one of 300 instances varied by a factor of 2; the lowest priority got 0.0197 of the room. Change: the correction for queues is 15% per request, bounded by 50%; estimates from own figures only are averaged; the minimum has a margin of 1.25.

--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from catkinspread.admission.demand_trend import DemandTrend
+from catkinspread.admission.demand_trend import UPDATE_INTERVAL_MS, DemandTrend
 from catkinspread.admission.recent_occupancy import RecentOccupancy
 from catkinspread.admission.settings import AdmissionSettings
 from catkinspread.admission.shares import divide_room
@@ -26,9 +26,10 @@
 # instances in the simulation, and upstreams between full queues and idle slots.
 TRIM_INTERVAL_MIN_MS = 500
 # Part of the room by which it is corrected for each request per work slot that queues are off their
-# target. Demand that is 5% more than the room fills queues within 5 s.
-QUEUE_GAIN = 0.1
-QUEUE_CORRECTION_MAX = 0.2
+# target, and its bound. Demand that is 5% more than the room fills queues within 5 s. With 10% and
+# a bound of 20%, queues drained too slowly in a burst for the highest priority.
+QUEUE_GAIN = 0.15
+QUEUE_CORRECTION_MAX = 0.5
 # Age of summaries above which they correct less, as the queues have changed meanwhile.
 QUEUE_AGE_MS = 500
 # Standard deviations by which own openings must have risen while queues are seen. About 2% of the
@@ -38,6 +39,13 @@
 # answers show them 300 ms after queues of 8 requests are full.
 SURGE_FACTOR = 2.0
 SURGE_SIGNIFICANCE = 4.0
+# Weight of a new estimate from own figures only in the moving average. The openings and requests in
+# flight of one of 300 instances are so few that a single estimate varies by a factor of 2. With
+# summaries, their age delays the figures enough.
+ESTIMATE_WEIGHT = 0.2
+# Summaries show demand with a delay, and positions vary; with a margin, the lowest priority gets its
+# minimum also when its demand is over-estimated.
+MINIMUM_MARGIN = 1.25
 # A change of the admitted share by less is not reported.
 REPORTED_CHANGE_MIN = 0.05
 REPORT_INTERVAL_MS = 1_000
@@ -134,6 +142,7 @@
             opening_count: Openings that this instance counted as demand since the last update.
             now_ms: Current time.
         """
+        room = self._smooth(room)
         self._room = room
         self._demands = {demand.route: demand for demand in room.demands}
         self._trend.record(opening_count)
@@ -152,7 +161,9 @@
             return
         self._update_trim(room, now_ms)
         self._shares = divide_room(
-            self._compute_divided_room(room, growth), room.demands, self._settings.minimum_share
+            self._compute_divided_room(room, growth),
+            room.demands,
+            MINIMUM_MARGIN * self._settings.minimum_share,
         )
         offered = sum(demand.offered_work_ms_per_s for demand in room.demands)
         admitted = sum(d.offered_work_ms_per_s * self._shares[d.route] for d in room.demands)
@@ -208,6 +219,21 @@
         demand = self._demands.get(route)
         return demand.work_ms if demand is not None else 0.0
 
+    def _smooth(self, room: ServiceRoom) -> ServiceRoom:
+        """Returns a moving average of the load while it is estimated from own figures only."""
+        last = self._room
+        if last is None or not room.is_estimate or room.age_ms >= UPDATE_INTERVAL_MS:
+            return room
+        previous = {demand.route: demand for demand in last.demands}
+        return ServiceRoom(
+            room.service,
+            room.slots,
+            last.in_flight + ESTIMATE_WEIGHT * (room.in_flight - last.in_flight),
+            tuple(_smooth_demand(d, previous.get(d.route)) for d in room.demands),
+            room.age_ms,
+            room.is_estimate,
+        )
+
     def _finds_queues(self) -> bool:
         """Whether the own requests found occupied upstreams."""
         recent = self.recent_occupancy.estimate()
@@ -284,7 +310,9 @@
             + (demand.offered_work_ms_per_s if demand.priority == highest else 0.0)
             for demand in room.demands
         )
-        return max(reduced, min(total, needed / (1 - self._settings.minimum_share)))
+        return max(
+            reduced, min(total, needed / (1 - MINIMUM_MARGIN * self._settings.minimum_share))
+        )
 
     def _compute_queue_correction(self, room: ServiceRoom) -> float:
         """Returns the factor of the room that moves queues towards their target."""
@@ -310,3 +338,18 @@
                 work += admitted
                 requests += admitted / demand.work_ms
         return work / requests if requests else 0.0
+
+
+def _smooth_demand(demand: RouteDemand, last: RouteDemand | None) -> RouteDemand:
+    if last is None:
+        return demand
+    offered = demand.offered_work_ms_per_s - last.offered_work_ms_per_s
+    committed = demand.committed_work_ms_per_s - last.committed_work_ms_per_s
+    return RouteDemand(
+        demand.route,
+        demand.service,
+        demand.priority,
+        demand.work_ms,
+        last.offered_work_ms_per_s + ESTIMATE_WEIGHT * offered,
+        last.committed_work_ms_per_s + ESTIMATE_WEIGHT * committed,
+    )
