Limits that start from few summaries need more updates

Cause: with 300 instances, the first summaries after a start showed occupancies up to 14, and callers were refused while there was room.

--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -43,6 +43,7 @@
 # flight of one of 300 instances are so few that a single estimate varies by a factor of 2. With
 # summaries, their age delays the figures enough.
 ESTIMATE_WEIGHT = 0.2
+ESTIMATE_UPDATE_FACTOR = 2
 # Summaries show demand with a delay, and positions vary; with a margin, the lowest priority gets its
 # minimum also when its demand is over-estimated.
 MINIMUM_MARGIN = 1.25
@@ -256,10 +257,13 @@
         is_contradicted = recent is not None and recent < self._settings.release_occupancy
         is_hot = room.occupancy >= self._settings.limit_occupancy and not is_contradicted
         self._hot_update_count = self._hot_update_count + 1 if is_hot else 0
-        if self._hot_update_count >= self._settings.limit_update_count:
+        # An estimate from few summaries varies, so it must be high for longer.
+        patience = ESTIMATE_UPDATE_FACTOR if room.is_estimate else 1
+        if self._hot_update_count >= patience * self._settings.limit_update_count:
             return True
         is_exceeded = demand_ms_per_s > room.slots * _MS_PER_S
-        return is_exceeded and (is_hot or growth >= SURGE_FACTOR or self._finds_queues())
+        is_known_hot = is_hot and not room.is_estimate
+        return is_exceeded and (is_known_hot or growth >= SURGE_FACTOR or self._finds_queues())
 
     def _start_limit(self, now_ms: int) -> None:
         self.is_limited = True
