--- a/src/catkinspread/admission/tests/test_load.py
+++ b/src/catkinspread/admission/tests/test_load.py
@@ -1,5 +1,6 @@
 """What callers get under load; the bounds are the targets of the design page."""
 
+import functools
 import math
 
 import pytest
@@ -27,6 +28,7 @@
     return Play(size[0], lambda _centre, _ms: demand, settings, upstream_count=size[1], **options)
 
 
+@functools.cache
 def _run(size: tuple[int, int], demand: float, is_plain: bool = False) -> Outcome:
     play = _play(size, demand, is_plain)
     play.run(END_MS)
