Placement: slower spill-over, quick answers without the round trip

Fast failures in other data centres were not quick because of the round trip, and really fast upstreams seemed quick while the others queued. Change: the share rises by 0.5 for each unit of excess load, from 1.0 request in flight per slot on, with a time constant of 6 s and loads averaged over 3 s. Answers are compared without the round trip and with the usual time without queueing; a quarter of it is quick.

--- a/src/catkinspread/forwarding/load.py
+++ b/src/catkinspread/forwarding/load.py
@@ -16,10 +16,10 @@
 RESPONSE_HALF_LIFE_MS = 1_500
 # Response time that is assumed for an upstream without samples.
 RESPONSE_DEFAULT_MS = 45.0
-# An answer that took less than this part of the usual response time is quick. Failed requests are
-# answered quickly; an upstream that is really faster than the others, but by less than the
-# reciprocal of this part, has no quick answers.
-QUICK_ANSWER_FRACTION = 0.33
+# An answer that took less than this part of the usual response time, each without the round trip of
+# the network and the usual one without queueing, is quick. Failed requests are answered quickly; an
+# upstream that is up to four times as fast as the others has no quick answers.
+QUICK_ANSWER_FRACTION = 0.25
 # Share of quick answers above which an upstream may be failing requests; see `Placement`. Below it,
 # quick answers shorten the average by at most as much.
 QUICK_SHARE_MAX = 0.1
@@ -74,6 +74,7 @@
         typical_response_ms: Moving average of all measured response times as they are, which keeps
             its value while there are no new samples; None before the first one.
         has_quick_answers: Whether so many of its answers are quick that it may be failing requests.
+        quick_below_ms: Response time below which an answer is quick; set by the placement.
         placed_number: Number of flows that had been placed on the upstreams of its service in its
             data centre when one was last placed on it, including this one; set by the placement.
     """
@@ -90,6 +91,7 @@
         "last_placed_at_ms",
         "peer_in_flight",
         "placed_number",
+        "quick_below_ms",
         "typical_response_ms",
         "usual_response_ms",
     )
@@ -99,6 +101,7 @@
         self.peer_in_flight = 0
         self.last_placed_at_ms = 0
         self.usual_response_ms = RESPONSE_DEFAULT_MS
+        self.quick_below_ms = QUICK_ANSWER_FRACTION * RESPONSE_DEFAULT_MS
         self.typical_response_ms: float | None = None
         self.has_quick_answers = False
         self.placed_number = 0
@@ -120,7 +123,7 @@
         else:
             change_ms = TYPICAL_SMOOTHING_FACTOR * (response_ms - typical_ms)
             self.typical_response_ms = typical_ms + change_ms
-        is_quick = response_ms < QUICK_ANSWER_FRACTION * self.usual_response_ms
+        is_quick = response_ms < self.quick_below_ms
         self._quick_share += QUICK_SMOOTHING_FACTOR * (is_quick - self._quick_share)
         self.has_quick_answers = self._quick_share > QUICK_SHARE_MAX
         current_ms = self.estimate_unqueued_response_ms(now_ms)
--- a/src/catkinspread/forwarding/response_estimates.py
+++ b/src/catkinspread/forwarding/response_estimates.py
@@ -10,7 +10,12 @@
 from catkinspread.deployment import KnownUpstream
 from catkinspread.forwarding.admission_policy import OccupancyView
 from catkinspread.forwarding.handshakes import HandshakeEstimator
-from catkinspread.forwarding.load import RESPONSE_DEFAULT_MS, LoadTracker, UpstreamLoad
+from catkinspread.forwarding.load import (
+    QUICK_ANSWER_FRACTION,
+    RESPONSE_DEFAULT_MS,
+    LoadTracker,
+    UpstreamLoad,
+)
 from catkinspread.forwarding.spill_over import SpillOver
 
 # Added to the expected response time of upstreams in other data centres while the handshakes with
@@ -136,22 +141,18 @@
             return
         self._updated_at_ms = now_ms
         self.has_quick_answers = any(load.has_quick_answers for _, load in self._members)
-        usual_ms = {
-            name: _set_usual(members, now_ms) for name, members in self._by_data_centre.items()
-        }
-        own = self._by_data_centre.get(self._data_centre, [])
+        occupancies = self._find_occupancies(now_ms)
+        self.spill_over.update(occupancies, now_ms)
+        usual_ms, unqueued_ms = {}, {}
+        for name, members in self._by_data_centre.items():
+            usual_ms[name] = _compute_usual_ms(members, now_ms)
+            # The measured times include queueing, which a request need not meet.
+            queueing = max(1.0, PROCESSING_FRACTION * occupancies.get(name, 0.0))
+            unqueued_ms[name] = usual_ms[name] / queueing
+            self._set_limits(name, members, usual_ms[name], unqueued_ms[name])
+        self._own_usual_ms = unqueued_ms.get(self._data_centre, 0.0)
         remotes = [name for name in self._by_data_centre if name != self._data_centre]
-        own_occupancy = self._compute_own_occupancy(own, now_ms)
-        # The measured times include queueing, which the other data centre need not have.
-        queueing = max(1.0, PROCESSING_FRACTION * own_occupancy)
-        self._own_usual_ms = usual_ms.get(self._data_centre, 0.0) / queueing
         self._remotes = {}
-        occupancies = {self._data_centre: own_occupancy}
-        for name in remotes:
-            occupancy = self._occupancies.find_occupancy(self._service, name, now_ms)
-            if occupancy is not None:
-                occupancies[name] = occupancy
-        self.spill_over.update(occupancies, now_ms)
         for name in remotes:
             self._remotes[name] = RemoteEstimate(
                 self._compute_penalty_ms(name),
@@ -189,18 +190,23 @@
             )
         return remote
 
-    def _compute_own_occupancy(self, own: Sequence[Member], now_ms: int) -> float:
-        """Returns the load of the own data centre in requests in flight per work slot.
+    def _find_occupancies(self, now_ms: int) -> dict[str, float]:
+        """Returns the load of the data centres in requests in flight per work slot.
 
-        The view knows more than the reports of the other instances, which may reach this one in
-        part only.
+        The view knows more about the own data centre than the reports of its instances, which may
+        reach this one in part only. Of other data centres, those that the view knows are included.
         """
-        seen = self._occupancies.find_occupancy(self._service, self._data_centre, now_ms)
-        if seen is not None:
-            return seen
-        slots = sum(upstream.record.work_slots for upstream, _ in own)
-        requests = sum(load.in_flight + load.peer_in_flight for _, load in own)
-        return requests / slots if slots else 0.0
+        seen = {
+            name: self._occupancies.find_occupancy(self._service, name, now_ms)
+            for name in self._by_data_centre
+        }
+        occupancies = {name: value for name, value in seen.items() if value is not None}
+        if self._data_centre in seen and self._data_centre not in occupancies:
+            own = self._by_data_centre[self._data_centre]
+            slots = sum(upstream.record.work_slots for upstream, _ in own)
+            requests = sum(load.in_flight + load.peer_in_flight for _, load in own)
+            occupancies[self._data_centre] = requests / slots if slots else 0.0
+        return occupancies
 
     def _compute_penalty_ms(self, data_centre: str) -> float:
         own_ms = self._handshakes.find_average_ms(self._data_centre)
@@ -210,9 +216,19 @@
         penalty_ms = other_ms - own_ms + REMOTE_MARGIN_MS
         return min(REMOTE_PENALTY_MAX_MS, max(REMOTE_PENALTY_MIN_MS, penalty_ms))
 
+    def _set_limits(
+        self, data_centre: str, members: Sequence[Member], usual_ms: float, unqueued_ms: float
+    ) -> None:
+        """Sets which answers of the upstreams of a data centre are usual and which are quick."""
+        round_trip_ms = min(unqueued_ms, self._handshakes.find_average_ms(data_centre) or 0.0)
+        quick_below_ms = round_trip_ms + QUICK_ANSWER_FRACTION * (unqueued_ms - round_trip_ms)
+        for _, load in members:
+            load.usual_response_ms = usual_ms
+            load.quick_below_ms = quick_below_ms
+
 
-def _set_usual(members: Sequence[Member], now_ms: int) -> float:
-    """Sets the usual response time of the upstreams of one data centre and returns it.
+def _compute_usual_ms(members: Sequence[Member], now_ms: int) -> float:
+    """Returns the usual response time of the upstreams of a data centre.
 
     It is the median of the typical ones of those that respond, so upstreams that fail requests
     change it little while they are the minority.
@@ -222,7 +238,4 @@
         for _, load in members
         if load.typical_response_ms is not None and not load.is_in_backoff(now_ms)
     ]
-    usual_ms = statistics.median(typical_ms) if typical_ms else RESPONSE_DEFAULT_MS
-    for _, load in members:
-        load.usual_response_ms = usual_ms
-    return usual_ms
+    return statistics.median(typical_ms) if typical_ms else RESPONSE_DEFAULT_MS
--- a/src/catkinspread/forwarding/spill_over.py
+++ b/src/catkinspread/forwarding/spill_over.py
@@ -11,21 +11,21 @@
 
 # Load of the own data centre, in requests in flight per work slot, at which spill-over begins. The
 # network takes three tenths of the time that a request is in flight (`PROCESSING_FRACTION`), so all
-# slots are taken at about 1.4; this is four fifths of it.
-START_OCCUPANCY = 1.15
+# slots are taken at about 1.4; this is seven tenths of it.
+START_OCCUPANCY = 1.0
 # Load below which nothing spills over, because traffic between data centres is expensive.
 LITTLE_OCCUPANCY = 0.6
 # Load by which another data centre must be below the own one. Random differences of data centres
 # with equal load are smaller, so these do not exchange flows.
 ADVANTAGE_MIN = 0.3
 # Share for each unit of excess load, and the time constant with which the share follows it. The load
-# of other data centres is known with a delay of up to 1 s; with a share that changes faster or more,
-# flows would move to and fro.
-SHARE_PER_EXCESS = 1.0
-FOLLOWING_MS = 3_000
+# of other data centres is known with a delay of up to 1 s. With a share of 1.0 for each unit or a time
+# constant of 3 s, the spill-over of a steady demand turned up to four times in 24 s.
+SHARE_PER_EXCESS = 0.5
+FOLLOWING_MS = 6_000
 SHARE_MAX = 0.9
 # Time constant of the moving averages of the load.
-SMOOTHING_MS = 1_500
+SMOOTHING_MS = 3_000
 
 
 class SpillOver:
