Open flows of a lower priority turn no higher one away

Cause: committed work of all priorities was subtracted before the division, and it lowered the trim as well. Change: committed work takes room from its own and lower priorities only, and the trim stays while it exceeds the room. Result: test_open_flows_of_a_lower_priority_turn_no_higher_one_away fails with the division of before.

--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -297,6 +297,10 @@
         self._trimmed_at_ms = now_ms
         settings = self._settings
         recent = self.recent_occupancy.estimate()
+        committed = sum(demand.committed_work_ms_per_s for demand in room.demands)
+        if committed >= self._compute_room(room):
+            # The queues are those of open flows, so they tell nothing about the learned work.
+            return
         lower, upper = sorted((room.occupancy, room.occupancy if recent is None else recent))
         if lower > settings.trim_lower_occupancy:
             self._trim = max(settings.trim_min, self._trim * TRIM_LOWER_FACTOR)
@@ -315,9 +319,9 @@
         reduced = total * self._compute_queue_correction(room) / growth
         highest = min((d.priority for d in room.demands if d.offered_work_ms_per_s), default=0)
         needed = sum(
-            demand.committed_work_ms_per_s
-            + (demand.offered_work_ms_per_s if demand.priority == highest else 0.0)
+            demand.committed_work_ms_per_s + demand.offered_work_ms_per_s
             for demand in room.demands
+            if demand.priority <= highest
         )
         return max(
             reduced, min(total, needed / (1 - MINIMUM_MARGIN * self._settings.minimum_share))
--- a/src/catkinspread/admission/shares.py
+++ b/src/catkinspread/admission/shares.py
@@ -15,10 +15,12 @@
 ) -> dict[str, float]:
     """Returns the share of the offered work of each route that is admitted, from 0 to 1.
 
-    Committed work is subtracted first. Routes are then served by priority, and within a priority by
-    ascending work per request, until the room is used up. The lowest priority that offers work
-    keeps a minimum, in which its committed work counts; only this minimum goes before higher
-    priorities. Demands of one route for the same service are added up.
+    Routes are served by priority, and within a priority by ascending work per request, until the
+    room is used up. The committed work of the same and of higher priorities is subtracted first,
+    that of lower ones is not: otherwise open flows of a lower priority, which cannot be refused,
+    would turn away a higher one. The lowest priority that offers work keeps a minimum, in which its
+    committed work counts; only this minimum goes before higher priorities. Demands of one route for
+    the same service are added up.
 
     Args:
         room_work_ms_per_s: Room of the service, in milliseconds of a work slot per second.
@@ -35,15 +37,17 @@
     lowest_offered = sum(d.offered_work_ms_per_s for d in asking if d.priority == lowest)
     minimum = minimum_share * room_work_ms_per_s - lowest_committed
     reserved = min(max(0.0, minimum), lowest_offered)
-    committed = sum(demand.committed_work_ms_per_s for demand in merged)
-    remaining = max(0.0, room_work_ms_per_s - committed - reserved)
+    used = 0.0
     for group in _group_in_order(asking):
-        if group[0].priority == lowest:
-            remaining += reserved
-            reserved = 0.0
+        priority = group[0].priority
+        committed = sum(d.committed_work_ms_per_s for d in merged if d.priority <= priority)
+        kept = 0.0 if priority == lowest else reserved
+        remaining = max(reserved - kept, room_work_ms_per_s - committed - kept - used)
         offered = sum(demand.offered_work_ms_per_s for demand in group)
-        admitted = min(offered, remaining)
-        remaining -= admitted
+        admitted = min(offered, max(0.0, remaining))
+        used += admitted
+        if priority == lowest:
+            reserved = max(0.0, reserved - admitted)
         for demand in group:
             shares[demand.route] = admitted / offered
     return shares
--- a/src/catkinspread/admission/tests/test_decisions.py
+++ b/src/catkinspread/admission/tests/test_decisions.py
@@ -26,6 +26,12 @@
     assert shares == pytest.approx({"high": 1.0, "mid": 0.76, "low": 0.04})
 
 
+def test_open_flows_of_a_lower_priority_turn_no_higher_one_away() -> None:
+    """Guards against payments that are refused because open flows of a feed fill the room."""
+    demands = [_demand("high", 0, 400, 100), _demand("feed", 1, 300, 2_000)]
+    assert divide_room(1_000, demands, 0.02) == {"high": 1.0, "feed": 0.0}
+
+
 def test_lowest_priority_keeps_its_minimum_before_higher_ones() -> None:
     """Guards against starvation, also by committed work; its own committed work counts."""
     high = _demand("high", 0, 2_000, 1_500)
