A route without a time-out has no deadline for admission

Cause: a time-out of 0, the default on the wire, made every flow of a limited service too late. Change: 0 means no deadline, as elsewhere.

--- a/src/catkinspread/admission/controller.py
+++ b/src/catkinspread/admission/controller.py
@@ -247,7 +247,7 @@
         if compute_position(caller_ip, now_ms - waited_ms) >= state.share:
             verdict = AdmissionVerdict.NO_ROOM
             state.no_room += 1
-        elif waited_ms + state.expected_ms > route.timeout_ms:
+        elif _is_too_late(route, waited_ms + state.expected_ms):
             verdict = AdmissionVerdict.TOO_LATE
             state.too_late += 1
         else:
@@ -272,7 +272,7 @@
         if (
             verdict is AdmissionVerdict.ADMITTED
             and state.share is not None
-            and waited_ms + state.expected_ms > route.timeout_ms
+            and _is_too_late(route, waited_ms + state.expected_ms)
         ):
             state.late_copies += 1
             verdict = AdmissionVerdict.TOO_LATE
@@ -312,3 +312,8 @@
             expired.append(key)
         for key in expired:
             del self._decisions[key]
+
+
+def _is_too_late(route: Route, total_ms: float) -> bool:
+    """Whether the answer would come after the deadline; a route with a time-out of 0 has none."""
+    return 0 < route.timeout_ms < total_ms
--- a/src/catkinspread/admission/tests/test_controller.py
+++ b/src/catkinspread/admission/tests/test_controller.py
@@ -1,5 +1,7 @@
 """Decisions about flows, their counts and the reported changes."""
 
+import msgspec
+
 from catkinspread.admission.controller import AdmissionController
 from catkinspread.admission.settings import AdmissionMode, AdmissionSettings
 from catkinspread.admission.tests.load_play import SERVICE, build_route
@@ -135,6 +137,15 @@
     assert counts[TOO_LATE] == 1
 
 
+def test_route_without_a_time_out_has_no_deadline() -> None:
+    """Guards against a limited service that refuses each flow of a route without a time-out."""
+    harness = _Harness()
+    harness.limit(occupancy=4.5)
+    without_timeout = msgspec.structs.replace(HIGH, timeout_ms=0)
+    assert harness.decide(without_timeout, 7) is ADMITTED
+    assert harness.decide(without_timeout, 7, copy=2) is ADMITTED
+
+
 def test_changes_have_their_inputs_and_are_at_most_one_per_second() -> None:
     """Guards against a flood of log lines, and lines that don't explain the change."""
     harness = _Harness()
