--- a/src/catkinspread/forwarding/response_estimates.py
+++ b/src/catkinspread/forwarding/response_estimates.py
@@ -24,7 +24,9 @@
 REMOTE_PENALTY_MS = 25.0
 # Added to the measured difference of the handshakes, for the same reason.
 REMOTE_MARGIN_MS = 10.0
-REMOTE_PENALTY_MIN_MS = 15.0
+# A lower bound would place more flows in another data centre with little load, which fail if it is
+# cut off.
+REMOTE_PENALTY_MIN_MS = 25.0
 REMOTE_PENALTY_MAX_MS = 200.0
 # Fraction of the time between the opening packet and the answer that the upstream spends on the
 # request; the rest is network latency.
