--- a/src/catkinspread/admission/demand_trend.py
+++ b/src/catkinspread/admission/demand_trend.py
@@ -7,7 +7,8 @@
 import collections
 
 UPDATE_INTERVAL_MS = 250
-# Numbers of updates whose openings count as recent: one shows a large rise at once, two a small one.
+# Numbers of updates whose openings count as recent: one shows a large rise at once, two show a
+# small one.
 _RECENT_UPDATES = (1, 2)
 # Updates that are kept; covers the window of a summary and its lifetime.
 _UPDATES_MAX = 16
--- a/src/catkinspread/admission/retry_share.py
+++ b/src/catkinspread/admission/retry_share.py
@@ -9,8 +9,8 @@
 
 import math
 
-# Time constant of the decaying sums. Half a rotation of the positions; long enough for few openings
-# of a route on one of many instances. 10 s gave idle slots with 300 instances in the simulation.
+# Time constant of the decaying sums: half a rotation of the positions. It is long enough for a
+# route with few openings on one of many instances. A longer one leaves work slots idle.
 MEMORY_MS = 5_000
 # Openings without retries that the sums start with; avoids wild estimates from few openings.
 PRIOR_OPENINGS = 2.0
--- a/src/catkinspread/admission/room.py
+++ b/src/catkinspread/admission/room.py
@@ -8,8 +8,8 @@
 from catkinspread.admission.summaries import MergedLoad, SummaryTable
 from catkinspread.admission.types import RouteDemand, ServiceRoom
 
-# Time for which a merge of the summaries is used again, so that a packet costs a look-up only. Shorter
-# than the interval between summaries, which bounds how fast the sums can change.
+# Time for which a merge of the summaries is used again, so that a packet costs a look-up only. It
+# is shorter than the interval between summaries, which bounds how fast the sums can change.
 MERGE_INTERVAL_MS = 100
 # Sequence number of the own summary that is merged but not sent.
 _UNSENT_SEQUENCE = 0
--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -22,12 +22,12 @@
 # more room would take a minute where summaries are 3 s old.
 TRIM_IDLE_GAIN = 0.1
 # The trim changes only once the room shows the effect of its last change, which takes as long as
-# the summaries are old. With changes at each update, it oscillated between 0.55 and 1 at 63
-# instances in the simulation, and upstreams between full queues and idle slots.
+# the summaries are old. More frequent changes make it oscillate, and upstreams alternate between
+# full queues and idle slots.
 TRIM_INTERVAL_MIN_MS = 500
 # Part of the room by which it is corrected for each request per work slot that queues are off their
-# target, and its bound. Demand that is 5% more than the room fills queues within 5 s. With 10% and
-# a bound of 20%, queues drained too slowly in a burst for the highest priority.
+# target, and its bound. Demand that is 5% more than the room fills queues within 5 s. With smaller
+# values, queues drain too slowly in a burst for the highest priority to be answered in time.
 QUEUE_GAIN = 0.15
 QUEUE_CORRECTION_MAX = 0.5
 # Age of summaries above which they correct less, as the queues have changed meanwhile.
@@ -35,8 +35,8 @@
 # Standard deviations by which own openings must have risen while queues are seen. About 2% of the
 # updates without a rise exceed it.
 GROWTH_SIGNIFICANCE = 2.0
-# A rise by this factor and this many standard deviations may limit a service before queues are seen:
-# answers show them 300 ms after queues of 8 requests are full.
+# A rise by this factor and this many standard deviations may limit a service before queues are
+# seen: answers show them 300 ms after queues of 8 requests are full.
 SURGE_FACTOR = 2.0
 SURGE_SIGNIFICANCE = 4.0
 # Weight of a new estimate from own figures only in the moving average. The openings and requests in
@@ -44,8 +44,8 @@
 # summaries, their age delays the figures enough.
 ESTIMATE_WEIGHT = 0.2
 ESTIMATE_UPDATE_FACTOR = 2
-# Summaries show demand with a delay, and positions vary; with a margin, the lowest priority gets its
-# minimum also when its demand is over-estimated.
+# Summaries show demand with a delay, and positions vary; with a margin, the lowest priority gets
+# its minimum also when its demand is over-estimated.
 MINIMUM_MARGIN = 1.25
 # A change of the admitted share by less is not reported.
 REPORTED_CHANGE_MIN = 0.05
--- a/src/catkinspread/admission/summaries.py
+++ b/src/catkinspread/admission/summaries.py
@@ -1,9 +1,9 @@
 """Summaries of other instances and their sum.
 
-In a large data centre an instance hears only from a few others while their summaries are used. There,
-some summaries are therefore partial sums over several instances, and the sum is an average of all
-that was heard, weighted by the numbers of instances. A partial sum is made of the summaries of single
-instances only, so that figures do not go round.
+In a large data centre, an instance hears only from a few others within the lifetime of a summary.
+There, some summaries are therefore partial sums over several instances, and the sum over the data
+centre is an average of all summaries heard, weighted by the numbers of instances. A partial sum is
+made of the summaries of single instances only, so that no figure is passed on repeatedly.
 
 The sums over the local data centre are kept up to date with each summary, in whole units, so that a
 merge does not visit every summary again and no rounding errors accumulate.
@@ -33,15 +33,18 @@
 # Highest rate at which the sequence numbers of an instance increase: four times that of
 # `runtime.room_reports`, so that a delay of the previous summary does not matter.
 SEQUENCE_RATE_MAX_PER_S = 16
-# Number of instances of a data centre up to which each one hears every summary of the others, because
-# it has two recipients. One that is silent there while another is heard has ended: a directory goes
-# on listing a killed instance for 20 s, in which the sum would count its load twice.
+# Number of instances of a data centre up to which each one hears every summary of the others,
+# because a summary has two recipients. There, an instance that is silent while another one is heard
+# has ended. The directory goes on listing a killed instance for 20 s, in which the sum would count
+# its load twice.
 DIRECT_INSTANCES_MAX = 3
-# Number of instances of a data centre up to which an instance hears from most others directly.
+# Number of other instances in the data centre from which on partial sums are sent. With fewer, an
+# instance hears from most others directly.
 PARTIAL_SUMS_MIN = 16
 # Age up to which a summary is part of a partial sum. It adds to the age of the partial sum itself.
 PARTIAL_SUM_AGE_MAX_MS = 1_500
-# Instances in a partial sum. 12 summaries arrive within PARTIAL_SUM_AGE_MAX_MS on average under load.
+# Most instances in a partial sum. 12 summaries arrive within PARTIAL_SUM_AGE_MAX_MS on average
+# under load.
 PARTIAL_SUM_MAX = 32
 # Bounds of what is kept. The target of docs/CAPACITY.md is 640 instances in 8 data centres.
 INSTANCE_COUNT_MAX = 4_096
--- a/src/catkinspread/admission/tests/test_convergence.py
+++ b/src/catkinspread/admission/tests/test_convergence.py
@@ -170,7 +170,7 @@
 
 
 def test_partition_between_data_centres_and_its_end() -> None:
-    """Guards against sums over what cannot be reached, and against a partition that leaves traces."""
+    """Guards against sums over what is unreachable, and a partition that leaves traces."""
     cluster, load = _build({"a": 3, "b": 3})
     cluster.run(4_000, load.generate)
     everyone = cluster.list_instances()
--- a/src/catkinspread/admission/tests/test_room.py
+++ b/src/catkinspread/admission/tests/test_room.py
@@ -172,7 +172,7 @@
 
 
 def test_bound_of_requests_follows_the_upstreams() -> None:
-    """Guards against a summary with more requests than upstreams hold, and against a fixed bound."""
+    """Guards against a summary with more requests than upstreams hold, and a fixed bound."""
     instance = _build(east=1, west=1)
     bound = 4 * 10 * CONNECTIONS_MAX
     assert instance.capacity.find_requests_max(SERVICE, "west", START_MS) == bound
--- a/src/catkinspread/admission/tests/test_summaries.py
+++ b/src/catkinspread/admission/tests/test_summaries.py
@@ -220,7 +220,7 @@
 
 
 def test_other_data_centres_are_used_as_they_are() -> None:
-    """Guards against a sum of another data centre that is scaled or counted once for each sender."""
+    """Guards against a sum of another data centre that is scaled, or counted for each sender."""
     table = build_table()
     table.apply(build_summary("w1", 5, "west", 9, requests=90), START_MS)
     table.apply(build_summary("w2", 7, "west", 9, requests=70), START_MS + 100)
--- a/src/catkinspread/admission/tests/test_summaries_fuzz.py
+++ b/src/catkinspread/admission/tests/test_summaries_fuzz.py
@@ -1,7 +1,7 @@
 """Random summaries leave finite sums within bounds, and raise nothing.
 
-FUZZ_EXAMPLES in the environment sets the number of random examples; without it, they are the same in
-each run.
+FUZZ_EXAMPLES in the environment sets the number of random examples; without it, they are the same
+in each run.
 """
 
 import math
--- a/src/catkinspread/admission/work.py
+++ b/src/catkinspread/admission/work.py
@@ -2,8 +2,8 @@
 
 from catkinspread.deployment import Route
 
-# Weight of a new sample once a route has enough of them. With a tail of 3% of the requests that take
-# 7 times as long, the average then deviates by 8% (one standard deviation).
+# Weight of a new sample once a route has enough of them. If 3% of the requests take 7 times as long
+# as the others, the average deviates by 8% (one standard deviation).
 SMOOTHING_FACTOR = 1 / 64
 # Weight of a new value that another instance told. It may itself know only the default.
 TOLD_SMOOTHING_FACTOR = 0.25
--- a/src/catkinspread/configuration_check/tests/test_differences.py
+++ b/src/catkinspread/configuration_check/tests/test_differences.py
@@ -29,7 +29,7 @@
 
 @pytest.mark.parametrize(("version", "is_ignored"), [(5, True), (6, True), (7, False)])
 def test_version_is_an_error_exactly_if_instances_ignore_it(version, is_ignored):
-    """Guards against an object that is sent without effect, or that is reported although it has one."""
+    """Guards against an object that is sent without effect, or reported although it has one."""
     draft = build_draft(version=version)
     state = DeploymentState(flow_lifetime_max_ms=1)
     state.put_configuration(IN_FORCE.configuration)
--- a/src/catkinspread/explain/log_index.py
+++ b/src/catkinspread/explain/log_index.py
@@ -93,7 +93,7 @@
         return _find_first(self._upstream_losses[name], at_ms, within_ms) is not None
 
     def find_admission_change(self, instance: str, service: str, at_ms: int) -> LogLine | None:
-        """Returns the last change of admission that an instance logged for a service until a time."""
+        """Returns the last admission change that an instance logged for a service until a time."""
         changes = self._admission_changes[instance, service]
         count = bisect.bisect_right(changes, at_ms, key=lambda line: line.at_ms)
         return changes[count - 1] if count else None
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -46,8 +46,8 @@
 # to the source or to a feeder ended meanwhile.
 REFUSAL_DELAY_AFTER_PAUSE_MS = 1_000
 IDLE_TIMEOUT_DEFAULT_MS = 15_000
-# Read for each packet. Reading a member from its enumeration takes 0.17 us on Python 3.11, more than
-# a call.
+# Read for each packet. Reading a member from its enumeration takes 0.17 us on Python 3.11, more
+# than a call.
 _ADMITTED = AdmissionVerdict.ADMITTED
 _OPEN = TokenStage.OPEN
 _ADMISSION_REJECTIONS = {
@@ -100,7 +100,8 @@
             dropped_REASON: A packet was dropped.
         histograms: Latency histograms by name: `handshake` and `response`.
         placed_by_route: Opened flows by name of the route and data centre of the first upstream.
-        refused_by_route: Refused opening packets by name of the route, empty without one, and reason.
+        refused_by_route: Refused opening packets by name of the route, empty without one, and
+            reason.
         reachability: Tells which upstreams are unreachable.
     """
 
--- a/src/catkinspread/forwarding/packets.py
+++ b/src/catkinspread/forwarding/packets.py
@@ -77,8 +77,8 @@
     NONE_ANSWERS = "none_answers"
     # Refused: all eligible upstreams are in cold start and none is within its rate limit.
     ALL_COLD = "all_cold"
-    # Refused: the share of the service's room that the route has is used up. A retransmission that may
-    # have been sent to an upstream by another instance is dropped instead.
+    # Refused: the share of the service's room that the route has is used up. A retransmission that
+    # may have been sent to an upstream by another instance is dropped instead.
     NO_ROOM = "no_room"
     # Refused, or dropped like NO_ROOM: the expected wait exceeds the time until the deadline of the
     # request.
--- a/src/catkinspread/forwarding/placement.py
+++ b/src/catkinspread/forwarding/placement.py
@@ -2,9 +2,9 @@
 
 Upstreams are compared by their expected response time, which depends on their queue, their measured
 response times and whether they are in another data centre. While the own data centre has much load,
-a part of the flows may go to another one before all slots of the own one are taken. An upstream with
-quick answers may be failing requests: it counts as no faster than usual and gets at most its fair
-share, which is one flow in as many as there are upstreams. Upstreams that do not respond are
+a part of the flows may go to another one before all slots of the own one are taken. An upstream
+with quick answers may be failing requests: it counts as no faster than usual and gets at most its
+fair share, which is one flow in as many as there are upstreams. Upstreams that do not respond are
 excluded while others do, and upstreams in cold start are used only within their rate limit.
 """
 
--- a/src/catkinspread/forwarding/spill_over.py
+++ b/src/catkinspread/forwarding/spill_over.py
@@ -18,9 +18,9 @@
 # Load by which another data centre must be below the own one. Random differences of data centres
 # with equal load are smaller, so these do not exchange flows.
 ADVANTAGE_MIN = 0.3
-# Share for each unit of excess load, and the time constant with which the share follows it. The load
-# of other data centres is known with a delay of up to 1 s. With a share of 1.0 for each unit or a time
-# constant of 3 s, the spill-over of a steady demand turned up to four times in 24 s.
+# Share for each unit of excess load, and the time constant with which the share follows it. The
+# load of other data centres is known with a delay of up to 1 s, so a larger share or a shorter time
+# constant makes the spill-over of a steady demand oscillate.
 SHARE_PER_EXCESS = 0.5
 FOLLOWING_MS = 6_000
 SHARE_MAX = 0.9
--- a/src/catkinspread/forwarding/tests/test_admission_of_flows.py
+++ b/src/catkinspread/forwarding/tests/test_admission_of_flows.py
@@ -91,7 +91,7 @@
 def test_refused_flow_takes_nothing_from_the_placement(
     harness: ForwarderHarness, admission: ScriptedAdmission
 ) -> None:
-    """Guards against refused flows that use up the rate of an upstream in cold start or its turn."""
+    """Guards against refused flows that use up the rate of a cold upstream or its turn."""
     admission.verdict = AdmissionVerdict.NO_ROOM
     harness.send(build_opening_packet())
     assert {harness.loads.get(name).last_placed_at_ms for name in "ab"} == {0}
@@ -254,7 +254,7 @@
 def test_work_is_learned_without_the_network_latency(
     harness: ForwarderHarness, admission: ScriptedAdmission
 ) -> None:
-    """Guards against routes whose work seems higher, and their share lower, the farther callers are."""
+    """Guards against work that seems higher, and a lower share, the farther callers are."""
     for caller_port in range(4_001, 4_061):
         harness.send(build_opening_packet(caller_port))
         name = harness.list_targets()[-1]
--- a/src/catkinspread/platform/configuration_reader.py
+++ b/src/catkinspread/platform/configuration_reader.py
@@ -1,7 +1,7 @@
 """Reads the platform's configuration object for checks before it is sent.
 
-The decoder of the instances decides whether the object is refused, and stops at its first fault. Only
-if it refuses the object, each field of each entry is decoded by itself, to find all faults.
+The decoder of the instances decides whether the object is refused, and stops at its first fault.
+Only if it refuses the object, each field of each entry is decoded by itself, to find all faults.
 """
 
 import functools
--- a/src/catkinspread/runtime/room_reports.py
+++ b/src/catkinspread/runtime/room_reports.py
@@ -1,8 +1,9 @@
 """Summaries of demand and load for the other instances.
 
 The summary of this instance goes to two random instances of its data centre; in a large one, one of
-them gets a partial sum instead, see `catkinspread.admission.summaries`. The sum over the data centre
-goes to one random instance of each other one. The cost does not grow with the number of instances.
+them gets a partial sum instead, see `catkinspread.admission.summaries`. The sum over the data
+centre goes to one random instance of each other data centre. The cost does not grow with the number
+of instances.
 """
 
 import random
@@ -23,9 +24,9 @@
 BUSY_OCCUPANCY = 1.0
 # Instances of the own data centre that receive the summary.
 LOCAL_RECIPIENTS = 2
-# Bytes per second that the summaries may cost; larger ones are sent less often, though not less often
-# than once in IDLE_INTERVAL_MS, because they expire after 3 s. With four data centres the limit holds
-# up to 400 bytes for a message; 12 routes of 6 services take 340.
+# Bytes per second that the summaries may cost. Larger ones are sent less often, but at least once
+# in IDLE_INTERVAL_MS, because they expire after 3 s. With four data centres the limit holds up to
+# 400 bytes for a message; 12 routes of 6 services take 340.
 BYTES_PER_S_MAX = 2_000
 _MS_PER_S = 1_000
 
--- a/src/catkinspread/runtime/tests/overload_site.py
+++ b/src/catkinspread/runtime/tests/overload_site.py
@@ -1,7 +1,7 @@
 """Real processes of the program on loopback, callers, and upstreams with a bounded number of slots.
 
-Store, upstreams and callers run in the event loop of the test. Callers open a flow for each request,
-as those with the least to lose from a refusal do.
+Store, upstreams and callers run in the event loop of the test. Callers open a flow for each
+request, so that admission control can refuse each of them.
 """
 
 import collections
--- a/src/catkinspread/transport/traffic.py
+++ b/src/catkinspread/transport/traffic.py
@@ -11,8 +11,8 @@
     PACKETS = "packets"
     # Hellos to other instances, and the replies to them.
     MEMBERSHIP = "membership"
-    # Load reports, reports of unreachable upstreams, summaries of demand and load, and messages about
-    # flows.
+    # Load reports, reports of unreachable upstreams, summaries of demand and load, and messages
+    # about flows.
     REPORTS = "reports"
     # Deployment state read from other instances, counted by the reader.
     STATE = "state"
