Private names of admission and response estimates say what they hold

Cause: names such as _hot_update_count, _calm_since_ms, patience, _Heard and _judge were figurative; _own_usual_ms held the time without queueing; the factor of summed requests was the constant for milliseconds per second, though it is a number of seconds. Change: private members and local variables are renamed; the factor is _REQUEST_RATE_PERIOD_S with the same value.

--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -99,9 +99,9 @@
     """
 
     __slots__ = (
-        "_calm_since_ms",
         "_demands",
-        "_hot_update_count",
+        "_high_update_count",
+        "_releasable_since_ms",
         "_room",
         "_settings",
         "_shares",
@@ -132,8 +132,8 @@
         self._shares: dict[str, float] = {}
         self._trim = 1.0
         self._trimmed_at_ms = 0
-        self._hot_update_count = 0
-        self._calm_since_ms: int | None = None
+        self._high_update_count = 0
+        self._releasable_since_ms: int | None = None
 
     def update(self, room: ServiceRoom, opening_count: int, now_ms: int) -> None:
         """Computes the level from the current room.
@@ -143,7 +143,7 @@
             opening_count: Openings that this instance counted as demand since the last update.
             now_ms: Current time.
         """
-        room = self._smooth(room)
+        room = self._smooth_room(room)
         self._room = room
         self._demands = {demand.route: demand for demand in room.demands}
         self._trend.record(opening_count)
@@ -225,7 +225,7 @@
         demand = self._demands.get(route)
         return demand.work_ms if demand is not None else 0.0
 
-    def _smooth(self, room: ServiceRoom) -> ServiceRoom:
+    def _smooth_room(self, room: ServiceRoom) -> ServiceRoom:
         """Returns a moving average of the load while it is estimated from own figures only."""
         last = self._room
         if last is None or not room.is_estimate or room.age_ms >= UPDATE_INTERVAL_MS:
@@ -240,14 +240,14 @@
             room.is_estimate,
         )
 
-    def _finds_queues(self) -> bool:
+    def _has_seen_queues(self) -> bool:
         """Whether the own requests found occupied upstreams."""
         recent = self.recent_occupancy.estimate()
         return recent is not None and recent >= self._settings.limit_occupancy
 
     def _estimate_growth(self, room: ServiceRoom) -> float:
         """Returns the factor by which demand exceeds the one in the summaries; at least 1."""
-        if self._finds_queues():
+        if self._has_seen_queues():
             return self._trend.estimate_growth(room.age_ms, GROWTH_SIGNIFICANCE)
         # Without queues, a small rise is local, or demand is still no more than the room.
         growth = self._trend.estimate_growth(room.age_ms, SURGE_SIGNIFICANCE)
@@ -260,35 +260,35 @@
         recent = self.recent_occupancy.estimate()
         # An estimate from few summaries varies; own answers without queues contradict it.
         is_contradicted = recent is not None and recent < self._settings.release_occupancy
-        is_hot = room.occupancy >= self._settings.limit_occupancy and not is_contradicted
-        self._hot_update_count = self._hot_update_count + 1 if is_hot else 0
+        is_high = room.occupancy >= self._settings.limit_occupancy and not is_contradicted
+        self._high_update_count = self._high_update_count + 1 if is_high else 0
         # An estimate from few summaries varies, so it must be high for longer.
-        patience = ESTIMATE_UPDATE_FACTOR if room.is_estimate else 1
-        if self._hot_update_count >= patience * self._settings.limit_update_count:
+        update_factor = ESTIMATE_UPDATE_FACTOR if room.is_estimate else 1
+        if self._high_update_count >= update_factor * self._settings.limit_update_count:
             return True
         is_exceeded = demand_ms_per_s > room.slots * _MS_PER_S
-        is_known_hot = is_hot and not room.is_estimate
-        return is_exceeded and (is_known_hot or growth >= SURGE_FACTOR or self._finds_queues())
+        is_surely_high = is_high and not room.is_estimate
+        return is_exceeded and (is_surely_high or growth >= SURGE_FACTOR or self._has_seen_queues())
 
     def _start_limit(self, now_ms: int) -> None:
         self.is_limited = True
-        self._hot_update_count = 0
-        self._calm_since_ms = None
+        self._high_update_count = 0
+        self._releasable_since_ms = None
         self._trim = 1.0
         self._trimmed_at_ms = now_ms
 
     def _update_release(self, room: ServiceRoom, demand_ms_per_s: float, now_ms: int) -> None:
         """Ends the limit once demand and occupancy have been low for long enough."""
         settings = self._settings
-        is_calm = (
+        is_releasable = (
             room.occupancy < settings.release_occupancy
             and demand_ms_per_s < settings.release_demand_share * self._compute_room(room)
         )
-        if not is_calm:
-            self._calm_since_ms = None
-        elif self._calm_since_ms is None:
-            self._calm_since_ms = now_ms
-        elif now_ms - self._calm_since_ms >= settings.release_after_ms:
+        if not is_releasable:
+            self._releasable_since_ms = None
+        elif self._releasable_since_ms is None:
+            self._releasable_since_ms = now_ms
+        elif now_ms - self._releasable_since_ms >= settings.release_after_ms:
             self.is_limited = False
 
     def _update_trim(self, room: ServiceRoom, now_ms: int) -> None:
--- a/src/catkinspread/admission/summaries.py
+++ b/src/catkinspread/admission/summaries.py
@@ -59,6 +59,8 @@
 # them by at most this part.
 ROUNDING_MAX = 0.02
 _UNITS_PER_ONE = 1_024
+# Requests are summed as a number per this time, which keeps the rounding error of low rates small.
+_REQUEST_RATE_PERIOD_S = 1_000
 _MS_PER_S = 1_000
 
 
@@ -74,7 +76,7 @@
     IMPOSSIBLE = "impossible"
 
 
-class _Heard:
+class _ReceivedSummary:
     """The latest summary of an instance or a data centre."""
 
     __slots__ = ("received_at_ms", "summary")
@@ -97,13 +99,13 @@
         self.count = 0
         self.offered = 0
         self.committed = 0
-        # Requests per 1,000 s, of which the work of a request follows.
+        # In requests per _REQUEST_RATE_PERIOD_S. With the sums of work it gives the mean work.
         self.requests = 0
         self.priority = 0
 
     def add(self, demand: RouteDemand, sign: int, factor: float) -> None:
         """Adds a demand, multiplied by a factor; subtracts it if the sign is -1."""
-        requests = _MS_PER_S * compute_demanded_work(demand) / demand.work_ms
+        requests = _REQUEST_RATE_PERIOD_S * compute_demanded_work(demand) / demand.work_ms
         self.count += sign
         self.offered += sign * _to_units(demand.offered_work_ms_per_s * factor)
         self.committed += sign * _to_units(demand.committed_work_ms_per_s * factor)
@@ -167,7 +169,7 @@
                     route,
                     service,
                     demand_sum.priority,
-                    max(WORK_MIN_MS, _MS_PER_S * work / demand_sum.requests),
+                    max(WORK_MIN_MS, _REQUEST_RATE_PERIOD_S * work / demand_sum.requests),
                     _from_units(demand_sum.offered),
                     _from_units(demand_sum.committed),
                 )
@@ -244,9 +246,9 @@
         self._name = name
         self._data_centre = data_centre
         self._find_requests_max = find_requests_max
-        self._by_sender: dict[str, _Heard] = {}
+        self._by_sender: dict[str, _ReceivedSummary] = {}
         # Latest aggregate of each other data centre, kept also when it is no longer used.
-        self._by_data_centre: dict[str, _Heard] = {}
+        self._by_data_centre: dict[str, _ReceivedSummary] = {}
         # Sum over the summaries of the local instances in `_by_sender`.
         self._local_sum = LoadSum()
         # Instances in that sum; one that is in several summaries counts several times.
@@ -261,28 +263,28 @@
             something that is impossible.
         """
         self.expire(now_ms)
-        result = self._judge(summary, now_ms)
+        result = self._classify(summary, now_ms)
         self.counts[result] += 1
         if result is not SummaryResult.APPLIED:
             return False
         self._remove(summary.sender)
-        self._by_sender[summary.sender] = heard = _Heard(summary, now_ms)
+        self._by_sender[summary.sender] = received = _ReceivedSummary(summary, now_ms)
         if summary.data_centre == self._data_centre:
             self._local_sum.add(summary)
             self._local_count += summary.instance_count
         else:
-            self._by_data_centre[summary.data_centre] = heard
+            self._by_data_centre[summary.data_centre] = received
         return True
 
     def expire(self, now_ms: int) -> None:
         """Forgets the instances whose last summary is too old."""
         # The order is that of arrival, because each summary is inserted anew.
-        for sender, heard in list(self._by_sender.items()):
-            if heard.is_fresh(now_ms):
+        for sender, received in list(self._by_sender.items()):
+            if received.is_fresh(now_ms):
                 break
             self._remove(sender)
-        for data_centre, heard in list(self._by_data_centre.items()):
-            if now_ms - heard.received_at_ms >= DATA_CENTRE_TIMEOUT_MS:
+        for data_centre, received in list(self._by_data_centre.items()):
+            if now_ms - received.received_at_ms >= DATA_CENTRE_TIMEOUT_MS:
                 del self._by_data_centre[data_centre]
 
     def merge(self, own: RoomSummary, local_instance_count: int, now_ms: int) -> MergedLoad:
@@ -297,17 +299,17 @@
         heard_count = 1 + self._local_count
         load_sum = self._sum_local(own, local_instance_count)
         fresh = {
-            data_centre: heard
-            for data_centre, heard in self._by_data_centre.items()
-            if heard.is_fresh(now_ms)
+            data_centre: received
+            for data_centre, received in self._by_data_centre.items()
+            if received.is_fresh(now_ms)
         }
-        used = [heard.received_at_ms for heard in fresh.values()]
-        for heard in fresh.values():
-            load_sum.add(heard.summary)
+        used = [received.received_at_ms for received in fresh.values()]
+        for received in fresh.values():
+            load_sum.add(received.summary)
         local = [
-            heard.received_at_ms
-            for heard in self._by_sender.values()
-            if heard.summary.data_centre == self._data_centre
+            received.received_at_ms
+            for received in self._by_sender.values()
+            if received.summary.data_centre == self._data_centre
         ]
         oldest_at_ms = min([*used, *local], default=now_ms)
         return MergedLoad(
@@ -322,12 +324,15 @@
         load_sum = LoadSum()
         load_sum.add(own)
         instance_count = 1
-        for heard in reversed(self._by_sender.values()):
-            is_recent = now_ms - heard.received_at_ms < PARTIAL_SUM_AGE_MAX_MS
+        for received in reversed(self._by_sender.values()):
+            is_recent = now_ms - received.received_at_ms < PARTIAL_SUM_AGE_MAX_MS
             if not is_recent or instance_count == PARTIAL_SUM_MAX:
                 break
-            if heard.summary.data_centre == self._data_centre and heard.summary.instance_count == 1:
-                load_sum.add(heard.summary)
+            if (
+                received.summary.data_centre == self._data_centre
+                and received.summary.instance_count == 1
+            ):
+                load_sum.add(received.summary)
                 instance_count += 1
         return self._summarise(load_sum, own, instance_count)
 
@@ -365,11 +370,11 @@
         An instance of a large data centre hears less often from a small one, because each instance
         of that one tells only one here.
         """
-        heard = self._by_data_centre.get(data_centre)
-        if heard is None:
+        received = self._by_data_centre.get(data_centre)
+        if received is None:
             return False
-        ratio = max(1.0, local_instance_count / heard.summary.instance_count)
-        return now_ms - heard.received_at_ms >= SILENCE_MS * ratio
+        ratio = max(1.0, local_instance_count / received.summary.instance_count)
+        return now_ms - received.received_at_ms >= SILENCE_MS * ratio
 
     def _sum_local(self, own: RoomSummary, local_instance_count: int) -> LoadSum:
         factor = local_instance_count / (1 + self._local_count)
@@ -381,12 +386,12 @@
         return load_sum
 
     def _remove(self, sender: str) -> None:
-        heard = self._by_sender.pop(sender, None)
-        if heard is not None and heard.summary.data_centre == self._data_centre:
-            self._local_sum.add(heard.summary, -1)
-            self._local_count -= heard.summary.instance_count
+        received = self._by_sender.pop(sender, None)
+        if received is not None and received.summary.data_centre == self._data_centre:
+            self._local_sum.add(received.summary, -1)
+            self._local_count -= received.summary.instance_count
 
-    def _judge(self, summary: RoomSummary, now_ms: int) -> SummaryResult:
+    def _classify(self, summary: RoomSummary, now_ms: int) -> SummaryResult:
         if not self._is_possible(summary, now_ms):
             return SummaryResult.IMPOSSIBLE
         previous = self._by_sender.get(summary.sender)
--- a/src/catkinspread/admission/work.py
+++ b/src/catkinspread/admission/work.py
@@ -5,7 +5,7 @@
 # Weight of a new sample once a route has enough of them. If 3% of the requests take 7 times as long
 # as the others, the average deviates by 8% (one standard deviation).
 SMOOTHING_FACTOR = 1 / 64
-# Weight of a new value that another instance told. It may itself know only the default.
+# Weight of a new value that another instance told. That one may know only the default.
 TOLD_SMOOTHING_FACTOR = 0.25
 # A request uses a work slot for some time also if its response is measured as 0 ms.
 WORK_MIN_MS = 1.0
@@ -27,11 +27,11 @@
     The processing time of a request that did not queue is used as its work.
     """
 
-    __slots__ = ("_routes", "_told_ms")
+    __slots__ = ("_reported_ms", "_routes")
 
     def __init__(self) -> None:
         self._routes: dict[str, _RouteWork] = {}
-        self._told_ms: dict[str, float] = {}
+        self._reported_ms: dict[str, float] = {}
 
     def record_response(
         self, route: Route, processing_ms: int, occupied: float, work_slots: int
@@ -68,10 +68,10 @@
 
         So an instance that starts under overload, when most requests queue, knows the work as well.
         """
-        told = self._told_ms.setdefault(route, work_ms)
-        self._told_ms[route] = told + TOLD_SMOOTHING_FACTOR * (work_ms - told)
+        reported_ms = self._reported_ms.setdefault(route, work_ms)
+        self._reported_ms[route] = reported_ms + TOLD_SMOOTHING_FACTOR * (work_ms - reported_ms)
 
     def get_work_ms(self, route: str) -> float | None:
         """Returns the work of one request of a route in ms; None if nothing is known about it."""
         learned = self._routes.get(route)
-        return learned.work_ms if learned else self._told_ms.get(route)
+        return learned.work_ms if learned else self._reported_ms.get(route)
--- a/src/catkinspread/forwarding/response_estimates.py
+++ b/src/catkinspread/forwarding/response_estimates.py
@@ -83,7 +83,7 @@
         "_loads",
         "_members",
         "_occupancies",
-        "_own_usual_ms",
+        "_own_unqueued_ms",
         "_placed_counts",
         "_remotes",
         "_service",
@@ -112,7 +112,7 @@
         self._members: list[Member] = []
         self._by_data_centre: dict[str, list[Member]] = {}
         self._placed_counts: collections.Counter[str] = collections.Counter()
-        self._own_usual_ms = 0.0
+        self._own_unqueued_ms = 0.0
         self._remotes: dict[str, RemoteEstimate] = {}
         self._updated_at_ms: int | None = None
 
@@ -149,15 +149,15 @@
             # The measured times include queueing, which a request need not meet.
             queueing = max(1.0, PROCESSING_FRACTION * occupancies.get(name, 0.0))
             unqueued_ms[name] = usual_ms[name] / queueing
-            self._set_limits(name, members, usual_ms[name], unqueued_ms[name])
-        self._own_usual_ms = unqueued_ms.get(self._data_centre, 0.0)
+            self._set_answer_thresholds(name, members, usual_ms[name], unqueued_ms[name])
+        self._own_unqueued_ms = unqueued_ms.get(self._data_centre, 0.0)
         remotes = [name for name in self._by_data_centre if name != self._data_centre]
         self._remotes = {}
         for name in remotes:
             self._remotes[name] = RemoteEstimate(
                 self._compute_penalty_ms(name),
                 occupancies.get(name, 0.0),
-                max(self._own_usual_ms, usual_ms[name]),
+                max(self._own_unqueued_ms, usual_ms[name]),
                 self.spill_over.may_take(name),
             )
 
@@ -186,7 +186,7 @@
             # Its upstreams became usable after the last update.
             penalty_ms = self._compute_penalty_ms(data_centre)
             remote = self._remotes[data_centre] = RemoteEstimate(
-                penalty_ms, 0.0, self._own_usual_ms, takes_spill_over=False
+                penalty_ms, 0.0, self._own_unqueued_ms, takes_spill_over=False
             )
         return remote
 
@@ -216,7 +216,7 @@
         penalty_ms = other_ms - own_ms + REMOTE_MARGIN_MS
         return min(REMOTE_PENALTY_MAX_MS, max(REMOTE_PENALTY_MIN_MS, penalty_ms))
 
-    def _set_limits(
+    def _set_answer_thresholds(
         self, data_centre: str, members: Sequence[Member], usual_ms: float, unqueued_ms: float
     ) -> None:
         """Sets which answers of the upstreams of a data centre are usual and which are quick."""
