Docstrings of admission and room say what the code does

Cause: some docstrings and comments were hard to read without the design page, or wrong: expected_ms did not say when it is 0, the kept decisions were called those about first copies though a late copy replaces one, figures set by ServiceEstimates were said to be set by the placement, and ESTIMATE_UPDATE_FACTOR had no comment of its own. Change: they are rewritten; the private _UPDATES of recent_occupancy is _INTERVALS_MAX.

--- a/src/catkinspread/admission/__init__.py
+++ b/src/catkinspread/admission/__init__.py
@@ -1,4 +1,4 @@
-"""Admission control: which new flows a service takes while it has too little room.
+"""Admission control: which new flows are admitted while their service has too little room.
 
 See `docs/admission.md`.
 """
--- a/src/catkinspread/admission/controller.py
+++ b/src/catkinspread/admission/controller.py
@@ -106,7 +106,8 @@
         self._work = work
         self._levels: dict[str, ServiceLevel] = {}
         self._routes: dict[str, RouteLevel] = {}
-        # Decisions about first copies by route and caller, with their time, in order of time.
+        # Latest decision by name of the route and address of the caller, with its time, in order of
+        # time. It is kept for later copies of the opening packet.
         self._decisions: dict[tuple[str, int], tuple[AdmissionVerdict, int]] = {}
 
     def replace_routes(self, routes: Iterable[Route]) -> None:
@@ -243,7 +244,7 @@
     def _decide_first(
         self, state: RouteLevel, route: Route, caller_ip: int, waited_ms: int, now_ms: int
     ) -> AdmissionVerdict:
-        """Decides about a flow about which nothing was decided before."""
+        """Decides about a flow without an earlier decision and keeps it for the copies."""
         if compute_position(caller_ip, now_ms - waited_ms) >= state.share:
             verdict = AdmissionVerdict.NO_ROOM
             state.no_room += 1
@@ -282,7 +283,11 @@
     def _record_demand(
         self, state: RouteLevel, route: Route, verdict: AdmissionVerdict, now_ms: int
     ) -> None:
-        """Counts an opening as demand; of the refused ones, as many as are first attempts."""
+        """Counts an opening as demand.
+
+        Of the openings that are refused for lack of room, only the estimated share of first
+        attempts is counted, because the others are retries.
+        """
         if verdict is not AdmissionVerdict.TOO_LATE:
             is_admitted = verdict is AdmissionVerdict.ADMITTED
             state.retries.record(is_admitted, state.share)
--- a/src/catkinspread/admission/demand_trend.py
+++ b/src/catkinspread/admission/demand_trend.py
@@ -29,16 +29,16 @@
         self._counts.append(opening_count)
 
     def estimate_growth(self, age_ms: int, significance: float) -> float:
-        """Returns the factor by which demand exceeds that of summaries of an age; at least 1.
+        """Returns the factor by which demand exceeds the one that summaries show; at least 1.
 
         Args:
-            age_ms: Age of the oldest summary.
-            significance: Standard deviations of a Poisson process by which openings must exceed
-                those before.
+            age_ms: Age of the oldest of these summaries.
+            significance: Standard deviations of a Poisson process by which the recent openings must
+                exceed their usual number; a smaller rise counts as none.
         """
         counts = list(self._counts)
         covered = (_SUMMARY_WINDOW_MS + age_ms) // UPDATE_INTERVAL_MS
-        # After a start, the openings before are unknown.
+        # After a start, there are too few openings to compare with.
         if len(counts) < _SUMMARY_WINDOW_MS // UPDATE_INTERVAL_MS:
             return 1.0
         covered_counts = counts[-covered:]
--- a/src/catkinspread/admission/own_summary.py
+++ b/src/catkinspread/admission/own_summary.py
@@ -1,4 +1,4 @@
-"""What this instance itself sees of demand and load."""
+"""Summary of the demand and load that this instance itself sees."""
 
 import collections
 
--- a/src/catkinspread/admission/recent_occupancy.py
+++ b/src/catkinspread/admission/recent_occupancy.py
@@ -1,24 +1,26 @@
 """Occupancy of the upstreams of a service as the own answered requests show it.
 
-It covers only upstreams that this instance chose, but is known within the time of one answer, while
-summaries of other instances are up to 3 s old.
+It covers only the upstreams that this instance chose. It is known within the time of one answer,
+while summaries of other instances are up to 3 s old.
 """
 
 import collections
 
-# Updates whose answers are used: the last second.
-_UPDATES = 4
+# Intervals between updates whose answers are used, each 250 ms.
+_INTERVALS_MAX = 4
 # With fewer answers there is no estimate.
 SAMPLES_MIN = 3
 
 
 class RecentOccupancy:
-    """Mean occupancy that requests found on their upstream."""
+    """Mean occupancy of the upstreams when the answered requests were forwarded to them."""
 
     __slots__ = ("_intervals", "_sample_count", "_total")
 
     def __init__(self) -> None:
-        self._intervals: collections.deque[tuple[float, int]] = collections.deque(maxlen=_UPDATES)
+        self._intervals: collections.deque[tuple[float, int]] = collections.deque(
+            maxlen=_INTERVALS_MAX
+        )
         self._total = 0.0
         self._sample_count = 0
 
--- a/src/catkinspread/admission/route_level.py
+++ b/src/catkinspread/admission/route_level.py
@@ -1,4 +1,4 @@
-"""Which share of the new flows of one route is admitted, and counts of its flows."""
+"""Admitted share of the new flows of one route, and counts of its flows."""
 
 from catkinspread.admission.retry_share import RetryShare
 from catkinspread.admission.service_level import ServiceLevel
@@ -13,15 +13,15 @@
             admission control.
         share: Admitted share of the callers; None while no service of the route is limited.
         retries: Tells how many refused openings are first attempts.
-        expected_ms: Expected time from the opening to the answer.
-        limited_since_ms: When a service became limited, if one is.
-        first_attempts: Fraction of a first attempt that the refused openings have added up to.
-        openings: Flows about which was decided.
-        uncounted: Those that are not counted as demand.
+        expected_ms: Expected wait and work of a request; 0 if only some services are limited.
+        limited_since_ms: When a service of the route became limited; has no meaning if none is.
+        first_attempts: Estimated number of first attempts that are not counted as demand yet.
+        openings: Flows about which a decision was made.
+        uncounted: Those of them that were not counted as demand.
         no_room: Flows refused for lack of room.
         too_late: Flows refused as too late.
-        late_copies: Flows that were admitted first, and refused as too late with a copy.
-        seen_openings: Openings at the last update that had new ones.
+        late_copies: Flows whose first copy was admitted and a later one refused as too late.
+        seen_openings: Value of `openings` at the last update of the controller that found new ones.
         opened_at_ms: Time of that update.
     """
 
@@ -74,7 +74,12 @@
         }
 
     def update(self, route: str, now_ms: int) -> None:
-        """Takes over the levels of the services."""
+        """Computes the share and the expected time from the levels of the services.
+
+        Args:
+            route: Name of the route.
+            now_ms: Current time.
+        """
         self.retries.decay(now_ms)
         limited = [level for level, _ in self.levels if level is not None and level.is_limited]
         if not limited:
--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -1,6 +1,6 @@
-"""How much of the demand for one service is admitted.
+"""Admission level of one service: whether it is limited, and the admitted share of each route.
 
-It is computed anew with each update from the room and the load of the service.
+The level is computed anew with each update from the room and the load of the service.
 """
 
 import collections
@@ -43,6 +43,8 @@
 # flight of one of 300 instances are so few that a single estimate varies by a factor of 2. With
 # summaries, their age delays the figures enough.
 ESTIMATE_WEIGHT = 0.2
+# Multiple of the usual number of updates with a high occupancy that it takes to limit a service
+# while the room is an estimate from few summaries.
 ESTIMATE_UPDATE_FACTOR = 2
 # Summaries show demand with a delay, and positions vary; with a margin, the lowest priority gets
 # its minimum also when its demand is over-estimated.
@@ -94,7 +96,7 @@
         is_limited: Whether new flows may be refused.
         admitted_share: Share of the offered work that is admitted.
         expected_wait_ms: Time for which a request is expected to queue at an upstream.
-        recent_occupancy: Occupancy of the upstreams as the own requests found it.
+        recent_occupancy: Occupancy of the upstreams when own requests were forwarded to them.
         last_change: The change of the level that was reported last, None if there was none.
     """
 
@@ -226,7 +228,10 @@
         return demand.work_ms if demand is not None else 0.0
 
     def _smooth_room(self, room: ServiceRoom) -> ServiceRoom:
-        """Returns a moving average of the load while it is estimated from own figures only."""
+        """Returns a moving average of the load while it is estimated from own figures only.
+
+        An age below the interval between updates shows that no older summary was used.
+        """
         last = self._room
         if last is None or not room.is_estimate or room.age_ms >= UPDATE_INTERVAL_MS:
             return room
@@ -241,7 +246,7 @@
         )
 
     def _has_seen_queues(self) -> bool:
-        """Whether the own requests found occupied upstreams."""
+        """Whether the own requests found as many requests on their upstreams as limit a service."""
         recent = self.recent_occupancy.estimate()
         return recent is not None and recent >= self._settings.limit_occupancy
 
@@ -258,7 +263,7 @@
         if room.slots <= 0:
             return False
         recent = self.recent_occupancy.estimate()
-        # An estimate from few summaries varies; own answers without queues contradict it.
+        # Own answers that found no queues contradict a high occupancy in the summaries.
         is_contradicted = recent is not None and recent < self._settings.release_occupancy
         is_high = room.occupancy >= self._settings.limit_occupancy and not is_contradicted
         self._high_update_count = self._high_update_count + 1 if is_high else 0
--- a/src/catkinspread/admission/shares.py
+++ b/src/catkinspread/admission/shares.py
@@ -71,7 +71,10 @@
 
 
 def _group_in_order(demands: Sequence[RouteDemand]) -> list[list[RouteDemand]]:
-    """Returns the demands in the order in which they are served; those of a group are equal."""
+    """Returns the demands in the order in which they are served.
+
+    Those of one group have the same priority and similar work, and get the same share.
+    """
     groups: list[list[RouteDemand]] = []
     for demand in sorted(demands, key=lambda d: (d.priority, d.work_ms, d.route)):
         first = groups[-1][0] if groups else None
--- a/src/catkinspread/admission/summaries.py
+++ b/src/catkinspread/admission/summaries.py
@@ -65,7 +65,7 @@
 
 
 class SummaryResult(enum.Enum):
-    """What became of a summary."""
+    """Whether a summary was applied, or why it was not."""
 
     APPLIED = "applied"
     # It is not newer than the last one of its sender.
@@ -365,10 +365,10 @@
         )
 
     def is_silent(self, data_centre: str, local_instance_count: int, now_ms: int) -> bool:
-        """Whether a data centre told something before, but nothing for some time.
+        """Whether a data centre sent aggregates before, but has sent none for some time.
 
         An instance of a large data centre hears less often from a small one, because each instance
-        of that one tells only one here.
+        there sends to only one instance here.
         """
         received = self._by_data_centre.get(data_centre)
         if received is None:
@@ -431,7 +431,7 @@
 
 
 def shorten_numbers(summary: RoomSummary) -> RoomSummary:
-    """Returns a summary whose numbers are whole where that changes them by little."""
+    """Returns a summary with each number rounded that this changes by at most ROUNDING_MAX."""
     return RoomSummary(
         summary.sender,
         summary.sequence,
--- a/src/catkinspread/admission/types.py
+++ b/src/catkinspread/admission/types.py
@@ -95,7 +95,7 @@
 
 
 class RoomView(Protocol):
-    """Tells the room of services."""
+    """Interface that tells the room of services; `RoomEstimator` implements it."""
 
     def estimate(self, service: str, now_ms: int) -> ServiceRoom:
         """Returns the room and load of a service."""
--- a/src/catkinspread/explain/refusals.py
+++ b/src/catkinspread/explain/refusals.py
@@ -72,9 +72,9 @@
 
 
 def format_caller_story(index: LogIndex, caller: str) -> str:
-    """Returns the refused flows and dropped packets of a caller, each with what decided.
+    """Returns the refused flows and dropped packets of a caller, each with what decided about it.
 
-    A refusal for lack of room follows the last change of admission of its service.
+    Before a refusal for lack of room, the last change of admission of its service is listed.
 
     Args:
         index: Lines of all instances.
--- a/src/catkinspread/forwarding/load.py
+++ b/src/catkinspread/forwarding/load.py
@@ -70,13 +70,14 @@
         peer_in_flight: Number of such flows of other instances, according to their reports.
         last_placed_at_ms: When a flow was last placed on it.
         usual_response_ms: Response time that is usual for the upstreams of its service in its data
-            centre; set by the placement.
+            centre; set by `ServiceEstimates`.
         typical_response_ms: Moving average of all measured response times as they are, which keeps
             its value while there are no new samples; None before the first one.
         has_quick_answers: Whether so many of its answers are quick that it may be failing requests.
-        quick_below_ms: Response time below which an answer is quick; set by the placement.
+        quick_below_ms: Response time below which an answer is quick; set by `ServiceEstimates`.
         placed_number: Number of flows that had been placed on the upstreams of its service in its
-            data centre when one was last placed on it, including this one; set by the placement.
+            data centre when one was last placed on it, including this one; set by
+            `ServiceEstimates`.
     """
 
     __slots__ = (
--- a/src/catkinspread/forwarding/response_estimates.py
+++ b/src/catkinspread/forwarding/response_estimates.py
@@ -1,6 +1,6 @@
-"""Figures about the upstreams of a service that the choices of a short time share.
+"""Figures about the upstreams of a service that are computed at intervals, not for each flow.
 
-They would cost as much as a choice if each choice computed them.
+To compute them takes as long as to choose an upstream.
 """
 
 import collections
@@ -135,7 +135,7 @@
             self._by_data_centre.setdefault(member[0].record.data_centre, []).append(member)
 
     def update(self, now_ms: int) -> None:
-        """Computes the figures anew if the last update is UPDATE_INTERVAL_MS ago."""
+        """Computes the figures anew if the last update is at least UPDATE_INTERVAL_MS ago."""
         last_ms = self._updated_at_ms
         if last_ms is not None and now_ms - last_ms < UPDATE_INTERVAL_MS:
             return
--- a/src/catkinspread/platform/field_names.py
+++ b/src/catkinspread/platform/field_names.py
@@ -4,6 +4,7 @@
 
 from catkinspread.configuration_check import ConfigurationField
 
+# On the wire, a route has its address in `host` and its port in `path_prefix`; see `objects`.
 FIELD_NAMES: Mapping[ConfigurationField, str] = {
     ConfigurationField.WHOLE: "",
     ConfigurationField.VERSION: "version",
--- a/src/catkinspread/runtime/admission_metrics.py
+++ b/src/catkinspread/runtime/admission_metrics.py
@@ -15,7 +15,8 @@
 ) -> list[LabelledMetric]:
     """Returns the metrics.
 
-    Room is listed for services with demand, load or a limit only: a deployment may have 1,000.
+    Room is listed only for services with demand, load or a limit, because a deployment may have
+    1,000 services.
 
     Args:
         controller: Decides which new flows are admitted.
