ServiceLevel uses compute_demanded_work and names with units

Cause: the sum of offered and committed work was written out in three places beside compute_demanded_work, a local variable demand was a sum in one line and a loop variable in another, and _compute_room returned a number while room elsewhere is a ServiceRoom. Change: the function is used, with the same additions; the names are demand_ms_per_s and _compute_room_ms_per_s.

--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from catkinspread.admission.demand import compute_demanded_work
 from catkinspread.admission.demand_trend import UPDATE_INTERVAL_MS, DemandTrend
 from catkinspread.admission.recent_occupancy import RecentOccupancy
 from catkinspread.admission.settings import AdmissionSettings
@@ -150,11 +151,11 @@
         self._demands = {demand.route: demand for demand in room.demands}
         self._trend.record(opening_count)
         self.recent_occupancy.end_interval()
-        demand = sum(d.offered_work_ms_per_s + d.committed_work_ms_per_s for d in room.demands)
+        demand_ms_per_s = sum(map(compute_demanded_work, room.demands))
         growth = self._estimate_growth(room)
         if self.is_limited:
-            self._update_release(room, demand, now_ms)
-        elif self._needs_limit(room, growth * demand, growth):
+            self._update_release(room, demand_ms_per_s, now_ms)
+        elif self._needs_limit(room, growth * demand_ms_per_s, growth):
             self._start_limit(now_ms)
         if not self.is_limited or room.slots <= 0:
             # Without a usable upstream, placement probes and refuses; nothing can be divided.
@@ -193,9 +194,7 @@
             return None
         demand_ms_per_s: dict[int, float] = collections.defaultdict(float)
         for demand in self._room.demands:
-            demand_ms_per_s[demand.priority] += (
-                demand.offered_work_ms_per_s + demand.committed_work_ms_per_s
-            )
+            demand_ms_per_s[demand.priority] += compute_demanded_work(demand)
         return AdmissionChange(
             self.service,
             now_ms,
@@ -287,7 +286,7 @@
         settings = self._settings
         is_releasable = (
             room.occupancy < settings.release_occupancy
-            and demand_ms_per_s < settings.release_demand_share * self._compute_room(room)
+            and demand_ms_per_s < settings.release_demand_share * self._compute_room_ms_per_s(room)
         )
         if not is_releasable:
             self._releasable_since_ms = None
@@ -303,7 +302,7 @@
         settings = self._settings
         recent = self.recent_occupancy.estimate()
         committed = sum(demand.committed_work_ms_per_s for demand in room.demands)
-        if committed >= self._compute_room(room):
+        if committed >= self._compute_room_ms_per_s(room):
             # The queues are those of open flows, so they tell nothing about the learned work.
             return
         lower, upper = sorted((room.occupancy, room.occupancy if recent is None else recent))
@@ -319,14 +318,12 @@
         The highest priority keeps its room meanwhile: rejected callers return, so its demand seems
         too large at the start of an overload.
         """
-        total = self._compute_room(room)
+        total = self._compute_room_ms_per_s(room)
         # Demand that grew by a factor has the same shares as a room that shrank by it.
         reduced = total * self._compute_queue_correction(room) / growth
         highest = min((d.priority for d in room.demands if d.offered_work_ms_per_s), default=0)
         needed = sum(
-            demand.committed_work_ms_per_s + demand.offered_work_ms_per_s
-            for demand in room.demands
-            if demand.priority <= highest
+            compute_demanded_work(demand) for demand in room.demands if demand.priority <= highest
         )
         return max(
             reduced, min(total, needed / (1 - MINIMUM_MARGIN * self._settings.minimum_share))
@@ -343,7 +340,8 @@
         correction = QUEUE_GAIN * freshness * (target - recent)
         return 1 + min(QUEUE_CORRECTION_MAX, max(-QUEUE_CORRECTION_MAX, correction))
 
-    def _compute_room(self, room: ServiceRoom) -> float:
+    def _compute_room_ms_per_s(self, room: ServiceRoom) -> float:
+        """Returns the work that the slots can do, corrected by the trim."""
         return room.slots * _MS_PER_S * self._trim
 
     def _compute_mean_work_ms(self, room: ServiceRoom) -> float:
