Simulations of admission and placement: clearer docstrings

Cause: some comments of load_play and placement_play did not say whose share or time was meant, and one told that a class was a naive copy. Change: these docstrings and comments only.

--- a/src/catkinspread/admission/tests/load_play.py
+++ b/src/catkinspread/admission/tests/load_play.py
@@ -27,7 +27,7 @@
 MEAN_WORK_FACTOR = 1 + (TAIL_FACTOR - 1) / TAIL_INTERVAL
 # The work of the routes in the absence of the tail.
 PLAIN_WORK_MS = {"checkout": 40.0, "browse": 40.0, "search": 60.0, "batch": 80.0}
-# Share of the routes of the offered work.
+# Share of each route in the offered work.
 WORK_MIX = {"checkout": 0.15, "browse": 0.35, "search": 0.25, "batch": 0.25}
 RETRIES_MAX = 2
 RETRY_DELAY_MS = (50.0, 150.0)
@@ -75,7 +75,7 @@
         self.started_at_ms = now_ms
         self.attempts = 0
         self.is_refused_first = False
-        # Time from the start to the answer in time.
+        # Time from the start to the answer; None without an answer before the time-out.
         self.answered_ms: float | None = None
 
     @property
@@ -97,7 +97,7 @@
 
 
 class Upstream:
-    """Work slots and a queue."""
+    """An upstream with WORK_SLOTS work slots and a queue of QUEUE_MAX requests."""
 
     __slots__ = ("busy", "data_centre", "queue")
 
@@ -121,7 +121,7 @@
 
 
 class Instance:
-    """An instance with its controller; also its demand meter, work estimator and room view."""
+    """An instance; also the demand meter, work estimator and room view of its controller."""
 
     def __init__(self, play: "Play", data_centre: int, settings: AdmissionSettings | None) -> None:
         self.play = play
--- a/src/catkinspread/forwarding/tests/placement_play.py
+++ b/src/catkinspread/forwarding/tests/placement_play.py
@@ -37,8 +37,8 @@
 class Outcome(msgspec.Struct):
     """A request: when and where it was placed and its response time; None if it failed.
 
-    `is_held_up` tells whether it is a long one that waited for another long one although, when it
-    was placed, its instance knew of a free slot in the data centre.
+    `is_held_up` tells whether it is a long request that waited for another long one although its
+    instance knew of a free slot in the data centre when it was placed.
     """
 
     at_ms: int
@@ -50,7 +50,7 @@
 
 
 class PreviousPlacement:
-    """The choice before the change: a naive copy of its estimate."""
+    """The choice of the version before `ServiceEstimates`, to compare with."""
 
     def __init__(
         self, data_centre: str, state: DeploymentState, loads: LoadTracker, rng: random.Random
