--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -1,12 +1,13 @@
-"""How much of the demand for one service is admitted.
+"""Admission level of one service: whether it is limited, and the admitted share of each route.
 
-It is computed anew with each update from the room and the load of the service.
+The level is computed anew with each update from the room and the load of the service.
 """
 
 import collections
 
 import msgspec
 
+from catkinspread.admission.demand import compute_demanded_work
 from catkinspread.admission.demand_trend import UPDATE_INTERVAL_MS, DemandTrend
 from catkinspread.admission.recent_occupancy import RecentOccupancy
 from catkinspread.admission.settings import AdmissionSettings
@@ -22,12 +23,12 @@
 # more room would take a minute where summaries are 3 s old.
 TRIM_IDLE_GAIN = 0.1
 # The trim changes only once the room shows the effect of its last change, which takes as long as
-# the summaries are old. With changes at each update, it oscillated between 0.55 and 1 at 63
-# instances in the simulation, and upstreams between full queues and idle slots.
+# the summaries are old. More frequent changes make it oscillate, and upstreams alternate between
+# full queues and idle slots.
 TRIM_INTERVAL_MIN_MS = 500
 # Part of the room by which it is corrected for each request per work slot that queues are off their
-# target, and its bound. Demand that is 5% more than the room fills queues within 5 s. With 10% and
-# a bound of 20%, queues drained too slowly in a burst for the highest priority.
+# target, and its bound. Demand that is 5% more than the room fills queues within 5 s. With smaller
+# values, queues drain too slowly in a burst for the highest priority to be answered in time.
 QUEUE_GAIN = 0.15
 QUEUE_CORRECTION_MAX = 0.5
 # Age of summaries above which they correct less, as the queues have changed meanwhile.
@@ -35,17 +36,19 @@
 # Standard deviations by which own openings must have risen while queues are seen. About 2% of the
 # updates without a rise exceed it.
 GROWTH_SIGNIFICANCE = 2.0
-# A rise by this factor and this many standard deviations may limit a service before queues are seen:
-# answers show them 300 ms after queues of 8 requests are full.
+# A rise by this factor and this many standard deviations may limit a service before queues are
+# seen: answers show them 300 ms after queues of 8 requests are full.
 SURGE_FACTOR = 2.0
 SURGE_SIGNIFICANCE = 4.0
 # Weight of a new estimate from own figures only in the moving average. The openings and requests in
 # flight of one of 300 instances are so few that a single estimate varies by a factor of 2. With
 # summaries, their age delays the figures enough.
 ESTIMATE_WEIGHT = 0.2
+# Multiple of the usual number of updates with a high occupancy that it takes to limit a service
+# while the room is an estimate from few summaries.
 ESTIMATE_UPDATE_FACTOR = 2
-# Summaries show demand with a delay, and positions vary; with a margin, the lowest priority gets its
-# minimum also when its demand is over-estimated.
+# Summaries show demand with a delay, and positions vary; with a margin, the lowest priority gets
+# its minimum also when its demand is over-estimated.
 MINIMUM_MARGIN = 1.25
 # A change of the admitted share by less is not reported.
 REPORTED_CHANGE_MIN = 0.05
@@ -94,14 +97,14 @@
         is_limited: Whether new flows may be refused.
         admitted_share: Share of the offered work that is admitted.
         expected_wait_ms: Time for which a request is expected to queue at an upstream.
-        recent_occupancy: Occupancy of the upstreams as the own requests found it.
+        recent_occupancy: Occupancy of the upstreams when own requests were forwarded to them.
         last_change: The change of the level that was reported last, None if there was none.
     """
 
     __slots__ = (
-        "_calm_since_ms",
         "_demands",
-        "_hot_update_count",
+        "_high_update_count",
+        "_releasable_since_ms",
         "_room",
         "_settings",
         "_shares",
@@ -132,8 +135,8 @@
         self._shares: dict[str, float] = {}
         self._trim = 1.0
         self._trimmed_at_ms = 0
-        self._hot_update_count = 0
-        self._calm_since_ms: int | None = None
+        self._high_update_count = 0
+        self._releasable_since_ms: int | None = None
 
     def update(self, room: ServiceRoom, opening_count: int, now_ms: int) -> None:
         """Computes the level from the current room.
@@ -143,16 +146,16 @@
             opening_count: Openings that this instance counted as demand since the last update.
             now_ms: Current time.
         """
-        room = self._smooth(room)
+        room = self._smooth_room(room)
         self._room = room
         self._demands = {demand.route: demand for demand in room.demands}
         self._trend.record(opening_count)
         self.recent_occupancy.end_interval()
-        demand = sum(d.offered_work_ms_per_s + d.committed_work_ms_per_s for d in room.demands)
+        demand_ms_per_s = sum(map(compute_demanded_work, room.demands))
         growth = self._estimate_growth(room)
         if self.is_limited:
-            self._update_release(room, demand, now_ms)
-        elif self._needs_limit(room, growth * demand, growth):
+            self._update_release(room, demand_ms_per_s, now_ms)
+        elif self._needs_limit(room, growth * demand_ms_per_s, growth):
             self._start_limit(now_ms)
         if not self.is_limited or room.slots <= 0:
             # Without a usable upstream, placement probes and refuses; nothing can be divided.
@@ -191,9 +194,7 @@
             return None
         demand_ms_per_s: dict[int, float] = collections.defaultdict(float)
         for demand in self._room.demands:
-            demand_ms_per_s[demand.priority] += (
-                demand.offered_work_ms_per_s + demand.committed_work_ms_per_s
-            )
+            demand_ms_per_s[demand.priority] += compute_demanded_work(demand)
         return AdmissionChange(
             self.service,
             now_ms,
@@ -225,8 +226,11 @@
         demand = self._demands.get(route)
         return demand.work_ms if demand is not None else 0.0
 
-    def _smooth(self, room: ServiceRoom) -> ServiceRoom:
-        """Returns a moving average of the load while it is estimated from own figures only."""
+    def _smooth_room(self, room: ServiceRoom) -> ServiceRoom:
+        """Returns a moving average of the load while it is estimated from own figures only.
+
+        An age below the interval between updates shows that no older summary was used.
+        """
         last = self._room
         if last is None or not room.is_estimate or room.age_ms >= UPDATE_INTERVAL_MS:
             return room
@@ -240,14 +244,14 @@
             room.is_estimate,
         )
 
-    def _finds_queues(self) -> bool:
-        """Whether the own requests found occupied upstreams."""
+    def _has_seen_queues(self) -> bool:
+        """Whether the own requests found as many requests on their upstreams as limit a service."""
         recent = self.recent_occupancy.estimate()
         return recent is not None and recent >= self._settings.limit_occupancy
 
     def _estimate_growth(self, room: ServiceRoom) -> float:
         """Returns the factor by which demand exceeds the one in the summaries; at least 1."""
-        if self._finds_queues():
+        if self._has_seen_queues():
             return self._trend.estimate_growth(room.age_ms, GROWTH_SIGNIFICANCE)
         # Without queues, a small rise is local, or demand is still no more than the room.
         growth = self._trend.estimate_growth(room.age_ms, SURGE_SIGNIFICANCE)
@@ -258,37 +262,37 @@
         if room.slots <= 0:
             return False
         recent = self.recent_occupancy.estimate()
-        # An estimate from few summaries varies; own answers without queues contradict it.
+        # Own answers that found no queues contradict a high occupancy in the summaries.
         is_contradicted = recent is not None and recent < self._settings.release_occupancy
-        is_hot = room.occupancy >= self._settings.limit_occupancy and not is_contradicted
-        self._hot_update_count = self._hot_update_count + 1 if is_hot else 0
+        is_high = room.occupancy >= self._settings.limit_occupancy and not is_contradicted
+        self._high_update_count = self._high_update_count + 1 if is_high else 0
         # An estimate from few summaries varies, so it must be high for longer.
-        patience = ESTIMATE_UPDATE_FACTOR if room.is_estimate else 1
-        if self._hot_update_count >= patience * self._settings.limit_update_count:
+        update_factor = ESTIMATE_UPDATE_FACTOR if room.is_estimate else 1
+        if self._high_update_count >= update_factor * self._settings.limit_update_count:
             return True
         is_exceeded = demand_ms_per_s > room.slots * _MS_PER_S
-        is_known_hot = is_hot and not room.is_estimate
-        return is_exceeded and (is_known_hot or growth >= SURGE_FACTOR or self._finds_queues())
+        is_surely_high = is_high and not room.is_estimate
+        return is_exceeded and (is_surely_high or growth >= SURGE_FACTOR or self._has_seen_queues())
 
     def _start_limit(self, now_ms: int) -> None:
         self.is_limited = True
-        self._hot_update_count = 0
-        self._calm_since_ms = None
+        self._high_update_count = 0
+        self._releasable_since_ms = None
         self._trim = 1.0
         self._trimmed_at_ms = now_ms
 
     def _update_release(self, room: ServiceRoom, demand_ms_per_s: float, now_ms: int) -> None:
         """Ends the limit once demand and occupancy have been low for long enough."""
         settings = self._settings
-        is_calm = (
+        is_releasable = (
             room.occupancy < settings.release_occupancy
-            and demand_ms_per_s < settings.release_demand_share * self._compute_room(room)
+            and demand_ms_per_s < settings.release_demand_share * self._compute_room_ms_per_s(room)
         )
-        if not is_calm:
-            self._calm_since_ms = None
-        elif self._calm_since_ms is None:
-            self._calm_since_ms = now_ms
-        elif now_ms - self._calm_since_ms >= settings.release_after_ms:
+        if not is_releasable:
+            self._releasable_since_ms = None
+        elif self._releasable_since_ms is None:
+            self._releasable_since_ms = now_ms
+        elif now_ms - self._releasable_since_ms >= settings.release_after_ms:
             self.is_limited = False
 
     def _update_trim(self, room: ServiceRoom, now_ms: int) -> None:
@@ -298,7 +302,7 @@
         settings = self._settings
         recent = self.recent_occupancy.estimate()
         committed = sum(demand.committed_work_ms_per_s for demand in room.demands)
-        if committed >= self._compute_room(room):
+        if committed >= self._compute_room_ms_per_s(room):
             # The queues are those of open flows, so they tell nothing about the learned work.
             return
         lower, upper = sorted((room.occupancy, room.occupancy if recent is None else recent))
@@ -314,14 +318,12 @@
         The highest priority keeps its room meanwhile: rejected callers return, so its demand seems
         too large at the start of an overload.
         """
-        total = self._compute_room(room)
+        total = self._compute_room_ms_per_s(room)
         # Demand that grew by a factor has the same shares as a room that shrank by it.
         reduced = total * self._compute_queue_correction(room) / growth
         highest = min((d.priority for d in room.demands if d.offered_work_ms_per_s), default=0)
         needed = sum(
-            demand.committed_work_ms_per_s + demand.offered_work_ms_per_s
-            for demand in room.demands
-            if demand.priority <= highest
+            compute_demanded_work(demand) for demand in room.demands if demand.priority <= highest
         )
         return max(
             reduced, min(total, needed / (1 - MINIMUM_MARGIN * self._settings.minimum_share))
@@ -338,7 +340,8 @@
         correction = QUEUE_GAIN * freshness * (target - recent)
         return 1 + min(QUEUE_CORRECTION_MAX, max(-QUEUE_CORRECTION_MAX, correction))
 
-    def _compute_room(self, room: ServiceRoom) -> float:
+    def _compute_room_ms_per_s(self, room: ServiceRoom) -> float:
+        """Returns the work that the slots can do, corrected by the trim."""
         return room.slots * _MS_PER_S * self._trim
 
     def _compute_mean_work_ms(self, room: ServiceRoom) -> float:
--- a/src/catkinspread/admission/summaries.py
+++ b/src/catkinspread/admission/summaries.py
@@ -1,12 +1,12 @@
 """Summaries of other instances and their sum.
 
-In a large data centre an instance hears only from a few others while their summaries are used. There,
-some summaries are therefore partial sums over several instances, and the sum is an average of all
-that was heard, weighted by the numbers of instances. A partial sum is made of the summaries of single
-instances only, so that figures do not go round.
+In a large data centre, an instance hears only from a few others within the lifetime of a summary.
+There, some summaries are therefore partial sums over several instances, and the sum over the data
+centre is an average of all summaries heard, weighted by the numbers of instances. A partial sum is
+made of the summaries of single instances only, so that no figure is passed on repeatedly.
 
-The sums over the local data centre are kept up to date with each summary, in whole units, so that a
-merge does not visit every summary again and no rounding errors accumulate.
+The sum over the local data centre is kept up to date with each summary, so that a merge does not
+visit every summary again.
 """
 
 import collections
@@ -14,7 +14,7 @@
 import math
 from collections.abc import Callable, Iterable
 
-from catkinspread.admission.demand import compute_demanded_work
+from catkinspread.admission.load_sum import LoadSum
 from catkinspread.admission.types import (
     DEMANDS_MAX,
     IN_FLIGHT_MAX,
@@ -33,15 +33,18 @@
 # Highest rate at which the sequence numbers of an instance increase: four times that of
 # `runtime.room_reports`, so that a delay of the previous summary does not matter.
 SEQUENCE_RATE_MAX_PER_S = 16
-# Number of instances of a data centre up to which each one hears every summary of the others, because
-# it has two recipients. One that is silent there while another is heard has ended: a directory goes
-# on listing a killed instance for 20 s, in which the sum would count its load twice.
+# Number of instances of a data centre up to which each one hears every summary of the others,
+# because a summary has two recipients. There, an instance that is silent while another one is heard
+# has ended. The directory goes on listing a killed instance for 20 s, in which the sum would count
+# its load twice.
 DIRECT_INSTANCES_MAX = 3
-# Number of instances of a data centre up to which an instance hears from most others directly.
+# Number of other instances in the data centre from which on partial sums are sent. With fewer, an
+# instance hears from most others directly.
 PARTIAL_SUMS_MIN = 16
 # Age up to which a summary is part of a partial sum. It adds to the age of the partial sum itself.
 PARTIAL_SUM_AGE_MAX_MS = 1_500
-# Instances in a partial sum. 12 summaries arrive within PARTIAL_SUM_AGE_MAX_MS on average under load.
+# Most instances in a partial sum. 12 summaries arrive within PARTIAL_SUM_AGE_MAX_MS on average
+# under load.
 PARTIAL_SUM_MAX = 32
 # Bounds of what is kept. The target of docs/CAPACITY.md is 640 instances in 8 data centres.
 INSTANCE_COUNT_MAX = 4_096
@@ -55,12 +58,11 @@
 # Numbers in a summary are rounded to whole ones, which are encoded in fewer bytes, if that changes
 # them by at most this part.
 ROUNDING_MAX = 0.02
-_UNITS_PER_ONE = 1_024
 _MS_PER_S = 1_000
 
 
 class SummaryResult(enum.Enum):
-    """What became of a summary."""
+    """Whether a summary was applied, or why it was not."""
 
     APPLIED = "applied"
     # It is not newer than the last one of its sender.
@@ -71,7 +73,7 @@
     IMPOSSIBLE = "impossible"
 
 
-class _Heard:
+class _ReceivedSummary:
     """The latest summary of an instance or a data centre."""
 
     __slots__ = ("received_at_ms", "summary")
@@ -85,99 +87,6 @@
         return now_ms - self.received_at_ms < SUMMARY_TIMEOUT_MS
 
 
-class _DemandSum:
-    """Sum of demands of one route to one service, in units of 1 / _UNITS_PER_ONE."""
-
-    __slots__ = ("committed", "count", "offered", "priority", "requests")
-
-    def __init__(self) -> None:
-        self.count = 0
-        self.offered = 0
-        self.committed = 0
-        # Requests per 1,000 s, of which the work of a request follows.
-        self.requests = 0
-        self.priority = 0
-
-    def add(self, demand: RouteDemand, sign: int, factor: float) -> None:
-        """Adds a demand, multiplied by a factor; subtracts it if the sign is -1."""
-        requests = _MS_PER_S * compute_demanded_work(demand) / demand.work_ms
-        self.count += sign
-        self.offered += sign * _to_units(demand.offered_work_ms_per_s * factor)
-        self.committed += sign * _to_units(demand.committed_work_ms_per_s * factor)
-        self.requests += sign * _to_units(requests * factor)
-        if sign > 0:
-            self.priority = demand.priority
-
-
-class LoadSum:
-    """Sum of demand and requests in flight over summaries.
-
-    Attributes:
-        in_flight: Requests in flight by service and data centre of the upstreams.
-    """
-
-    __slots__ = ("_demands", "_in_flight")
-
-    def __init__(self) -> None:
-        self._demands: dict[tuple[str, str], _DemandSum] = {}
-        self._in_flight: dict[tuple[str, str], int] = collections.defaultdict(int)
-
-    def add(self, summary: RoomSummary, sign: int = 1, factor: float = 1.0) -> None:
-        """Adds a summary, multiplied by a factor; removes one that was added if the sign is -1."""
-        for demand in summary.demands:
-            key = (demand.route, demand.service)
-            demand_sum = self._demands.get(key)
-            if demand_sum is None:
-                demand_sum = self._demands[key] = _DemandSum()
-            demand_sum.add(demand, sign, factor)
-            if not demand_sum.count:
-                del self._demands[key]
-        for entry in summary.in_flight:
-            place = (entry.service, entry.data_centre)
-            self._in_flight[place] += sign * _to_units(entry.requests * factor)
-            if not self._in_flight[place]:
-                del self._in_flight[place]
-
-    def add_sum(self, other: "LoadSum", factor: float) -> None:
-        """Adds another sum, multiplied by a factor."""
-        for key, added in other._demands.items():
-            demand_sum = self._demands.get(key)
-            if demand_sum is None:
-                demand_sum = self._demands[key] = _DemandSum()
-            demand_sum.count += added.count
-            demand_sum.offered += round(added.offered * factor)
-            demand_sum.committed += round(added.committed * factor)
-            demand_sum.requests += round(added.requests * factor)
-            demand_sum.priority = added.priority
-        for place, units in other._in_flight.items():
-            self._in_flight[place] += round(units * factor)
-
-    def list_demands(self) -> list[RouteDemand]:
-        """Returns the demand by route and service, in order of decreasing work."""
-        demands = []
-        for (route, service), demand_sum in self._demands.items():
-            work = demand_sum.offered + demand_sum.committed
-            if work <= 0 or demand_sum.requests <= 0:
-                continue
-            demands.append(
-                RouteDemand(
-                    route,
-                    service,
-                    demand_sum.priority,
-                    max(WORK_MIN_MS, _MS_PER_S * work / demand_sum.requests),
-                    _from_units(demand_sum.offered),
-                    _from_units(demand_sum.committed),
-                )
-            )
-        demands.sort(key=compute_demanded_work, reverse=True)
-        return demands
-
-    @property
-    def in_flight(self) -> dict[tuple[str, str], float]:
-        """Requests in flight by service and data centre of the upstreams."""
-        return {place: _from_units(units) for place, units in self._in_flight.items() if units > 0}
-
-
 class MergedLoad:
     """Demand and load of all instances, merged from their summaries.
 
@@ -241,9 +150,9 @@
         self._name = name
         self._data_centre = data_centre
         self._find_requests_max = find_requests_max
-        self._by_sender: dict[str, _Heard] = {}
+        self._by_sender: dict[str, _ReceivedSummary] = {}
         # Latest aggregate of each other data centre, kept also when it is no longer used.
-        self._by_data_centre: dict[str, _Heard] = {}
+        self._by_data_centre: dict[str, _ReceivedSummary] = {}
         # Sum over the summaries of the local instances in `_by_sender`.
         self._local_sum = LoadSum()
         # Instances in that sum; one that is in several summaries counts several times.
@@ -258,28 +167,28 @@
             something that is impossible.
         """
         self.expire(now_ms)
-        result = self._judge(summary, now_ms)
+        result = self._classify(summary, now_ms)
         self.counts[result] += 1
         if result is not SummaryResult.APPLIED:
             return False
         self._remove(summary.sender)
-        self._by_sender[summary.sender] = heard = _Heard(summary, now_ms)
+        self._by_sender[summary.sender] = received = _ReceivedSummary(summary, now_ms)
         if summary.data_centre == self._data_centre:
             self._local_sum.add(summary)
             self._local_count += summary.instance_count
         else:
-            self._by_data_centre[summary.data_centre] = heard
+            self._by_data_centre[summary.data_centre] = received
         return True
 
     def expire(self, now_ms: int) -> None:
         """Forgets the instances whose last summary is too old."""
         # The order is that of arrival, because each summary is inserted anew.
-        for sender, heard in list(self._by_sender.items()):
-            if heard.is_fresh(now_ms):
+        for sender, received in list(self._by_sender.items()):
+            if received.is_fresh(now_ms):
                 break
             self._remove(sender)
-        for data_centre, heard in list(self._by_data_centre.items()):
-            if now_ms - heard.received_at_ms >= DATA_CENTRE_TIMEOUT_MS:
+        for data_centre, received in list(self._by_data_centre.items()):
+            if now_ms - received.received_at_ms >= DATA_CENTRE_TIMEOUT_MS:
                 del self._by_data_centre[data_centre]
 
     def merge(self, own: RoomSummary, local_instance_count: int, now_ms: int) -> MergedLoad:
@@ -294,17 +203,17 @@
         heard_count = 1 + self._local_count
         load_sum = self._sum_local(own, local_instance_count)
         fresh = {
-            data_centre: heard
-            for data_centre, heard in self._by_data_centre.items()
-            if heard.is_fresh(now_ms)
+            data_centre: received
+            for data_centre, received in self._by_data_centre.items()
+            if received.is_fresh(now_ms)
         }
-        used = [heard.received_at_ms for heard in fresh.values()]
-        for heard in fresh.values():
-            load_sum.add(heard.summary)
+        used = [received.received_at_ms for received in fresh.values()]
+        for received in fresh.values():
+            load_sum.add(received.summary)
         local = [
-            heard.received_at_ms
-            for heard in self._by_sender.values()
-            if heard.summary.data_centre == self._data_centre
+            received.received_at_ms
+            for received in self._by_sender.values()
+            if received.summary.data_centre == self._data_centre
         ]
         oldest_at_ms = min([*used, *local], default=now_ms)
         return MergedLoad(
@@ -319,12 +228,15 @@
         load_sum = LoadSum()
         load_sum.add(own)
         instance_count = 1
-        for heard in reversed(self._by_sender.values()):
-            is_recent = now_ms - heard.received_at_ms < PARTIAL_SUM_AGE_MAX_MS
+        for received in reversed(self._by_sender.values()):
+            is_recent = now_ms - received.received_at_ms < PARTIAL_SUM_AGE_MAX_MS
             if not is_recent or instance_count == PARTIAL_SUM_MAX:
                 break
-            if heard.summary.data_centre == self._data_centre and heard.summary.instance_count == 1:
-                load_sum.add(heard.summary)
+            if (
+                received.summary.data_centre == self._data_centre
+                and received.summary.instance_count == 1
+            ):
+                load_sum.add(received.summary)
                 instance_count += 1
         return self._summarise(load_sum, own, instance_count)
 
@@ -357,16 +269,16 @@
         )
 
     def is_silent(self, data_centre: str, local_instance_count: int, now_ms: int) -> bool:
-        """Whether a data centre told something before, but nothing for some time.
+        """Whether a data centre sent aggregates before, but has sent none for some time.
 
         An instance of a large data centre hears less often from a small one, because each instance
-        of that one tells only one here.
+        there sends to only one instance here.
         """
-        heard = self._by_data_centre.get(data_centre)
-        if heard is None:
+        received = self._by_data_centre.get(data_centre)
+        if received is None:
             return False
-        ratio = max(1.0, local_instance_count / heard.summary.instance_count)
-        return now_ms - heard.received_at_ms >= SILENCE_MS * ratio
+        ratio = max(1.0, local_instance_count / received.summary.instance_count)
+        return now_ms - received.received_at_ms >= SILENCE_MS * ratio
 
     def _sum_local(self, own: RoomSummary, local_instance_count: int) -> LoadSum:
         factor = local_instance_count / (1 + self._local_count)
@@ -378,12 +290,12 @@
         return load_sum
 
     def _remove(self, sender: str) -> None:
-        heard = self._by_sender.pop(sender, None)
-        if heard is not None and heard.summary.data_centre == self._data_centre:
-            self._local_sum.add(heard.summary, -1)
-            self._local_count -= heard.summary.instance_count
+        received = self._by_sender.pop(sender, None)
+        if received is not None and received.summary.data_centre == self._data_centre:
+            self._local_sum.add(received.summary, -1)
+            self._local_count -= received.summary.instance_count
 
-    def _judge(self, summary: RoomSummary, now_ms: int) -> SummaryResult:
+    def _classify(self, summary: RoomSummary, now_ms: int) -> SummaryResult:
         if not self._is_possible(summary, now_ms):
             return SummaryResult.IMPOSSIBLE
         previous = self._by_sender.get(summary.sender)
@@ -423,7 +335,7 @@
 
 
 def shorten_numbers(summary: RoomSummary) -> RoomSummary:
-    """Returns a summary whose numbers are whole where that changes them by little."""
+    """Returns a summary with each number rounded that this changes by at most ROUNDING_MAX."""
     return RoomSummary(
         summary.sender,
         summary.sequence,
@@ -452,14 +364,6 @@
     return rounded if abs(rounded - number) <= ROUNDING_MAX * number else number
 
 
-def _to_units(number: float) -> int:
-    return round(number * _UNITS_PER_ONE)
-
-
-def _from_units(units: int) -> float:
-    return min(float(AMOUNT_MAX), units / _UNITS_PER_ONE)
-
-
 def _is_amount(number: float) -> bool:
     return math.isfinite(number) and 0 <= number <= AMOUNT_MAX
 
--- a/src/catkinspread/forwarding/response_estimates.py
+++ b/src/catkinspread/forwarding/response_estimates.py
@@ -1,6 +1,6 @@
-"""Figures about the upstreams of a service that the choices of a short time share.
+"""Figures about the upstreams of a service that are computed at intervals, not for each flow.
 
-They would cost as much as a choice if each choice computed them.
+To compute them takes as long as to choose an upstream.
 """
 
 import collections
@@ -85,7 +85,7 @@
         "_loads",
         "_members",
         "_occupancies",
-        "_own_usual_ms",
+        "_own_unqueued_ms",
         "_placed_counts",
         "_remotes",
         "_service",
@@ -114,7 +114,7 @@
         self._members: list[Member] = []
         self._by_data_centre: dict[str, list[Member]] = {}
         self._placed_counts: collections.Counter[str] = collections.Counter()
-        self._own_usual_ms = 0.0
+        self._own_unqueued_ms = 0.0
         self._remotes: dict[str, RemoteEstimate] = {}
         self._updated_at_ms: int | None = None
 
@@ -137,7 +137,7 @@
             self._by_data_centre.setdefault(member[0].record.data_centre, []).append(member)
 
     def update(self, now_ms: int) -> None:
-        """Computes the figures anew if the last update is UPDATE_INTERVAL_MS ago."""
+        """Computes the figures anew if the last update is at least UPDATE_INTERVAL_MS ago."""
         last_ms = self._updated_at_ms
         if last_ms is not None and now_ms - last_ms < UPDATE_INTERVAL_MS:
             return
@@ -151,15 +151,15 @@
             # The measured times include queueing, which a request need not meet.
             queueing = max(1.0, PROCESSING_FRACTION * occupancies.get(name, 0.0))
             unqueued_ms[name] = usual_ms[name] / queueing
-            self._set_limits(name, members, usual_ms[name], unqueued_ms[name])
-        self._own_usual_ms = unqueued_ms.get(self._data_centre, 0.0)
+            self._set_answer_thresholds(name, members, usual_ms[name], unqueued_ms[name])
+        self._own_unqueued_ms = unqueued_ms.get(self._data_centre, 0.0)
         remotes = [name for name in self._by_data_centre if name != self._data_centre]
         self._remotes = {}
         for name in remotes:
             self._remotes[name] = RemoteEstimate(
                 self._compute_penalty_ms(name),
                 occupancies.get(name, 0.0),
-                max(self._own_usual_ms, usual_ms[name]),
+                max(self._own_unqueued_ms, usual_ms[name]),
                 self.spill_over.may_take(name),
             )
 
@@ -188,7 +188,7 @@
             # Its upstreams became usable after the last update.
             penalty_ms = self._compute_penalty_ms(data_centre)
             remote = self._remotes[data_centre] = RemoteEstimate(
-                penalty_ms, 0.0, self._own_usual_ms, takes_spill_over=False
+                penalty_ms, 0.0, self._own_unqueued_ms, takes_spill_over=False
             )
         return remote
 
@@ -218,7 +218,7 @@
         penalty_ms = other_ms - own_ms + REMOTE_MARGIN_MS
         return min(REMOTE_PENALTY_MAX_MS, max(REMOTE_PENALTY_MIN_MS, penalty_ms))
 
-    def _set_limits(
+    def _set_answer_thresholds(
         self, data_centre: str, members: Sequence[Member], usual_ms: float, unqueued_ms: float
     ) -> None:
         """Sets which answers of the upstreams of a data centre are usual and which are quick."""
