--- a/src/catkinspread/admission/tests/test_load.py
+++ b/src/catkinspread/admission/tests/test_load.py
@@ -112,7 +112,7 @@
     assert min(outcome.answered_by_data_centre.values()) > 0.5
 
 
-@pytest.mark.parametrize("fault", ["join", "cut off", "restart"])
+@pytest.mark.parametrize("fault", ["join", "cut_off", "restart"])
 @pytest.mark.parametrize("size", SIZES)
 def test_changes_of_instances_while_limited(size: tuple[int, int], fault: str) -> None:
     """Guards against a wrong level of instances that start, or that hear from no other one."""
@@ -121,7 +121,7 @@
     if fault == "join":
         for data_centre in range(3):
             play.join(data_centre)
-    elif fault == "cut off":
+    elif fault == "cut_off":
         play.instances[0].is_cut_off = True
     else:
         play.restart(0)
