--- a/src/catkinspread/forwarding/admission_policy.py
+++ b/src/catkinspread/forwarding/admission_policy.py
@@ -3,6 +3,8 @@
 import enum
 from typing import Protocol
 
+import msgspec
+
 from catkinspread.deployment import Route
 
 
@@ -16,6 +18,22 @@
     TOO_LATE = "too_late"
 
 
+class AdmissionInputs(msgspec.Struct, frozen=True):
+    """What the latest decisions about the new flows of a route depended on.
+
+    Attributes:
+        service: Service that was checked for room.
+        priority: Priority of the route; 0 is the highest.
+        share: Share of the offered work of the route that is admitted, 0 to 1.
+        occupancy: Requests in flight per work slot of the service.
+    """
+
+    service: str
+    priority: int
+    share: float
+    occupancy: float
+
+
 class AdmissionPolicy(Protocol):
     """Decides which new flows are admitted, and learns from the traffic."""
 
@@ -29,8 +47,17 @@
             now_ms: Current time.
         """
 
+    def is_delaying(self, route: Route) -> bool:
+        """Whether requests on open flows of a route may be delayed now."""
+
+    def admit_request(self, route: Route) -> bool:
+        """Decides whether a request on an open flow is forwarded now.
+
+        Only called while `is_delaying` is true.
+        """
+
     def record_request(self, route: Route, is_first: bool, now_ms: int) -> None:
-        """Counts a request that was forwarded.
+        """Counts a request, once also if it is delayed.
 
         Args:
             route: Route of its flow.
@@ -39,18 +66,26 @@
         """
 
     def record_response(
-        self, route: Route, response_ms: int, occupied: float, work_slots: int
+        self, route: Route, processing_ms: int, occupied: float, work_slots: int
     ) -> None:
         """Learns from an answered request.
 
         Args:
             route: Route of its flow.
-            response_ms: Time from the request to the first acknowledged data of the answer.
+            processing_ms: Time from the request to the first acknowledged data of the answer, less
+                the usual network latency.
             occupied: Requests in flight on its upstream when the request was forwarded, including
                 itself.
             work_slots: Work slots of its upstream.
         """
 
+    def describe(self, route: Route) -> AdmissionInputs:
+        """Returns what decisions about a route depend on now, for the log."""
+
+
+# Reading a member from its enumeration takes longer than a call on Python 3.11.
+_ADMITTED = AdmissionVerdict.ADMITTED
+
 
 class AdmitAll:
     """Admits every flow."""
@@ -59,16 +94,28 @@
 
     def decide(self, route: Route, caller_ip: int, copy: int, now_ms: int) -> AdmissionVerdict:
         """Returns ADMITTED."""
-        return AdmissionVerdict.ADMITTED
+        return _ADMITTED
+
+    def is_delaying(self, route: Route) -> bool:
+        """Returns False."""
+        return False
+
+    def admit_request(self, route: Route) -> bool:
+        """Returns True."""
+        return True
 
     def record_request(self, route: Route, is_first: bool, now_ms: int) -> None:
         """Does nothing."""
 
     def record_response(
-        self, route: Route, response_ms: int, occupied: float, work_slots: int
+        self, route: Route, processing_ms: int, occupied: float, work_slots: int
     ) -> None:
         """Does nothing."""
 
+    def describe(self, route: Route) -> AdmissionInputs:
+        """Returns inputs without a limit."""
+        return AdmissionInputs(route.shares[0].service, route.priority, 1.0, 0.0)
+
 
 class OccupancyView(Protocol):
     """Tells how busy the upstreams of a service in one data centre are."""
--- a/src/catkinspread/forwarding/decision_log.py
+++ b/src/catkinspread/forwarding/decision_log.py
@@ -6,6 +6,7 @@
 
 from catkinspread.deployment import DeploymentState, KnownUpstream
 from catkinspread.eventlog import EventLog
+from catkinspread.forwarding.admission_policy import AdmissionInputs
 from catkinspread.forwarding.flows import Flow
 from catkinspread.forwarding.packets import (
     CallerPacket,
@@ -16,6 +17,8 @@
 from catkinspread.forwarding.placement import UpstreamChoice
 
 _BYTE_MASK = 0xFF
+# Decimals of shares and occupancies.
+_DIGITS = 3
 
 
 def format_ip(ip: int) -> str:
@@ -163,6 +166,21 @@
         """Logs that an opening packet is answered with a reset."""
         self._write_packet("flow_refused", packet, reason, now_ms)
 
+    def log_admission_refusal(
+        self, packet: CallerPacket, reason: RejectionReason, inputs: AdmissionInputs, now_ms: int
+    ) -> None:
+        """Logs that an opening packet is answered with a reset for lack of room."""
+        self._write_packet(
+            "flow_refused",
+            packet,
+            reason,
+            now_ms,
+            service=inputs.service,
+            priority=inputs.priority,
+            share=round(inputs.share, _DIGITS),
+            occupancy=round(inputs.occupancy, _DIGITS),
+        )
+
     def log_drop(self, packet: CallerPacket, reason: RejectionReason, now_ms: int) -> None:
         """Logs that a packet is dropped."""
         self._write_packet("packet_dropped", packet, reason, now_ms)
@@ -181,7 +199,12 @@
         )
 
     def _write_packet(
-        self, name: str, packet: CallerPacket, reason: RejectionReason, now_ms: int
+        self,
+        name: str,
+        packet: CallerPacket,
+        reason: RejectionReason,
+        now_ms: int,
+        **fields: object,
     ) -> None:
         self._events.write(
             name,
@@ -190,6 +213,7 @@
             reason=reason.value,
             token=packet.token,
             version=self._version(),
+            **fields,
         )
 
     def _version(self) -> int:
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -57,14 +57,17 @@
     StoreContactRegistry,
     read_request_id,
 )
+from catkinspread.runtime.admission_parts import AdmissionParts
 from catkinspread.runtime.flow_announcer import FlowAnnouncer
 from catkinspread.runtime.flow_messages import apply_announcement, apply_location
+from catkinspread.runtime.flow_metrics import list_flow_metrics
 from catkinspread.runtime.graceful_shutdown import wait_until_unused
 from catkinspread.runtime.isolation import IsolationCheck
 from catkinspread.runtime.load_reports import LoadReporter
 from catkinspread.runtime.metrics import (
     METRICS_CONNECTIONS_MAX,
     METRICS_REQUEST_MAX_BYTES,
+    LabelledMetric,
     MetricsPage,
 )
 from catkinspread.runtime.pauses import PauseDetector
@@ -111,6 +114,7 @@
     """
 
     __slots__ = (
+        "_admission",
         "_cache",
         "_clock",
         "_cold_start_limiter",
@@ -179,6 +183,15 @@
         self._reporter = LoadReporter(
             self._member, self._state, self._loads, self._directory, self._rng
         )
+        self._admission = AdmissionParts(
+            self._member,
+            settings.admission,
+            self._state,
+            self._loads,
+            self._directory,
+            self._events,
+            self._rng,
+        )
         self._packet_port = PacketPort(
             settings.packet_address,
             self._handle_packet,
@@ -269,6 +282,7 @@
         tasks.add("flow_handover", self._flow_announcer.handover.send_due)
         tasks.add("upstream_monitor", self._upstream_monitor.update)
         tasks.add("load_reports", self._send_load_report)
+        self._admission.add_tasks(tasks, self._exchange.send_report)
         tasks.add("isolation_check", self._isolation.update)
         tasks.add("instance_count", self._update_instance_count)
         tasks.add("feeder_choice", lambda _: shared.update_feeder())
@@ -311,6 +325,7 @@
         page = MetricsPage(
             self._read_counts,
             self._read_gauges,
+            self._read_labelled,
             self._forwarder.histograms,
             self._failures,
             self._source_digest,
@@ -330,6 +345,7 @@
             self._loads,
             self._cold_start_limiter,
             self._rng,
+            self._admission.estimator,
         )
         log = DecisionLog(self._events, self._state)
         return Forwarder(
@@ -341,6 +357,7 @@
             log,
             read_request_id,
             self._flow_announcer,
+            self._admission.controller,
         )
 
     def _build_upstream_monitor(self) -> UpstreamMonitor:
@@ -378,6 +395,7 @@
             self._apply_unreachable_report,
             self._apply_flow_announcement,
             self._apply_flow_location,
+            self._admission.apply_summary,
             self._traffic,
             self._clock,
             self._rng,
@@ -450,6 +468,7 @@
     def _read_counts(self) -> dict[str, int]:
         return {
             **self._forwarder.counts,
+            **self._admission.read_counts(),
             **{f"bytes_{name}": count for name, count in self._traffic.bytes_by_name.items()},
             "malformed_packet": self._packet_port.malformed_count,
             "malformed_message": self._exchange.malformed_count,
@@ -473,6 +492,14 @@
             "source_era": self._cache.era,
         }
 
+    def _read_labelled(self) -> list[LabelledMetric]:
+        flows = list_flow_metrics(
+            self._forwarder.placed_by_route,
+            self._forwarder.refused_by_route,
+            self._settings.data_centre,
+        )
+        return [*flows, *self._admission.list_metrics(self._clock.now_ms())]
+
     def _handle_pause(self, pause_ms: int, now_ms: int) -> None:
         """Discards conclusions from a time in which the process was paused.
 
