--- a/src/catkinspread/admission/controller.py
+++ b/src/catkinspread/admission/controller.py
@@ -184,10 +184,6 @@
             for name, state in self._routes.items()
         ]
 
-    def list_limited_services(self) -> list[str]:
-        """Returns the names of the services that are limited now."""
-        return [level.service for level in self._levels.values() if level.is_limited]
-
     def list_services(self) -> list[ServiceAdmission]:
         """Returns the state of all services with admission control."""
         return [
--- a/src/catkinspread/admission/own_summary.py
+++ b/src/catkinspread/admission/own_summary.py
@@ -1,7 +1,6 @@
 """Summary of the demand and load that this instance itself sees."""
 
 import collections
-from collections.abc import Callable, Sequence
 
 from catkinspread.admission.capacity import UpstreamCapacity
 from catkinspread.admission.demand import DemandMeter
@@ -25,18 +24,9 @@
         loads: Load of the upstreams.
         capacity: Tells which upstreams are usable.
         demands: Demand of the callers of this instance.
-        list_limited_services: Returns the services that this instance limits now.
     """
 
-    __slots__ = (
-        "_capacity",
-        "_data_centre",
-        "_demands",
-        "_list_limited_services",
-        "_loads",
-        "_name",
-        "_state",
-    )
+    __slots__ = ("_capacity", "_data_centre", "_demands", "_loads", "_name", "_state")
 
     def __init__(
         self,
@@ -46,9 +36,7 @@
         loads: LoadTracker,
         capacity: UpstreamCapacity,
         demands: DemandMeter,
-        list_limited_services: Callable[[], Sequence[str]] = tuple,
     ) -> None:
-        self._list_limited_services = list_limited_services
         self._name = name
         self._data_centre = data_centre
         self._state = state
@@ -65,7 +53,6 @@
             1,
             tuple(self._demands.list_demands(now_ms)[:DEMANDS_MAX]),
             self._list_in_flight(now_ms),
-            tuple(self._list_limited_services())[:DEMANDS_MAX],
         )
 
     def _list_in_flight(self, now_ms: int) -> tuple[ServiceInFlight, ...]:
--- a/src/catkinspread/admission/room.py
+++ b/src/catkinspread/admission/room.py
@@ -67,7 +67,6 @@
             tuple(merged.demands_by_service.get(service, ())),
             merged.age_ms + now_ms - self._merged_at_ms,
             merged.is_estimate,
-            service in merged.limited_services,
         )
 
     def list_slots(self, service: str, now_ms: int) -> dict[str, float]:
--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -250,18 +250,12 @@
             tuple(_smooth_demand(d, previous.get(d.route)) for d in room.demands),
             room.age_ms,
             room.is_estimate,
-            room.is_limited_elsewhere,
         )
 
-    @property
-    def _target_occupancy(self) -> float:
-        """Occupancy that a limited service is steered to."""
-        return (self._settings.trim_raise_occupancy + self._settings.trim_lower_occupancy) / 2
-
     def _has_seen_queues(self) -> bool:
-        """Whether the own requests found as many requests on their upstreams as the target."""
+        """Whether the own requests found as many requests on their upstreams as limit a service."""
         recent = self.recent_occupancy.estimate()
-        return recent is not None and recent >= self._target_occupancy
+        return recent is not None and recent >= self._settings.limit_occupancy
 
     def _estimate_growth(self, room: ServiceRoom) -> float:
         """Returns the factor by which demand exceeds the one in the summaries; at least 1."""
@@ -284,9 +278,6 @@
         is_contradicted = recent is not None and recent < self._settings.release_occupancy
         is_high = room.occupancy >= self._settings.limit_occupancy and not is_contradicted
         self._high_update_count = self._high_update_count + 1 if is_high else 0
-        if room.is_limited_elsewhere and room.occupancy >= self._settings.release_occupancy:
-            # The others keep the occupancy below the one that starts a limit.
-            return True
         # An estimate from few summaries varies, so it must be high for longer.
         update_factor = ESTIMATE_UPDATE_FACTOR if room.is_estimate else 1
         return self._high_update_count >= update_factor * self._settings.limit_update_count
@@ -349,7 +340,7 @@
         if recent is None:
             recent = room.occupancy
             freshness = QUEUE_AGE_MS / max(QUEUE_AGE_MS, room.age_ms)
-        target = self._target_occupancy
+        target = (self._settings.trim_raise_occupancy + self._settings.trim_lower_occupancy) / 2
         correction = QUEUE_GAIN * freshness * (target - recent)
         return 1 + min(QUEUE_CORRECTION_MAX, max(-QUEUE_CORRECTION_MAX, correction))
 
--- a/src/catkinspread/admission/summaries.py
+++ b/src/catkinspread/admission/summaries.py
@@ -97,17 +97,9 @@
         age_ms: Age of the oldest summary that was used.
         is_estimate: Whether less than half of the known instances of the own data centre have been
             heard from, directly or in a partial sum.
-        limited_services: Services that at least half of the instances heard from limit.
     """
 
-    __slots__ = (
-        "age_ms",
-        "demands_by_service",
-        "fresh_data_centres",
-        "in_flight",
-        "is_estimate",
-        "limited_services",
-    )
+    __slots__ = ("age_ms", "demands_by_service", "fresh_data_centres", "in_flight", "is_estimate")
 
     def __init__(
         self,
@@ -115,9 +107,7 @@
         fresh_data_centres: frozenset[str],
         age_ms: int,
         is_estimate: bool,
-        limited_services: frozenset[str],
     ) -> None:
-        self.limited_services = limited_services
         self.demands_by_service: dict[str, list[RouteDemand]] = collections.defaultdict(list)
         for demand in load_sum.list_demands():
             self.demands_by_service[demand.service].append(demand)
@@ -231,18 +221,7 @@
             frozenset(fresh),
             max(0, now_ms - oldest_at_ms),
             2 * heard_count < local_instance_count,
-            self._find_limited_services(),
-        )
-
-    def _find_limited_services(self) -> frozenset[str]:
-        """Returns the services that at least half of the instances heard from limit."""
-        counts = collections.Counter(
-            service
-            for heard in self._by_sender.values()
-            for service in heard.summary.limited_services
         )
-        heard_count = len(self._by_sender)
-        return frozenset(service for service, count in counts.items() if 2 * count >= heard_count)
 
     def build_partial_sum(self, own: RoomSummary, now_ms: int) -> RoomSummary:
         """Returns the sum over this instance and those of its data centre heard from lately."""
@@ -287,7 +266,6 @@
                 ServiceInFlight(service, data_centre, min(AMOUNT_MAX, requests))
                 for (service, data_centre), requests in in_flight[:IN_FLIGHT_MAX]
             ),
-            own.limited_services,
         )
 
     def is_silent(self, data_centre: str, local_instance_count: int, now_ms: int) -> bool:
@@ -378,7 +356,6 @@
             ServiceInFlight(entry.service, entry.data_centre, _shorten(entry.requests))
             for entry in summary.in_flight
         ),
-        summary.limited_services,
     )
 
 
--- a/src/catkinspread/admission/types.py
+++ b/src/catkinspread/admission/types.py
@@ -56,7 +56,6 @@
         instance_count: Number of instances that it covers; 1 if it is only the sender.
         demands: Demand by route; those with the most work if there are more than DEMANDS_MAX.
         in_flight: Requests in flight by service and data centre of the upstreams.
-        limited_services: Services that the sender limits now.
     """
 
     sender: Name
@@ -65,7 +64,6 @@
     instance_count: Amount
     demands: Annotated[tuple[RouteDemand, ...], msgspec.Meta(max_length=DEMANDS_MAX)]
     in_flight: Annotated[tuple[ServiceInFlight, ...], msgspec.Meta(max_length=IN_FLIGHT_MAX)]
-    limited_services: Annotated[tuple[Name, ...], msgspec.Meta(max_length=DEMANDS_MAX)] = ()
 
 
 class ServiceRoom(msgspec.Struct, frozen=True):
@@ -79,7 +77,6 @@
         age_ms: Age of the oldest summary that the figures depend on.
         is_estimate: Whether less than half of the known instances of the own data centre have been
             heard from.
-        is_limited_elsewhere: Whether at least half of the instances heard from limit the service.
     """
 
     service: str
@@ -88,7 +85,6 @@
     demands: tuple[RouteDemand, ...]
     age_ms: int
     is_estimate: bool
-    is_limited_elsewhere: bool = False
 
     @property
     def occupancy(self) -> float:
--- a/src/catkinspread/runtime/admission_parts.py
+++ b/src/catkinspread/runtime/admission_parts.py
@@ -76,13 +76,7 @@
         work = WorkEstimator()
         self._meter = DemandMeter(work)
         own_summary = OwnSummaryBuilder(
-            member.name,
-            member.data_centre,
-            state,
-            loads,
-            capacity,
-            self._meter,
-            lambda: self.controller.list_limited_services(),
+            member.name, member.data_centre, state, loads, capacity, self._meter
         )
         self._summaries = SummaryTable(member.name, member.data_centre, capacity.find_requests_max)
         self.estimator = RoomEstimator(
