--- a/src/catkinspread/admission/controller.py
+++ b/src/catkinspread/admission/controller.py
@@ -212,20 +212,6 @@
         self._record_demand(state, route, verdict, now_ms)
         return verdict
 
-    def is_delaying(self, route: Route) -> bool:
-        """Whether requests on open flows of a route may be delayed; see `AdmissionPolicy`."""
-        state = self._routes.get(route.name)
-        return state is not None and state.request_share < 1.0
-
-    def admit_request(self, route: Route) -> bool:
-        """Decides about a request on an open flow; see `AdmissionPolicy`."""
-        state = self._routes[route.name]
-        state.request_credit = min(1.0, state.request_credit + state.request_share)
-        if state.request_credit < 1.0:
-            return False
-        state.request_credit -= 1.0
-        return True
-
     def record_request(self, route: Route, is_first: bool, now_ms: int) -> None:
         """Counts a request that was forwarded; see `AdmissionPolicy`."""
         self._meter.record_request(route, is_first, now_ms)
--- a/src/catkinspread/admission/route_level.py
+++ b/src/catkinspread/admission/route_level.py
@@ -12,8 +12,6 @@
         levels: Levels of the services of the route with their weights; None for a service without
             admission control.
         share: Admitted share of the callers; None while no service of the route is limited.
-        request_share: Share of the requests on open flows that is forwarded at once.
-        request_credit: Fraction of a request that the shares of earlier ones have left.
         retries: Tells how many refused openings are first attempts.
         expected_ms: Expected wait and work of a request; 0 if only some services are limited.
         limited_since_ms: When a service of the route became limited; has no meaning if none is.
@@ -37,8 +35,6 @@
         "no_room",
         "opened_at_ms",
         "openings",
-        "request_credit",
-        "request_share",
         "retries",
         "seen_openings",
         "share",
@@ -49,8 +45,6 @@
     def __init__(self) -> None:
         self.levels: list[tuple[ServiceLevel | None, float]] = []
         self.share: float | None = None
-        self.request_share = 1.0
-        self.request_credit = 0.0
         self.retries = RetryShare()
         self.expected_ms = 0.0
         self.limited_since_ms = 0
@@ -90,11 +84,7 @@
         limited = [level for level, _ in self.levels if level is not None and level.is_limited]
         if not limited:
             self.share = None
-            self.request_share = 1.0
             return
-        # The requests of a route with several services wait for none of them.
-        is_single = len(self.levels) == 1
-        self.request_share = limited[0].get_request_share(route) if is_single else 1.0
         if self.share is None:
             self.limited_since_ms = now_ms
         # The service of a flow is not known here, so a route that several services share has one
--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -11,7 +11,7 @@
 from catkinspread.admission.demand_trend import UPDATE_INTERVAL_MS, DemandTrend
 from catkinspread.admission.recent_occupancy import RecentOccupancy
 from catkinspread.admission.settings import AdmissionSettings
-from catkinspread.admission.shares import divide_room, divide_room_for_requests
+from catkinspread.admission.shares import divide_room
 from catkinspread.admission.types import RouteDemand, ServiceRoom
 
 _MS_PER_S = 1_000
@@ -105,7 +105,6 @@
         "_demands",
         "_high_update_count",
         "_releasable_since_ms",
-        "_request_shares",
         "_room",
         "_settings",
         "_shares",
@@ -134,7 +133,6 @@
         self._room: ServiceRoom | None = None
         self._demands: dict[str, RouteDemand] = {}
         self._shares: dict[str, float] = {}
-        self._request_shares: dict[str, float] = {}
         self._trim = 1.0
         self._trimmed_at_ms = 0
         self._high_update_count = 0
@@ -162,16 +160,14 @@
         if not self.is_limited or room.slots <= 0:
             # Without a usable upstream, placement probes and refuses; nothing can be divided.
             self._shares = {}
-            self._request_shares = {}
             self.admitted_share = 1.0
             self.expected_wait_ms = 0.0
             return
         self._update_trim(room, now_ms)
-        divided_ms_per_s = self._compute_divided_room(room, growth)
-        minimum_share = MINIMUM_MARGIN * self._settings.minimum_share
-        self._shares = divide_room(divided_ms_per_s, room.demands, minimum_share)
-        self._request_shares = divide_room_for_requests(
-            divided_ms_per_s, room.demands, minimum_share
+        self._shares = divide_room(
+            self._compute_divided_room(room, growth),
+            room.demands,
+            MINIMUM_MARGIN * self._settings.minimum_share,
         )
         offered = sum(demand.offered_work_ms_per_s for demand in room.demands)
         admitted = sum(d.offered_work_ms_per_s * self._shares[d.route] for d in room.demands)
@@ -225,10 +221,6 @@
         others = (s for name, s in self._shares.items() if self._demands[name].priority <= priority)
         return min(others, default=1.0)
 
-    def get_request_share(self, route: str) -> float:
-        """Returns the share of the requests on open flows of a route that is forwarded at once."""
-        return self._request_shares.get(route, 1.0)
-
     def get_work_ms(self, route: str) -> float:
         """Returns the work of one request of a route, 0 if it is unknown."""
         demand = self._demands.get(route)
@@ -309,6 +301,10 @@
         self._trimmed_at_ms = now_ms
         settings = self._settings
         recent = self.recent_occupancy.estimate()
+        committed = sum(demand.committed_work_ms_per_s for demand in room.demands)
+        if committed >= self._compute_room_ms_per_s(room):
+            # The queues are those of open flows, so they tell nothing about the learned work.
+            return
         lower, upper = sorted((room.occupancy, room.occupancy if recent is None else recent))
         if lower > settings.trim_lower_occupancy:
             self._trim = max(settings.trim_min, self._trim * TRIM_LOWER_FACTOR)
--- a/src/catkinspread/admission/settings.py
+++ b/src/catkinspread/admission/settings.py
@@ -40,7 +40,7 @@
 
     mode: AdmissionMode = AdmissionMode.AUTO
     limit_occupancy: float = 4.0
-    limit_update_count: int = 3
+    limit_update_count: int = 4
     release_occupancy: float = 1.5
     release_demand_share: float = 0.9
     release_after_ms: int = 1_000
--- a/src/catkinspread/admission/shares.py
+++ b/src/catkinspread/admission/shares.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable, Sequence
 
-from catkinspread.admission.demand import compute_demanded_work
 from catkinspread.admission.types import RouteDemand
 
 # Routes of one priority whose work per request differs by less than this factor get the same share.
@@ -54,35 +53,6 @@
     return shares
 
 
-def divide_room_for_requests(
-    room_work_ms_per_s: float, demands: Iterable[RouteDemand], minimum_share: float
-) -> dict[str, float]:
-    """Returns the share of the requests on open flows of each route that is forwarded at once.
-
-    Routes are served by priority. Within a priority, requests on open flows go before new flows,
-    and all routes have the same share. The lowest priority keeps a minimum.
-
-    Args:
-        room_work_ms_per_s: Room of the service, in milliseconds of a work slot per second.
-        demands: Demand for the service by route.
-        minimum_share: Share of the room that the lowest priority keeps.
-    """
-    merged = _merge_by_route(demands)
-    priorities = sorted({demand.priority for demand in merged})
-    remaining = room_work_ms_per_s
-    shares = {}
-    for priority in priorities:
-        group = [demand for demand in merged if demand.priority == priority]
-        committed = sum(demand.committed_work_ms_per_s for demand in group)
-        usable = remaining
-        if priority == priorities[-1]:
-            usable = max(remaining, minimum_share * room_work_ms_per_s)
-        share = min(1.0, max(0.0, usable) / committed) if committed else 1.0
-        shares.update({demand.route: share for demand in group})
-        remaining -= sum(map(compute_demanded_work, group))
-    return shares
-
-
 def _merge_by_route(demands: Iterable[RouteDemand]) -> list[RouteDemand]:
     merged: dict[str, RouteDemand] = {}
     for demand in demands:
--- a/src/catkinspread/forwarding/admission_policy.py
+++ b/src/catkinspread/forwarding/admission_policy.py
@@ -47,17 +47,8 @@
             now_ms: Current time.
         """
 
-    def is_delaying(self, route: Route) -> bool:
-        """Whether requests on open flows of a route may be delayed now."""
-
-    def admit_request(self, route: Route) -> bool:
-        """Decides whether a request on an open flow is forwarded now.
-
-        Only called while `is_delaying` is true.
-        """
-
     def record_request(self, route: Route, is_first: bool, now_ms: int) -> None:
-        """Counts a request, once also if it is delayed.
+        """Counts a request that was forwarded.
 
         Args:
             route: Route of its flow.
@@ -96,14 +87,6 @@
         """Returns ADMITTED."""
         return _ADMITTED
 
-    def is_delaying(self, route: Route) -> bool:
-        """Returns False."""
-        return False
-
-    def admit_request(self, route: Route) -> bool:
-        """Returns True."""
-        return True
-
     def record_request(self, route: Route, is_first: bool, now_ms: int) -> None:
         """Does nothing."""
 
--- a/src/catkinspread/forwarding/flows.py
+++ b/src/catkinspread/forwarding/flows.py
@@ -80,7 +80,6 @@
             handshake starts the wait for the answer to the first request.
         acknowledged: Highest acknowledgement number received from the caller.
         request_id: Identifier of the latest request; empty if unknown.
-        delayed_sequence: Sequence number of the latest request that was delayed; None if none was.
         occupied_at_request: Requests in flight on the upstream, own and reported, when the latest
             request began, including itself. None once it is answered, or if no request was seen.
         is_contested: Whether an upstream that does not hold the flow may have answered its opening
@@ -106,7 +105,6 @@
         "last_packet_at_ms",
         "next_check_at_ms",
         "next_sequence",
-        "delayed_sequence",
         "occupied_at_request",
         "opening_packet",
         "opening_sequence",
@@ -137,7 +135,6 @@
         self.pending_since_ms: int | None = None
         self.acknowledged = 0
         self.request_id = ""
-        self.delayed_sequence: int | None = None
         self.occupied_at_request: int | None = None
         self.retransmissions = 0
         self.next_sequence = 0
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -92,8 +92,6 @@
                 its answer is not overdue.
             late_copy: A late or delayed retransmission of an opening packet was dropped.
             retransmitted: A caller retransmitted data.
-            request_delayed: The first packet of a request was dropped, because its service has too
-                little room; the caller sends it again.
             given_up: A caller closed or reset a flow whose upstream owed an answer.
             abandoned: A request timed out, or its flow expired before it was answered.
             refused_REASON: An opening packet was answered with a reset.
@@ -422,13 +420,9 @@
         flow.last_packet_at_ms = now_ms
         if is_sequence_after(packet.acknowledged, flow.acknowledged):
             self._process_acknowledgement(packet, flow, now_ms)
-        if packet.payload_size_bytes:
-            if self._is_delayed(packet, flow, now_ms):
-                self.counts["request_delayed"] += 1
-                return
-            if self._process_data(packet, flow, now_ms):
-                self.counts["reset"] += 1
-                return
+        if packet.payload_size_bytes and self._process_data(packet, flow, now_ms):
+            self.counts["reset"] += 1
+            return
         if packet.is_close or packet.is_reset:
             self._close_flow(packet, flow, now_ms)
         token = encode_flow_token(flow.upstream, _OPEN)
@@ -496,30 +490,10 @@
         self._flows.reschedule(flow, self._idle_timeout_ms)
         return self._resetter.reset_if_unreachable(flow, now_ms)
 
-    def _is_delayed(self, packet: CallerPacket, flow: Flow, now_ms: int) -> bool:
-        """Decides whether a request on an open flow waits for room.
-
-        Its first packet is dropped. Nothing has run, and the caller sends the packet again after
-        200 ms; this is decided anew then. The first request of a flow was admitted with the flow.
-        """
-        route = flow.route
-        if route is None or not self._admission.is_delaying(route):
-            return False
-        end = advance_sequence(packet.sequence, packet.payload_size_bytes)
-        is_new = is_sequence_after(end, flow.next_sequence)
-        if not is_new or flow.is_first_data(packet.sequence) or not self._read_request_id(packet):
-            return False
-        if self._admission.admit_request(route):
-            return False
-        if flow.delayed_sequence != packet.sequence:
-            flow.delayed_sequence = packet.sequence
-            self._admission.record_request(route, False, now_ms)
-        return True
-
     def _report_request(self, flow: Flow, packet: CallerPacket, now_ms: int) -> None:
         load = self._loads.get(flow.upstream.record.name)
         flow.occupied_at_request = load.in_flight + load.peer_in_flight
-        if flow.route is not None and flow.delayed_sequence != packet.sequence:
+        if flow.route is not None:
             is_first = flow.is_first_data(packet.sequence)
             self._admission.record_request(flow.route, is_first, now_ms)
 
