Tests take the platform's field names from its stand-ins

Cause: two test files outside platform/ spelled names of the wire. Change: the overload site encodes records with the stand-ins, which also write the latency objective; the test of check-configuration looks the name up.

--- a/src/catkinspread/console/tests/test_check_configuration.py
+++ b/src/catkinspread/console/tests/test_check_configuration.py
@@ -5,15 +5,18 @@
 
 import pytest
 
+from catkinspread.configuration_check import ConfigurationField
 from catkinspread.console import main
+from catkinspread.platform.field_names import get_field_name
 
+PORT = get_field_name(ConfigurationField.PORT)
 SOUND = {
     "version": 8,
     "routes": [
         {
             "name": "r1",
             "host": "198.18.0.1",
-            "path_prefix": "/8443/",
+            PORT: "/8443/",
             "kind": "safe",
             "service": "pages",
             "timeout_ms": 2_000,
@@ -23,7 +26,7 @@
         {
             "name": "r2",
             "host": "198.18.0.2",
-            "path_prefix": "/8443/",
+            PORT: "/8443/",
             "kind": "unsafe",
             "backends": [{"service": "pages", "weight": 90}, {"service": "plates", "weight": 10}],
             "timeout_ms": 4_000,
@@ -59,7 +62,7 @@
 def build_refused() -> dict:
     """Returns a configuration that instances refuse for several reasons."""
     content = copy.deepcopy(SOUND)
-    content["routes"][0].update(host="pages.example", path_prefix="/0/")
+    content["routes"][0].update({"host": "pages.example", PORT: "/0/"})
     content["routes"][1].update(timeout_ms="4 s", priority=-1)
     del content["services"][1]["name"]
     return content
--- a/src/catkinspread/forwarding/response_estimates.py
+++ b/src/catkinspread/forwarding/response_estimates.py
@@ -18,8 +18,8 @@
 )
 from catkinspread.forwarding.spill_over import SpillOver
 
-# Added to the expected response time of upstreams in other data centres while the handshakes with
-# them are not measured. It exceeds the network latency because traffic between data centres costs
+# Added to the expected response time of upstreams in other data centres before enough handshakes
+# with them have ended. It exceeds the network latency because traffic between data centres costs
 # money and can be interrupted.
 REMOTE_PENALTY_MS = 25.0
 # Added to the measured difference of the handshakes, for the same reason.
--- a/src/catkinspread/platform/stand_ins/objects.py
+++ b/src/catkinspread/platform/stand_ins/objects.py
@@ -48,6 +48,7 @@
                     {"service": share.service, "weight": share.weight} for share in route.shares
                 ],
                 "timeout_ms": route.timeout_ms,
+                "aim_ms": route.objective_ms,
                 "priority": route.priority,
             }
             for route in configuration.routes
--- a/src/catkinspread/runtime/tests/overload_site.py
+++ b/src/catkinspread/runtime/tests/overload_site.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import ipaddress
 import itertools
 import json
 import os
@@ -21,10 +22,24 @@
 import msgspec
 
 from catkinspread.clock import SystemClock
-from catkinspread.deployment import StateKind
+from catkinspread.deployment import (
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    ServiceAddress,
+    ServiceLimits,
+    ServiceShare,
+    StateKind,
+    UpstreamRecord,
+)
 from catkinspread.model import Endpoint
 from catkinspread.platform.packets import FLAG_ACK, FLAG_FIN, FLAG_RST, FLAG_SYN, HEAD
-from catkinspread.platform.stand_ins import StoreStandIn, build_environment
+from catkinspread.platform.stand_ins import (
+    StoreStandIn,
+    build_environment,
+    encode_configuration,
+    encode_upstream,
+)
 from catkinspread.runtime.tests.program import PROGRAM
 from catkinspread.sockets import find_free_ports
 from catkinspread.transport.udp import UdpTransport
@@ -405,38 +420,37 @@
             group.start_soon(caller.call, port, request)
 
     def _put_upstream(self, number: int, host: str) -> None:
-        spec = {
-            "service": "pages",
-            "address": f"{host}:{self._port}",
-            "zone": "east",
-            "version": "v1",
-            "state": "ready",
-            "slots": WORK_SLOTS,
-            "cold_left_ms": 0,
-            "born": 1,
-            "seq": 1,
-        }
-        self.store.put(StateKind.UPSTREAMS, f"i-{number}a", spec)
+        record = UpstreamRecord(
+            name=f"i-{number}a",
+            key=int(f"{number}a", 16),
+            service="pages",
+            data_centre="east",
+            host=host,
+            port=self._port,
+            work_slots=WORK_SLOTS,
+            is_draining=False,
+            cold_remaining_ms=0,
+            born_ms=1,
+            report_number=1,
+        )
+        self.store.put(StateKind.UPSTREAMS, record.name, encode_upstream(record))
 
     def _build_configuration(self) -> dict[str, object]:
-        routes = [
-            {
-                "name": name,
-                "host": SERVICE_IP,
-                "path_prefix": f"/{port}/",
-                "kind": "safe",
-                "timeout_ms": TIMEOUT_MS,
-                "priority": priority,
-                "service": "pages",
-            }
+        shares = (ServiceShare("pages", 1.0),)
+        ip = int(ipaddress.IPv4Address(SERVICE_IP))
+        routes = tuple(
+            Route(
+                name,
+                ServiceAddress(ip, port),
+                shares,
+                RequestKind.IDEMPOTENT,
+                TIMEOUT_MS,
+                priority,
+            )
             for port, (name, priority) in ROUTES.items()
-        ]
-        return {
-            "version": 1,
-            "routes": routes,
-            "services": [{"name": "pages", "max_flows": 2_000, "cold_per_s": 0.0}],
-            "limits": {"idle_timeout_ms": 15_000},
-        }
+        )
+        limits = (ServiceLimits("pages", 0.0, 2_000),)
+        return encode_configuration(RoutingConfiguration(1, routes, limits, 15_000))
 
 
 def count_outcomes(requests: Iterable[Request], route: str) -> collections.Counter[str]:
