Admission control is off unless the settings ask for it

Change: the default of [admission] mode is off; then no summaries are sent, no level is computed and placement gets no occupancy of other data centres. Tests that need it ask for auto.

--- a/src/catkinspread/admission/tests/test_load.py
+++ b/src/catkinspread/admission/tests/test_load.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from catkinspread.admission.settings import AdmissionSettings
+from catkinspread.admission.settings import AdmissionMode, AdmissionSettings
 from catkinspread.admission.tests.load_play import SERVICE, Outcome, Play, measure
 
 # Instances and upstreams of each data centre.
@@ -24,7 +24,7 @@
 
 
 def _play(size: tuple[int, int], demand: float, is_plain: bool = False, **options: float) -> Play:
-    settings = None if is_plain else AdmissionSettings()
+    settings = None if is_plain else AdmissionSettings(mode=AdmissionMode.AUTO)
     return Play(size[0], lambda _centre, _ms: demand, settings, upstream_count=size[1], **options)
 
 
@@ -74,7 +74,7 @@
     play = Play(
         size[0],
         lambda _centre, ms: 3.0 if 4_000 <= ms < 9_000 else 0.5,
-        AdmissionSettings(),
+        AdmissionSettings(mode=AdmissionMode.AUTO),
         upstream_count=size[1],
     )
     play.run(14_000)
@@ -89,7 +89,7 @@
     play = Play(
         size[0],
         lambda centre, ms: 0.8 + (-1) ** centre * 0.6 * math.sin(2 * math.pi * ms / 10_000),
-        AdmissionSettings(),
+        AdmissionSettings(mode=AdmissionMode.AUTO),
         upstream_count=size[1],
         data_centre_count=2,
     )
--- a/src/catkinspread/runtime/admission_parts.py
+++ b/src/catkinspread/runtime/admission_parts.py
@@ -5,6 +5,7 @@
 
 from catkinspread.admission import (
     AdmissionController,
+    AdmissionMode,
     AdmissionSettings,
     DemandMeter,
     OwnSummaryBuilder,
@@ -16,7 +17,7 @@
 )
 from catkinspread.deployment import DeploymentState, RoutingConfiguration
 from catkinspread.eventlog import EventLog
-from catkinspread.forwarding import LoadTracker
+from catkinspread.forwarding import LoadTracker, OccupancyView
 from catkinspread.peers import Member, PeerDirectory
 from catkinspread.runtime.admission_log import log_admission_change
 from catkinspread.runtime.admission_metrics import list_admission_metrics
@@ -49,6 +50,7 @@
         "_configuration",
         "_data_centre",
         "_events",
+        "_is_enabled",
         "_meter",
         "_reporter",
         "_state",
@@ -67,6 +69,7 @@
         events: EventLog,
         rng: random.Random,
     ) -> None:
+        self._is_enabled = settings.mode is not AdmissionMode.OFF
         self._state = state
         self._events = events
         self._data_centre = member.data_centre
@@ -94,7 +97,7 @@
     def add_tasks(
         self, tasks: PeriodicTasks, send: Callable[[RoomSummary, list[str]], None]
     ) -> None:
-        """Adds the periodic tasks.
+        """Adds the periodic tasks; none if the settings switch admission control off.
 
         Args:
             tasks: Runs them.
@@ -105,10 +108,16 @@
             for report in self._reporter.build_due_reports(now_ms):
                 send(report.summary, report.hosts)
 
+        if not self._is_enabled:
+            return
         tasks.add("admission", self.update, UPDATE_INTERVAL_MS)
         tasks.add("room_reports", send_due_reports)
         tasks.add("room_expiry", self._summaries.expire, EXPIRY_INTERVAL_MS)
 
+    def find_occupancy_view(self) -> OccupancyView | None:
+        """Returns the load of other data centres; None if no summaries are exchanged."""
+        return self.estimator if self._is_enabled else None
+
     def update(self, now_ms: int) -> None:
         """Computes the admission of all services anew and logs its changes."""
         configuration = self._state.configuration
--- a/src/catkinspread/runtime/tests/overload_site.py
+++ b/src/catkinspread/runtime/tests/overload_site.py
@@ -333,7 +333,7 @@
         group: anyio.abc.TaskGroup,
         directory: pathlib.Path,
         work_ms: tuple[int, ...],
-        admission: str = "",
+        admission: str = "\n[admission]\nmode = auto\n",
     ) -> None:
         self._group = group
         self._directory = directory
--- a/src/catkinspread/runtime/tests/test_overload.py
+++ b/src/catkinspread/runtime/tests/test_overload.py
@@ -28,7 +28,7 @@
 def _play(
     tmp_path: pathlib.Path,
     scenario: Callable[[OverloadSite], Awaitable[None]],
-    admission: str = "",
+    admission: str = "\n[admission]\nmode = auto\n",
 ) -> None:
     async def run() -> None:
         async with anyio.create_task_group() as group:
