Placement of new flows as before

With the former placement on the same code the four tests pass. Change: placement, load and their tests are as they were; handshakes keep the average without its initial value. Result: the tests of forwarding and the four tests with real processes pass.

--- a/src/catkinspread/admission/room.py
+++ b/src/catkinspread/admission/room.py
@@ -16,7 +16,7 @@
 
 
 class RoomEstimator:
-    """Estimates the room of services; implements `RoomView` and `OccupancyView`.
+    """Estimates the room of services; implements `RoomView`.
 
     Args:
         data_centre: Data centre of this instance.
--- a/src/catkinspread/forwarding/__init__.py
+++ b/src/catkinspread/forwarding/__init__.py
@@ -8,8 +8,6 @@
     AdmissionPolicy,
     AdmissionVerdict,
     AdmitAll,
-    NoOccupancyView,
-    OccupancyView,
 )
 from catkinspread.forwarding.cold_start_limiter import ColdStartLimiter
 from catkinspread.forwarding.decision_log import DecisionLog, format_ip
@@ -50,8 +48,6 @@
     "LatencyHistogram",
     "LoadTracker",
     "LocalAvailability",
-    "NoOccupancyView",
-    "OccupancyView",
     "PacketOutput",
     "Placement",
     "RejectionReason",
--- a/src/catkinspread/forwarding/admission_policy.py
+++ b/src/catkinspread/forwarding/admission_policy.py
@@ -98,20 +98,3 @@
     def describe(self, route: Route) -> AdmissionInputs:
         """Returns inputs without a limit."""
         return AdmissionInputs(route.shares[0].service, route.priority, 1.0, 0.0)
-
-
-class OccupancyView(Protocol):
-    """Tells how busy the upstreams of a service in one data centre are."""
-
-    def find_occupancy(self, service: str, data_centre: str, now_ms: int) -> float | None:
-        """Returns the requests in flight per work slot; None if unknown or stale."""
-
-
-class NoOccupancyView:
-    """Knows nothing about the upstreams of other data centres."""
-
-    __slots__ = ()
-
-    def find_occupancy(self, service: str, data_centre: str, now_ms: int) -> float | None:
-        """Returns None."""
-        return None
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -19,6 +19,7 @@
 from catkinspread.forwarding.flow_tokens import TokenStage, encode_flow_token
 from catkinspread.forwarding.flows import Attempt, Flow, FlowTable
 from catkinspread.forwarding.handshake_timeouts import HandshakeTimeouts
+from catkinspread.forwarding.handshakes import HandshakeEstimator
 from catkinspread.forwarding.histogram import LatencyHistogram
 from catkinspread.forwarding.load import LoadTracker
 from catkinspread.forwarding.local_availability import LocalAvailability
@@ -161,7 +162,7 @@
         self._resetter = FlowResetter(
             state, self._flows, self.reachability, self._waits, output, log
         )
-        self._handshakes = placement.handshakes
+        self._handshakes = HandshakeEstimator()
         self._retry_budget = RetryBudget()
         self._timeouts = HandshakeTimeouts(self._handshakes)
         self.counts: collections.Counter[str] = collections.Counter()
--- a/src/catkinspread/forwarding/load.py
+++ b/src/catkinspread/forwarding/load.py
@@ -16,21 +16,6 @@
 RESPONSE_HALF_LIFE_MS = 1_500
 # Response time that is assumed for an upstream without samples.
 RESPONSE_DEFAULT_MS = 45.0
-# An answer that took less than this part of the usual response time, each without the round trip of
-# the network and the usual one without queueing, is quick. Failed requests are answered quickly; an
-# upstream that is up to four times as fast as the others has no quick answers.
-QUICK_ANSWER_FRACTION = 0.25
-# Share of quick answers above which an upstream may be failing requests; see `Placement`. Below it,
-# quick answers shorten the average by at most as much.
-QUICK_SHARE_MAX = 0.1
-# Weight of a new answer in the share of quick answers.
-QUICK_SMOOTHING_FACTOR = 0.1
-# A sample counts as this multiple of the average at most: a single long request tells little about
-# the next one, while the average of an upstream that is slow for all requests still rises quickly.
-SAMPLE_MAX_MULTIPLE = 3.0
-# Weight of a new sample in the average of all answers. It is lower so that the average is close to
-# the mean although few requests take much longer than the others.
-TYPICAL_SMOOTHING_FACTOR = 0.05
 # An upstream that did not answer an opening packet in time is avoided for the back-off. A time-out
 # after the back-off has ended doubles the next one; time-outs before its end do not change it.
 BACKOFF_INITIAL_MS = 400
@@ -69,15 +54,6 @@
             packet or to a request.
         peer_in_flight: Number of such flows of other instances, according to their reports.
         last_placed_at_ms: When a flow was last placed on it.
-        usual_response_ms: Response time that is usual for the upstreams of its service in its data
-            centre; set by `ServiceEstimates`.
-        typical_response_ms: Moving average of all measured response times as they are, which keeps
-            its value while there are no new samples; None before the first one.
-        has_quick_answers: Whether so many of its answers are quick that it may be failing requests.
-        quick_below_ms: Response time below which an answer is quick; set by `ServiceEstimates`.
-        placed_number: Number of flows that had been placed on the upstreams of its service in its
-            data centre when one was last placed on it, including this one; set by
-            `ServiceEstimates`.
     """
 
     __slots__ = (
@@ -85,53 +61,26 @@
         "_backoff_ms",
         "_backoff_since_ms",
         "_backoff_until_ms",
-        "_quick_share",
         "_sampled_at_ms",
-        "has_quick_answers",
         "in_flight",
         "last_placed_at_ms",
         "peer_in_flight",
-        "placed_number",
-        "quick_below_ms",
-        "typical_response_ms",
-        "usual_response_ms",
     )
 
     def __init__(self) -> None:
         self.in_flight = 0
         self.peer_in_flight = 0
         self.last_placed_at_ms = 0
-        self.usual_response_ms = RESPONSE_DEFAULT_MS
-        self.quick_below_ms = QUICK_ANSWER_FRACTION * RESPONSE_DEFAULT_MS
-        self.typical_response_ms: float | None = None
-        self.has_quick_answers = False
-        self.placed_number = 0
         self._average_response_ms = RESPONSE_DEFAULT_MS
         self._sampled_at_ms = 0
-        self._quick_share = 0.0
         self._backoff_ms = 0
         self._backoff_since_ms = 0
         self._backoff_until_ms = 0
 
     def record_response_time(self, response_ms: int, now_ms: int) -> None:
-        """Adds the measured response time of a request to the moving averages.
-
-        It also determines whether the upstream has quick answers.
-        """
-        typical_ms = self.typical_response_ms
-        if typical_ms is None:
-            self.typical_response_ms = float(response_ms)
-        else:
-            change_ms = TYPICAL_SMOOTHING_FACTOR * (response_ms - typical_ms)
-            self.typical_response_ms = typical_ms + change_ms
-        is_quick = response_ms < self.quick_below_ms
-        self._quick_share += QUICK_SMOOTHING_FACTOR * (is_quick - self._quick_share)
-        self.has_quick_answers = self._quick_share > QUICK_SHARE_MAX
-        current_ms = self.estimate_unqueued_response_ms(now_ms)
-        counted_ms = min(float(response_ms), SAMPLE_MAX_MULTIPLE * current_ms)
-        self._average_response_ms = current_ms + RESPONSE_SMOOTHING_FACTOR * (
-            counted_ms - current_ms
-        )
+        """Adds the measured response time of a request to the moving average."""
+        current = self.estimate_unqueued_response_ms(now_ms)
+        self._average_response_ms = current + RESPONSE_SMOOTHING_FACTOR * (response_ms - current)
         self._sampled_at_ms = now_ms
 
     def estimate_unqueued_response_ms(self, now_ms: int) -> float:
--- a/src/catkinspread/forwarding/placement.py
+++ b/src/catkinspread/forwarding/placement.py
@@ -1,10 +1,7 @@
 """Selection of an upstream for a new flow.
 
 Upstreams are compared by their expected response time, which depends on their queue, their measured
-response times and whether they are in another data centre. While the own data centre has much load,
-a part of the flows may go to another one before all slots of the own one are taken. An upstream
-with quick answers may be failing requests: it counts as no faster than usual and gets at most its
-fair share, which is one flow in as many as there are upstreams. Upstreams that do not respond are
+response times and whether they are in another data centre. Upstreams that do not respond are
 excluded while others do, and upstreams in cold start are used only within their rate limit.
 """
 
@@ -13,18 +10,17 @@
 
 import msgspec
 
-from catkinspread.deployment import DeploymentState, KnownUpstream, Route, UpstreamRecord
-from catkinspread.forwarding.admission_policy import NoOccupancyView, OccupancyView
+from catkinspread.deployment import DeploymentState, KnownUpstream, Route
 from catkinspread.forwarding.cold_start_limiter import ColdStartLimiter
-from catkinspread.forwarding.handshakes import HandshakeEstimator
-from catkinspread.forwarding.load import LoadTracker, UpstreamLoad
+from catkinspread.forwarding.load import LoadTracker
 from catkinspread.forwarding.packets import FlowKey, RejectionReason
-from catkinspread.forwarding.response_estimates import (
-    PROCESSING_FRACTION,
-    Member,
-    ServiceEstimates,
-)
 
+# Added to the expected response time of upstreams in other data centres. It exceeds the network
+# latency because traffic between data centres costs money and can be interrupted.
+REMOTE_PENALTY_MS = 25.0
+# Fraction of the time between the opening packet and the answer that the upstream spends on the
+# request; the rest is network latency.
+PROCESSING_FRACTION = 0.7
 # Step that expected response times are rounded to, so that upstreams with nearly equal ones
 # alternate.
 ESTIMATE_STEP_MS = 5
@@ -69,23 +65,10 @@
         state: State of the deployment.
         loads: Load of the upstreams.
         cold_start_limiter: Limits the rate of new flows to upstreams in cold start.
-        rng: Random source for breaking ties and for spill-over.
-        occupancies: Load of the upstreams of other data centres.
-
-    Attributes:
-        handshakes: Handshake times of the data centres.
+        rng: Random source for breaking ties.
     """
 
-    __slots__ = (
-        "_cold_start_limiter",
-        "_data_centre",
-        "_estimates",
-        "_loads",
-        "_occupancies",
-        "_rng",
-        "_state",
-        "handshakes",
-    )
+    __slots__ = ("_cold_start_limiter", "_data_centre", "_loads", "_rng", "_state")
 
     def __init__(
         self,
@@ -94,16 +77,12 @@
         loads: LoadTracker,
         cold_start_limiter: ColdStartLimiter,
         rng: random.Random,
-        occupancies: OccupancyView | None = None,
     ) -> None:
         self._data_centre = data_centre
         self._state = state
         self._loads = loads
         self._cold_start_limiter = cold_start_limiter
         self._rng = rng
-        self._occupancies = occupancies or NoOccupancyView()
-        self._estimates: dict[str, ServiceEstimates] = {}
-        self.handshakes = HandshakeEstimator()
 
     def choose(
         self,
@@ -138,109 +117,70 @@
     def _choose_in_service(
         self, service: str, now_ms: int, excluded: tuple[KnownUpstream, ...]
     ) -> UpstreamChoice | RejectionReason:
-        estimates = self._find_estimates(service)
-        estimates.set_upstreams(self._state.list_eligible_upstreams(service))
-        estimates.update(now_ms)
-        candidates = estimates.list_members()
-        if excluded:
-            candidates = [member for member in candidates if member[0] not in excluded]
+        candidates = [
+            upstream
+            for upstream in self._state.list_eligible_upstreams(service)
+            if upstream not in excluded
+        ]
+        warm = [upstream for upstream in candidates if now_ms >= upstream.cold_until_ms]
         responsive = [
-            (upstream, load)
-            for upstream, load in candidates
-            if now_ms >= upstream.cold_until_ms
-            and upstream.missing_since_ms is None
-            and not load.is_in_backoff(now_ms)
+            upstream
+            for upstream in warm
+            if upstream.missing_since_ms is None
+            and not self._loads.get(upstream.record.name).is_in_backoff(now_ms)
         ]
         if responsive:
-            return self._choose_fastest(responsive, SelectionTier.NORMAL, estimates, now_ms)
+            return self._choose_fastest(responsive, SelectionTier.NORMAL, now_ms)
         rate_per_s = self._state.find_service_limits(service).cold_rate_per_s
-        cold = self._list_cold_within_rate(candidates, rate_per_s, now_ms)
+        cold = self._find_cold_within_rate(candidates, rate_per_s, now_ms)
         if cold:
-            choice = self._choose_fastest(cold, SelectionTier.COLD_START, estimates, now_ms)
+            choice = self._choose_fastest(cold, SelectionTier.COLD_START, now_ms)
             self._cold_start_limiter.record_flow(choice.upstream, rate_per_s, now_ms)
             return choice
-        warm = [member for member in candidates if now_ms >= member[0].cold_until_ms]
-        probed = [member for member in warm if member[1].may_be_probed(now_ms)]
+        probed = [
+            upstream
+            for upstream in warm
+            if self._loads.get(upstream.record.name).may_be_probed(now_ms)
+        ]
         if probed:
-            return self._choose_fastest(probed, SelectionTier.UNRESPONSIVE, estimates, now_ms)
+            return self._choose_fastest(probed, SelectionTier.UNRESPONSIVE, now_ms)
         if warm:
             return RejectionReason.NONE_ANSWERS
         return RejectionReason.ALL_COLD if candidates else RejectionReason.NO_UPSTREAM
 
-    def _find_estimates(self, service: str) -> ServiceEstimates:
-        estimates = self._estimates.get(service)
-        if estimates is None:
-            estimates = self._estimates[service] = ServiceEstimates(
-                service, self._data_centre, self._loads, self.handshakes, self._occupancies
-            )
-        return estimates
-
     def _choose_fastest(
-        self,
-        candidates: list[Member],
-        tier: SelectionTier,
-        estimates: ServiceEstimates,
-        now_ms: int,
+        self, candidates: list[KnownUpstream], tier: SelectionTier, now_ms: int
     ) -> UpstreamChoice:
-        compared = candidates
-        share = estimates.spill_over.share
-        if share and tier is SelectionTier.NORMAL and self._rng.random() < share:
-            compared = self._list_spill_targets(candidates, estimates) or candidates
-        if estimates.has_quick_answers:
-            compared = [
-                member for member in compared if estimates.is_within_fair_share(*member)
-            ] or compared
-        best, best_load = compared[0]
+        best = candidates[0]
         best_rank = (float("inf"), 0, 0.0)
-        for upstream, load in compared:
-            estimate_ms = self._estimate_response_ms(upstream.record, load, estimates, now_ms)
-            if estimate_ms > best_rank[0]:
-                continue
-            rank = (estimate_ms, load.last_placed_at_ms, self._rng.random())
+        for upstream in candidates:
+            load = self._loads.get(upstream.record.name)
+            rank = (
+                self._estimate_response_ms(upstream, now_ms),
+                load.last_placed_at_ms,
+                self._rng.random(),
+            )
             if rank < best_rank:
-                best, best_load, best_rank = upstream, load, rank
-        best_load.last_placed_at_ms = now_ms
-        estimates.record_placed(best, best_load)
-        return UpstreamChoice(best, tier, best_rank[0], len(compared))
-
-    def _list_spill_targets(
-        self, candidates: list[Member], estimates: ServiceEstimates
-    ) -> list[Member]:
-        return [
-            (upstream, load)
-            for upstream, load in candidates
-            if upstream.record.data_centre != self._data_centre
-            and estimates.get_remote(upstream.record.data_centre).takes_spill_over
-        ]
-
-    def _estimate_response_ms(
-        self,
-        record: UpstreamRecord,
-        load: UpstreamLoad,
-        estimates: ServiceEstimates,
-        now_ms: int,
-    ) -> float:
+                best, best_rank = upstream, rank
+        self._loads.get(best.record.name).last_placed_at_ms = now_ms
+        return UpstreamChoice(best, tier, best_rank[0], len(candidates))
+
+    def _estimate_response_ms(self, upstream: KnownUpstream, now_ms: int) -> float:
+        record = upstream.record
+        load = self._loads.get(record.name)
+        occupied = PROCESSING_FRACTION * (load.in_flight + load.peer_in_flight)
         unqueued_ms = load.estimate_unqueued_response_ms(now_ms)
-        in_flight: float = load.in_flight + load.peer_in_flight
-        if load.has_quick_answers and unqueued_ms < load.usual_response_ms:
-            unqueued_ms = load.usual_response_ms
-        penalty_ms = 0.0
-        slots = record.work_slots
-        if record.data_centre != self._data_centre:
-            remote = estimates.get_remote(record.data_centre)
-            penalty_ms = remote.penalty_ms
-            unqueued_ms = max(unqueued_ms, remote.unqueued_min_ms)
-            in_flight = max(in_flight, remote.occupancy * slots)
-        queued = PROCESSING_FRACTION * in_flight + 1 - slots
-        estimate_ms = (queued / slots + 1) * unqueued_ms if queued > 0 else unqueued_ms
+        queue_rounds = max(0.0, occupied + 1 - record.work_slots) / record.work_slots
+        penalty_ms = 0.0 if record.data_centre == self._data_centre else REMOTE_PENALTY_MS
+        estimate_ms = (queue_rounds + 1) * unqueued_ms
         return round(estimate_ms / ESTIMATE_STEP_MS) * ESTIMATE_STEP_MS + penalty_ms
 
-    def _list_cold_within_rate(
-        self, candidates: list[Member], rate_per_s: float, now_ms: int
-    ) -> list[Member]:
+    def _find_cold_within_rate(
+        self, candidates: list[KnownUpstream], rate_per_s: float, now_ms: int
+    ) -> list[KnownUpstream]:
         return [
-            (upstream, load)
-            for upstream, load in candidates
+            upstream
+            for upstream in candidates
             if now_ms < upstream.cold_until_ms
             and self._cold_start_limiter.allows(upstream, rate_per_s, now_ms)
         ]
--- a/src/catkinspread/runtime/admission_parts.py
+++ b/src/catkinspread/runtime/admission_parts.py
@@ -17,7 +17,7 @@
 )
 from catkinspread.deployment import DeploymentState, RoutingConfiguration
 from catkinspread.eventlog import EventLog
-from catkinspread.forwarding import LoadTracker, OccupancyView
+from catkinspread.forwarding import LoadTracker
 from catkinspread.peers import Member, PeerDirectory
 from catkinspread.runtime.admission_log import log_admission_change
 from catkinspread.runtime.admission_metrics import list_admission_metrics
@@ -114,10 +114,6 @@
         tasks.add("room_reports", send_due_reports)
         tasks.add("room_expiry", self._summaries.expire, EXPIRY_INTERVAL_MS)
 
-    def find_occupancy_view(self) -> OccupancyView | None:
-        """Returns the load of other data centres; None if no summaries are exchanged."""
-        return self.estimator if self._is_enabled else None
-
     def update(self, now_ms: int) -> None:
         """Computes the admission of all services anew and logs its changes."""
         configuration = self._state.configuration
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -345,7 +345,6 @@
             self._loads,
             self._cold_start_limiter,
             self._rng,
-            self._admission.find_occupancy_view(),
         )
         log = DecisionLog(self._events, self._state)
         return Forwarder(
