--- a/src/catkinspread/admission/__init__.py
+++ b/src/catkinspread/admission/__init__.py
@@ -1,26 +1,10 @@
 """Admission control: which new flows are admitted while their service has too little room.
 
-See `docs/admission.md`.
+See `docs/admission.md`. The names are exported lazily, because the settings of an instance are read
+before the modules that take longest to import are loaded.
 """
 
-from catkinspread.admission.capacity import UpstreamCapacity
-from catkinspread.admission.controller import AdmissionController
-from catkinspread.admission.demand import DemandMeter
-from catkinspread.admission.own_summary import OwnSummaryBuilder
-from catkinspread.admission.room import RoomEstimator
-from catkinspread.admission.service_level import AdmissionChange
-from catkinspread.admission.settings import AdmissionMode, AdmissionSettings
-from catkinspread.admission.summaries import SummaryResult, SummaryTable
-from catkinspread.admission.types import (
-    DEMANDS_MAX,
-    IN_FLIGHT_MAX,
-    RoomSummary,
-    RoomView,
-    RouteDemand,
-    ServiceInFlight,
-    ServiceRoom,
-)
-from catkinspread.admission.work import WorkEstimator
+from catkinspread.lazy import export_lazily
 
 __all__ = [
     "DEMANDS_MAX",
@@ -42,3 +26,27 @@
     "UpstreamCapacity",
     "WorkEstimator",
 ]
+
+__getattr__ = export_lazily(
+    __name__,
+    {
+        "AdmissionChange": "service_level",
+        "AdmissionController": "controller",
+        "AdmissionMode": "settings",
+        "AdmissionSettings": "settings",
+        "DEMANDS_MAX": "types",
+        "DemandMeter": "demand",
+        "IN_FLIGHT_MAX": "types",
+        "OwnSummaryBuilder": "own_summary",
+        "RoomEstimator": "room",
+        "RoomSummary": "types",
+        "RoomView": "types",
+        "RouteDemand": "types",
+        "ServiceInFlight": "types",
+        "ServiceRoom": "types",
+        "SummaryResult": "summaries",
+        "SummaryTable": "summaries",
+        "UpstreamCapacity": "capacity",
+        "WorkEstimator": "work",
+    },
+)
--- a/src/catkinspread/lazy/tests/test_lazy.py
+++ b/src/catkinspread/lazy/tests/test_lazy.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from catkinspread import platform, runtime
+from catkinspread import admission, platform, runtime
 
 # Modules that account for most of the import time; opening the packet socket needs none of them.
 _SLOW_MODULES = ("anyio", "httpcore", "h11")
@@ -13,7 +13,7 @@
 
 def test_all_public_names_can_be_imported() -> None:
     """Guards against a name in `__all__` whose module does not exist or does not define it."""
-    for package in (platform, runtime):
+    for package in (admission, platform, runtime):
         for name in package.__all__:
             assert getattr(package, name) is not None
 
