Upstreams of an overloaded service count as reachable

Change: while at least three upstreams of a service, and a third of those that left packets unanswered, answered again within 3 s, no upstream of the service is checked or counts as unreachable. An upstream that is down answers nothing, so it does not hide itself.

--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -268,7 +268,7 @@
         Returns:
             The upstreams that count as unreachable since this call.
         """
-        confirmed = self.reachability.confirm_unreachable()
+        confirmed = self.reachability.confirm_unreachable(now_ms)
         for upstream in confirmed:
             self._loads.get(upstream.record.name).record_timeout(now_ms)
         self.counts["reset"] += self._resetter.reset_flows_of_unreachable(now_ms)
--- a/src/catkinspread/forwarding/reachability.py
+++ b/src/catkinspread/forwarding/reachability.py
@@ -10,9 +10,13 @@
 * none of its flows on this instance was answered in the meantime.
 
 The operating system of an upstream accepts connections also while the upstream is busy, so a check
-tells the two cases apart.
+tells the two cases apart. That ends once its queue of new connections is full, as in an overload of
+the whole service. Upstreams then leave some packets unanswered and answer later ones. While many
+upstreams of a service do so, none of them is checked or counts as unreachable.
 """
 
+import math
+
 from catkinspread.deployment import KnownUpstream
 
 UNANSWERED_MIN = 2
@@ -22,6 +26,12 @@
 # Unanswered packets are forgotten, and an upstream counts as reachable again, after this time
 # without further ones. Failed checks alone do not prolong it.
 EVIDENCE_TIMEOUT_MS = 3_000
+# A service is overloaded while at least this many of its upstreams, and this share of those that
+# left packets unanswered, answered again within the time. Fewer answer again after single losses,
+# and an upstream that is down does not.
+RECOVERED_MIN = 3
+RECOVERED_SHARE_MIN = 1 / 3
+RECOVERY_WINDOW_MS = 3_000
 
 
 class _Evidence:
@@ -63,17 +73,22 @@
 class ReachabilityTracker:
     """Tracks which upstreams are unreachable. Times are in ms on one clock."""
 
-    __slots__ = ("_answered_at_ms", "_checked_at_ms", "_evidence")
+    __slots__ = ("_answered_at_ms", "_checked_at_ms", "_evidence", "_recovered_at_ms")
 
     def __init__(self) -> None:
         self._evidence: dict[str, _Evidence] = {}
         self._answered_at_ms: dict[str, int] = {}
         self._checked_at_ms: dict[str, int] = {}
+        # When upstreams answered after unanswered packets, by service and name.
+        self._recovered_at_ms: dict[str, dict[str, int]] = {}
 
     def record_answer(self, name: str, now_ms: int) -> None:
         """Records an answer of an upstream, which removes all evidence against it."""
         self._answered_at_ms[name] = now_ms
-        self._evidence.pop(name, None)
+        evidence = self._evidence.pop(name, None)
+        if evidence is not None:
+            service = evidence.upstream.record.service
+            self._recovered_at_ms.setdefault(service, {})[name] = now_ms
 
     def has_answered_since(self, name: str, since_ms: int) -> bool:
         """Whether an upstream answered at a time or later."""
@@ -99,10 +114,13 @@
     def list_due(self, now_ms: int) -> list[tuple[KnownUpstream, int]]:
         """Returns the upstreams whose check is due, and since when each has not answered."""
         self._drop_outdated(now_ms)
+        overloaded = self._find_overloaded_services(now_ms)
         return [
             (evidence.upstream, evidence.since_ms)
             for evidence in self._evidence.values()
-            if not evidence.is_checking and now_ms >= evidence.next_check_at_ms
+            if not evidence.is_checking
+            and now_ms >= evidence.next_check_at_ms
+            and evidence.upstream.record.service not in overloaded
         ]
 
     def start_check(self, name: str) -> None:
@@ -132,12 +150,15 @@
         if is_reachable is None or evidence.failed_checks >= FAILED_CHECKS_MIN:
             evidence.next_check_at_ms = now_ms + CHECK_INTERVAL_MS
 
-    def confirm_unreachable(self) -> list[KnownUpstream]:
+    def confirm_unreachable(self, now_ms: int) -> list[KnownUpstream]:
         """Returns the upstreams that count as unreachable since this call."""
         confirmed = []
+        overloaded = self._find_overloaded_services(now_ms)
         for evidence in self._evidence.values():
             if evidence.is_confirmed or evidence.failed_checks < FAILED_CHECKS_MIN:
                 continue
+            if evidence.upstream.record.service in overloaded:
+                continue
             if evidence.unanswered_count >= UNANSWERED_MIN:
                 evidence.is_confirmed = True
                 confirmed.append(evidence.upstream)
@@ -155,6 +176,7 @@
     def discard_evidence(self) -> None:
         """Drops the evidence against all upstreams."""
         self._evidence.clear()
+        self._recovered_at_ms.clear()
 
     def forget(self, name: str) -> None:
         """Drops all data about an upstream that is gone."""
@@ -175,6 +197,28 @@
         evidence.last_at_ms = now_ms
         evidence.unanswered_count += unanswered_count
 
+    def _find_overloaded_services(self, now_ms: int) -> set[str]:
+        """Returns the services many of whose upstreams answer some packets and not others."""
+        overloaded = set()
+        for service, recovered_at_ms in list(self._recovered_at_ms.items()):
+            for name, at_ms in list(recovered_at_ms.items()):
+                if now_ms - at_ms >= RECOVERY_WINDOW_MS:
+                    del recovered_at_ms[name]
+            if not recovered_at_ms:
+                del self._recovered_at_ms[service]
+            elif len(recovered_at_ms) >= self._count_recovered_min(service, recovered_at_ms):
+                overloaded.add(service)
+        return overloaded
+
+    def _count_recovered_min(self, service: str, recovered_at_ms: dict[str, int]) -> int:
+        unanswered = {
+            name
+            for name, evidence in self._evidence.items()
+            if evidence.upstream.record.service == service
+        }
+        doubtful_count = len(unanswered | recovered_at_ms.keys())
+        return max(RECOVERED_MIN, math.ceil(RECOVERED_SHARE_MIN * doubtful_count))
+
     def _drop_outdated(self, now_ms: int) -> None:
         for name, evidence in list(self._evidence.items()):
             if now_ms - evidence.last_at_ms >= EVIDENCE_TIMEOUT_MS:
--- a/src/catkinspread/forwarding/tests/test_flow_resets.py
+++ b/src/catkinspread/forwarding/tests/test_flow_resets.py
@@ -1,7 +1,12 @@
 """Resets of flows whose upstream no longer serves them, and flows that must not be reset."""
 
 from catkinspread.deployment import KnownUpstream
-from catkinspread.forwarding.reachability import CHECK_INTERVAL_MS, EVIDENCE_TIMEOUT_MS
+from catkinspread.forwarding.reachability import (
+    CHECK_INTERVAL_MS,
+    EVIDENCE_TIMEOUT_MS,
+    RECOVERED_MIN,
+    RECOVERY_WINDOW_MS,
+)
 from catkinspread.forwarding.tests.builders import (
     SEQUENCE,
     ForwarderHarness,
@@ -18,10 +23,10 @@
 
 
 class ResetHarness(ForwarderHarness):
-    """Two upstreams; connections succeed only to those that are in `reachable`."""
+    """Two upstreams and others; connections succeed only to those that are in `reachable`."""
 
-    def __init__(self) -> None:
-        super().__init__(build_upstream(DEAD), build_upstream(LIVE))
+    def __init__(self, *others: str) -> None:
+        super().__init__(*map(build_upstream, (DEAD, LIVE, *others)))
         self.reachable = {LIVE}
         self.checked: list[str] = []
 
@@ -203,6 +208,62 @@
     assert harness.output.resets == []
 
 
+def _recover(harness: ResetHarness, names: list[str]) -> None:
+    """Lets upstreams leave a packet unanswered and answer the next one."""
+    for port, name in enumerate(names, 5_000):
+        harness.send_on_flow(name, port=port, size=REQUEST_BYTES)
+    harness.wait(200)
+    for port, name in enumerate(names, 5_000):
+        harness.send_on_flow(name, port=port, size=REQUEST_BYTES)
+        harness.send_on_flow(name, port=port, acknowledged=ANSWERED + harness.now_ms)
+
+
+def test_upstreams_of_an_overloaded_service_keep_their_flows() -> None:
+    """Guards against resets of open flows whose upstream has a full queue of new connections.
+
+    An upstream that is down after the overload is found.
+    """
+    busy = [f"busy-{number}" for number in range(RECOVERED_MIN)]
+    harness = ResetHarness(*busy)
+    harness.leave_unanswered()
+    _recover(harness, busy)
+    harness.answer_live()
+    harness.run_checks()
+    assert harness.checked == []
+    assert harness.output.resets == []
+    harness.wait(RECOVERY_WINDOW_MS)
+    harness.leave_unanswered()
+    harness.answer_live()
+    harness.run_checks()
+    assert harness.list_reset_ports() == [CALLER_PORT]
+
+
+def test_checks_that_failed_before_an_overload_was_seen_reset_nothing() -> None:
+    """Guards against resets at the start of an overload, by the checks of its first moments."""
+    busy = [f"busy-{number}" for number in range(RECOVERED_MIN)]
+    harness = ResetHarness(*busy)
+    harness.leave_unanswered()
+    harness.answer_live()
+    for _ in range(2):
+        for check in harness.forwarder.take_due_checks(harness.now_ms):
+            name = check.upstream.record.name
+            harness.forwarder.reachability.record_check(name, False, harness.now_ms)
+    _recover(harness, busy)
+    harness.forwarder.reset_flows_of_unreachable(harness.now_ms)
+    assert harness.output.resets == []
+
+
+def test_few_upstreams_that_answer_again_do_not_hide_one_that_is_down() -> None:
+    """Guards against callers that wait on a dead upstream because others lost single packets."""
+    busy = [f"busy-{number}" for number in range(RECOVERED_MIN - 1)]
+    harness = ResetHarness(*busy)
+    harness.leave_unanswered()
+    _recover(harness, busy)
+    harness.answer_live()
+    harness.run_checks()
+    assert harness.list_reset_ports() == [CALLER_PORT]
+
+
 def _remove_record(harness: ResetHarness) -> None:
     harness.wait(10)
     harness.state.mark_upstream_missing(DEAD, harness.now_ms)
