Test of the refusal's explanation reads metrics under load

Cause: the metrics were read after all requests had ended. A request that waits until its time-out ends 2 s after the last opening, and the demand of the last second is then zero, so the line demand_slots was missing.

Change: the metrics are read while the load goes on. All checks are the same.

--- a/src/catkinspread/runtime/tests/test_overload.py
+++ b/src/catkinspread/runtime/tests/test_overload.py
@@ -20,6 +20,8 @@
 # Time in which the level settles.
 SETTLE_MS = 4_000
 MEASURED_MS = 6_000
+# Time for which the load goes on while metrics are read.
+AFTER_SETTLE_MS = 1_000
 # Time until the routers have missed two readiness checks.
 ROTATION_LAG_S = 0.8
 RELEASE_TIMEOUT_S = 10
@@ -74,8 +76,12 @@
     """Guards against a refusal that lines, metrics and the command do not explain."""
 
     async def scenario(site: OverloadSite) -> None:
-        await site.offer(SETTLE_MS, OVERLOAD_PER_S)
         instance = site.instances[0]
+        async with anyio.create_task_group() as group:
+            group.start_soon(site.offer, SETTLE_MS + AFTER_SETTLE_MS, OVERLOAD_PER_S)
+            await anyio.sleep(SETTLE_MS / 1_000)
+            # Demand is that of the last second, so it is read while callers ask.
+            metrics = await anyio.to_thread.run_sync(instance.read_metrics)
         (change, *_) = instance.find_events("admission_changed")
         assert (change["service"], change["is_limited"], change["slots"]) == ("pages", True, 4)
         assert set(change["demand_ms_per_s"]) == {"0", "2"}
@@ -84,7 +90,6 @@
         assert (line["reason"], line["service"], line["priority"]) == ("no_room", "pages", 2)
         assert line["share"] < 1
         assert line["occupancy"] > 0
-        metrics = await anyio.to_thread.run_sync(instance.read_metrics)
         for name in (
             'refused_flows_total{reason="no_room",route="low"}',
             'placed_flows_total{data_centre="east",place="local",route="high"}',
