Full upstreams that answer requests count as room

Cause: room left out each upstream in back-off. An upstream that is full leaves opening packets unanswered and gets a back-off, although it works on as many requests as before. The room of a service shrank when it was needed, and callers were refused for it.

Change: an upstream that answered a request within the last second counts, also in back-off.

Result: the new test fails without the change.

--- a/src/catkinspread/admission/capacity.py
+++ b/src/catkinspread/admission/capacity.py
@@ -6,6 +6,9 @@
 from catkinspread.forwarding.load import LoadTracker
 
 _MS_PER_S = 1_000
+# An upstream that answered a request within this time works, also if it is in back-off: a full one
+# does not answer opening packets, and answers requests on average once in 100 ms.
+ANSWER_MAX_AGE_MS = 1_000
 # Interval at which the bound of the requests in flight is computed again.
 BOUND_INTERVAL_MS = 1_000
 # Factor between the flows that the known upstreams hold and the requests in flight that another
@@ -46,12 +49,8 @@
         self._bounded_at_ms = 0
 
     def is_usable(self, upstream: KnownUpstream, now_ms: int) -> bool:
-        """Whether an upstream is eligible, has a record in the source, and is not in back-off."""
-        return (
-            upstream.missing_since_ms is None
-            and self._state.is_eligible(upstream)
-            and not self._loads.get(upstream.record.name).is_in_backoff(now_ms)
-        )
+        """Whether an upstream is eligible, has a record in the source, and answers requests."""
+        return self._state.is_eligible(upstream) and self._is_working(upstream, now_ms)
 
     def count_slots(
         self, service: str, work_ms: float, now_ms: int
@@ -74,13 +73,19 @@
             load = self._loads.get(record.name)
             if load.has_timed_out:
                 capacity.has_unanswering = True
-            if upstream.missing_since_ms is None and not load.is_in_backoff(now_ms):
+            if self._is_working(upstream, now_ms):
                 is_cold = now_ms < upstream.cold_until_ms
                 capacity.slots += (
                     min(record.work_slots, cold_slots) if is_cold else record.work_slots
                 )
         return dict(capacities)
 
+    def _is_working(self, upstream: KnownUpstream, now_ms: int) -> bool:
+        load = self._loads.get(upstream.record.name)
+        return upstream.missing_since_ms is None and (
+            not load.is_in_backoff(now_ms) or now_ms - load.answered_at_ms < ANSWER_MAX_AGE_MS
+        )
+
     def find_requests_max(self, service: str, data_centre: str, now_ms: int) -> float | None:
         """Returns a bound of the requests in flight to a service in a data centre.
 
--- a/src/catkinspread/admission/tests/test_room.py
+++ b/src/catkinspread/admission/tests/test_room.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from catkinspread.admission.capacity import ANSWER_MAX_AGE_MS
 from catkinspread.admission.room import MERGE_INTERVAL_MS, compute_mean_work_ms
 from catkinspread.admission.summaries import SILENCE_MS, SUMMARY_TIMEOUT_MS
 from catkinspread.admission.tests.cluster import Cluster, Instance
@@ -81,6 +82,20 @@
     assert (room.slots, room.in_flight) == (14, 7)
 
 
+def test_upstream_that_is_full_counts_while_it_answers_requests() -> None:
+    """Guards against room that shrinks in an overload, when no opening packets are answered."""
+    instance = _build()
+    load = instance.loads.get("east-0")
+    load.record_response_time(100, START_MS)
+    load.record_timeout(START_MS)
+    load.in_flight = 10
+    room = instance.estimator.estimate(SERVICE, START_MS)
+    assert (room.slots, room.in_flight) == (20, 10)
+    load.record_timeout(START_MS + 900)
+    room = instance.estimator.estimate(SERVICE, START_MS + ANSWER_MAX_AGE_MS)
+    assert (room.slots, room.in_flight) == (18, 0)
+
+
 def test_evacuated_data_centre_leaves_the_room() -> None:
     """Guards against capacity that no new flow may use."""
     instance = _build(east=1, west=1)
--- a/src/catkinspread/forwarding/load.py
+++ b/src/catkinspread/forwarding/load.py
@@ -54,6 +54,7 @@
             packet or to a request.
         peer_in_flight: Number of such flows of other instances, according to their reports.
         last_placed_at_ms: When a flow was last placed on it.
+        answered_at_ms: When it last answered a request.
     """
 
     __slots__ = (
@@ -61,7 +62,7 @@
         "_backoff_ms",
         "_backoff_since_ms",
         "_backoff_until_ms",
-        "_sampled_at_ms",
+        "answered_at_ms",
         "in_flight",
         "last_placed_at_ms",
         "peer_in_flight",
@@ -72,7 +73,7 @@
         self.peer_in_flight = 0
         self.last_placed_at_ms = 0
         self._average_response_ms = RESPONSE_DEFAULT_MS
-        self._sampled_at_ms = 0
+        self.answered_at_ms = 0
         self._backoff_ms = 0
         self._backoff_since_ms = 0
         self._backoff_until_ms = 0
@@ -81,7 +82,7 @@
         """Adds the measured response time of a request to the moving average."""
         current = self.estimate_unqueued_response_ms(now_ms)
         self._average_response_ms = current + RESPONSE_SMOOTHING_FACTOR * (response_ms - current)
-        self._sampled_at_ms = now_ms
+        self.answered_at_ms = now_ms
 
     def estimate_unqueued_response_ms(self, now_ms: int) -> float:
         """Returns the response time that is expected of a request that does not queue.
@@ -89,7 +90,7 @@
         It is the moving average of the measured response times, which returns to
         RESPONSE_DEFAULT_MS while there are no new samples.
         """
-        age_ms = now_ms - self._sampled_at_ms
+        age_ms = now_ms - self.answered_at_ms
         decay = 0.5 ** (age_ms / RESPONSE_HALF_LIFE_MS)
         return RESPONSE_DEFAULT_MS + (self._average_response_ms - RESPONSE_DEFAULT_MS) * decay
 
