Work is not learned while requests queue

Cause: an instance sees the load of a part of the other instances only, so a request that queued may seem not to have. Its time in the queue counted as work.

Change: nothing is learned while the summaries show more requests in flight than work slots.

Result: the new test fails without the change.

--- a/src/catkinspread/admission/controller.py
+++ b/src/catkinspread/admission/controller.py
@@ -219,9 +219,14 @@
     def record_response(
         self, route: Route, processing_ms: int, occupied: float, work_slots: int
     ) -> None:
-        """Learns from an answered request; see `AdmissionPolicy`."""
-        self._work.record_response(route, processing_ms, occupied, work_slots)
+        """Learns from an answered request; see `AdmissionPolicy`.
+
+        Nothing is learned about the work while a service is busy. The load that this instance sees
+        is only a part then, so that the time in queues would count as work.
+        """
         state = self._routes.get(route.name)
+        if state is None or not state.is_busy:
+            self._work.record_response(route, processing_ms, occupied, work_slots)
         # The service of a request is known only if the route has a single one.
         if state is not None and len(state.levels) == 1 and work_slots > 0:
             level, _ = state.levels[0]
--- a/src/catkinspread/admission/route_level.py
+++ b/src/catkinspread/admission/route_level.py
@@ -58,6 +58,11 @@
         self.opened_at_ms = 0
         self._taken_demand_count = 0
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether requests probably queue at the upstreams of a service of the route."""
+        return any(level is not None and level.is_busy for level, _ in self.levels)
+
     def take_demand_count(self) -> int:
         """Returns the flows that were counted as demand since the last call."""
         total = self.openings - self.uncounted
--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -15,6 +15,8 @@
 from catkinspread.admission.types import RouteDemand, ServiceRoom
 
 _MS_PER_S = 1_000
+# Requests in flight per work slot over which some of them queue.
+BUSY_OCCUPANCY = 1.0
 # Factors of the trim. Too many requests in flight delay callers, so the room is lowered faster than
 # it is raised.
 TRIM_LOWER_FACTOR = 0.95
@@ -179,6 +181,11 @@
         """Requests in flight per work slot at the last update; 0 before the first."""
         return 0.0 if self._room is None else self._room.occupancy
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether requests probably queue at the upstreams."""
+        return self.occupancy > BUSY_OCCUPANCY
+
     def find_change(self, now_ms: int) -> AdmissionChange | None:
         """Returns the change since `last_change`; None if there is none or that was too recent."""
         last = self.last_change
--- a/src/catkinspread/admission/tests/test_controller.py
+++ b/src/catkinspread/admission/tests/test_controller.py
@@ -25,6 +25,7 @@
         self.offered_ms_per_s = {HIGH: 5_000.0, LOW: 10_000.0}
         self.openings: list[Route] = []
         self.estimate_count = 0
+        self.learned: list[Route] = []
         self.controller = AdmissionController(self, AdmissionSettings(mode=mode), self, self)
         self.controller.replace_routes([HIGH, LOW])
         self.changes: list[object] = []
@@ -44,8 +45,8 @@
     def record_request(self, route: Route, is_first: bool, now_ms: int) -> None:
         pass
 
-    def record_response(self, *_: object) -> None:
-        pass
+    def record_response(self, route: Route, *_: object) -> None:
+        self.learned.append(route)
 
     def decide(self, route: Route, caller_ip: int, copy: int = 0) -> AdmissionVerdict:
         return self.controller.decide(route, caller_ip, copy, self.now_ms)
@@ -146,6 +147,23 @@
     assert harness.decide(without_timeout, 7, copy=2) is ADMITTED
 
 
+def test_work_is_not_learned_while_the_service_is_busy() -> None:
+    """Guards against time in queues that counts as work, and refusals that it causes.
+
+    An instance sees a part of the load only, so that a request that queued may seem not to.
+    """
+    harness = _Harness()
+    harness.limit(occupancy=1.0)
+    harness.controller.record_response(LOW, 40, 1, 2)
+    assert harness.learned == [LOW]
+    harness.limit(occupancy=1.1)
+    assert not harness.controller.list_services()[0].is_limited
+    harness.controller.record_response(LOW, 90, 1, 2)
+    harness.limit()
+    harness.controller.record_response(LOW, 90, 1, 2)
+    assert harness.learned == [LOW]
+
+
 def test_changes_have_their_inputs_and_are_at_most_one_per_second() -> None:
     """Guards against a flood of log lines, and lines that don't explain the change."""
     harness = _Harness()
--- a/src/catkinspread/runtime/room_reports.py
+++ b/src/catkinspread/runtime/room_reports.py
@@ -13,6 +13,7 @@
 from catkinspread.admission import RoomSummary
 from catkinspread.admission.own_summary import OwnSummaryBuilder
 from catkinspread.admission.room import RoomEstimator
+from catkinspread.admission.service_level import BUSY_OCCUPANCY
 from catkinspread.admission.summaries import PARTIAL_SUMS_MIN, SummaryTable, shorten_numbers
 from catkinspread.admission.work import WorkEstimator
 from catkinspread.peers import PeerDirectory, encode_message
@@ -20,8 +21,6 @@
 # Interval between summaries while a service has more requests than work slots, and otherwise.
 BUSY_INTERVAL_MS = 250
 IDLE_INTERVAL_MS = 1_000
-# Requests in flight per work slot over which a service is busy.
-BUSY_OCCUPANCY = 1.0
 # Instances of the own data centre that receive the summary.
 LOCAL_RECIPIENTS = 2
 # Bytes per second that the summaries may cost. Larger ones are sent less often, but at least once
