No limit starts in the surge after many restarts

Cause: after a loss of many instances callers return all at once, with several tries each. Their demand seems to be several times the room for a few seconds, although queues serve them in time.

Change: while an instance, or a quarter of its data centre, has run for less than 5 s, or the upstreams of another data centre were just lost, it starts no limit by its own figures. It takes over a limit that another instance tells (field limited_services of the summary) while requests queue.

--- a/src/catkinspread/admission/__init__.py
+++ b/src/catkinspread/admission/__init__.py
@@ -9,6 +9,7 @@
 __all__ = [
     "DEMANDS_MAX",
     "IN_FLIGHT_MAX",
+    "LIMITED_MAX",
     "AdmissionChange",
     "AdmissionController",
     "AdmissionMode",
@@ -25,6 +26,7 @@
     "SummaryTable",
     "UpstreamCapacity",
     "WorkEstimator",
+    "has_many_recent_starts",
 ]
 
 __getattr__ = export_lazily(
@@ -37,6 +39,7 @@
         "DEMANDS_MAX": "types",
         "DemandMeter": "demand",
         "IN_FLIGHT_MAX": "types",
+        "LIMITED_MAX": "types",
         "OwnSummaryBuilder": "own_summary",
         "RoomEstimator": "room",
         "RoomSummary": "types",
@@ -48,5 +51,6 @@
         "SummaryTable": "summaries",
         "UpstreamCapacity": "capacity",
         "WorkEstimator": "work",
+        "has_many_recent_starts": "settling",
     },
 )
--- a/src/catkinspread/admission/controller.py
+++ b/src/catkinspread/admission/controller.py
@@ -1,6 +1,7 @@
 """Decides which new flows are admitted while a service has too little room."""
 
 import collections
+import itertools
 from collections.abc import Iterable
 from typing import Protocol
 
@@ -10,7 +11,7 @@
 from catkinspread.admission.route_level import RouteLevel
 from catkinspread.admission.service_level import AdmissionChange, ServiceLevel
 from catkinspread.admission.settings import AdmissionMode, AdmissionSettings
-from catkinspread.admission.types import RoomView
+from catkinspread.admission.types import LIMITED_MAX, RoomView
 from catkinspread.deployment import Route
 from catkinspread.forwarding.admission_policy import AdmissionInputs, AdmissionVerdict
 
@@ -172,6 +173,18 @@
             state.update(name, now_ms)
         return changes
 
+    def list_limited_services(self) -> tuple[str, ...]:
+        """Returns the services that are limited, at most LIMITED_MAX, to tell other instances."""
+        limited = (level.service for level in self._levels.values() if level.is_limited)
+        return tuple(itertools.islice(limited, LIMITED_MAX))
+
+    def record_told_limits(self, services: Iterable[str], now_ms: int) -> None:
+        """Records which services another instance limits."""
+        for service in services:
+            level = self._levels.get(service)
+            if level is not None:
+                level.told_limited_at_ms = now_ms
+
     def list_routes(self) -> list[RouteAdmission]:
         """Returns the admitted share and the counts of all routes."""
         return [
--- a/src/catkinspread/admission/room.py
+++ b/src/catkinspread/admission/room.py
@@ -25,12 +25,15 @@
         summaries: Summaries of the other instances.
         count_local_instances: Returns the number of known instances of this data centre, including
             this one.
+        has_many_recent_starts: Returns whether many of them have just started, at a time.
     """
 
     __slots__ = (
         "_capacity",
         "_count_local_instances",
         "_data_centre",
+        "_has_many_recent_starts",
+        "_is_settling",
         "_merged",
         "_merged_at_ms",
         "_own_summary",
@@ -45,12 +48,15 @@
         own_summary: OwnSummaryBuilder,
         summaries: SummaryTable,
         count_local_instances: Callable[[], int],
+        has_many_recent_starts: Callable[[int], bool] = lambda _: False,
     ) -> None:
         self._data_centre = data_centre
         self._capacity = capacity
         self._own_summary = own_summary
         self._summaries = summaries
         self._count_local_instances = count_local_instances
+        self._has_many_recent_starts = has_many_recent_starts
+        self._is_settling = False
         self._merged: MergedLoad | None = None
         self._merged_at_ms = 0
         # Work slots by data centre, of the services that were asked for since the last merge.
@@ -67,6 +73,7 @@
             tuple(merged.demands_by_service.get(service, ())),
             merged.age_ms + now_ms - self._merged_at_ms,
             merged.is_estimate,
+            self._is_settling or self._has_lost_data_centre(slots, merged),
         )
 
     def list_slots(self, service: str, now_ms: int) -> dict[str, float]:
@@ -95,6 +102,7 @@
             merged = self._summaries.merge(own, self._count_local_instances(), now_ms)
             self._merged = merged
             self._merged_at_ms = now_ms
+            self._is_settling = self._has_many_recent_starts(now_ms)
             self._slots_by_service.clear()
         return merged
 
@@ -111,6 +119,13 @@
             self._slots_by_service[service] = slots
         return slots
 
+    def _has_lost_data_centre(self, slots: dict[str, float], merged: MergedLoad) -> bool:
+        """Whether no upstream of a data centre is usable whose summaries are still used.
+
+        Its callers may have been cut off with its upstreams, so that they ask for no room here.
+        """
+        return any(slots.get(data_centre, 1.0) <= 0 for data_centre in merged.fresh_data_centres)
+
     def _is_reachable(self, data_centre: str, now_ms: int) -> bool:
         """Whether a data centre in which an upstream does not answer can be reached."""
         return data_centre == self._data_centre or not self._summaries.is_silent(
--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -46,6 +46,8 @@
 # flight of one of 300 instances are so few that a single estimate varies by a factor of 2. With
 # summaries, their age delays the figures enough.
 ESTIMATE_WEIGHT = 0.2
+# Time for which the limit of another instance holds.
+TOLD_LIMIT_LIFETIME_MS = 1_000
 # Multiple of the usual number of updates with a high occupancy that it takes to limit a service
 # while the room is an estimate from few summaries.
 ESTIMATE_UPDATE_FACTOR = 2
@@ -101,6 +103,7 @@
         expected_wait_ms: Time for which a request is expected to queue at an upstream.
         recent_occupancy: Occupancy of the upstreams when own requests were forwarded to them.
         last_change: The change of the level that was reported last, None if there was none.
+        told_limited_at_ms: When another instance last told that it limits the service.
     """
 
     __slots__ = (
@@ -120,6 +123,7 @@
         "priorities",
         "recent_occupancy",
         "service",
+        "told_limited_at_ms",
     )
 
     def __init__(self, service: str, settings: AdmissionSettings) -> None:
@@ -130,6 +134,7 @@
         self.expected_wait_ms = 0.0
         self.recent_occupancy = RecentOccupancy()
         self.last_change: AdmissionChange | None = None
+        self.told_limited_at_ms: int | None = None
         self._settings = settings
         self._trend = DemandTrend()
         self._room: ServiceRoom | None = None
@@ -157,7 +162,7 @@
         growth = self._estimate_growth(room)
         if self.is_limited:
             self._update_release(room, demand_ms_per_s, now_ms)
-        elif self._needs_limit(room, growth * demand_ms_per_s, growth):
+        elif self._needs_limit(room, growth * demand_ms_per_s, growth, now_ms):
             self._start_limit(now_ms)
         if not self.is_limited or room.slots <= 0:
             # Without a usable upstream, placement probes and refuses; nothing can be divided.
@@ -242,13 +247,10 @@
         if last is None or not room.is_estimate or room.age_ms >= UPDATE_INTERVAL_MS:
             return room
         previous = {demand.route: demand for demand in last.demands}
-        return ServiceRoom(
-            room.service,
-            room.slots,
-            last.in_flight + ESTIMATE_WEIGHT * (room.in_flight - last.in_flight),
-            tuple(_smooth_demand(d, previous.get(d.route)) for d in room.demands),
-            room.age_ms,
-            room.is_estimate,
+        return msgspec.structs.replace(
+            room,
+            in_flight=last.in_flight + ESTIMATE_WEIGHT * (room.in_flight - last.in_flight),
+            demands=tuple(_smooth_demand(d, previous.get(d.route)) for d in room.demands),
         )
 
     def _has_seen_queues(self) -> bool:
@@ -264,7 +266,9 @@
         growth = self._trend.estimate_growth(room.age_ms, SURGE_SIGNIFICANCE)
         return growth if growth >= SURGE_FACTOR else 1.0
 
-    def _needs_limit(self, room: ServiceRoom, demand_ms_per_s: float, growth: float) -> bool:
+    def _needs_limit(
+        self, room: ServiceRoom, demand_ms_per_s: float, growth: float, now_ms: int
+    ) -> bool:
         """Counts updates with a high occupancy and returns whether the limit starts."""
         if room.slots <= 0:
             return False
@@ -275,12 +279,21 @@
         self._high_update_count = self._high_update_count + 1 if is_high else 0
         # An estimate from few summaries varies, so it must be high for longer.
         update_factor = ESTIMATE_UPDATE_FACTOR if room.is_estimate else 1
-        if self._high_update_count >= update_factor * self._settings.limit_update_count:
+        update_count = update_factor * self._settings.limit_update_count
+        if room.is_settling:
+            # Callers that return all at once after a loss are served soon, late at worst. A refusal
+            # would fail them.
+            return is_high and self._is_limited_elsewhere(now_ms)
+        if self._high_update_count >= update_count:
             return True
         is_exceeded = demand_ms_per_s > room.slots * _MS_PER_S
         is_surely_high = is_high and not room.is_estimate
         return is_exceeded and (is_surely_high or growth >= SURGE_FACTOR or self._has_seen_queues())
 
+    def _is_limited_elsewhere(self, now_ms: int) -> bool:
+        told_at_ms = self.told_limited_at_ms
+        return told_at_ms is not None and now_ms - told_at_ms < TOLD_LIMIT_LIFETIME_MS
+
     def _start_limit(self, now_ms: int) -> None:
         self.is_limited = True
         self._high_update_count = 0
--- a/src/catkinspread/admission/summaries.py
+++ b/src/catkinspread/admission/summaries.py
@@ -356,6 +356,7 @@
             ServiceInFlight(entry.service, entry.data_centre, _shorten(entry.requests))
             for entry in summary.in_flight
         ),
+        summary.limited_services,
     )
 
 
--- a/src/catkinspread/admission/tests/load_play.py
+++ b/src/catkinspread/admission/tests/load_play.py
@@ -13,6 +13,7 @@
 
 from catkinspread.admission.controller import AdmissionController
 from catkinspread.admission.settings import AdmissionSettings
+from catkinspread.admission.settling import has_many_recent_starts
 from catkinspread.admission.types import RouteDemand, ServiceRoom
 from catkinspread.deployment import RequestKind, Route, ServiceAddress, ServiceShare
 from catkinspread.forwarding.admission_policy import AdmissionVerdict, AdmitAll
@@ -132,6 +133,8 @@
         self.aggregates: dict[int, Summary] = {}
         self.total: tuple[Summary, int] | None = None
         self.is_cut_off = False
+        # Those of the beginning have been running for long.
+        self.started_at_ms = play.now_ms if play.now_ms > play.start_ms else 0.0
         self.policy: AdmissionController | AdmitAll = AdmitAll()
         if settings is not None:
             self.policy = AdmissionController(self, settings, self, self)
@@ -186,8 +189,13 @@
             tuple(demands),
             int(now_ms - min(part.sent_at_ms for part in parts)),
             heard_count < known_count / 2,
+            self._is_settling(now_ms),
         )
 
+    def _is_settling(self, now_ms: float) -> bool:
+        mates = [i for i in self.play.list_instances(self.data_centre) if i is not self]
+        return has_many_recent_starts(self.started_at_ms, [i.started_at_ms for i in mates], now_ms)
+
 
 class Play:
     """Plays callers against instances and upstreams.
@@ -354,15 +362,18 @@
             return
         mates = [i for i in self.list_instances(instance.data_centre) if i is not instance]
         own = instance.summarise(self.now_ms)
+        limited = instance.policy.list_limited_services()
         for mate in self.rng.sample(mates, min(2, len(mates))):
             if not mate.is_cut_off:
                 mate.summaries[instance] = own
+                mate.policy.record_told_limits(limited, int(self.now_ms))
         total, _ = instance.total
         for centre in self.list_reachable(instance.data_centre) - {instance.data_centre}:
             other = self.rng.choice(self.list_instances(centre))
             other.aggregates[instance.data_centre] = Summary(
                 self.now_ms, total.openings, total.in_flight
             )
+            other.policy.record_told_limits(limited, int(self.now_ms))
 
 
 class Outcome(msgspec.Struct):
--- a/src/catkinspread/admission/tests/test_room.py
+++ b/src/catkinspread/admission/tests/test_room.py
@@ -5,6 +5,7 @@
 
 from catkinspread.admission.capacity import ANSWER_MAX_AGE_MS
 from catkinspread.admission.room import MERGE_INTERVAL_MS, compute_mean_work_ms
+from catkinspread.admission.settling import SETTLING_MS, has_many_recent_starts
 from catkinspread.admission.summaries import SILENCE_MS, SUMMARY_TIMEOUT_MS
 from catkinspread.admission.tests.cluster import Cluster, Instance
 from catkinspread.admission.tests.site import (
@@ -105,6 +106,37 @@
     assert (room.slots, room.in_flight) == (20, 0)
 
 
+def test_room_settles_after_the_upstreams_of_a_data_centre_are_lost() -> None:
+    """Guards against refusals for callers who were cut off with the upstreams, and ask elsewhere.
+
+    The summaries of their data centre are used until they expire.
+    """
+    instance = _build(east=1, west=1)
+    _tell(instance, "west", 10, 1, START_MS)
+    assert not instance.estimator.estimate(SERVICE, START_MS).is_settling
+    for number in range(10):
+        instance.loads.get(f"west-{number}").record_timeout(LATER_MS)
+    assert instance.estimator.estimate(SERVICE, LATER_MS).is_settling
+    assert not instance.estimator.estimate(SERVICE, START_MS + SUMMARY_TIMEOUT_MS).is_settling
+
+
+@pytest.mark.parametrize(
+    ("own_ms", "peers_ms", "expected"),
+    [
+        (-1_000, [-90_000] * 9, True),
+        (-SETTLING_MS, [-90_000] * 9, False),
+        (-90_000, [-1_000] * 2 + [-90_000] * 7, False),
+        (-90_000, [-1_000] * 3 + [-90_000] * 7, True),
+        (-90_000, [90_000] * 9, False),
+        (-90_000, [], False),
+    ],
+)
+def test_many_recent_starts(own_ms: int, peers_ms: list[int], expected: bool) -> None:
+    """Guards against refusals after many restarts, and against a clock that is ahead."""
+    peers = [START_MS + peer_ms for peer_ms in peers_ms]
+    assert has_many_recent_starts(START_MS + own_ms, peers, START_MS) is expected
+
+
 def test_upstream_in_cold_start_counts_with_its_rate() -> None:
     """Guards against a full share of demand for upstreams that take 4 flows a second."""
     instance = _build()
--- a/src/catkinspread/admission/types.py
+++ b/src/catkinspread/admission/types.py
@@ -9,6 +9,7 @@
 # Demands and counts of requests in one summary; bounds the size of a message.
 DEMANDS_MAX = 64
 IN_FLIGHT_MAX = 256
+LIMITED_MAX = 64
 
 
 class RouteDemand(msgspec.Struct, frozen=True, array_like=True):
@@ -56,6 +57,7 @@
         instance_count: Number of instances that it covers; 1 if it is only the sender.
         demands: Demand by route; those with the most work if there are more than DEMANDS_MAX.
         in_flight: Requests in flight by service and data centre of the upstreams.
+        limited_services: Services whose new flows the sender may refuse, at most LIMITED_MAX.
     """
 
     sender: Name
@@ -64,6 +66,7 @@
     instance_count: Amount
     demands: Annotated[tuple[RouteDemand, ...], msgspec.Meta(max_length=DEMANDS_MAX)]
     in_flight: Annotated[tuple[ServiceInFlight, ...], msgspec.Meta(max_length=IN_FLIGHT_MAX)]
+    limited_services: Annotated[tuple[Name, ...], msgspec.Meta(max_length=LIMITED_MAX)] = ()
 
 
 class ServiceRoom(msgspec.Struct, frozen=True):
@@ -77,6 +80,8 @@
         age_ms: Age of the oldest summary that the figures depend on.
         is_estimate: Whether less than half of the known instances of the own data centre have been
             heard from.
+        is_settling: Whether many instances have just started, or upstreams of another data centre
+            have just been lost. Callers then return all at once for a short time.
     """
 
     service: str
@@ -85,6 +90,7 @@
     demands: tuple[RouteDemand, ...]
     age_ms: int
     is_estimate: bool
+    is_settling: bool = False
 
     @property
     def occupancy(self) -> float:
--- a/src/catkinspread/runtime/admission_parts.py
+++ b/src/catkinspread/runtime/admission_parts.py
@@ -14,6 +14,7 @@
     SummaryTable,
     UpstreamCapacity,
     WorkEstimator,
+    has_many_recent_starts,
 )
 from catkinspread.deployment import DeploymentState, RoutingConfiguration
 from catkinspread.eventlog import EventLog
@@ -88,10 +89,21 @@
             own_summary,
             self._summaries,
             lambda: 1 + len(directory.list_local_peers()),
+            lambda now_ms: has_many_recent_starts(
+                member.started_ms,
+                [peer.started_ms for peer in directory.list_local_peers()],
+                now_ms,
+            ),
         )
         self.controller = AdmissionController(self.estimator, settings, self._meter, work)
         self._reporter = RoomReporter(
-            own_summary, self._summaries, self.estimator, work, directory, rng
+            own_summary,
+            self._summaries,
+            self.estimator,
+            work,
+            self.controller,
+            directory,
+            rng,
         )
 
     def add_tasks(
--- a/src/catkinspread/runtime/room_reports.py
+++ b/src/catkinspread/runtime/room_reports.py
@@ -7,6 +7,8 @@
 """
 
 import random
+from collections.abc import Iterable
+from typing import Protocol
 
 import msgspec
 
@@ -42,6 +44,16 @@
     hosts: list[str]
 
 
+class LimitRegistry(Protocol):
+    """Services that this instance and others limit; the controller implements it."""
+
+    def list_limited_services(self) -> tuple[str, ...]:
+        """Returns the services that this instance limits."""
+
+    def record_told_limits(self, services: Iterable[str], now_ms: int) -> None:
+        """Records which services another instance limits."""
+
+
 class RoomReporter:
     """Builds the summaries that this instance sends.
 
@@ -50,6 +62,7 @@
         summaries: Summaries of the other instances.
         estimator: Tells the occupancy of services.
         work: Learns the work that other instances tell.
+        limits: Tells and learns which services are limited.
         directory: Directory of the other instances.
         rng: Source of random choices.
     """
@@ -60,6 +73,7 @@
         "_estimator",
         "_interval_min_ms",
         "_last_report_at_ms",
+        "_limits",
         "_own_summary",
         "_rng",
         "_sequence",
@@ -73,6 +87,7 @@
         summaries: SummaryTable,
         estimator: RoomEstimator,
         work: WorkEstimator,
+        limits: LimitRegistry,
         directory: PeerDirectory,
         rng: random.Random,
     ) -> None:
@@ -80,6 +95,7 @@
         self._summaries = summaries
         self._estimator = estimator
         self._work = work
+        self._limits = limits
         self._directory = directory
         self._rng = rng
         self._sequence = 0
@@ -117,6 +133,7 @@
         if self._summaries.apply(summary, now_ms):
             for demand in summary.demands:
                 self._work.record_told(demand.route, demand.work_ms)
+            self._limits.record_told_limits(summary.limited_services, now_ms)
 
     def _build_reports(self, now_ms: int) -> list[DueReport]:
         own = self._own_summary.build(self._sequence, now_ms)
@@ -127,14 +144,20 @@
             hosts = [peer.host for peer in chosen]
             if len(local_peers) >= PARTIAL_SUMS_MIN:
                 partial_sum = self._summaries.build_partial_sum(own, now_ms)
-                reports.append(DueReport(shorten_numbers(partial_sum), [hosts.pop()]))
-            reports.append(DueReport(shorten_numbers(own), hosts))
+                reports.append(DueReport(self._finish(partial_sum), [hosts.pop()]))
+            reports.append(DueReport(self._finish(own), hosts))
         remote_hosts = self._choose_remote_hosts()
         if remote_hosts:
             aggregate = self._summaries.build_aggregate(own, len(local_peers) + 1, now_ms)
-            reports.append(DueReport(shorten_numbers(aggregate), remote_hosts))
+            reports.append(DueReport(self._finish(aggregate), remote_hosts))
         return reports
 
+    def _finish(self, summary: RoomSummary) -> RoomSummary:
+        """Returns a summary as it is sent."""
+        return msgspec.structs.replace(
+            shorten_numbers(summary), limited_services=self._limits.list_limited_services()
+        )
+
     def _choose_remote_hosts(self) -> list[str]:
         """Returns the address of a random instance of each other data centre."""
         hosts_by_data_centre: dict[str, list[str]] = {}
--- a/src/catkinspread/runtime/tests/test_room_reports.py
+++ b/src/catkinspread/runtime/tests/test_room_reports.py
@@ -180,3 +180,16 @@
         RoomSummary("edge-khomas-a-1", 4, "khomas-a", 1, (late,), ()), START_MS
     )
     assert instance.work.get_work_ms("front") == 80
+
+
+def test_limited_services_are_told_and_learned() -> None:
+    """Guards against a restarted instance that does not learn what the others limit."""
+    instance = _build()
+    instance.limits.own = (SERVICE,)
+    reports = instance.reporter.build_due_reports(START_MS + IDLE_INTERVAL_MS)
+    assert {report.summary.limited_services for report in reports} == {(SERVICE,)}
+    for sequence, limited in ((5, (SERVICE,)), (4, ("late",))):
+        instance.reporter.apply_summary(
+            RoomSummary("edge-khomas-a-1", sequence, "khomas-a", 1, (), (), limited), START_MS
+        )
+    assert instance.limits.told == [SERVICE]
