One refusal path, and no controller while admission is off

Cause: refusals for lack of room repeated the checks and counts of the other refusals. While admission control was off, the forwarder still asked the controller for each flow, request and answer.

Change: _refuse takes the inputs of admission control; the forwarder gets AdmitAll while the mode is off.

Result: behaviour is the same; tests of forwarding and of the parts pass.

--- a/src/catkinspread/forwarding/decision_log.py
+++ b/src/catkinspread/forwarding/decision_log.py
@@ -162,14 +162,24 @@
             version=self._version(),
         )
 
-    def log_refusal(self, packet: CallerPacket, reason: RejectionReason, now_ms: int) -> None:
-        """Logs that an opening packet is answered with a reset."""
-        self._write_packet("flow_refused", packet, reason, now_ms)
-
-    def log_admission_refusal(
-        self, packet: CallerPacket, reason: RejectionReason, inputs: AdmissionInputs, now_ms: int
+    def log_refusal(
+        self,
+        packet: CallerPacket,
+        reason: RejectionReason,
+        inputs: AdmissionInputs | None,
+        now_ms: int,
     ) -> None:
-        """Logs that an opening packet is answered with a reset for lack of room."""
+        """Logs that an opening packet is answered with a reset.
+
+        Args:
+            packet: The opening packet.
+            reason: Why it is refused.
+            inputs: What admission control decided by; None if it did not refuse the packet.
+            now_ms: Current time.
+        """
+        if inputs is None:
+            self._write_packet("flow_refused", packet, reason, now_ms)
+            return
         self._write_packet(
             "flow_refused",
             packet,
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -12,7 +12,12 @@
 from collections.abc import Callable
 
 from catkinspread.deployment import TOKEN_MAX, DeploymentState, KnownUpstream, Route
-from catkinspread.forwarding.admission_policy import AdmissionPolicy, AdmissionVerdict, AdmitAll
+from catkinspread.forwarding.admission_policy import (
+    AdmissionInputs,
+    AdmissionPolicy,
+    AdmissionVerdict,
+    AdmitAll,
+)
 from catkinspread.forwarding.decision_log import DecisionLog
 from catkinspread.forwarding.flow_adoption import FlowAdoption
 from catkinspread.forwarding.flow_resets import FlowResetter, UpstreamCheck
@@ -346,12 +351,7 @@
         if packet.acknowledged > 0:
             self._drop(packet, reason, now_ms)
             return
-        if now_ms < self._refuses_from_ms:
-            self._drop(packet, RejectionReason.OUTDATED_STATE, now_ms)
-            return
-        self._count_refusal(reason, route)
-        self._log.log_admission_refusal(packet, reason, self._admission.describe(route), now_ms)
-        self._output.reset(packet.key, 0)
+        self._refuse(packet, reason, now_ms, route, self._admission.describe(route))
 
     def _handle_retransmitted_opening(self, flow: Flow, packet: CallerPacket, now_ms: int) -> None:
         if now_ms - flow.created_at_ms < RETRANSMISSION_INTERVAL_MIN_MS:
@@ -537,17 +537,15 @@
         reason: RejectionReason,
         now_ms: int,
         route: Route | None = None,
+        inputs: AdmissionInputs | None = None,
     ) -> None:
         if now_ms < self._refuses_from_ms:
             self._drop(packet, RejectionReason.OUTDATED_STATE, now_ms)
             return
-        self._count_refusal(reason, route)
-        self._log.log_refusal(packet, reason, now_ms)
-        self._output.reset(packet.key, 0)
-
-    def _count_refusal(self, reason: RejectionReason, route: Route | None) -> None:
         self.counts[f"refused_{reason.value}"] += 1
         self.refused_by_route[route.name if route else "", reason.value] += 1
+        self._log.log_refusal(packet, reason, inputs, now_ms)
+        self._output.reset(packet.key, 0)
 
     def _drop(self, packet: CallerPacket, reason: RejectionReason, now_ms: int) -> None:
         self.counts[f"dropped_{reason.value}"] += 1
--- a/src/catkinspread/runtime/admission_parts.py
+++ b/src/catkinspread/runtime/admission_parts.py
@@ -19,6 +19,7 @@
 from catkinspread.deployment import DeploymentState, RoutingConfiguration
 from catkinspread.eventlog import EventLog
 from catkinspread.forwarding import LoadTracker
+from catkinspread.forwarding.admission_policy import AdmissionPolicy, AdmitAll
 from catkinspread.peers import Member, PeerDirectory
 from catkinspread.runtime.admission_log import log_admission_change
 from catkinspread.runtime.admission_metrics import list_admission_metrics
@@ -126,6 +127,11 @@
         tasks.add("room_reports", send_due_reports)
         tasks.add("room_expiry", self._summaries.expire, EXPIRY_INTERVAL_MS)
 
+    @property
+    def policy(self) -> AdmissionPolicy:
+        """Decides about new flows for the forwarding, which asks it for each of them."""
+        return self.controller if self._is_enabled else AdmitAll()
+
     def update(self, now_ms: int) -> None:
         """Computes the admission of all services anew and logs its changes."""
         configuration = self._state.configuration
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -356,7 +356,7 @@
             log,
             read_request_id,
             self._flow_announcer,
-            self._admission.controller,
+            self._admission.policy,
         )
 
     def _build_upstream_monitor(self) -> UpstreamMonitor:
--- a/src/catkinspread/runtime/tests/test_admission_parts.py
+++ b/src/catkinspread/runtime/tests/test_admission_parts.py
@@ -43,8 +43,7 @@
     return Lines()
 
 
-@pytest.fixture(name="parts")
-def build_parts(lines: Lines) -> AdmissionParts:
+def _build_parts(lines: Lines, mode: AdmissionMode) -> AdmissionParts:
     rng = random.Random(1)
     member = Member("one", "east", "10.1.0.1", 1)
     directory = PeerDirectory(member, rng)
@@ -52,7 +51,7 @@
     directory.apply_message(Hello(status, 0), START_MS)
     parts = AdmissionParts(
         member,
-        AdmissionSettings(mode=AdmissionMode.ALWAYS),
+        AdmissionSettings(mode=mode),
         build_state({"east": 2, "west": 1}),
         LoadTracker(),
         directory,
@@ -63,6 +62,11 @@
     return parts
 
 
+@pytest.fixture(name="parts")
+def build_parts(lines: Lines) -> AdmissionParts:
+    return _build_parts(lines, AdmissionMode.ALWAYS)
+
+
 def _offer(parts: AdmissionParts, at_ms: int, callers: int = 100) -> list[AdmissionVerdict]:
     """Lets callers open flows."""
     return [parts.controller.decide(ROUTE, 7 * caller, 0, at_ms) for caller in range(callers)]
@@ -159,3 +163,10 @@
     parts.update(START_MS + 2_000)
     metrics = parts.list_metrics(START_MS + 2_000)
     assert set(_find(metrics, "admitted_share")) == {("other",)}
+
+
+@pytest.mark.parametrize("mode", AdmissionMode)
+def test_forwarding_asks_the_controller_unless_it_is_off(lines: Lines, mode: AdmissionMode) -> None:
+    """Guards against the cost of admission control on each packet where it is switched off."""
+    parts = _build_parts(lines, mode)
+    assert (parts.policy is parts.controller) is (mode is not AdmissionMode.OFF)
