Checks of operators do not count as the highest priority

Cause: while queues drain and demand grows, less room is divided, and only the highest priority keeps what it needs.

Change: priorities that together need less than 5% of the room do not count as the highest.

Result: the new test fails without the change.

--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 
 import msgspec
 
@@ -33,6 +34,8 @@
 # values, queues drain too slowly in a burst for the highest priority to be answered in time.
 QUEUE_GAIN = 0.15
 QUEUE_CORRECTION_MAX = 0.5
+# Share of the room below which the demand of the highest priorities is minor.
+MINOR_DEMAND_SHARE = 0.05
 # Age of summaries above which they correct less, as the queues have changed meanwhile.
 QUEUE_AGE_MS = 500
 # Standard deviations by which own openings must have risen while queues are seen. About 2% of the
@@ -204,9 +207,6 @@
             )
         ):
             return None
-        demand_ms_per_s: dict[int, float] = collections.defaultdict(float)
-        for demand in self._room.demands:
-            demand_ms_per_s[demand.priority] += compute_demanded_work(demand)
         return AdmissionChange(
             self.service,
             now_ms,
@@ -215,7 +215,7 @@
             self._trim,
             self._room.slots,
             self._room.in_flight,
-            dict(sorted(demand_ms_per_s.items())),
+            dict(sorted(_sum_by_priority(self._room.demands).items())),
             self._room.age_ms,
             self._room.is_estimate,
         )
@@ -336,15 +336,17 @@
         """Returns the room that is divided, less while queues drain and demand grows.
 
         The highest priority keeps its room meanwhile: rejected callers return, so its demand seems
-        too large at the start of an overload.
+        too large at the start of an overload. One that asks for little, such as that of checks by
+        operators, does not count: the next one is then the highest.
         """
         total = self._compute_room_ms_per_s(room)
         # Demand that grew by a factor has the same shares as a room that shrank by it.
         reduced = total * self._compute_queue_correction(room) / growth
-        highest = min((d.priority for d in room.demands if d.offered_work_ms_per_s), default=0)
-        needed = sum(
-            compute_demanded_work(demand) for demand in room.demands if demand.priority <= highest
-        )
+        needed = 0.0
+        for _, demand_ms_per_s in sorted(_sum_by_priority(room.demands).items()):
+            needed += demand_ms_per_s
+            if needed >= MINOR_DEMAND_SHARE * total:
+                break
         return max(
             reduced, min(total, needed / (1 - MINIMUM_MARGIN * self._settings.minimum_share))
         )
@@ -376,6 +378,14 @@
         return work / requests if requests else 0.0
 
 
+def _sum_by_priority(demands: Iterable[RouteDemand]) -> dict[int, float]:
+    """Returns the offered and committed work by priority."""
+    work_ms_per_s: dict[int, float] = collections.defaultdict(float)
+    for demand in demands:
+        work_ms_per_s[demand.priority] += compute_demanded_work(demand)
+    return work_ms_per_s
+
+
 def _smooth_demand(demand: RouteDemand, last: RouteDemand | None) -> RouteDemand:
     if last is None:
         return demand
--- a/src/catkinspread/admission/tests/test_controller.py
+++ b/src/catkinspread/admission/tests/test_controller.py
@@ -4,7 +4,7 @@
 import pytest
 
 from catkinspread.admission.controller import AdmissionController
-from catkinspread.admission.service_level import TOLD_LIMIT_LIFETIME_MS
+from catkinspread.admission.service_level import MINOR_DEMAND_SHARE, TOLD_LIMIT_LIFETIME_MS
 from catkinspread.admission.settings import AdmissionMode, AdmissionSettings
 from catkinspread.admission.tests.load_play import SERVICE, build_route
 from catkinspread.admission.types import RouteDemand, ServiceRoom
@@ -138,6 +138,20 @@
     assert 0 < verdicts.count(NO_ROOM) < len(verdicts)
 
 
+@pytest.mark.parametrize("checks_ms_per_s", [10.0, 600.0])
+def test_highest_priority_keeps_its_room_beside_small_checks(checks_ms_per_s: float) -> None:
+    """Guards against refusals of it while queues drain, as checks have a higher one still."""
+    harness = _Harness()
+    check = build_route("check", 0, 1_000, 500)
+    harness.controller.replace_routes([check, HIGH, LOW])
+    harness.offered_ms_per_s[check] = checks_ms_per_s
+    harness.limit(occupancy=8.0)
+    is_minor = checks_ms_per_s < MINOR_DEMAND_SHARE * 1_000 * harness.slots
+    verdicts = {harness.decide(HIGH, caller) for caller in CALLERS}
+    assert (verdicts == {ADMITTED}) is is_minor
+    assert {harness.decide(check, caller) for caller in CALLERS} == {ADMITTED}
+
+
 def test_flow_that_cannot_be_answered_in_time_is_refused() -> None:
     """Guards against work for callers who have given up when the answer comes."""
     harness = _Harness()
