A sudden fall of the demand shortens the limit

Cause: summaries are up to 3 s old and show the demand of the second before.

Change: when the own openings fall by a half or more, demand in the summaries is scaled by it, and the occupancy of the own answers is used for the end of the limit.

--- a/src/catkinspread/admission/demand_trend.py
+++ b/src/catkinspread/admission/demand_trend.py
@@ -1,7 +1,8 @@
-"""Recognises a sudden rise of the demand before the summaries of other instances show it.
+"""Recognises a sudden rise or fall of the demand before the summaries of others show it.
 
 Summaries count openings over the last second and are up to 3 s old. The own openings are known at
-once, and callers spread evenly over the instances, so a sudden rise here is one everywhere.
+once, and callers spread evenly over the instances, so a sudden change here is one
+everywhere.
 """
 
 import collections
@@ -10,6 +11,8 @@
 # Numbers of updates whose openings count as recent: one shows a large rise at once, two show a
 # small one.
 _RECENT_UPDATES = (1, 2)
+# Number of updates that show a fall.
+_FALL_UPDATES = 2
 # Updates that are kept; covers the window of a summary and its lifetime.
 _UPDATES_MAX = 16
 # Time over which the demand in a summary is counted.
@@ -36,17 +39,39 @@
             significance: Standard deviations of a Poisson process by which the recent openings must
                 exceed their usual number; a smaller rise counts as none.
         """
-        counts = list(self._counts)
-        covered = (_SUMMARY_WINDOW_MS + age_ms) // UPDATE_INTERVAL_MS
-        # After a start, there are too few openings to compare with.
-        if len(counts) < _SUMMARY_WINDOW_MS // UPDATE_INTERVAL_MS:
-            return 1.0
-        covered_counts = counts[-covered:]
-        mean = sum(covered_counts) / len(covered_counts)
+        counts, mean = self._get_covered(age_ms)
         return max(
             _compute_growth(counts[-length:], mean, significance) for length in _RECENT_UPDATES
         )
 
+    def estimate_fall(self, age_ms: int, significance: float) -> float:
+        """Returns the factor by which demand is lower than the one in summaries; at most 1.
+
+        Two updates must show the fall, as callers may pause for one.
+
+        Args:
+            age_ms: Age of the oldest of these summaries.
+            significance: Standard deviations of a Poisson process by which the recent openings must
+                fall short of their usual number.
+        """
+        counts, mean = self._get_covered(age_ms)
+        recent = sum(counts[-_FALL_UPDATES:])
+        usual = _FALL_UPDATES * mean
+        if recent > usual - significance * (usual**0.5 + 1):
+            return 1.0
+        return max(recent, 1) / usual
+
+    def _get_covered(self, age_ms: int) -> tuple[list[int], float]:
+        """Returns the counts that summaries of an age cover, and their mean.
+
+        After a start, there are too few openings to compare with.
+        """
+        counts = list(self._counts)
+        if len(counts) < _SUMMARY_WINDOW_MS // UPDATE_INTERVAL_MS:
+            return [], 0.0
+        covered = counts[-((_SUMMARY_WINDOW_MS + age_ms) // UPDATE_INTERVAL_MS) :]
+        return covered, sum(covered) / len(covered)
+
 
 def _compute_growth(recent_counts: list[int], mean: float, significance: float) -> float:
     recent = sum(recent_counts)
--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -163,8 +163,10 @@
         self.recent_occupancy.end_interval()
         demand_ms_per_s = sum(map(compute_demanded_work, room.demands))
         growth = self._estimate_growth(room)
+        if growth == 1.0:
+            growth = self._estimate_fall(room)
         if self.is_limited:
-            self._update_release(room, demand_ms_per_s, now_ms)
+            self._update_release(room, demand_ms_per_s, growth, now_ms)
         elif self._needs_limit(room, growth * demand_ms_per_s, growth, now_ms):
             self._start_limit(now_ms)
         if not self.is_limited or room.slots <= 0:
@@ -266,6 +268,11 @@
         growth = self._trend.estimate_growth(room.age_ms, SURGE_SIGNIFICANCE)
         return growth if growth >= SURGE_FACTOR else 1.0
 
+    def _estimate_fall(self, room: ServiceRoom) -> float:
+        """Returns the factor by which demand is lower than the one in the summaries; at most 1."""
+        fall = self._trend.estimate_fall(room.age_ms, SURGE_SIGNIFICANCE)
+        return fall if fall <= 1 / SURGE_FACTOR else 1.0
+
     def _needs_limit(
         self, room: ServiceRoom, demand_ms_per_s: float, growth: float, now_ms: int
     ) -> bool:
@@ -301,12 +308,23 @@
         self._trim = 1.0
         self._trimmed_at_ms = now_ms
 
-    def _update_release(self, room: ServiceRoom, demand_ms_per_s: float, now_ms: int) -> None:
-        """Ends the limit once demand and occupancy have been low for long enough."""
+    def _update_release(
+        self, room: ServiceRoom, demand_ms_per_s: float, growth: float, now_ms: int
+    ) -> None:
+        """Ends the limit once demand and occupancy have been low for long enough.
+
+        After a sudden fall of the demand, the occupancy in the summaries is too old. The own
+        answers show it then.
+        """
         settings = self._settings
+        occupancy = room.occupancy
+        recent = self.recent_occupancy.estimate()
+        if growth < 1 and recent is not None:
+            occupancy = min(occupancy, recent)
+        demand_max_ms_per_s = settings.release_demand_share * self._compute_room_ms_per_s(room)
         is_releasable = (
-            room.occupancy < settings.release_occupancy
-            and demand_ms_per_s < settings.release_demand_share * self._compute_room_ms_per_s(room)
+            occupancy < settings.release_occupancy
+            and min(1.0, growth) * demand_ms_per_s < demand_max_ms_per_s
         )
         if not is_releasable:
             self._releasable_since_ms = None
@@ -340,7 +358,8 @@
         operators, does not count: the next one is then the highest.
         """
         total = self._compute_room_ms_per_s(room)
-        # Demand that grew by a factor has the same shares as a room that shrank by it.
+        # Demand that grew by a factor has the same shares as a room that shrank by it, and demand
+        # that fell as one that grew.
         reduced = total * self._compute_queue_correction(room) / growth
         needed = 0.0
         for _, demand_ms_per_s in sorted(_sum_by_priority(room.demands).items()):
--- a/src/catkinspread/admission/tests/test_controller.py
+++ b/src/catkinspread/admission/tests/test_controller.py
@@ -30,6 +30,7 @@
         self.learned: list[Route] = []
         self.is_settling = False
         self.is_estimate = False
+        self.age_ms = 250
         self.is_estimate = False
         self.controller = AdmissionController(self, AdmissionSettings(mode=mode), self, self)
         self.controller.replace_routes([HIGH, LOW])
@@ -47,7 +48,7 @@
             self.slots,
             in_flight,
             demands,
-            0 if self.is_estimate else 250,
+            0 if self.is_estimate else self.age_ms,
             self.is_estimate,
             self.is_settling,
         )
@@ -138,6 +139,31 @@
     assert 0 < verdicts.count(NO_ROOM) < len(verdicts)
 
 
+def test_limit_ends_when_demand_falls_before_the_summaries_show_it() -> None:
+    """Guards against refusals for seconds after the end of a burst."""
+    harness = _Harness()
+    harness.decide(HIGH, 1)
+    for _ in range(4):
+        for caller in CALLERS:
+            harness.decide(HIGH, caller)
+        harness.update()
+    harness.limit(occupancy=4.0)
+    for _ in range(8):
+        for caller in CALLERS:
+            harness.decide(HIGH, caller)
+        harness.controller.record_response(HIGH, 100, 1, 2)
+        harness.update()
+    assert harness.controller.list_limited_services() == (SERVICE,)
+    # The room stays as the old summaries tell it.
+    harness.age_ms = 2_500
+    for _ in range(6):
+        for caller in CALLERS[:20]:
+            harness.decide(HIGH, caller)
+            harness.controller.record_response(HIGH, 100, 1, 2)
+        harness.update()
+    assert harness.controller.list_limited_services() == ()
+
+
 @pytest.mark.parametrize("checks_ms_per_s", [10.0, 600.0])
 def test_highest_priority_keeps_its_room_beside_small_checks(checks_ms_per_s: float) -> None:
     """Guards against refusals of it while queues drain, as checks have a higher one still."""
--- a/src/catkinspread/admission/tests/test_decisions.py
+++ b/src/catkinspread/admission/tests/test_decisions.py
@@ -113,6 +113,21 @@
     assert trend.estimate_growth(2_000, 2.0) == pytest.approx(150 / (808 / 12))
 
 
+def test_sudden_fall_of_demand_is_recognised() -> None:
+    """Guards against refusals after the end of a burst, and against reacting to noise."""
+    trend = DemandTrend()
+    for count in [50] * 12 + [42, 30]:
+        trend.record(count)
+    assert trend.estimate_fall(2_000, 4.0) == 1.0
+    trend.record(5)
+    trend.record(5)
+    assert trend.estimate_fall(2_000, 4.0) == pytest.approx(10 / 2 / (482 / 12))
+    rare = DemandTrend()
+    for count in [1] * 12 + [0, 0]:
+        rare.record(count)
+    assert rare.estimate_fall(2_000, 4.0) == 1.0
+
+
 def test_recent_occupancy_needs_enough_answers() -> None:
     """Guards against a limit because of a single answer, or of answers long ago."""
     recent = RecentOccupancy()
