--- a/src/catkinspread/configuration_check/contradictions.py
+++ b/src/catkinspread/configuration_check/contradictions.py
@@ -118,6 +118,6 @@
             yield Observation(
                 ConfigurationPart(ObjectKind.SERVICE, service, positions.get(service)),
                 ConfigurationField.PRIORITY,
-                f"its routes have the priorities {listed}, so instances whose settings have "
-                "mode = auto in [admission] refuse the lower ones first under overload",
+                f"its routes have the priorities {listed}, so instances refuse the lower ones first "
+                "under overload, unless their settings have mode = off in [admission]",
             )
