Settling is bounded, and a fall scales offered work only

Cause: found by a reader of the change. While the upstreams of a data centre stayed lost, no limit could start as long as its summaries came. A restart of one of four instances made all of them settle. A fall of the openings also scaled work on open flows and left the expected wait as it was. A minor highest priority beside a single other one made both of them the highest, so that the room was never reduced.

Change: the loss of a data centre counts for 5 s; two other instances must have started; a fall is applied to the room before all decisions; the lowest priority that offers work is the highest only if it is the only one. Names say remote limit in place of told limit.

--- a/src/catkinspread/admission/controller.py
+++ b/src/catkinspread/admission/controller.py
@@ -178,12 +178,12 @@
         limited = (level.service for level in self._levels.values() if level.is_limited)
         return tuple(itertools.islice(limited, LIMITED_MAX))
 
-    def record_told_limits(self, services: Iterable[str], now_ms: int) -> None:
+    def record_remote_limits(self, services: Iterable[str], now_ms: int) -> None:
         """Records which services another instance limits."""
         for service in services:
             level = self._levels.get(service)
             if level is not None:
-                level.told_limited_at_ms = now_ms
+                level.remote_limit_at_ms = now_ms
 
     def list_routes(self) -> list[RouteAdmission]:
         """Returns the admitted share and the counts of all routes."""
--- a/src/catkinspread/admission/demand_trend.py
+++ b/src/catkinspread/admission/demand_trend.py
@@ -39,7 +39,7 @@
             significance: Standard deviations of a Poisson process by which the recent openings must
                 exceed their usual number; a smaller rise counts as none.
         """
-        counts, mean = self._get_covered(age_ms)
+        counts, mean = self._list_covered_counts(age_ms)
         return max(
             _compute_growth(counts[-length:], mean, significance) for length in _RECENT_UPDATES
         )
@@ -54,14 +54,14 @@
             significance: Standard deviations of a Poisson process by which the recent openings must
                 fall short of their usual number.
         """
-        counts, mean = self._get_covered(age_ms)
+        counts, mean = self._list_covered_counts(age_ms)
         recent = sum(counts[-_FALL_UPDATES:])
         usual = _FALL_UPDATES * mean
         if recent > usual - significance * (usual**0.5 + 1):
             return 1.0
         return max(recent, 1) / usual
 
-    def _get_covered(self, age_ms: int) -> tuple[list[int], float]:
+    def _list_covered_counts(self, age_ms: int) -> tuple[list[int], float]:
         """Returns the counts that summaries of an age cover, and their mean.
 
         After a start, there are too few openings to compare with.
--- a/src/catkinspread/admission/room.py
+++ b/src/catkinspread/admission/room.py
@@ -5,6 +5,7 @@
 from catkinspread.admission.capacity import UpstreamCapacity
 from catkinspread.admission.demand import WORK_DEFAULT_MS, compute_demanded_work
 from catkinspread.admission.own_summary import OwnSummaryBuilder
+from catkinspread.admission.settling import SETTLING_MS
 from catkinspread.admission.summaries import MergedLoad, SummaryTable
 from catkinspread.admission.types import RouteDemand, ServiceRoom
 
@@ -25,7 +26,8 @@
         summaries: Summaries of the other instances.
         count_local_instances: Returns the number of known instances of this data centre, including
             this one.
-        has_many_recent_starts: Returns whether many of them have just started, at a time.
+        has_many_recent_starts: Returns whether this instance, or many of its data centre, started
+            shortly before a time.
     """
 
     __slots__ = (
@@ -34,6 +36,7 @@
         "_data_centre",
         "_has_many_recent_starts",
         "_is_settling",
+        "_lost_since_ms",
         "_merged",
         "_merged_at_ms",
         "_own_summary",
@@ -48,7 +51,7 @@
         own_summary: OwnSummaryBuilder,
         summaries: SummaryTable,
         count_local_instances: Callable[[], int],
-        has_many_recent_starts: Callable[[int], bool] = lambda _: False,
+        has_many_recent_starts: Callable[[int], bool],
     ) -> None:
         self._data_centre = data_centre
         self._capacity = capacity
@@ -57,6 +60,8 @@
         self._count_local_instances = count_local_instances
         self._has_many_recent_starts = has_many_recent_starts
         self._is_settling = False
+        # Since when no upstream is usable, by service and data centre.
+        self._lost_since_ms: dict[tuple[str, str], int] = {}
         self._merged: MergedLoad | None = None
         self._merged_at_ms = 0
         # Work slots by data centre, of the services that were asked for since the last merge.
@@ -73,7 +78,7 @@
             tuple(merged.demands_by_service.get(service, ())),
             merged.age_ms + now_ms - self._merged_at_ms,
             merged.is_estimate,
-            self._is_settling or self._has_lost_data_centre(slots, merged),
+            self._is_settling or self._has_just_lost_data_centre(service, slots, merged, now_ms),
         )
 
     def list_slots(self, service: str, now_ms: int) -> dict[str, float]:
@@ -119,12 +124,21 @@
             self._slots_by_service[service] = slots
         return slots
 
-    def _has_lost_data_centre(self, slots: dict[str, float], merged: MergedLoad) -> bool:
-        """Whether no upstream of a data centre is usable whose summaries are still used.
+    def _has_just_lost_data_centre(
+        self, service: str, slots: dict[str, float], merged: MergedLoad, now_ms: int
+    ) -> bool:
+        """Whether all upstreams in a data centre became unusable while its summaries are used.
 
         Its callers may have been cut off with its upstreams, so that they ask for no room here.
         """
-        return any(slots.get(data_centre, 1.0) <= 0 for data_centre in merged.fresh_data_centres)
+        has_just_lost = False
+        for data_centre in merged.fresh_data_centres:
+            key = (service, data_centre)
+            if slots.get(data_centre, 1.0) > 0:
+                self._lost_since_ms.pop(key, None)
+            elif now_ms - self._lost_since_ms.setdefault(key, now_ms) < SETTLING_MS:
+                has_just_lost = True
+        return has_just_lost
 
     def _is_reachable(self, data_centre: str, now_ms: int) -> bool:
         """Whether a data centre in which an upstream does not answer can be reached."""
--- a/src/catkinspread/admission/service_level.py
+++ b/src/catkinspread/admission/service_level.py
@@ -34,10 +34,11 @@
 # values, queues drain too slowly in a burst for the highest priority to be answered in time.
 QUEUE_GAIN = 0.15
 QUEUE_CORRECTION_MAX = 0.5
-# Share of the room below which the demand of the highest priorities is minor.
-MINOR_DEMAND_SHARE = 0.05
 # Age of summaries above which they correct less, as the queues have changed meanwhile.
 QUEUE_AGE_MS = 500
+# Share of the room up to which the demand of the highest priorities is minor. Configuration checks by
+# operators took a thousandth of it.
+MINOR_DEMAND_SHARE = 0.05
 # Standard deviations by which own openings must have risen while queues are seen. About 2% of the
 # updates without a rise exceed it.
 GROWTH_SIGNIFICANCE = 2.0
@@ -49,8 +50,8 @@
 # flight of one of 300 instances are so few that a single estimate varies by a factor of 2. With
 # summaries, their age delays the figures enough.
 ESTIMATE_WEIGHT = 0.2
-# Time for which the limit of another instance holds.
-TOLD_LIMIT_LIFETIME_MS = 1_000
+# Time for which the limit of another instance holds. A limited instance tells it every 250 ms.
+REMOTE_LIMIT_LIFETIME_MS = 1_000
 # Multiple of the usual number of updates with a high occupancy that it takes to limit a service
 # while the room is an estimate from few summaries.
 ESTIMATE_UPDATE_FACTOR = 2
@@ -106,7 +107,7 @@
         expected_wait_ms: Time for which a request is expected to queue at an upstream.
         recent_occupancy: Occupancy of the upstreams when own requests were forwarded to them.
         last_change: The change of the level that was reported last, None if there was none.
-        told_limited_at_ms: When another instance last told that it limits the service.
+        remote_limit_at_ms: When another instance last told that it limits the service.
     """
 
     __slots__ = (
@@ -126,7 +127,7 @@
         "priorities",
         "recent_occupancy",
         "service",
-        "told_limited_at_ms",
+        "remote_limit_at_ms",
     )
 
     def __init__(self, service: str, settings: AdmissionSettings) -> None:
@@ -137,7 +138,7 @@
         self.expected_wait_ms = 0.0
         self.recent_occupancy = RecentOccupancy()
         self.last_change: AdmissionChange | None = None
-        self.told_limited_at_ms: int | None = None
+        self.remote_limit_at_ms: int | None = None
         self._settings = settings
         self._trend = DemandTrend()
         self._room: ServiceRoom | None = None
@@ -157,16 +158,15 @@
             now_ms: Current time.
         """
         room = self._smooth_room(room)
-        self._room = room
-        self._demands = {demand.route: demand for demand in room.demands}
         self._trend.record(opening_count)
         self.recent_occupancy.end_interval()
+        room = self._apply_fall(room)
+        self._room = room
+        self._demands = {demand.route: demand for demand in room.demands}
         demand_ms_per_s = sum(map(compute_demanded_work, room.demands))
         growth = self._estimate_growth(room)
-        if growth == 1.0:
-            growth = self._estimate_fall(room)
         if self.is_limited:
-            self._update_release(room, demand_ms_per_s, growth, now_ms)
+            self._update_release(room, demand_ms_per_s, now_ms)
         elif self._needs_limit(room, growth * demand_ms_per_s, growth, now_ms):
             self._start_limit(now_ms)
         if not self.is_limited or room.slots <= 0:
@@ -255,6 +255,25 @@
             demands=tuple(_smooth_demand(d, previous.get(d.route)) for d in room.demands),
         )
 
+    def _apply_fall(self, room: ServiceRoom) -> ServiceRoom:
+        """Returns the room with the load after a sudden fall that the summaries do not show yet.
+
+        Work on open flows does not fall with the openings, so that it stays. The own answers show
+        the requests in flight.
+        """
+        fall = self._trend.estimate_fall(room.age_ms, SURGE_SIGNIFICANCE)
+        if fall > 1 / SURGE_FACTOR:
+            return room
+        recent = self.recent_occupancy.estimate()
+        in_flight = room.in_flight if recent is None else min(room.in_flight, recent * room.slots)
+        demands = tuple(
+            msgspec.structs.replace(
+                demand, offered_work_ms_per_s=fall * demand.offered_work_ms_per_s
+            )
+            for demand in room.demands
+        )
+        return msgspec.structs.replace(room, in_flight=in_flight, demands=demands)
+
     def _has_seen_queues(self) -> bool:
         """Whether the own requests found as many requests on their upstreams as limit a service."""
         recent = self.recent_occupancy.estimate()
@@ -268,11 +287,6 @@
         growth = self._trend.estimate_growth(room.age_ms, SURGE_SIGNIFICANCE)
         return growth if growth >= SURGE_FACTOR else 1.0
 
-    def _estimate_fall(self, room: ServiceRoom) -> float:
-        """Returns the factor by which demand is lower than the one in the summaries; at most 1."""
-        fall = self._trend.estimate_fall(room.age_ms, SURGE_SIGNIFICANCE)
-        return fall if fall <= 1 / SURGE_FACTOR else 1.0
-
     def _needs_limit(
         self, room: ServiceRoom, demand_ms_per_s: float, growth: float, now_ms: int
     ) -> bool:
@@ -284,22 +298,21 @@
         is_contradicted = recent is not None and recent < self._settings.release_occupancy
         is_high = room.occupancy >= self._settings.limit_occupancy and not is_contradicted
         self._high_update_count = self._high_update_count + 1 if is_high else 0
-        # An estimate from few summaries varies, so it must be high for longer.
-        update_factor = ESTIMATE_UPDATE_FACTOR if room.is_estimate else 1
-        update_count = update_factor * self._settings.limit_update_count
         if room.is_settling:
             # Callers that return all at once after a loss are served soon, late at worst. A refusal
             # would fail them.
             return is_high and self._is_limited_elsewhere(now_ms)
-        if self._high_update_count >= update_count:
+        # An estimate from few summaries varies, so it must be high for longer.
+        update_factor = ESTIMATE_UPDATE_FACTOR if room.is_estimate else 1
+        if self._high_update_count >= update_factor * self._settings.limit_update_count:
             return True
         is_exceeded = demand_ms_per_s > room.slots * _MS_PER_S
         is_surely_high = is_high and not room.is_estimate
         return is_exceeded and (is_surely_high or growth >= SURGE_FACTOR or self._has_seen_queues())
 
     def _is_limited_elsewhere(self, now_ms: int) -> bool:
-        told_at_ms = self.told_limited_at_ms
-        return told_at_ms is not None and now_ms - told_at_ms < TOLD_LIMIT_LIFETIME_MS
+        told_at_ms = self.remote_limit_at_ms
+        return told_at_ms is not None and now_ms - told_at_ms < REMOTE_LIMIT_LIFETIME_MS
 
     def _start_limit(self, now_ms: int) -> None:
         self.is_limited = True
@@ -308,23 +321,12 @@
         self._trim = 1.0
         self._trimmed_at_ms = now_ms
 
-    def _update_release(
-        self, room: ServiceRoom, demand_ms_per_s: float, growth: float, now_ms: int
-    ) -> None:
-        """Ends the limit once demand and occupancy have been low for long enough.
-
-        After a sudden fall of the demand, the occupancy in the summaries is too old. The own
-        answers show it then.
-        """
+    def _update_release(self, room: ServiceRoom, demand_ms_per_s: float, now_ms: int) -> None:
+        """Ends the limit once demand and occupancy have been low for long enough."""
         settings = self._settings
-        occupancy = room.occupancy
-        recent = self.recent_occupancy.estimate()
-        if growth < 1 and recent is not None:
-            occupancy = min(occupancy, recent)
-        demand_max_ms_per_s = settings.release_demand_share * self._compute_room_ms_per_s(room)
         is_releasable = (
-            occupancy < settings.release_occupancy
-            and min(1.0, growth) * demand_ms_per_s < demand_max_ms_per_s
+            room.occupancy < settings.release_occupancy
+            and demand_ms_per_s < settings.release_demand_share * self._compute_room_ms_per_s(room)
         )
         if not is_releasable:
             self._releasable_since_ms = None
@@ -358,18 +360,30 @@
         operators, does not count: the next one is then the highest.
         """
         total = self._compute_room_ms_per_s(room)
-        # Demand that grew by a factor has the same shares as a room that shrank by it, and demand
-        # that fell as one that grew.
+        # Demand that grew by a factor has the same shares as a room that shrank by it.
         reduced = total * self._compute_queue_correction(room) / growth
-        needed = 0.0
-        for _, demand_ms_per_s in sorted(_sum_by_priority(room.demands).items()):
-            needed += demand_ms_per_s
-            if needed >= MINOR_DEMAND_SHARE * total:
-                break
+        needed = self._compute_highest_demand(room, MINOR_DEMAND_SHARE * total)
         return max(
             reduced, min(total, needed / (1 - MINIMUM_MARGIN * self._settings.minimum_share))
         )
 
+    def _compute_highest_demand(self, room: ServiceRoom, minor_ms_per_s: float) -> float:
+        """Returns the work that the highest priority and those above ask for.
+
+        Args:
+            room: Load of the service.
+            minor_ms_per_s: Work up to which a priority does not count as the highest. The lowest
+                one that offers work counts only if it is the only one.
+        """
+        work_ms_per_s = _sum_by_priority(room.demands)
+        offering = sorted({d.priority for d in room.demands if d.offered_work_ms_per_s})
+        needed = 0.0
+        for priority in offering[:-1] or offering:
+            needed = sum(work for other, work in work_ms_per_s.items() if other <= priority)
+            if needed >= minor_ms_per_s:
+                break
+        return needed
+
     def _compute_queue_correction(self, room: ServiceRoom) -> float:
         """Returns the factor of the room that moves queues towards their target."""
         recent = self.recent_occupancy.estimate()
--- a/src/catkinspread/admission/settling.py
+++ b/src/catkinspread/admission/settling.py
@@ -1,15 +1,17 @@
 """Recognises the time after restarts, in which callers return and figures are incomplete.
 
 After a loss of many instances, callers ask all at once, with several tries each. Their demand
-seems to exceed the room of a service for a second or two, although it does not.
+seems to exceed the room of a service for a few seconds, although it does not.
 """
 
 from collections.abc import Sequence
 
-# Time after a start in which an instance settles.
+# Time after a start in which an instance settles. Callers who returned after a loss of power of all
+# instances filled the queues for up to 4 s.
 SETTLING_MS = 5_000
-# Share of the instances of a data centre whose recent start makes the others settle too, because
-# the callers of the lost ones return to all.
+# Number and share of the other instances of a data centre whose recent start makes this one settle
+# too, because the callers of the lost ones return to all. A rolling restart stays below.
+RECENT_STARTS_MIN = 2
 RECENT_STARTS_SHARE_MIN = 0.25
 
 
@@ -24,6 +26,7 @@
     def is_recent(started_ms: float) -> bool:
         return abs(now_ms - started_ms) < SETTLING_MS
 
-    recent_count = sum(map(is_recent, peers_started_ms))
-    count_min = RECENT_STARTS_SHARE_MIN * (1 + len(peers_started_ms))
-    return is_recent(own_started_ms) or recent_count >= count_min
+    if is_recent(own_started_ms):
+        return True
+    count_min = max(RECENT_STARTS_MIN, RECENT_STARTS_SHARE_MIN * (1 + len(peers_started_ms)))
+    return sum(map(is_recent, peers_started_ms)) >= count_min
--- a/src/catkinspread/admission/tests/cluster.py
+++ b/src/catkinspread/admission/tests/cluster.py
@@ -46,7 +46,7 @@
     def list_limited_services(self) -> tuple[str, ...]:
         return self.own
 
-    def record_told_limits(self, services: Iterable[str], now_ms: int) -> None:
+    def record_remote_limits(self, services: Iterable[str], now_ms: int) -> None:
         self.told += services
 
 
@@ -75,6 +75,7 @@
             self.own_summary,
             self.summaries,
             lambda: len(self.directory.list_local_peers()) + 1,
+            lambda now_ms: False,
         )
         self.limits = _Limits()
         self.reporter = RoomReporter(
--- a/src/catkinspread/admission/tests/load_play.py
+++ b/src/catkinspread/admission/tests/load_play.py
@@ -366,14 +366,14 @@
         for mate in self.rng.sample(mates, min(2, len(mates))):
             if not mate.is_cut_off:
                 mate.summaries[instance] = own
-                mate.policy.record_told_limits(limited, int(self.now_ms))
+                mate.policy.record_remote_limits(limited, int(self.now_ms))
         total, _ = instance.total
         for centre in self.list_reachable(instance.data_centre) - {instance.data_centre}:
             other = self.rng.choice(self.list_instances(centre))
             other.aggregates[instance.data_centre] = Summary(
                 self.now_ms, total.openings, total.in_flight
             )
-            other.policy.record_told_limits(limited, int(self.now_ms))
+            other.policy.record_remote_limits(limited, int(self.now_ms))
 
 
 class Outcome(msgspec.Struct):
--- a/src/catkinspread/admission/tests/test_controller.py
+++ b/src/catkinspread/admission/tests/test_controller.py
@@ -4,7 +4,7 @@
 import pytest
 
 from catkinspread.admission.controller import AdmissionController
-from catkinspread.admission.service_level import MINOR_DEMAND_SHARE, TOLD_LIMIT_LIFETIME_MS
+from catkinspread.admission.service_level import MINOR_DEMAND_SHARE, REMOTE_LIMIT_LIFETIME_MS
 from catkinspread.admission.settings import AdmissionMode, AdmissionSettings
 from catkinspread.admission.tests.load_play import SERVICE, build_route
 from catkinspread.admission.types import RouteDemand, ServiceRoom
@@ -31,7 +31,6 @@
         self.is_settling = False
         self.is_estimate = False
         self.age_ms = 250
-        self.is_estimate = False
         self.controller = AdmissionController(self, AdmissionSettings(mode=mode), self, self)
         self.controller.replace_routes([HIGH, LOW])
         self.changes: list[object] = []
@@ -166,7 +165,7 @@
 
 @pytest.mark.parametrize("checks_ms_per_s", [10.0, 600.0])
 def test_highest_priority_keeps_its_room_beside_small_checks(checks_ms_per_s: float) -> None:
-    """Guards against refusals of it while queues drain, as checks have a higher one still."""
+    """Guards against refusing the main traffic because a small route has a higher priority."""
     harness = _Harness()
     check = build_route("check", 0, 1_000, 500)
     harness.controller.replace_routes([check, HIGH, LOW])
@@ -219,7 +218,7 @@
 
 @pytest.mark.parametrize("is_estimate", [False, True])
 def test_callers_who_return_after_a_loss_are_not_refused(is_estimate: bool) -> None:
-    """Guards against refusals in a surge that queues absorb, and against none after it."""
+    """Guards against refusals in a surge that queues absorb, and a limit that never starts."""
     harness = _Harness()
     harness.is_estimate = is_estimate
     harness.decide(HIGH, 1)
@@ -240,7 +239,7 @@
     harness = _Harness()
     harness.decide(HIGH, 1)
     harness.is_settling = True
-    harness.controller.record_told_limits(["other", SERVICE], harness.now_ms)
+    harness.controller.record_remote_limits(["other", SERVICE], harness.now_ms)
     harness.update()
     assert harness.controller.list_limited_services() == ()
     harness.occupancy = 2.0
@@ -248,16 +247,17 @@
     assert harness.controller.list_limited_services() == (SERVICE,)
 
 
-def test_limit_of_others_is_forgotten() -> None:
+@pytest.mark.parametrize(("extra_updates", "expected"), [(1, ()), (2, (SERVICE,))])
+def test_limit_of_others_is_forgotten(extra_updates: int, expected: tuple[str, ...]) -> None:
     """Guards against a limit that instances take over from one that ended it long ago."""
     harness = _Harness()
     harness.decide(HIGH, 1)
     harness.is_settling = True
-    harness.controller.record_told_limits([SERVICE], harness.now_ms)
-    harness.update(TOLD_LIMIT_LIFETIME_MS // 250)
+    harness.controller.record_remote_limits([SERVICE], harness.now_ms)
+    harness.update(REMOTE_LIMIT_LIFETIME_MS // 250 - extra_updates)
     harness.occupancy = 2.0
     harness.update()
-    assert harness.controller.list_limited_services() == ()
+    assert harness.controller.list_limited_services() == expected
 
 
 def test_changes_have_their_inputs_and_are_at_most_one_per_second() -> None:
--- a/src/catkinspread/admission/tests/test_room.py
+++ b/src/catkinspread/admission/tests/test_room.py
@@ -120,6 +120,17 @@
     assert not instance.estimator.estimate(SERVICE, START_MS + SUMMARY_TIMEOUT_MS).is_settling
 
 
+def test_room_settles_for_a_bounded_time() -> None:
+    """Guards against a service without limits as the upstreams of one data centre stay lost."""
+    instance = _build(east=1, west=1)
+    for now_ms in range(START_MS, START_MS + SETTLING_MS + 500, 500):
+        _tell(instance, "west", 0, 1 + (now_ms - START_MS) // 500, now_ms)
+        for number in range(10):
+            instance.state.mark_upstream_missing(f"west-{number}", START_MS)
+        is_settling = instance.estimator.estimate(SERVICE, now_ms).is_settling
+        assert is_settling is (now_ms < START_MS + SETTLING_MS)
+
+
 @pytest.mark.parametrize(
     ("own_ms", "peers_ms", "expected"),
     [
@@ -127,6 +138,8 @@
         (-SETTLING_MS, [-90_000] * 9, False),
         (-90_000, [-1_000] * 2 + [-90_000] * 7, False),
         (-90_000, [-1_000] * 3 + [-90_000] * 7, True),
+        (-90_000, [-1_000, -90_000], False),
+        (-90_000, [-1_000, -1_000], True),
         (-90_000, [90_000] * 9, False),
         (-90_000, [], False),
     ],
--- a/src/catkinspread/runtime/room_reports.py
+++ b/src/catkinspread/runtime/room_reports.py
@@ -44,13 +44,13 @@
     hosts: list[str]
 
 
-class LimitRegistry(Protocol):
+class LimitExchange(Protocol):
     """Services that this instance and others limit; the controller implements it."""
 
     def list_limited_services(self) -> tuple[str, ...]:
         """Returns the services that this instance limits."""
 
-    def record_told_limits(self, services: Iterable[str], now_ms: int) -> None:
+    def record_remote_limits(self, services: Iterable[str], now_ms: int) -> None:
         """Records which services another instance limits."""
 
 
@@ -87,7 +87,7 @@
         summaries: SummaryTable,
         estimator: RoomEstimator,
         work: WorkEstimator,
-        limits: LimitRegistry,
+        limits: LimitExchange,
         directory: PeerDirectory,
         rng: random.Random,
     ) -> None:
@@ -133,7 +133,7 @@
         if self._summaries.apply(summary, now_ms):
             for demand in summary.demands:
                 self._work.record_told(demand.route, demand.work_ms)
-            self._limits.record_told_limits(summary.limited_services, now_ms)
+            self._limits.record_remote_limits(summary.limited_services, now_ms)
 
     def _build_reports(self, now_ms: int) -> list[DueReport]:
         own = self._own_summary.build(self._sequence, now_ms)
@@ -144,15 +144,15 @@
             hosts = [peer.host for peer in chosen]
             if len(local_peers) >= PARTIAL_SUMS_MIN:
                 partial_sum = self._summaries.build_partial_sum(own, now_ms)
-                reports.append(DueReport(self._finish(partial_sum), [hosts.pop()]))
-            reports.append(DueReport(self._finish(own), hosts))
+                reports.append(DueReport(self._prepare(partial_sum), [hosts.pop()]))
+            reports.append(DueReport(self._prepare(own), hosts))
         remote_hosts = self._choose_remote_hosts()
         if remote_hosts:
             aggregate = self._summaries.build_aggregate(own, len(local_peers) + 1, now_ms)
-            reports.append(DueReport(self._finish(aggregate), remote_hosts))
+            reports.append(DueReport(self._prepare(aggregate), remote_hosts))
         return reports
 
-    def _finish(self, summary: RoomSummary) -> RoomSummary:
+    def _prepare(self, summary: RoomSummary) -> RoomSummary:
         """Returns a summary as it is sent."""
         return msgspec.structs.replace(
             shorten_numbers(summary), limited_services=self._limits.list_limited_services()
