Ranges and interval of admission control stand once

Cause: the ranges of [admission] stood in the settings type and in the fields of the file, with another one for trim_min; the interval of the updates stood in two modules. Change: MARGIN_RANGES and demand_trend.UPDATE_INTERVAL_MS are the only ones. Result: the lowest trim_min is 0.01 also for the type; tests pass.

--- a/src/catkinspread/admission/settings.py
+++ b/src/catkinspread/admission/settings.py
@@ -1,7 +1,6 @@
 """Settings of admission control."""
 
 import enum
-import math
 
 import msgspec
 
@@ -15,24 +14,42 @@
     OFF = "off"
 
 
+# Lowest and highest value of each margin. With a trim below 0.01, a wrong estimate of the work would
+# refuse nearly everything.
+MARGIN_RANGES: dict[str, tuple[float, float]] = {
+    "limit_occupancy": (1, 100),
+    "limit_update_count": (1, 100),
+    "release_occupancy": (0, 100),
+    "release_demand_share": (0, 1),
+    "release_after_ms": (0, 60_000),
+    "minimum_share": (0, 0.5),
+    "trim_lower_occupancy": (0, 100),
+    "trim_raise_occupancy": (0, 100),
+    "trim_min": (0.01, 1),
+    "trim_max": (1, 10),
+}
+
+
 class AdmissionSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Margins of admission control. The defaults are those of the design page.
 
     An occupancy is a number of requests in flight per work slot.
 
+    MARGIN_RANGES has the bounds of each.
+
     Attributes:
         mode: Which services have admission control.
-        limit_occupancy: Occupancy from which a service becomes limited; 1 to 100.
-        limit_update_count: Consecutive updates with this occupancy that it takes; 1 to 100.
-        release_occupancy: Occupancy below which a limit may end; 0 to `limit_occupancy`.
-        release_demand_share: Demand below which a limit may end, as a share of the room; 0 to 1.
-        release_after_ms: Time for which both must have been below; 0 to 60,000.
-        minimum_share: Share of the room that the lowest priority keeps; 0 to 0.5.
+        limit_occupancy: Occupancy from which a service becomes limited.
+        limit_update_count: Consecutive updates with this occupancy that it takes.
+        release_occupancy: Occupancy below which a limit may end; at most `limit_occupancy`.
+        release_demand_share: Demand below which a limit may end, as a share of the room.
+        release_after_ms: Time for which both must have been below.
+        minimum_share: Share of the room that the lowest priority keeps.
         trim_lower_occupancy: Occupancy above which the trim of the room is lowered; at least
-            `trim_raise_occupancy`, at most 100.
-        trim_raise_occupancy: Occupancy below which it is raised; at least 0.
-        trim_min: Lowest trim, a factor of the room; more than 0, at most 1.
-        trim_max: Highest trim; 1 to 10.
+            `trim_raise_occupancy`.
+        trim_raise_occupancy: Occupancy below which it is raised.
+        trim_min: Lowest trim, a factor of the room.
+        trim_max: Highest trim.
 
     Raises:
         ValueError: If a value is out of range; the message lists all of them.
@@ -51,17 +68,9 @@
     trim_max: float = 1.5
 
     def __post_init__(self) -> None:
-        ranges = {
-            "limit_occupancy": (1, 100),
-            "limit_update_count": (1, 100),
+        ranges = MARGIN_RANGES | {
             "release_occupancy": (0, self.limit_occupancy),
-            "release_demand_share": (0, 1),
-            "release_after_ms": (0, 60_000),
-            "minimum_share": (0, 0.5),
             "trim_lower_occupancy": (self.trim_raise_occupancy, 100),
-            "trim_raise_occupancy": (0, 100),
-            "trim_min": (math.ulp(0.0), 1),
-            "trim_max": (1, 10),
         }
         problems = []
         for name, (minimum, maximum) in ranges.items():
--- a/src/catkinspread/runtime/admission_parts.py
+++ b/src/catkinspread/runtime/admission_parts.py
@@ -16,6 +16,7 @@
     WorkEstimator,
     has_many_recent_starts,
 )
+from catkinspread.admission.demand_trend import UPDATE_INTERVAL_MS
 from catkinspread.deployment import DeploymentState, RoutingConfiguration
 from catkinspread.eventlog import EventLog
 from catkinspread.forwarding import LoadTracker
@@ -27,7 +28,6 @@
 from catkinspread.runtime.periodic_tasks import PeriodicTasks
 from catkinspread.runtime.room_reports import RoomReporter
 
-UPDATE_INTERVAL_MS = 250
 EXPIRY_INTERVAL_MS = 500
 
 
--- a/src/catkinspread/runtime/admission_settings.py
+++ b/src/catkinspread/runtime/admission_settings.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from catkinspread.admission.settings import AdmissionMode, AdmissionSettings
+from catkinspread.admission.settings import MARGIN_RANGES, AdmissionMode, AdmissionSettings
 from catkinspread.ini import (
     Field,
     SettingsError,
@@ -15,34 +15,26 @@
 
 SECTION = "admission"
 _DEFAULTS = AdmissionSettings()
-_OCCUPANCY_MAX = 100.0
-_UPDATES_MAX = 100
-_RELEASE_AFTER_MAX_MS = 60_000
-_MINIMUM_SHARE_MAX = 0.5
-# Below it, a wrong estimate of the work would refuse nearly everything.
-_TRIM_MIN = 0.01
-_TRIM_MAX = 10.0
+_WHOLE_NUMBERS = ("limit_update_count", "release_after_ms")
+
+
+def _build_margin_field(key: str, range_min: float, range_max: float) -> Field:
+    if key in _WHOLE_NUMBERS:
+        parse = parse_integer(int(range_min), int(range_max))
+    else:
+        parse = parse_number(range_min, range_max)
+    return Field(SECTION, key, parse, getattr(_DEFAULTS, key))
+
 
 # Without the section, the defaults hold.
 ADMISSION_FIELDS = [
-    Field(SECTION, key, parse, default)
-    for key, parse, default in (
-        ("mode", parse_choice(*(mode.value for mode in AdmissionMode)), _DEFAULTS.mode.value),
-        ("limit_occupancy", parse_number(1, _OCCUPANCY_MAX), _DEFAULTS.limit_occupancy),
-        ("limit_update_count", parse_integer(1, _UPDATES_MAX), _DEFAULTS.limit_update_count),
-        ("release_occupancy", parse_number(0, _OCCUPANCY_MAX), _DEFAULTS.release_occupancy),
-        ("release_demand_share", parse_number(0, 1), _DEFAULTS.release_demand_share),
-        (
-            "release_after_ms",
-            parse_integer(0, _RELEASE_AFTER_MAX_MS),
-            _DEFAULTS.release_after_ms,
-        ),
-        ("minimum_share", parse_number(0, _MINIMUM_SHARE_MAX), _DEFAULTS.minimum_share),
-        ("trim_lower_occupancy", parse_number(0, _OCCUPANCY_MAX), _DEFAULTS.trim_lower_occupancy),
-        ("trim_raise_occupancy", parse_number(0, _OCCUPANCY_MAX), _DEFAULTS.trim_raise_occupancy),
-        ("trim_min", parse_number(_TRIM_MIN, 1), _DEFAULTS.trim_min),
-        ("trim_max", parse_number(1, _TRIM_MAX), _DEFAULTS.trim_max),
-    )
+    Field(
+        SECTION,
+        "mode",
+        parse_choice(*(mode.value for mode in AdmissionMode)),
+        _DEFAULTS.mode.value,
+    ),
+    *(_build_margin_field(key, *bounds) for key, bounds in MARGIN_RANGES.items()),
 ]
 
 
