--- a/src/catkinspread/admission/capacity.py
+++ b/src/catkinspread/admission/capacity.py
@@ -7,7 +7,7 @@
 
 _MS_PER_S = 1_000
 # An upstream that answered a request within this time works, also if it is in back-off: a full one
-# does not answer opening packets, and answers requests on average once in 100 ms.
+# does not answer opening packets, and goes on answering requests.
 ANSWER_MAX_AGE_MS = 1_000
 # Interval at which the bound of the requests in flight is computed again.
 BOUND_INTERVAL_MS = 1_000
--- a/src/catkinspread/admission/demand_trend.py
+++ b/src/catkinspread/admission/demand_trend.py
@@ -1,8 +1,7 @@
 """Recognises a sudden rise or fall of the demand before the summaries of others show it.
 
 Summaries count openings over the last second and are up to 3 s old. The own openings are known at
-once, and callers spread evenly over the instances, so a sudden change here is one
-everywhere.
+once, and callers spread evenly over the instances, so a sudden change here is one everywhere.
 """
 
 import collections
--- a/src/catkinspread/admission/settling.py
+++ b/src/catkinspread/admission/settling.py
@@ -6,8 +6,8 @@
 
 from collections.abc import Sequence
 
-# Time after a start in which an instance settles. Callers who returned after a loss of power of all
-# instances filled the queues for up to 4 s.
+# Time after a start in which an instance settles. In one run the queues were still full 3.6 s after
+# a loss of power of all instances, as callers returned.
 SETTLING_MS = 5_000
 # Number and share of the other instances of a data centre whose recent start makes this one settle
 # too, because the callers of the lost ones return to all. A rolling restart stays below.
