--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,7 +20,7 @@
     run_case,
 )
 
-DROPPED, DROPPED_ADDRESS = "templates", ("198.18.0.1", 8080)
+DROPPED, DROPPED_ADDRESS = "templates", ("127.50.0.1", 8080)
 LAST_VERSION = 19
 COLD_PER_S = 4.0
 PROBE_INTERVAL_S = 0.25
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -30,7 +30,7 @@
 CONFIG_APPLY_S = 3.0
 COLD_OVERAGE, COLD_SLACK = 1.5, 5
 
-CATALOGUE = ("198.18.0.1", 8443)
+CATALOGUE = ("127.50.0.1", 8443)
 
 
 def is_on(name):
@@ -407,6 +407,9 @@
     """
 
     async def run():
+        # A script that is ended from outside ends its processes, too.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         site = Site(record, zones, services)
         try:
             await site.start(targets, cold_per_s)
@@ -418,7 +421,7 @@
     record = Record(folder / "record.txt")
     try:
         result = asyncio.run(asyncio.wait_for(run(), TIME_LIMIT_S))
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         record.write(traceback.format_exc(limit=3).replace(str(ROOT), "."))
         result = CANNOT_RUN
     record.write(f"result {result}")
