--- a/review/7/case.py
+++ b/review/7/case.py
@@ -21,7 +21,7 @@
 )
 
 ZONE = "coventry"
-# `roll_term` of the small sites: one machine at a time, each 1.1 to 1.4 s.
+# `roll_term` of the small sites: one machine at a time, each 1.1 to 2.0 s.
 GAP_S = float(os.environ.get("GAP_S", "1.2"))
 RESTART_DELAY_S = 0.3
 FLOWS = 24
