--- a/src/catkinspread/deployment/synchroniser.py
+++ b/src/catkinspread/deployment/synchroniser.py
@@ -85,37 +85,58 @@
         last_success_at_ms: Time of the last successful call; 0 before the first one.
     """
 
-    __slots__ = ("_failing_since_ms", "available_since_ms", "last_success_at_ms")
+    __slots__ = (
+        "_failing_kinds_since_ms",
+        "_failing_since_ms",
+        "available_since_ms",
+        "last_success_at_ms",
+    )
 
     def __init__(self) -> None:
         self.available_since_ms: int | None = None
         self.last_success_at_ms = 0
         self._failing_since_ms: int | None = None
+        # Since when the calls for a kind have failed, whatever became of the others.
+        self._failing_kinds_since_ms: dict[StateKind, int] = {}
 
     @property
     def is_failing(self) -> bool:
         """Whether the last call failed."""
         return self._failing_since_ms is not None
 
-    def record_success(self, now_ms: int) -> bool:
+    def is_kind_failing(self, kind: StateKind) -> bool:
+        """Whether the last call for a kind failed."""
+        return kind in self._failing_kinds_since_ms
+
+    def record_success(self, now_ms: int, kind: StateKind) -> bool:
         """Records a successful call.
 
+        Args:
+            now_ms: Current time.
+            kind: Kind of the records that were read.
+
         Returns:
             Whether the source was not available before.
         """
         self.last_success_at_ms = now_ms
         self._failing_since_ms = None
+        self._failing_kinds_since_ms.pop(kind, None)
         if self.available_since_ms is not None:
             return False
         self.available_since_ms = now_ms
         return True
 
-    def record_failure(self, now_ms: int) -> bool:
+    def record_failure(self, now_ms: int, kind: StateKind) -> bool:
         """Records a failed call.
 
+        Args:
+            now_ms: Current time.
+            kind: Kind of the records that were requested.
+
         Returns:
             Whether this is the first failure since the last success.
         """
+        self._failing_kinds_since_ms.setdefault(kind, now_ms)
         if self.is_failing:
             return False
         self._failing_since_ms = now_ms
@@ -132,13 +153,16 @@
     def get_last_success_age_ms(self, now_ms: int) -> int | None:
         """Returns the time since the last successful call.
 
-        Returns None before the first success and once calls have failed for OUTAGE_THRESHOLD_MS.
-        A single failure does not count as an outage, because the source may only have closed
-        its connections.
+        Returns None before the first success and once the calls for any kind have failed for
+        OUTAGE_THRESHOLD_MS: records of that kind are outdated although others are read. A single
+        failure does not count as an outage, because the source may only have closed its
+        connections.
         """
-        since_ms = self._failing_since_ms
-        if self.last_success_at_ms == 0 or (
-            since_ms is not None and now_ms - since_ms >= OUTAGE_THRESHOLD_MS
+        failing_since_ms = [*self._failing_kinds_since_ms.values()]
+        if self._failing_since_ms is not None:
+            failing_since_ms.append(self._failing_since_ms)
+        if self.last_success_at_ms == 0 or any(
+            now_ms - since_ms >= OUTAGE_THRESHOLD_MS for since_ms in failing_since_ms
         ):
             return None
         return now_ms - self.last_success_at_ms
@@ -340,7 +364,7 @@
         if progress.list_again_at_ms is not None:
             timeout_ms = min(timeout_ms, progress.list_again_at_ms - now_ms)
         changes = await self._source.wait_for_changes(kind, progress.position, timeout_ms)
-        self._record_success()
+        self._record_success(kind)
         self._applier.apply_changes(kind, changes, self._clock.now_ms())
         progress.position = changes.position
         if changes.changes and self._settings.batching_delay_ms:
@@ -348,7 +372,7 @@
 
     async def _list(self, kind: StateKind, progress: _KindProgress) -> None:
         listing = await self._source.list_records(kind)
-        self._record_success()
+        self._record_success(kind)
         now_ms = self._clock.now_ms()
         progress.position = listing.position
         progress.list_again_at_ms = None
@@ -365,12 +389,12 @@
         )
         self._applier.apply_listing(kind, listing, now_ms)
 
-    def _record_success(self) -> None:
+    def _record_success(self, kind: StateKind) -> None:
         now_ms = self._clock.now_ms()
-        if self._health.record_success(now_ms):
+        if self._health.record_success(now_ms, kind):
             self._events.write_always("source_available", now_ms)
 
     def _record_failure(self, kind: StateKind, error: SourceUnavailable) -> None:
         now_ms = self._clock.now_ms()
-        if self._health.record_failure(now_ms):
+        if self._health.record_failure(now_ms, kind):
             self._events.write_always("source_lost", now_ms, kind=kind.value, reason=str(error))
--- a/src/catkinspread/deployment/tests/test_state.py
+++ b/src/catkinspread/deployment/tests/test_state.py
@@ -125,12 +125,12 @@
     """Guards against acting on a missing record whose new version was not read in a pause."""
     state = _build_state(_build_upstream())
     health = SourceHealth()
-    health.record_success(NOW_MS)
+    health.record_success(NOW_MS, StateKind.UPSTREAMS)
     state.mark_upstream_missing("i-1", NOW_MS)
     resumed_ms = NOW_MS + 8_000
     health.require_new_success()
     assert state.expire_upstreams(resumed_ms, health.available_since_ms) == []
-    assert health.record_success(resumed_ms)
+    assert health.record_success(resumed_ms, StateKind.UPSTREAMS)
     available_since_ms = health.available_since_ms
     assert state.expire_upstreams(resumed_ms + MISSING_GRACE_MS - 1, available_since_ms) == []
 
--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -377,6 +377,17 @@
             return None
         return peer.status_at_ms - peer.status.source_age_ms
 
+    def list_changed_revisions(self, name: str, era: int) -> tuple[int, ...]:
+        """Returns the revisions of the last changes that an instance can serve.
+
+        They are in the order of `StateKind`, as its last status tells, and empty if that is of
+        another era of the source.
+        """
+        peer = self._peers.get(name)
+        if peer is None or peer.status is None or peer.status.source_era != era:
+            return ()
+        return peer.status.changed_revisions
+
     def list_peers_with_state(self, now_ms: int) -> list[Member]:
         """Returns the peers that hold the deployment state, in the order in which to ask them.
 
--- a/src/catkinspread/peers/messages.py
+++ b/src/catkinspread/peers/messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from catkinspread.admission.types import RoomSummary
+from catkinspread.deployment import StateKind
 from catkinspread.deployment.bounds import (
     PORT_MAX,
     Amount,
@@ -39,6 +40,9 @@
 _PortField = Annotated[int, msgspec.Meta(ge=0, le=PORT_MAX)]
 
 
+_Revisions = Annotated[tuple[Count, ...], msgspec.Meta(max_length=len(StateKind))]
+
+
 class MessageError(Exception):
     """A datagram is not a valid message."""
 
@@ -73,6 +77,9 @@
             that does not tell.
         known_instances: Number of instances that it knows of, including itself and those that it
             lost without notice; 0 from an instance of a version that does not tell.
+        changed_revisions: Revisions of the last changes that it can serve, in the order of
+            `StateKind` and of the era `source_era`; empty from an instance of a version that does
+            not tell.
     """
 
     member: Member
@@ -81,6 +88,7 @@
     is_leaving: bool
     source_era: Count | None = None
     known_instances: Count = 0
+    changed_revisions: _Revisions = ()
 
 
 class KnownMember(msgspec.Struct, frozen=True, array_like=True):
--- a/src/catkinspread/peers/shared_source.py
+++ b/src/catkinspread/peers/shared_source.py
@@ -26,10 +26,12 @@
 from catkinspread.peers.messages import Member
 from catkinspread.peers.state_cache import StateCache
 
-# The long poll of the source for this kind is kept short, so that it also checks at this interval
-# whether the source still answers. The long polls for the other kinds wait longer; a failed check
-# ends them, and they are repeated once the source answers again.
-SOURCE_PROBE_WAIT_MS = 1_200
+# Longest wait of a long poll of the source, for each kind. An answer of the source may be lost while
+# the connection stays open and the polls for the other kinds are answered; only the end of this wait
+# shows it. Changes have to be in force within 3 s: this wait, the time-out of the call, one repetition
+# and the way to the followers take about 2.6 s.
+SOURCE_WAIT_MS = 1_400
+# During an outage, only the poll for this kind is repeated.
 SOURCE_PROBE_KIND = StateKind.EVACUATIONS
 # At its start, an instance waits for a peer that has the state before it reads the source. Wait of
 # the first feeder of a data centre:
@@ -45,6 +47,10 @@
 # Calls for one kind of records that fail in a row until another feeder is selected. The calls for all
 # kinds may fail at once when a connection is lost.
 FEEDER_FAILURES_MAX = 3
+# Time for which the feeder may have changes that this instance has not read. A poll that takes longer
+# is repeated: its answer is lost, or the feeder does not give it. A read usually takes the pause after
+# the one before, 300 ms, and the way.
+FEEDER_ANSWER_DELAY_MAX_MS = 600
 # Maximum number of peers from which a listing is requested before the source is called.
 LISTING_PEERS_MAX = 2
 # Time that a follower without a feeder waits for a new one before it calls the source.
@@ -83,6 +89,7 @@
     """
 
     __slots__ = (
+        "_behind_since_ms",
         "_cache",
         "_clock",
         "_directory",
@@ -119,6 +126,8 @@
         self._feeder: Member | None = None
         # Calls to the feeder that failed in a row, by kind.
         self._feeder_failures: collections.Counter[StateKind] = collections.Counter()
+        # Since when the feeder has had changes that this instance has not read, by kind.
+        self._behind_since_ms: dict[StateKind, int] = {}
         # When it was decided whom the state is read from.
         self._reader_since_ms = clock.now_ms()
         self._interrupted = anyio.Event()
@@ -129,14 +138,45 @@
         age_ms = self._source_health.get_last_success_age_ms(now_ms)
         feeder = self._directory.select_feeder(age_ms, now_ms)
         if feeder == self._feeder:
+            self._repeat_overdue_polls(now_ms)
             return
         self._feeder = feeder
         self._feeder_failures.clear()
+        self._behind_since_ms.clear()
         self._reader_since_ms = now_ms
         name = feeder.name if feeder else ""
         self._events.write("feeder_changed", now_ms, feeder=name, own_source_age_ms=age_ms)
         self._interrupt_calls()
 
+    def _repeat_overdue_polls(self, now_ms: int) -> None:
+        """Repeats the polls of the feeder if one has not returned changes that the feeder has."""
+        feeder = self._feeder
+        if feeder is None:
+            return
+        revisions = self._directory.list_changed_revisions(feeder.name, self._cache.era)
+        for kind, revision in zip(StateKind, revisions, strict=False):
+            known = self._cache.get_position(kind)
+            if known is None or known.era != self._cache.era or known.revision >= revision:
+                self._behind_since_ms.pop(kind, None)
+                continue
+            since_ms = self._behind_since_ms.setdefault(kind, now_ms)
+            if now_ms - since_ms >= FEEDER_ANSWER_DELAY_MAX_MS:
+                self._behind_since_ms.clear()
+                error = SourceUnavailable(
+                    f"no answer with the changes of {kind.value} up to revision {revision}"
+                )
+                self._record_feeder_failure(feeder, kind, error)
+                self._events.write_always(
+                    "feeder_answer_overdue",
+                    now_ms,
+                    feeder=feeder.name,
+                    kind=kind.value,
+                    revision=revision,
+                    known=known.revision,
+                )
+                self._interrupt_calls()
+                return
+
     def find_answered_span(self) -> AnsweredSpan | None:
         """Returns the time in which the source answered the feeder or, without one, this instance.
 
@@ -175,7 +215,7 @@
             raise SourceUnavailable(
                 f"listing of {kind.value} not requested because the last call to the source failed"
             )
-        listing = await self._read_source(self._source.list_records(kind))
+        listing = await self._read_source(kind, self._source.list_records(kind))
         return self._cache_listing(kind, listing, None)
 
     async def _catch_up(self, kind: StateKind, listing: StateChanges) -> StateChanges:
@@ -219,7 +259,7 @@
                 position=listing.position,
                 known=self._cache.get_position(kind),
             )
-        listing = await self._read_source(self._source.list_records(kind))
+        listing = await self._read_source(kind, self._source.list_records(kind))
         return self._cache_listing(kind, listing, None)
 
     def _is_behind(self, kind: StateKind, listing: StateChanges) -> bool:
@@ -253,10 +293,16 @@
             return await self._run_interruptible(self._read_feeder(feeder, kind, poll))
         if not await self._wait_before_source_call(kind):
             return None
-        if kind is SOURCE_PROBE_KIND:
-            timeout_ms = min(timeout_ms, SOURCE_PROBE_WAIT_MS)
-        call = self._source.wait_for_changes(kind, position, timeout_ms)
-        return await self._run_interruptible(self._read_source(call))
+        wait_ms = self._get_source_wait_ms(kind, timeout_ms)
+        call = self._source.wait_for_changes(kind, position, wait_ms)
+        return await self._run_interruptible(self._read_source(kind, call))
+
+    def _get_source_wait_ms(self, kind: StateKind, timeout_ms: int) -> int:
+        """Returns the wait of a long poll; none after a failure, so that the next answer comes soon."""
+        is_probing = kind is SOURCE_PROBE_KIND and self._source_health.is_failing
+        if is_probing or self._source_health.is_kind_failing(kind):
+            return 0
+        return min(timeout_ms, SOURCE_WAIT_MS)
 
     def _check_era(
         self,
@@ -358,16 +404,16 @@
             kept=len(added),
         )
 
-    async def _read_source(self, call: Awaitable[StateChanges]) -> StateChanges:
+    async def _read_source(self, kind: StateKind, call: Awaitable[StateChanges]) -> StateChanges:
         try:
             changes = await call
         except SourceUnavailable:
-            if self._source_health.record_failure(self._clock.now_ms()):
+            if self._source_health.record_failure(self._clock.now_ms(), kind):
                 self._interrupt_calls()
             raise
         if self._source_health.is_failing:
             self._interrupt_calls()
-        self._source_health.record_success(self._clock.now_ms())
+        self._source_health.record_success(self._clock.now_ms(), kind)
         return changes
 
     async def _read_feeder(
--- a/src/catkinspread/peers/state_cache.py
+++ b/src/catkinspread/peers/state_cache.py
@@ -129,6 +129,15 @@
         """Returns the position of the records of a kind; None if they have not been read yet."""
         return self._cached[kind].position
 
+    def list_changed_revisions(self) -> tuple[int, ...]:
+        """Returns the revisions of the last cached changes, in the order of `StateKind`.
+
+        The revision is 0 for a kind without changes since its last listing.
+        """
+        return tuple(
+            cached.history[-1].revision if cached.history else 0 for cached in self._cached.values()
+        )
+
     def put_listing(self, kind: StateKind, listing: StateChanges, now_ms: int) -> StateChanges:
         """Replaces all records of a kind and discards its history.
 
--- a/src/catkinspread/peers/tests/test_shared_source.py
+++ b/src/catkinspread/peers/tests/test_shared_source.py
@@ -16,6 +16,7 @@
     StateChanges,
     StateKind,
 )
+from catkinspread.deployment.synchroniser import OUTAGE_THRESHOLD_MS, RETRY_DELAY_INITIAL_MS
 from catkinspread.eventlog import EventLog
 from catkinspread.peers import (
     Hello,
@@ -24,11 +25,20 @@
     PeerDirectory,
     SharedSource,
     StateCache,
+    shared_source,
 )
 from catkinspread.peers.directory import FAILED_FEEDER_PAUSE_MS
-from catkinspread.peers.shared_source import FEEDER_FAILURES_MAX
+from catkinspread.peers.shared_source import (
+    FEEDER_ANSWER_DELAY_MAX_MS,
+    FEEDER_FAILURES_MAX,
+)
+from catkinspread.peers.shared_source import SOURCE_PROBE_KIND as PROBE_KIND
+from catkinspread.platform.store import ANSWER_TIMEOUT_MS
+from catkinspread.runtime.instance import SYNC_PAUSE_MS
 
 KIND = StateKind.EVACUATIONS
+# Time within which a change of the configuration or a drain has to be in force.
+CONFIGURATION_BOUND_MS = 3_000
 NOW_MS = 1_000_000
 SETTLING_MS = 4_800
 
@@ -87,11 +97,15 @@
         )
 
     def receive_peer_status(
-        self, source_age_ms: int | None, data_centre: str = "east", source_era: int | None = 0
+        self,
+        source_age_ms: int | None,
+        data_centre: str = "east",
+        source_era: int | None = 0,
+        changed_revisions: tuple[int, ...] = (),
     ) -> None:
         """Delivers a status of the peer that reports state."""
         member = Member("other", data_centre, "10.0.0.2", 1)
-        status = MemberStatus(member, source_age_ms, True, False, source_era)
+        status = MemberStatus(member, source_age_ms, True, False, source_era, 0, changed_revisions)
         self.directory.apply_message(Hello(status, 0), self.clock.now_ms())
         self.shared.update_feeder()
 
@@ -179,7 +193,7 @@
     source, peer = ScriptedSource(90), ScriptedSource(95)
     source.is_down = True
     harness = SharedSourceHarness(source, peer)
-    harness.health.record_failure(harness.clock.now_ms() - 1_000)
+    harness.health.record_failure(harness.clock.now_ms() - 1_000, KIND)
     harness.receive_peer_status(source_age_ms=100, data_centre="west")
     assert (
         anyio.run(harness.shared.wait_for_changes, KIND, SourcePosition(0, 90), 10).revision == 95
@@ -190,14 +204,124 @@
     """Guards against all instances changing their feeder when the source closes connections."""
     harness = SharedSourceHarness(ScriptedSource(90), ScriptedSource(90))
     now_ms = harness.clock.now_ms()
-    harness.health.record_success(now_ms)
-    harness.health.record_failure(now_ms)
+    harness.health.record_success(now_ms, KIND)
+    harness.health.record_failure(now_ms, KIND)
     assert harness.health.get_last_success_age_ms(now_ms + 300) == 300
     assert harness.health.get_last_success_age_ms(now_ms + 700) is None
-    harness.health.record_success(now_ms + 800)
+    harness.health.record_success(now_ms + 800, KIND)
     assert harness.health.get_last_success_age_ms(now_ms + 800) == 0
 
 
+class LosingSource(ScriptedSource):
+    """Loses the answer to the first poll for one kind; the polls for the others are answered.
+
+    Attributes:
+        waits_ms: Waits that were requested, by kind.
+    """
+
+    def __init__(self, lost_kind: StateKind) -> None:
+        super().__init__(90)
+        self._lost_kind = lost_kind
+        self.waits_ms: dict[StateKind, list[int]] = {kind: [] for kind in StateKind}
+
+    async def wait_for_changes(
+        self, kind: StateKind, position: SourcePosition, timeout_ms: int
+    ) -> StateChanges:
+        waits_ms = self.waits_ms[kind]
+        waits_ms.append(timeout_ms)
+        if kind is self._lost_kind and len(waits_ms) == 1:
+            raise SourceUnavailable("no answer")
+        return await super().wait_for_changes(kind, position, timeout_ms)
+
+
+@pytest.mark.parametrize("kind", StateKind)
+def test_lost_answer_of_the_source_is_asked_for_again_within_the_bound(kind: StateKind) -> None:
+    """Guards against an old configuration for 10 s because one answer of the source was lost.
+
+    Only the end of the poll shows the loss, since the connection and the other polls live. The
+    change has to be in force 3 s after it was acknowledged.
+    """
+    source = LosingSource(kind)
+    harness = SharedSourceHarness(source, ScriptedSource(90))
+
+    async def read() -> None:
+        for number in range(2):
+            for polled in [kind, *(other for other in StateKind if other is not kind)]:
+                try:
+                    await harness.shared.wait_for_changes(polled, SourcePosition(0, 90), 10_000)
+                except SourceUnavailable:
+                    assert (polled, number) == (kind, 0)
+
+    harness.health.record_success(NOW_MS, kind)
+    with pytest.MonkeyPatch.context() as patch:
+        # The pause of the polls that wait for the end of the outage is skipped.
+        patch.setattr(shared_source, "OUTAGE_POLL_INTERVAL_MS", 1)
+        anyio.run(read)
+    first_wait_ms, second_wait_ms = source.waits_ms[kind][:2]
+    detected_ms = first_wait_ms + ANSWER_TIMEOUT_MS
+    retried_ms = detected_ms + 1.5 * RETRY_DELAY_INITIAL_MS + source.waits_ms[PROBE_KIND][0]
+    if kind is PROBE_KIND:
+        retried_ms = detected_ms + 1.5 * RETRY_DELAY_INITIAL_MS
+    assert retried_ms + second_wait_ms + SYNC_PAUSE_MS <= CONFIGURATION_BOUND_MS
+    assert second_wait_ms == 0
+    assert not harness.health.is_kind_failing(kind)
+
+
+def test_instance_that_fails_to_read_one_kind_is_not_followed() -> None:
+    """Guards against followers of a feeder that reads evacuations but no configuration."""
+    harness = SharedSourceHarness(ScriptedSource(90), ScriptedSource(90))
+    now_ms = harness.clock.now_ms()
+    harness.health.record_failure(now_ms, StateKind.CONFIGURATION)
+    harness.health.record_success(now_ms + OUTAGE_THRESHOLD_MS, StateKind.EVACUATIONS)
+    assert harness.health.get_last_success_age_ms(now_ms + OUTAGE_THRESHOLD_MS) is None
+    harness.health.record_success(now_ms + OUTAGE_THRESHOLD_MS, StateKind.CONFIGURATION)
+    assert harness.health.get_last_success_age_ms(now_ms + OUTAGE_THRESHOLD_MS) == 0
+
+
+@pytest.mark.parametrize("kind", StateKind)
+def test_lost_answer_of_the_feeder_is_asked_for_again(kind: StateKind) -> None:
+    """Guards against a follower that waits 10 s for an answer that its feeder has given."""
+    source, peer = ScriptedSource(90), ScriptedSource(90)
+    harness = SharedSourceHarness(source, peer)
+    harness.directory._ranked_names = ["other", "me"]
+    revisions = tuple(95 if changed is kind else 0 for changed in StateKind)
+    polls = 0
+
+    async def wait_for_changes(
+        polled: StateKind, position: SourcePosition, timeout_ms: int
+    ) -> StateChanges:
+        nonlocal polls
+        polls += 1
+        if polls == 1:
+            await anyio.sleep_forever()
+        return StateChanges((StateChange("west", "west"),), 95)
+
+    peer.wait_for_changes = wait_for_changes
+
+    async def follow() -> list[int]:
+        position = SourcePosition(0, 90)
+        harness.cache.put_listing(kind, StateChanges((), 90), NOW_MS)
+        harness.receive_peer_status(10, changed_revisions=revisions)
+        read: list[int] = []
+
+        async def poll() -> None:
+            while len(read) < 2:
+                changes = await harness.shared.wait_for_changes(kind, position, 10_000)
+                read.append(changes.revision)
+
+        with anyio.fail_after(5):
+            async with anyio.create_task_group() as group:
+                group.start_soon(poll)
+                await anyio.wait_all_tasks_blocked()
+                harness.shared.update_feeder()
+                harness.clock.advance(FEEDER_ANSWER_DELAY_MAX_MS)
+                harness.shared.update_feeder()
+        return read
+
+    # The interrupted poll returns without changes, the repeated one with them.
+    assert anyio.run(follow) == [90, 95]
+
+
 def test_unresponsive_feeder_is_abandoned() -> None:
     """Guards against waiting for a feeder whose process was killed."""
     harness = SharedSourceHarness(ScriptedSource(90), ScriptedSource(90))
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -462,6 +462,7 @@
             self._is_leaving,
             self._cache.era,
             self._directory.count_known_instances(),
+            self._cache.list_changed_revisions(),
         )
 
     def _read_counts(self) -> dict[str, int]:
--- a/src/catkinspread/runtime/tests/test_upstream_monitor.py
+++ b/src/catkinspread/runtime/tests/test_upstream_monitor.py
@@ -1,6 +1,6 @@
 """Which upstreams count as gone while the state is read through a feeder."""
 
-from catkinspread.deployment import MISSING_GRACE_MS, SourceHealth
+from catkinspread.deployment import MISSING_GRACE_MS, SourceHealth, StateKind
 from catkinspread.eventlog import EventLog
 from catkinspread.forwarding.tests.builders import ForwarderHarness, build_upstream
 from catkinspread.peers.directory import SOURCE_TIMEOUT_MS
@@ -22,7 +22,7 @@
         forwarding = ForwarderHarness(build_upstream("i-1"))
         self.state = forwarding.state
         health = SourceHealth()
-        health.record_success(self.now_ms - 10_000)
+        health.record_success(self.now_ms - 10_000, StateKind.UPSTREAMS)
         events = EventLog("me", NullSink(), self.reading.clock)
         self._monitor = UpstreamMonitor(
             "me",
