--- a/src/catkinspread/runtime/flow_handover.py
+++ b/src/catkinspread/runtime/flow_handover.py
@@ -2,6 +2,8 @@
 
 The messages are sent in steps while the routers still send packets here, so that they neither
 overflow the socket of a receiver nor use the budget for flows that end their handshake meanwhile.
+They wait while no other instance stays: one that is being started again may stay before this process
+ends.
 """
 
 import collections
@@ -32,10 +34,17 @@
 
     Attributes:
         sent_count: Messages that were sent.
-        withheld_count: Messages beyond MESSAGES_MAX, or without an instance to tell.
     """
 
-    __slots__ = ("_directory", "_exchange", "_queue", "_rng", "sent_count", "withheld_count")
+    __slots__ = (
+        "_directory",
+        "_exchange",
+        "_is_waiting",
+        "_queue",
+        "_refused_count",
+        "_rng",
+        "sent_count",
+    )
 
     def __init__(
         self, directory: PeerDirectory, exchange: PeerExchange, rng: random.Random
@@ -44,8 +53,16 @@
         self._exchange = exchange
         self._rng = rng
         self._queue: collections.deque[FlowLocation] = collections.deque()
+        # Whether no other instance stayed at the last step.
+        self._is_waiting = False
+        # Messages beyond MESSAGES_MAX.
+        self._refused_count = 0
         self.sent_count = 0
-        self.withheld_count = 0
+
+    @property
+    def withheld_count(self) -> int:
+        """Messages beyond MESSAGES_MAX, and those that wait for an instance that stays."""
+        return self._refused_count + (len(self._queue) if self._is_waiting else 0)
 
     def start(self, flows: Iterable[HandedOverFlow]) -> None:
         """Queues the messages about flows; of too many, those of the last flows are left out."""
@@ -53,7 +70,7 @@
             location = build_location(flow.key, flow.sequence, flow.upstream.token, flow.age_ms)
             copies = RECIPIENTS_OF_OPEN if flow.is_open_here else RECIPIENTS_OF_REMEMBERED
             if len(self._queue) + copies > MESSAGES_MAX:
-                self.withheld_count += copies
+                self._refused_count += copies
             else:
                 self._queue.extend([location] * copies)
 
@@ -62,9 +79,8 @@
         if not self._queue:
             return
         hosts = [member.host for member in self._directory.list_staying_peers()]
-        if not hosts:
-            self.withheld_count += len(self._queue)
-            self._queue.clear()
+        self._is_waiting = not hosts
+        if self._is_waiting:
             return
         self._rng.shuffle(hosts)
         for number in range(min(MESSAGES_PER_STEP, len(self._queue))):
--- a/src/catkinspread/runtime/tests/test_flow_handover.py
+++ b/src/catkinspread/runtime/tests/test_flow_handover.py
@@ -25,11 +25,19 @@
         self.sent.extend((report.caller_port, host) for host in hosts)
 
 
-def _build(peers: int = PEERS) -> tuple[FlowHandover, _RecordingExchange]:
+def _build_directory(peers: int) -> PeerDirectory:
+    """Returns a directory with other instances, of which the first one leaves."""
     directory = PeerDirectory(Member("one", "east", "10.0.0.1", 1), random.Random(1))
     for number in range(peers):
         member = Member(f"peer-{number}", "east", f"10.0.1.{number}", 1)
         directory.apply_message(Hello(MemberStatus(member, None, True, number == 0, 0), 0), 0)
+    return directory
+
+
+def _build(
+    peers: int = PEERS, directory: PeerDirectory | None = None
+) -> tuple[FlowHandover, _RecordingExchange]:
+    directory = directory or _build_directory(peers)
     exchange = _RecordingExchange()
     return FlowHandover(directory, exchange, random.Random(1)), exchange  # type: ignore[arg-type]
 
@@ -80,3 +88,19 @@
     handover.send_due(0)
     assert exchange.sent == []
     assert handover.withheld_count == RECIPIENTS_OF_OPEN
+
+
+def test_flows_are_told_to_an_instance_that_starts_again_during_the_stop() -> None:
+    """Guards against open flows that are reset after both instances of a data centre restarted.
+
+    The first one had just left when the second one was stopped, and was back before that one ended.
+    """
+    directory = _build_directory(peers=1)
+    handover, exchange = _build(directory=directory)
+    handover.start([_build_flow(1)])
+    handover.send_due(0)
+    started = Member("peer-0", "east", "10.0.1.0", 1_000)
+    directory.apply_message(Hello(MemberStatus(started, None, False, False, 0), 0), 1_000)
+    handover.send_due(1_000)
+    assert set(exchange.sent) == {(1, "10.0.1.0")}
+    assert handover.withheld_count == 0
