--- a/src/catkinspread/deployment/__init__.py
+++ b/src/catkinspread/deployment/__init__.py
@@ -31,10 +31,18 @@
     Synchroniser,
     SynchroniserSettings,
 )
-from catkinspread.deployment.tokens import TOKEN_BITS, TOKEN_MAX, compute_token
+from catkinspread.deployment.tokens import (
+    SHORT_TOKEN_BITS,
+    SHORT_TOKEN_MAX,
+    TOKEN_BITS,
+    TOKEN_MAX,
+    compute_token,
+)
 
 __all__ = [
     "MISSING_GRACE_MS",
+    "SHORT_TOKEN_BITS",
+    "SHORT_TOKEN_MAX",
     "TOKEN_BITS",
     "TOKEN_MAX",
     "ApplyOutcome",
--- a/src/catkinspread/deployment/state.py
+++ b/src/catkinspread/deployment/state.py
@@ -171,10 +171,17 @@
         """Returns the upstream with a token, including removed ones; None if there is none.
 
         Args:
-            token: The token, or a token field of a packet, whose stage is ignored.
+            token: The token, or the token field of a packet of an open flow, whose stage is ignored.
         """
         return self._tokens.find(token & TOKEN_MAX)
 
+    def find_upstream_by_short_token(self, short_token: int) -> KnownUpstream | None:
+        """Returns the upstream whose token has the given lowest SHORT_TOKEN_BITS bits.
+
+        Returns None if there is none, or more than one. Removed ones are included.
+        """
+        return self._tokens.find_by_short_token(short_token)
+
     def find_upstream(self, name: str) -> KnownUpstream | None:
         """Returns the upstream with a name, including removed ones; None if there is none."""
         return self._upstreams.get(name)
--- a/src/catkinspread/forwarding/flow_adoption.py
+++ b/src/catkinspread/forwarding/flow_adoption.py
@@ -4,6 +4,11 @@
 late answer of another upstream. While the token does not prove where the flow is open, the other
 instances are asked, and the packets of the flow are held meanwhile. The same message ends the
 retries of the instance that got the opening packet.
+
+If nobody tells, the token is followed only while the handshake may still be under way, or if an
+instance that would know of a contested flow does not. Otherwise an old token of an attempt most likely
+is that of a late answer, whose upstream would reset the flow: the packets are dropped, and the caller's
+next retransmission asks again.
 """
 
 import collections
@@ -12,16 +17,25 @@
 
 import msgspec
 
-from catkinspread.deployment import TOKEN_MAX, DeploymentState, KnownUpstream
+from catkinspread.deployment import DeploymentState, KnownUpstream
 from catkinspread.forwarding.decision_log import DecisionLog
 from catkinspread.forwarding.flow_tokens import (
     TokenStage,
+    compute_attempt_age_ms,
     decode_stage,
-    encode_flow_token,
+    find_upstream,
     is_attempt_token,
+    is_recent_attempt,
+    names_upstream,
+    replace_upstream,
 )
 from catkinspread.forwarding.flows import HANDSHAKE_TIMEOUT_MS, Flow, FlowTable
-from catkinspread.forwarding.held_packets import HeldPackets
+from catkinspread.forwarding.held_packets import (
+    HOLD_MS,
+    HOLD_UNPROVEN_MS,
+    HeldPackets,
+    ReleasedPackets,
+)
 from catkinspread.forwarding.packets import (
     CallerPacket,
     FlowKey,
@@ -42,11 +56,11 @@
     REMEMBERED = "remembered"
     # The answer of another instance.
     TOLD = "told"
-    # The token of an attempt; all other instances had answered that they do not know the flow.
+    # The token of a recent attempt; all others that were asked had answered that they do not know.
     KNOWN_TO_NONE = "known_to_none"
-    # The token of an attempt; some of the others had not answered in time.
+    # The token of a recent attempt; some of the others had not answered in time.
     ANSWERS_MISSING = "answers_missing"
-    # The token of an attempt; there was nobody to ask, or the rate limit did not allow it.
+    # The token of a recent attempt; there was nobody to ask, or the rate limit did not allow it.
     NOT_ASKED = "not_asked"
 
 
@@ -117,8 +131,8 @@
 
     def adopt_due(self, now_ms: int) -> None:
         """Adopts the flows that other instances have not told about in time, by their tokens."""
-        for packets in self._held.pop_due(now_ms):
-            self._adopt_held(packets, None, AdoptionBasis.ANSWERS_MISSING, now_ms)
+        for released in self._held.pop_due(now_ms):
+            self._adopt_held(released, None, AdoptionBasis.ANSWERS_MISSING, now_ms)
 
     def find_open_flow(self, key: FlowKey, sequence: int) -> KnownUpstream | None:
         """Returns the upstream of an open flow; None if this instance does not know it.
@@ -135,6 +149,22 @@
         kept = self._remembered.find(key, sequence)
         return None if kept is None else self._state.find_upstream_by_token(kept.token)
 
+    def find_only_attempt(self, key: FlowKey, sequence: int) -> KnownUpstream | None:
+        """Returns the only upstream that may have answered an opening packet; None if unknown.
+
+        This instance got the first copy of the opening packet, has sent it to one upstream alone, and
+        knows of no other instance that has seen the handshake end.
+
+        Args:
+            key: Key of the flow.
+            sequence: Sequence number of a packet that followed the handshake.
+        """
+        flow = self._flows.find(key)
+        if flow is None or flow.opening_packet is None or not flow.matches_sequence(sequence):
+            return None
+        is_only = len(flow.attempts) == 1 and not flow.is_opened_by_copy
+        return flow.attempts[0].upstream if is_only else None
+
     def record_opened_elsewhere(
         self,
         key: FlowKey,
@@ -158,7 +188,7 @@
             is_certain: Whether the flow is open on the upstream of the token.
         """
         flow = self._flows.find(key)
-        upstream = self._state.find_upstream_by_token(token)
+        upstream = find_upstream(self._state, token)
         if flow is None or upstream is None:
             return
         if flow.is_established or not flow.matches_sequence(sequence):
@@ -181,7 +211,13 @@
         self._log.log_opened_elsewhere(flow, now_ms)
 
     def record_flow_upstream(
-        self, key: FlowKey, sequence: int, token: int, now_ms: int, age_ms: int = 0
+        self,
+        key: FlowKey,
+        sequence: int,
+        token: int,
+        now_ms: int,
+        age_ms: int = 0,
+        is_contested: bool = True,
     ) -> None:
         """Handles where another instance knows a flow to be open.
 
@@ -193,18 +229,20 @@
             token: Token of the upstream.
             now_ms: Current time.
             age_ms: Time since an instance saw the flow there.
+            is_contested: Whether another upstream may have answered its opening packet.
         """
-        packets = self._held.pop(key)
+        released = self._held.pop(key)
         flow = self._flows.find(key)
-        if packets:
+        if released.packets:
             upstream = self._state.find_upstream_by_token(token)
-            self._adopt_held(packets, upstream, AdoptionBasis.TOLD, now_ms)
+            self._adopt_held(released, upstream, AdoptionBasis.TOLD, now_ms)
         elif flow is None or not flow.is_established:
             if flow is not None and flow.matches_sequence(sequence):
                 self._end_handshake_elsewhere(flow, now_ms)
-            self._remembered.record(RememberedFlow(key, sequence, token, now_ms - age_ms))
+            seen_at_ms = now_ms - age_ms
+            self._remembered.record(RememberedFlow(key, sequence, token, seen_at_ms, is_contested))
 
-    def record_flow_unknown(self, key: FlowKey, host: str, now_ms: int) -> None:
+    def record_flow_unknown(self, key: FlowKey, host: str, now_ms: int, uptime_ms: int = 0) -> None:
         """Handles that another instance does not know where a flow is open.
 
         Its packets are released once no instance knows it.
@@ -213,25 +251,37 @@
             key: Key of the flow.
             host: Address of the other instance.
             now_ms: Current time.
+            uptime_ms: Time for which that one has kept flows, in ms.
         """
-        if self._held.record_unknown(key, host):
+        if self._held.record_unknown(key, host, uptime_ms):
             self._adopt_held(self._held.pop(key), None, AdoptionBasis.KNOWN_TO_NONE, now_ms)
 
     def list_handed_over(self, now_ms: int) -> list[HandedOverFlow]:
         """Returns the flows that tokens do not tell, those of this instance first, newest first."""
-        contested = self._flows.list_contested()
+        misplaced = self._flows.list_misplaced(now_ms)
         open_here = [
             HandedOverFlow(
-                flow.key, flow.next_sequence, flow.upstream, now_ms - flow.last_packet_at_ms, True
+                flow.key,
+                flow.next_sequence,
+                flow.upstream,
+                now_ms - flow.last_packet_at_ms,
+                is_open_here=True,
+                is_contested=flow.is_contested,
             )
-            for flow in contested
+            for flow in misplaced
         ]
         kept = [
             HandedOverFlow(
-                flow.key, flow.sequence, upstream, max(0, now_ms - flow.recorded_at_ms), False
+                flow.key,
+                flow.sequence,
+                upstream,
+                max(0, now_ms - flow.recorded_at_ms),
+                is_open_here=False,
+                is_contested=flow.is_contested,
             )
             for flow in self._remembered
-            if self._flows.find(flow.key) is None
+            if flow.is_passed_on(now_ms)
+            and self._flows.find(flow.key) is None
             and (upstream := self._state.find_upstream_by_token(flow.token)) is not None
         ]
         return [
@@ -241,15 +291,18 @@
 
     def handle_unknown(self, packet: CallerPacket, now_ms: int) -> None:
         """Handles a packet of a flow that this instance has no entry for, or whose packets wait."""
-        upstream = self._state.find_upstream_by_token(packet.token)
+        upstream = find_upstream(self._state, packet.token)
         if upstream is None:
             self._drop(packet, RejectionReason.UNKNOWN_TOKEN, now_ms)
             return
-        if packet.key not in self._held and not self._ask_peers(packet, now_ms):
-            known = self.find_open_flow(packet.key, packet.sequence)
-            self._adopt_flow(packet, known or upstream, _find_basis(packet, known), now_ms)
-        else:
+        if packet.key in self._held or self._ask_peers(packet, now_ms):
             self._hold(packet, now_ms)
+            return
+        known = self.find_open_flow(packet.key, packet.sequence)
+        if known is None and not self._is_credible(packet, {}, now_ms):
+            self._drop(packet, RejectionReason.UNKNOWN_FLOW, now_ms)
+            return
+        self._adopt_flow(packet, known or upstream, _find_basis(packet, known), now_ms)
 
     def handle_doubtful(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
         """Handles a packet of a flow whose handshake may have ended through another instance."""
@@ -285,7 +338,8 @@
         awaited = self._peers.announce(packet, needs_answers=True)
         if awaited:
             self._counts["held"] += 1
-            self._held.start(packet.key, awaited, now_ms)
+            hold_ms = HOLD_MS if is_recent_attempt(packet.token, now_ms) else HOLD_UNPROVEN_MS
+            self._held.start(packet.key, awaited, now_ms, hold_ms)
         return bool(awaited)
 
     def _announce_known(self, packet: CallerPacket, known: KnownUpstream, now_ms: int) -> None:
@@ -293,29 +347,32 @@
         kept = self._remembered.find(packet.key, packet.sequence)
         if kept is None or now_ms - kept.recorded_at_ms >= HANDSHAKE_TIMEOUT_MS:
             return
-        token = encode_flow_token(known, decode_stage(packet.token))
+        token = replace_upstream(packet.token, known)
         self._peers.announce(msgspec.structs.replace(packet, token=token), needs_answers=False)
 
     def _adopt_held(
         self,
-        packets: list[CallerPacket],
+        released: ReleasedPackets,
         told: KnownUpstream | None,
         basis: AdoptionBasis,
         now_ms: int,
     ) -> None:
-        """Takes over a flow whose packets were held.
+        """Takes over a flow whose packets were held, or drops them if nobody told where it is open.
 
         Args:
-            packets: The packets, in the order of their arrival.
+            released: The packets.
             told: Upstream that another instance told; None if none did.
             basis: Why they are released.
             now_ms: Current time.
         """
-        assumed = self._state.find_upstream_by_token(packets[0].token)
+        packets = released.packets
+        assumed = find_upstream(self._state, packets[0].token)
         upstream = told or assumed
         if upstream is None:
-            for packet in packets:
-                self._drop(packet, RejectionReason.UNKNOWN_TOKEN, now_ms)
+            self._drop_all(packets, RejectionReason.UNKNOWN_TOKEN, now_ms)
+            return
+        if told is None and not self._is_credible(packets[0], released.uptime_by_host, now_ms):
+            self._drop_all(packets, RejectionReason.UNKNOWN_FLOW, now_ms)
             return
         if upstream is not assumed:
             self._counts["corrected"] += 1
@@ -331,6 +388,30 @@
         for packet in packets:
             self._handle(packet, now_ms)
 
+    def _is_credible(
+        self, packet: CallerPacket, uptime_by_host: dict[str, int], now_ms: int
+    ) -> bool:
+        """Whether a token is followed although no other instance tells where its flow is open.
+
+        Args:
+            packet: Packet of the flow.
+            uptime_by_host: Times in ms for which the instances that do not know the flow have kept
+                flows.
+            now_ms: Current time.
+        """
+        token = packet.token
+        if not is_attempt_token(token) or is_recent_attempt(token, now_ms):
+            return True
+        age_ms = compute_attempt_age_ms(token, now_ms)
+        ignorant = frozenset(
+            host for host, uptime_ms in uptime_by_host.items() if uptime_ms >= age_ms
+        )
+        return self._peers.is_uncontested(packet.key, ignorant, age_ms)
+
+    def _drop_all(self, packets: list[CallerPacket], reason: RejectionReason, now_ms: int) -> None:
+        for packet in packets:
+            self._drop(packet, reason, now_ms)
+
     def _adopt_flow(
         self, packet: CallerPacket, upstream: KnownUpstream, basis: AdoptionBasis, now_ms: int
     ) -> None:
@@ -343,7 +424,7 @@
         flow = Flow(packet.key, route, upstream, now_ms)
         flow.acknowledged = packet.acknowledged
         flow.next_sequence = packet.sequence
-        is_corrected = upstream.token != packet.token & TOKEN_MAX
+        is_corrected = not names_upstream(packet.token, upstream)
         is_repeated = decode_stage(packet.token) is TokenStage.REPEATED_ATTEMPT
         # The announcement that ends the retries of another instance may be lost.
         flow.is_contested = is_corrected or is_repeated or _is_end_of_handshake(packet)
--- a/src/catkinspread/forwarding/flows.py
+++ b/src/catkinspread/forwarding/flows.py
@@ -7,7 +7,12 @@
 import heapq
 
 from catkinspread.deployment import KnownUpstream, Route
-from catkinspread.forwarding.flow_tokens import TokenStage
+from catkinspread.forwarding.flow_tokens import (
+    TokenStage,
+    is_attempt_token,
+    is_recent_attempt,
+    names_upstream,
+)
 from catkinspread.forwarding.packets import CallerPacket, FlowKey
 from catkinspread.forwarding.sequence_numbers import advance_sequence, compute_sequence_distance
 
@@ -86,6 +91,9 @@
             packet, so that the caller may return the token of that one.
         is_opened_by_copy: Whether the first packet that arrived here was a retransmission of the
             opening packet, so that another instance may have sent the first one to an upstream.
+        is_handed_over: Whether others were told it during a planned stop.
+        is_answered: Whether the caller has acknowledged data of the upstream through this instance.
+        last_token: Token field of the last packet of the caller.
         retransmissions: Number of data packets that did not advance the sequence.
         next_sequence: Sequence number after the last byte received from the caller.
         next_check_at_ms: When the table checks the flow for expiry; set by the table.
@@ -95,14 +103,17 @@
         "acknowledged",
         "attempts",
         "created_at_ms",
+        "is_answered",
         "is_closed",
         "is_contested",
         "is_established",
+        "is_handed_over",
         "is_opened_by_copy",
         "is_reset",
         "key",
         "last_attempt_at_ms",
         "last_packet_at_ms",
+        "last_token",
         "next_check_at_ms",
         "next_sequence",
         "occupied_at_request",
@@ -127,13 +138,16 @@
         self.last_attempt_at_ms = now_ms
         self.created_at_ms = now_ms
         self.is_established = False
+        self.is_answered = False
         self.is_closed = False
         self.is_contested = False
+        self.is_handed_over = False
         self.is_reset = False
         self.is_opened_by_copy = False
         self.last_packet_at_ms = now_ms
         self.pending_since_ms: int | None = None
         self.acknowledged = 0
+        self.last_token = 0
         self.request_id = ""
         self.occupied_at_request: int | None = None
         self.retransmissions = 0
@@ -152,8 +166,23 @@
         return _FIRST_ATTEMPT if is_first else _REPEATED_ATTEMPT
 
     def find_attempt(self, token: int) -> Attempt | None:
-        """Returns the attempt at the upstream with a token; None if there was none."""
-        return next((found for found in self.attempts if found.upstream.token == token), None)
+        """Returns the attempt at the upstream that a token field names; None if there was none."""
+        for attempt in self.attempts:
+            if names_upstream(token, attempt.upstream):
+                return attempt
+        return None
+
+    def may_be_misplaced(self, now_ms: int) -> bool:
+        """Whether an instance without an entry cannot find the upstream by the caller's token.
+
+        Either another upstream may have answered the opening packet, or the caller returns the token
+        of an attempt although its handshake has ended.
+        """
+        if self.is_contested:
+            return True
+        if not is_attempt_token(self.last_token):
+            return False
+        return self.is_answered or not is_recent_attempt(self.last_token, now_ms)
 
     def record_timeout(self, now_ms: int) -> None:
         """Notes that the last attempt was not answered in time."""
@@ -309,12 +338,12 @@
         """Returns the flows that are open on an upstream."""
         return list(self._open_by_upstream.get(upstream.record.name, ()))
 
-    def list_contested(self) -> list[Flow]:
-        """Returns the open flows whose callers may return the token of another upstream."""
+    def list_misplaced(self, now_ms: int) -> list[Flow]:
+        """Returns the open flows that others cannot find by their tokens."""
         return [
             flow
             for flow in self._flows.values()
-            if flow.is_contested and flow.is_established and not flow.is_closed
+            if flow.is_established and not flow.is_closed and flow.may_be_misplaced(now_ms)
         ]
 
     def has_open_flows(self, upstream: KnownUpstream) -> bool:
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -11,7 +11,7 @@
 import collections
 from collections.abc import Callable
 
-from catkinspread.deployment import TOKEN_MAX, DeploymentState, KnownUpstream, Route
+from catkinspread.deployment import DeploymentState, KnownUpstream, Route
 from catkinspread.forwarding.admission_policy import (
     AdmissionInputs,
     AdmissionPolicy,
@@ -21,7 +21,13 @@
 from catkinspread.forwarding.decision_log import DecisionLog
 from catkinspread.forwarding.flow_adoption import FlowAdoption
 from catkinspread.forwarding.flow_resets import FlowResetter, UpstreamCheck
-from catkinspread.forwarding.flow_tokens import TokenStage, encode_flow_token
+from catkinspread.forwarding.flow_tokens import (
+    TokenStage,
+    encode_flow_token,
+    find_upstream,
+    is_attempt_token,
+    names_upstream,
+)
 from catkinspread.forwarding.flows import Attempt, Flow, FlowTable
 from catkinspread.forwarding.handshake_timeouts import HandshakeTimeouts
 from catkinspread.forwarding.handshakes import HandshakeEstimator
@@ -31,12 +37,14 @@
 from catkinspread.forwarding.packets import (
     CallerPacket,
     FlowPeers,
+    HandedOverFlow,
     NoFlowPeers,
     PacketOutput,
     RejectionReason,
 )
 from catkinspread.forwarding.placement import Placement
 from catkinspread.forwarding.reachability import ReachabilityTracker
+from catkinspread.forwarding.remembered_flows import IDLE_TIMEOUT_DEFAULT_MS
 from catkinspread.forwarding.retry_budget import RetryBudget
 from catkinspread.forwarding.sequence_numbers import advance_sequence, is_sequence_after
 from catkinspread.forwarding.waiting import WaitTracker
@@ -51,7 +59,6 @@
 # Time after a pause of the process in which the changes since then are read, also if a connection
 # to the source or to a feeder ended meanwhile.
 REFUSAL_DELAY_AFTER_PAUSE_MS = 1_000
-IDLE_TIMEOUT_DEFAULT_MS = 15_000
 # Read for each packet. Reading a member from its enumeration takes 0.17 us on Python 3.11, more
 # than a call.
 _ADMITTED = AdmissionVerdict.ADMITTED
@@ -362,8 +369,9 @@
         if now_ms - flow.last_attempt_at_ms < usual_ms:
             # The answer may be under way to the caller; a second one of this upstream does no harm.
             self.counts["copy_forwarded"] += 1
-            stage = flow.last_attempt_stage
-            self._output.forward(packet, flow.upstream, encode_flow_token(flow.upstream, stage))
+            stage, sent_at_ms = flow.last_attempt_stage, flow.last_attempt_at_ms
+            token = encode_flow_token(flow.upstream, stage, sent_at_ms)
+            self._output.forward(packet, flow.upstream, token)
             return
         flow.record_timeout(now_ms)
         self._loads.get(flow.upstream.record.name).record_timeout(now_ms)
@@ -405,7 +413,7 @@
         flow.opening_packet = packet
         flow.last_attempt_at_ms = now_ms
         flow.last_packet_at_ms = now_ms
-        token = encode_flow_token(upstream, flow.last_attempt_stage)
+        token = encode_flow_token(upstream, flow.last_attempt_stage, now_ms)
         self._output.forward(packet, upstream, token)
         self._timeouts.schedule(flow, upstream, now_ms)
 
@@ -419,19 +427,40 @@
                 return
             self._establish(packet, flow, now_ms)
         flow.last_packet_at_ms = now_ms
+        flow.last_token = packet.token
         if is_sequence_after(packet.acknowledged, flow.acknowledged):
             self._process_acknowledgement(packet, flow, now_ms)
+        if is_attempt_token(packet.token):
+            self._check_attempt_token(packet, flow)
         if packet.payload_size_bytes and self._process_data(packet, flow, now_ms):
             self.counts["reset"] += 1
             return
         if packet.is_close or packet.is_reset:
             self._close_flow(packet, flow, now_ms)
-        token = encode_flow_token(flow.upstream, _OPEN)
+        token = encode_flow_token(flow.upstream, _OPEN, now_ms)
         self._output.forward(packet, flow.upstream, token)
 
+    def _check_attempt_token(self, packet: CallerPacket, flow: Flow) -> None:
+        """Tells others an open flow that they could not find by the token that its caller returns.
+
+        Either its caller has received the answer of another upstream, or this instance leaves and has
+        handed over its flows before this one was answered.
+        """
+        if flow.is_contested or flow.is_handed_over:
+            return
+        if not names_upstream(packet.token, flow.upstream):
+            flow.is_contested = True
+            self._peers.remember(flow.key, packet.sequence, flow.upstream, age_ms=0)
+        elif self._is_leaving and flow.is_answered:
+            flow.is_handed_over = True
+            handed_over = HandedOverFlow(
+                flow.key, packet.sequence, flow.upstream, 0, is_open_here=True, is_contested=False
+            )
+            self._peers.hand_over([handed_over])
+
     def _establish(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
         """Assigns a flow to the upstream whose answer the caller received first."""
-        attempt = flow.find_attempt(packet.token & TOKEN_MAX)
+        attempt = flow.find_attempt(packet.token)
         if attempt is None or flow.is_opened_by_copy:
             # Another instance has the opening packet too, and would send it to more upstreams.
             self._peers.announce(packet, needs_answers=False)
@@ -440,7 +469,7 @@
             upstream = attempt.upstream
             self._record_handshake(flow, attempt, now_ms)
         else:
-            upstream = self._state.find_upstream_by_token(packet.token) or flow.upstream
+            upstream = find_upstream(self._state, packet.token) or flow.upstream
         if flow.is_contested or len(flow.attempts) > 1:
             flow.is_contested = True
             self._peers.remember(flow.key, packet.sequence, upstream, age_ms=0)
@@ -470,6 +499,7 @@
         if flow.pending_since_ms is not None:
             self._record_answer(flow, now_ms)
         flow.acknowledged = packet.acknowledged
+        flow.is_answered = True
 
     def _process_data(self, packet: CallerPacket, flow: Flow, now_ms: int) -> bool:
         """Handles the data of a packet and returns whether it led to a reset of the flow."""
--- a/src/catkinspread/forwarding/packets.py
+++ b/src/catkinspread/forwarding/packets.py
@@ -93,6 +93,9 @@
     EARLIER_FLOW = "earlier_flow"
     # Dropped: the flow is unknown and no upstream has the token of the packet.
     UNKNOWN_TOKEN = "unknown_token"
+    # Dropped: no instance that answered knows where the flow is open, and its token is that of an
+    # attempt whose handshake has ended long ago.
+    UNKNOWN_FLOW = "unknown_flow"
     # Dropped: too many packets of unknown flows wait for the answers of other instances.
     TOO_MANY_HELD = "too_many_held"
 
@@ -116,6 +119,8 @@
         age_ms: Time since an instance saw the flow there.
         is_open_here: Whether its packets reach this instance, which does not only keep it for
             another one.
+        is_contested: Whether another upstream may have answered its opening packet. Of other flows,
+            only callers that return an old token cannot be found.
     """
 
     key: FlowKey
@@ -123,6 +128,7 @@
     upstream: KnownUpstream
     age_ms: int
     is_open_here: bool
+    is_contested: bool = True
 
 
 class FlowPeers(Protocol):
@@ -140,6 +146,16 @@
             not allow the announcement.
         """
 
+    def is_uncontested(self, key: FlowKey, ignorant: frozenset[str], age_ms: int) -> bool:
+        """Whether a flow cannot be contested, because one that would know of it does not.
+
+        Args:
+            key: Key of the flow.
+            ignorant: Addresses of the instances that do not know the flow although they have kept
+                flows for `age_ms`.
+            age_ms: Longest time in ms since the flow was opened.
+        """
+
     def remember(self, key: FlowKey, sequence: int, upstream: KnownUpstream, age_ms: int) -> None:
         """Tells some other instances where a flow is open, so that they can answer for this one.
 
@@ -151,7 +167,10 @@
         """
 
     def hand_over(self, flows: list[HandedOverFlow]) -> None:
-        """Tells other instances flows before a planned stop, the first ones first."""
+        """Tells other instances flows before a planned stop, the first ones first.
+
+        Later calls add flows.
+        """
 
 
 class NoFlowPeers:
@@ -163,6 +182,10 @@
         """Returns no address."""
         return frozenset()
 
+    def is_uncontested(self, key: FlowKey, ignorant: frozenset[str], age_ms: int) -> bool:
+        """Returns false: there is no instance that would know."""
+        return False
+
     def remember(self, key: FlowKey, sequence: int, upstream: KnownUpstream, age_ms: int) -> None:
         """Does nothing."""
 
--- a/src/catkinspread/forwarding/remembered_flows.py
+++ b/src/catkinspread/forwarding/remembered_flows.py
@@ -15,6 +15,8 @@
 REMEMBERED_MAX = 8_192
 # The longest life of a flow.
 REMEMBERED_MS = 60_000
+# Time without packets after which a flow is discarded where the configuration does not tell.
+IDLE_TIMEOUT_DEFAULT_MS = 15_000
 
 
 class RememberedFlow(msgspec.Struct, frozen=True):
@@ -25,12 +27,22 @@
         sequence: Sequence number of a packet of it.
         token: Token of its upstream.
         recorded_at_ms: When an instance saw it there.
+        is_contested: Whether another upstream may have answered its opening packet.
     """
 
     key: FlowKey
     sequence: int
     token: int
     recorded_at_ms: int
+    is_contested: bool = True
+
+    def is_passed_on(self, now_ms: int) -> bool:
+        """Whether another instance is told it before this one stops.
+
+        An instance that a flow has come back to tells it itself, so one that is not contested is
+        passed on only while it may still be idle.
+        """
+        return self.is_contested or now_ms - self.recorded_at_ms < IDLE_TIMEOUT_DEFAULT_MS
 
 
 class RememberedFlows:
--- a/src/catkinspread/forwarding/tests/builders.py
+++ b/src/catkinspread/forwarding/tests/builders.py
@@ -28,6 +28,8 @@
     LocalAvailability,
     PacketOutput,
     Placement,
+    TokenStage,
+    encode_flow_token,
 )
 
 # Service address of the route, and one without a route.
@@ -172,6 +174,11 @@
             known.token for known in self.state.list_upstreams() if known.record.name == name
         )
 
+    def encode_token(self, name: str, stage: TokenStage = TokenStage.FIRST_ATTEMPT) -> int:
+        """Returns the token field of packets of a caller whose opening packet is sent now."""
+        known = next(found for found in self.state.list_upstreams() if found.record.name == name)
+        return encode_flow_token(known, stage, self.now_ms)
+
     def list_targets(self) -> list[str]:
         """Returns the names of the upstreams that packets were sent to, in order."""
         return [name for _, name in self.output.forwarded]
--- a/src/catkinspread/forwarding/tests/test_admission_of_flows.py
+++ b/src/catkinspread/forwarding/tests/test_admission_of_flows.py
@@ -58,7 +58,7 @@
     """Opens a flow and returns the name of its upstream."""
     harness.send(build_opening_packet(caller_port))
     name = harness.list_targets()[-1]
-    harness.send(build_packet(caller_port, token=harness.find_token(name)))
+    harness.send(build_packet(caller_port, token=harness.encode_token(name)))
     return name
 
 
@@ -174,7 +174,7 @@
     """Guards against a reset for a flow of the table whose handshake another instance ended."""
     packet = build_opening_packet()
     harness.send(packet)
-    token = harness.find_token(harness.list_targets()[0])
+    token = harness.encode_token(harness.list_targets()[0])
     harness.adoption.record_opened_elsewhere(
         packet.key, SEQUENCE + 1, 1, token, harness.now_ms, is_certain=False
     )
@@ -188,7 +188,7 @@
 ) -> None:
     """Guards against a caller that gets past admission control by using one port again."""
     name = open_flow(harness)
-    harness.send(build_packet(token=harness.find_token(name), is_close=True))
+    harness.send(build_packet(token=harness.encode_token(name), is_close=True))
     admission.verdict = AdmissionVerdict.NO_ROOM
     packet = build_packet(is_opening=True, sequence=SEQUENCE + 5_000_000, acknowledged=0)
     harness.send(packet)
@@ -231,7 +231,7 @@
     harness: ForwarderHarness, admission: ScriptedAdmission
 ) -> None:
     """Guards against counting one request as demand of two instances that could refuse it."""
-    token = harness.find_token("a")
+    token = harness.encode_token("a")
     harness.send(build_packet(token=token, payload_size_bytes=10))
     assert admission.requests == [("r1", False, harness.now_ms)]
     assert admission.decisions == []
@@ -259,7 +259,7 @@
         harness.send(build_opening_packet(caller_port))
         name = harness.list_targets()[-1]
         harness.clock.advance(30)
-        harness.send(build_packet(caller_port, token=harness.find_token(name)))
+        harness.send(build_packet(caller_port, token=harness.encode_token(name)))
     send_request(harness, SEQUENCE + 1, caller_port=caller_port)
     harness.clock.advance(50)
     harness.send(build_packet(caller_port, sequence=SEQUENCE + 11, acknowledged=500))
--- a/src/catkinspread/forwarding/tests/test_adopted_flows.py
+++ b/src/catkinspread/forwarding/tests/test_adopted_flows.py
@@ -4,9 +4,9 @@
 
 from catkinspread.deployment import KnownUpstream
 from catkinspread.forwarding import CallerPacket, FlowKey, HandedOverFlow, TokenStage
-from catkinspread.forwarding.flow_tokens import decode_stage, encode_flow_token
+from catkinspread.forwarding.flow_tokens import decode_stage
 from catkinspread.forwarding.flows import SEQUENCE_TOLERANCE_BYTES
-from catkinspread.forwarding.held_packets import HELD_PACKETS_MAX, HOLD_MS
+from catkinspread.forwarding.held_packets import HELD_PACKETS_MAX, HOLD_MS, HOLD_UNPROVEN_MS
 from catkinspread.forwarding.tests.builders import (
     SEQUENCE,
     ForwarderHarness,
@@ -34,6 +34,9 @@
         self.announced.append(packet)
         return frozenset(HOSTS)
 
+    def is_uncontested(self, key: FlowKey, ignorant: frozenset[str], age_ms: int) -> bool:
+        return ignorant.issuperset(HOSTS)
+
     def remember(self, key: FlowKey, sequence: int, upstream: KnownUpstream, age_ms: int) -> None:
         self.remembered.append((key, upstream.record.name))
 
@@ -51,7 +54,7 @@
 
 
 def _encode(harness: ForwarderHarness, name: str, stage: TokenStage) -> int:
-    return encode_flow_token(_find(harness, name), stage)
+    return harness.encode_token(name, stage)
 
 
 def _build_key() -> FlowKey:
@@ -265,10 +268,10 @@
     harness.send(build_opening_packet())
     assert find(_build_key(), SEQUENCE + 1) is None
     first = harness.list_targets()[0]
-    harness.send(build_packet(token=harness.find_token(first)))
+    harness.send(build_packet(token=harness.encode_token(first)))
     assert find(_build_key(), SEQUENCE + 1) is _find(harness, first)
     assert find(_build_key(), SEQUENCE + 2 + SEQUENCE_TOLERANCE_BYTES) is None
-    harness.send(build_packet(token=harness.find_token(first), is_close=True))
+    harness.send(build_packet(token=harness.encode_token(first), is_close=True))
     assert find(_build_key(), SEQUENCE + 1) is None
 
 
@@ -456,3 +459,134 @@
     assert bases == expected
     counts = harness.forwarder.counts + alone.forwarder.counts
     assert {name: counts[f"adopted_{name}"] for name in expected} == dict.fromkeys(expected, 1)
+
+
+def test_old_token_of_a_flow_that_nobody_knows_is_not_followed() -> None:
+    """Guards against open flows that an upstream resets after all that knew them were killed.
+
+    The first upstream had answered after another one had opened the flow. Its token, which the caller
+    returns since then, is older than any handshake. The flow continues once an instance tells it.
+    """
+    for stage in (TokenStage.FIRST_ATTEMPT, TokenStage.REPEATED_ATTEMPT):
+        harness, peers = _build_harness()
+        token = harness.encode_token("b", stage)
+        harness.clock.advance(5_000)
+        packet = build_packet(token=token, payload_size_bytes=10)
+        harness.send(packet)
+        for host in HOSTS:
+            harness.adoption.record_flow_unknown(_build_key(), host, harness.now_ms, 1_000)
+        assert harness.list_targets() == []
+        harness.send(packet)
+        harness.wait(HOLD_UNPROVEN_MS)
+        assert harness.list_targets() == []
+        assert harness.forwarder.counts["dropped_unknown_flow"] == 2
+        harness.send(packet)
+        harness.adoption.record_flow_upstream(
+            _build_key(), SEQUENCE + 1, harness.find_token("a"), harness.now_ms
+        )
+        assert harness.list_targets() == ["a"]
+        assert len(peers.announced) == 3
+
+
+def test_old_token_is_followed_if_those_that_would_know_better_do_not() -> None:
+    """Guards against silence for callers that return the token of the answer that opened the flow."""
+    harness, _ = _build_harness()
+    token = harness.encode_token("b")
+    harness.clock.advance(5_000)
+    harness.send(build_packet(token=token, payload_size_bytes=10))
+    for host in HOSTS:
+        harness.adoption.record_flow_unknown(_build_key(), host, harness.now_ms, 6_000)
+    assert harness.list_targets() == ["b"]
+
+
+def test_instance_without_others_does_not_follow_an_old_token() -> None:
+    """Guards against resets by an instance that has just started and knows no other one."""
+    harness = ForwarderHarness(*UPSTREAMS)
+    token = harness.encode_token("b")
+    harness.clock.advance(5_000)
+    harness.send(build_packet(token=token, payload_size_bytes=10))
+    assert harness.list_targets() == []
+
+
+def test_only_attempt_of_an_opening_packet_is_told() -> None:
+    """Guards against a handshake that ends at another instance whose clock is wrong.
+
+    That one takes the token for old and needs the answer of the instance that opened the flow.
+    """
+    harness, _ = _build_harness()
+    find = harness.adoption.find_only_attempt
+    harness.send(build_opening_packet())
+    assert find(_build_key(), SEQUENCE + 1) is _find(harness, harness.list_targets()[0])
+    harness.wait(150)
+    assert len(harness.list_targets()) == 2
+    assert find(_build_key(), SEQUENCE + 1) is None
+    harness.send(build_opening_packet(5, copy=1))
+    assert find(build_packet(5).key, SEQUENCE + 1) is None
+
+
+def test_flow_whose_caller_returns_another_token_is_told_to_others() -> None:
+    """Guards against a flow that is known only here although its token leads to another upstream."""
+    harness, peers = _build_harness()
+    harness.send(build_opening_packet())
+    (first,) = harness.list_targets()
+    other = "b" if first == "a" else "a"
+    harness.send(build_packet(token=harness.output.tokens[0]))
+    harness.send(build_packet(token=harness.encode_token(other), payload_size_bytes=10))
+    assert peers.remembered == [(_build_key(), first)]
+    assert harness.list_targets() == [first, first, first]
+
+
+def test_answered_flow_with_the_token_of_its_attempt_is_handed_over() -> None:
+    """Guards against silence after a planned stop for callers that never change their token."""
+    harness, peers = _build_harness()
+    harness.send(build_opening_packet())
+    token = harness.output.tokens[0]
+    harness.send(build_packet(token=token, payload_size_bytes=10))
+    harness.send(build_packet(token=token, sequence=SEQUENCE + 11, acknowledged=101))
+    harness.forwarder.begin_leaving(harness.now_ms)
+    (handed_over,) = peers.handed_over
+    assert (handed_over.is_open_here, handed_over.is_contested) == (True, False)
+
+
+def test_flow_that_is_answered_during_a_stop_is_handed_over_later() -> None:
+    """Guards against a flow of such a caller that opens after the others were told."""
+    harness, peers = _build_harness()
+    harness.forwarder.begin_leaving(harness.now_ms)
+    harness.send(build_opening_packet())
+    token = harness.output.tokens[0]
+    harness.send(build_packet(token=token, payload_size_bytes=10))
+    assert peers.handed_over == []
+    for acknowledged in (101, 201):
+        harness.send(build_packet(token=token, sequence=SEQUENCE + 11, acknowledged=acknowledged))
+        assert len(peers.handed_over) == 1
+
+
+def test_kept_flow_that_is_not_contested_is_passed_on_while_it_may_be_idle() -> None:
+    """Guards against messages of a stop that grow with flows which have long come back."""
+    harness, peers = _build_harness()
+    for port, age_ms in ((1, 0), (2, 20_000)):
+        harness.adoption.record_flow_upstream(
+            build_packet(port).key,
+            SEQUENCE,
+            harness.find_token("a"),
+            harness.now_ms,
+            age_ms,
+            is_contested=False,
+        )
+    harness.forwarder.begin_leaving(harness.now_ms)
+    assert [flow.key.caller_port for flow in peers.handed_over] == [1]
+
+
+def test_wait_of_a_flow_does_not_end_with_that_of_its_earlier_packets() -> None:
+    """Guards against a second wait that is cut short by the end of the first one."""
+    harness, _ = _build_harness()
+    token = harness.encode_token("b")
+    harness.clock.advance(5_000)
+    packet = build_packet(token=token, payload_size_bytes=10)
+    harness.send(packet)
+    harness.wait(HOLD_UNPROVEN_MS - 20)
+    for host in HOSTS:
+        harness.adoption.record_flow_unknown(_build_key(), host, harness.now_ms)
+    harness.send(packet)
+    harness.wait(20)
+    assert harness.adoption.is_holding(_build_key())
--- a/src/catkinspread/forwarding/tests/test_flow_resets.py
+++ b/src/catkinspread/forwarding/tests/test_flow_resets.py
@@ -40,7 +40,7 @@
         self, upstream: str, port: int = CALLER_PORT, acknowledged: int = OPENED, size: int = 0
     ) -> None:
         """Sends a packet on a flow of an upstream; with data, the first request of the flow."""
-        token = self.find_token(upstream)
+        token = self.encode_token(upstream)
         self.send(
             build_packet(port, acknowledged=acknowledged, token=token, payload_size_bytes=size)
         )
@@ -371,7 +371,7 @@
     harness.send(build_opening_packet(1))
     harness.wait(1_000)
     harness.send(build_opening_packet(1, copy=1))
-    harness.send(build_packet(2, token=harness.find_token("a"), payload_size_bytes=REQUEST_BYTES))
-    harness.send(build_packet(1, token=harness.find_token("a")))
-    harness.send(build_packet(1, acknowledged=ANSWERED, token=harness.find_token("a")))
+    harness.send(build_packet(2, token=harness.encode_token("a"), payload_size_bytes=REQUEST_BYTES))
+    harness.send(build_packet(1, token=harness.encode_token("a")))
+    harness.send(build_packet(1, acknowledged=ANSWERED, token=harness.encode_token("a")))
     assert harness.loads.list_in_flight() == {"a": 1}
--- a/src/catkinspread/forwarding/tests/test_forwarder.py
+++ b/src/catkinspread/forwarding/tests/test_forwarder.py
@@ -20,9 +20,11 @@
     harness = ForwarderHarness(build_upstream("a"), build_upstream("b"))
     harness.send(build_opening_packet())
     first = harness.list_targets()[0]
-    harness.send(build_packet(token=harness.find_token(first), payload_size_bytes=10))
+    harness.send(build_packet(token=harness.encode_token(first), payload_size_bytes=10))
     harness.send(
-        build_packet(token=harness.find_token(first), sequence=SEQUENCE + 11, payload_size_bytes=10)
+        build_packet(
+            token=harness.encode_token(first), sequence=SEQUENCE + 11, payload_size_bytes=10
+        )
     )
     assert harness.list_targets() == [first] * 3
 
@@ -30,7 +32,7 @@
 def test_another_instance_adopts_a_flow_by_its_token() -> None:
     """Guards against flows that break when the routers send them to another instance."""
     harness = ForwarderHarness(build_upstream("a"), build_upstream("b"))
-    harness.send(build_packet(token=harness.find_token("b"), payload_size_bytes=10))
+    harness.send(build_packet(token=harness.encode_token("b"), payload_size_bytes=10))
     assert harness.list_targets() == ["b"]
 
 
@@ -40,8 +42,8 @@
     harness.send(build_opening_packet())
     first = harness.list_targets()[0]
     other = "b" if first == "a" else "a"
-    harness.send(build_packet(token=harness.find_token(first)))
-    harness.send(build_packet(token=harness.find_token(other), payload_size_bytes=10))
+    harness.send(build_packet(token=harness.encode_token(first)))
+    harness.send(build_packet(token=harness.encode_token(other), payload_size_bytes=10))
     assert harness.list_targets()[-1] == first
 
 
@@ -50,9 +52,9 @@
     harness = ForwarderHarness(build_upstream("a"), build_upstream("b"))
     harness.send(build_opening_packet(1))
     first = harness.list_targets()[0]
-    harness.send(build_packet(1, token=harness.find_token(first), payload_size_bytes=10))
+    harness.send(build_packet(1, token=harness.encode_token(first), payload_size_bytes=10))
     harness.send(build_opening_packet(1, copy=1))
-    harness.send(build_packet(2, token=harness.find_token("a"), payload_size_bytes=10))
+    harness.send(build_packet(2, token=harness.encode_token("a"), payload_size_bytes=10))
     harness.send(build_opening_packet(2, copy=1))
     assert harness.list_targets() == [first, first, "a"]
     assert harness.forwarder.counts["late_copy"] == 2
@@ -75,7 +77,7 @@
     """Guards against treating a new flow as a retransmission of an earlier one."""
     harness = ForwarderHarness(build_upstream("a"))
     harness.send(build_opening_packet())
-    harness.send(build_packet(token=harness.find_token("a"), is_close=True))
+    harness.send(build_packet(token=harness.encode_token("a"), is_close=True))
     harness.wait(1_000)
     harness.send(build_packet(is_opening=True, sequence=SEQUENCE + 500))
     assert harness.forwarder.counts["opened"] == 2
@@ -87,13 +89,13 @@
     The earlier flow had the same port; a retransmission of it arrives during the new handshake.
     """
     harness = ForwarderHarness(build_upstream("a"), build_upstream("b"))
-    harness.send(build_packet(token=harness.find_token("a"), payload_size_bytes=10))
+    harness.send(build_packet(token=harness.encode_token("a"), payload_size_bytes=10))
     harness.wait(1_600)
     opening = SEQUENCE + 1_000_000
     harness.state.put_upstream(build_upstream("a", is_draining=True), harness.now_ms)
     harness.send(build_packet(is_opening=True, sequence=opening))
-    harness.send(build_packet(token=harness.find_token("a"), payload_size_bytes=10))
-    harness.send(build_packet(token=harness.find_token("b"), sequence=opening + 1))
+    harness.send(build_packet(token=harness.encode_token("a"), payload_size_bytes=10))
+    harness.send(build_packet(token=harness.encode_token("b"), sequence=opening + 1))
     assert harness.list_targets() == ["a", "b", "b"]
     assert harness.forwarder.counts["dropped_earlier_flow"] == 1
 
@@ -103,7 +105,7 @@
     harness = ForwarderHarness(build_upstream("a"))
     harness.send(build_opening_packet())
     sequence = SEQUENCE + 1 + 16 * 1_200
-    harness.send(build_packet(token=harness.find_token("a"), sequence=sequence))
+    harness.send(build_packet(token=harness.encode_token("a"), sequence=sequence))
     assert harness.list_targets() == ["a", "a"]
 
 
@@ -137,7 +139,7 @@
         harness.wait(10)
         for packet, name in list(harness.output.forwarded):
             if name not in "ab":
-                harness.send(build_packet(packet.key.caller_port, token=harness.find_token(name)))
+                harness.send(build_packet(packet.key.caller_port, token=harness.encode_token(name)))
         harness.output.forwarded.clear()
     assert harness.forwarder.counts["repeat_withheld"] == 0
 
@@ -148,7 +150,7 @@
     harness.send(build_opening_packet())
     first = harness.list_targets()[0]
     harness.wait(150)
-    harness.send(build_packet(token=harness.find_token(first), payload_size_bytes=10))
+    harness.send(build_packet(token=harness.encode_token(first), payload_size_bytes=10))
     assert harness.list_targets()[-1] == first
 
 
@@ -214,12 +216,14 @@
     """Guards against breaking flows of a draining upstream or placing new ones on it."""
     harness = ForwarderHarness(build_upstream("a"))
     harness.send(build_opening_packet(1))
-    harness.send(build_packet(1, token=harness.find_token("a"), payload_size_bytes=5))
+    harness.send(build_packet(1, token=harness.encode_token("a"), payload_size_bytes=5))
     harness.state.put_upstream(build_upstream("a", is_draining=True), harness.now_ms)
     harness.state.put_upstream(build_upstream("b"), harness.now_ms)
     harness.output.forwarded.clear()
     harness.send(
-        build_packet(1, token=harness.find_token("a"), sequence=SEQUENCE + 6, payload_size_bytes=5)
+        build_packet(
+            1, token=harness.encode_token("a"), sequence=SEQUENCE + 6, payload_size_bytes=5
+        )
     )
     harness.send(build_opening_packet(2))
     assert harness.list_targets() == ["a", "b"]
@@ -228,7 +232,7 @@
 def test_flow_outlives_the_record_of_its_upstream() -> None:
     """Guards against breaking flows whose upstream was removed but still serves them."""
     harness = ForwarderHarness(build_upstream("a", is_draining=True))
-    token = harness.find_token("a")
+    token = harness.encode_token("a")
     harness.state.mark_upstream_missing("a", harness.now_ms)
     harness.state.expire_upstreams(harness.now_ms + 10_000, harness.now_ms)
     harness.send(build_packet(token=token, payload_size_bytes=5))
@@ -248,10 +252,10 @@
     """Guards against moving established flows when the configuration changes."""
     harness = ForwarderHarness(build_upstream("a"), build_upstream("x", service="pages"))
     harness.send(build_opening_packet(1))
-    harness.send(build_packet(1, token=harness.find_token("a")))
+    harness.send(build_packet(1, token=harness.encode_token("a")))
     harness.state.put_configuration(build_configuration(version=2, service="pages"))
     harness.output.forwarded.clear()
-    harness.send(build_packet(1, token=harness.find_token("a"), payload_size_bytes=5))
+    harness.send(build_packet(1, token=harness.encode_token("a"), payload_size_bytes=5))
     harness.send(build_opening_packet(2))
     assert harness.list_targets() == ["a", "x"]
 
@@ -259,7 +263,7 @@
 def test_unanswered_request_stops_counting_as_load() -> None:
     """Guards against upstreams that appear loaded by requests of callers that are gone."""
     harness = ForwarderHarness(build_upstream("a"))
-    harness.send(build_packet(token=harness.find_token("a"), payload_size_bytes=5))
+    harness.send(build_packet(token=harness.encode_token("a"), payload_size_bytes=5))
     assert harness.loads.list_in_flight() == {"a": 1}
     harness.wait(2_500)
     assert harness.loads.list_in_flight() == {}
@@ -271,7 +275,7 @@
     harness.send(build_opening_packet())
     harness.wait(100)
     answered = harness.list_targets()[-1]
-    harness.send(build_packet(token=harness.find_token(answered), payload_size_bytes=5))
+    harness.send(build_packet(token=harness.encode_token(answered), payload_size_bytes=5))
     harness.wait(2_500)
     lines = [json.loads(line) for line in harness.lines.lines]
     events = {line["event"]: line for line in lines}
@@ -287,7 +291,7 @@
     harness.wait(150)
     first = harness.list_targets()[0]
     assert harness.loads.get(first).is_in_backoff(harness.now_ms)
-    harness.send(build_packet(token=harness.find_token(first)))
+    harness.send(build_packet(token=harness.encode_token(first)))
     assert not harness.loads.get(first).is_in_backoff(harness.now_ms)
 
 
@@ -303,7 +307,7 @@
     harness.send(build_opening_packet(3))
     harness.wait(100)
     assert harness.loads.get("a").is_in_backoff(harness.now_ms)
-    harness.send(build_packet(2, token=harness.find_token("a")))
+    harness.send(build_packet(2, token=harness.encode_token("a")))
     assert harness.loads.get("a").is_in_backoff(harness.now_ms)
 
 
--- a/src/catkinspread/forwarding/tests/test_placement.py
+++ b/src/catkinspread/forwarding/tests/test_placement.py
@@ -124,7 +124,7 @@
     harness.wait(500)
     harness.send(build_opening_packet(100))
     assert harness.list_targets() == ["a"]
-    harness.send(build_packet(100, token=harness.find_token("a")))
+    harness.send(build_packet(100, token=harness.encode_token("a")))
     assert _place(harness, 3, first_port=200) == {"a": 3}
 
 
@@ -140,7 +140,7 @@
 def test_in_flight_falls_when_the_caller_acknowledges_the_answer() -> None:
     """Guards against counting the time that a caller takes to read its answer as load."""
     harness = ForwarderHarness(build_upstream("a"))
-    token = harness.find_token("a")
+    token = harness.encode_token("a")
     harness.send(build_opening_packet(1))
     harness.send(build_packet(1, token=token, acknowledged=500, payload_size_bytes=5))
     assert harness.loads.list_in_flight() == {"a": 1}
@@ -198,7 +198,7 @@
         harness.send(build_opening_packet(port))
         name = harness.list_targets()[0]
         placed[name] += 1
-        token = harness.find_token(name)
+        token = harness.encode_token(name)
         harness.send(build_packet(port, token=token, payload_size_bytes=10))
         is_answered = name == "reliable" or placed["flaky"] % 2 == 0
         if not is_answered:
@@ -209,7 +209,7 @@
         harness.wait(20)
         for at_ms, repeated in [entry for entry in due if entry[0] <= harness.now_ms]:
             harness.send(
-                build_packet(repeated, token=harness.find_token("flaky"), payload_size_bytes=10)
+                build_packet(repeated, token=harness.encode_token("flaky"), payload_size_bytes=10)
             )
             due.remove((at_ms, repeated))
     assert placed["flaky"] <= 50
--- a/src/catkinspread/peers/directory.py
+++ b/src/catkinspread/peers/directory.py
@@ -47,6 +47,8 @@
 # other instance that is known, because gossip takes longer to reach more instances.
 MEMBER_TIMEOUT_MS = 20_000
 MEMBER_TIMEOUT_PER_MEMBER_MS = 250
+# Time for which lost instances of the data centre are counted: longer than a flow lives.
+LOST_LOCAL_MS = 70_000
 # Target for the exchanges of all instances of a data centre with random ones of others, per second.
 # Small data centres do not reach it, because their instances choose among all members alike.
 REMOTE_EXCHANGES_PER_S = 4.0
@@ -70,6 +72,7 @@
         "_feeder_name",
         "_instance_count",
         "_local_hosts",
+        "_lost_local_at_ms",
         "_member",
         "_member_lists",
         "_needs_remote_feeder",
@@ -89,6 +92,8 @@
         self._ranked_names: list[str] = [member.name]
         self._digest = 0
         self._local_hosts: frozenset[str] = frozenset()
+        # When instances of this data centre were removed without notice.
+        self._lost_local_at_ms: list[int] = []
         self._needs_remote_feeder = False
         # Name of the feeder that was selected last; empty if there was none.
         self._feeder_name = ""
@@ -174,6 +179,18 @@
         """Whether an address belongs to another data centre; also if it is not known."""
         return host not in self._local_hosts
 
+    @property
+    def started_ms(self) -> int:
+        """When this process started."""
+        return self._member.started_ms
+
+    def count_lost_local(self, since_ms: int) -> int:
+        """Returns how many instances of this data centre were removed without notice since a time.
+
+        Those that were removed more than LOST_LOCAL_MS ago are not counted.
+        """
+        return sum(lost_at_ms >= since_ms for lost_at_ms in self._lost_local_at_ms)
+
     def list_local_peers(self) -> list[Member]:
         """Returns the other instances of this data centre."""
         return [
@@ -208,11 +225,34 @@
             peer.member.host
             for peer in self._peers.values()
             if peer.member.data_centre == self._member.data_centre
-            and (
-                peer.leaving_since_ms is None or now_ms - peer.leaving_since_ms < LEAVING_ANSWERS_MS
-            )
+            and _answers_questions(peer, now_ms)
         )
 
+    def list_remote_names(self, now_ms: int, include_leaving: bool) -> dict[str, list[str]]:
+        """Returns the names of the instances of other data centres, by data centre.
+
+        Args:
+            now_ms: Current time.
+            include_leaving: Whether to include those that leave, while they still answer.
+        """
+        names: dict[str, list[str]] = {}
+        for name, peer in self._peers.items():
+            if peer.member.data_centre == self._member.data_centre:
+                continue
+            if peer.leaving_since_ms is None or (
+                include_leaving and _answers_questions(peer, now_ms)
+            ):
+                names.setdefault(peer.member.data_centre, []).append(name)
+        return names
+
+    def get_host(self, name: str) -> str:
+        """Returns the address of another instance.
+
+        Raises:
+            KeyError: If there is no such member.
+        """
+        return self._peers[name].member.host
+
     def choose_random_hosts(self, count: int) -> list[str]:
         """Returns the addresses of up to `count` random instances of all data centres."""
         peers = list(self._peers.values())
@@ -260,6 +300,13 @@
             peer = self._peers.pop(name)
             if peer.status is None or not peer.status.is_leaving:
                 self._instance_count.record_lost(name, now_ms)
+                if peer.member.data_centre == self._member.data_centre:
+                    self._lost_local_at_ms.append(now_ms)
+        self._lost_local_at_ms = [
+            lost_at_ms
+            for lost_at_ms in self._lost_local_at_ms
+            if now_ms - lost_at_ms < LOST_LOCAL_MS
+        ]
         self._instance_count.expire(now_ms)
         if lost:
             self._update_ranking_and_digest()
@@ -481,3 +528,9 @@
         self._ranked_names = rank_by_rendezvous(RANK_KEY, [*responsive_names, self._member.name])
         names = sorted([*self._peers, self._member.name])
         self._digest = hash_text("\n".join(names))
+
+
+def _answers_questions(peer: PeerRecord, now_ms: int) -> bool:
+    """Whether the process of an instance still runs, as far as it has told."""
+    since_ms = peer.leaving_since_ms
+    return since_ms is None or now_ms - since_ms < LEAVING_ANSWERS_MS
--- a/src/catkinspread/peers/messages.py
+++ b/src/catkinspread/peers/messages.py
@@ -196,7 +196,9 @@
         service_port: Port that the flow was opened to.
         sequence: Sequence number of a packet of the flow.
         token: Token of the upstream; 0 if the sender does not know it.
-        age_ms: Time in ms since an instance saw the flow and told its upstream.
+        age_ms: Time in ms since an instance saw the flow and told its upstream. If the sender does
+            not know the upstream, the time for which it has kept flows.
+        is_contested: Whether another upstream may have answered the opening packet of the flow.
     """
 
     caller_ip: Ip
@@ -206,6 +208,7 @@
     sequence: _Field32
     token: _Field32
     age_ms: Count
+    is_contested: bool = True
 
 
 # Messages about traffic, which are counted apart from those about membership.
--- a/src/catkinspread/platform/tests/test_whole_path.py
+++ b/src/catkinspread/platform/tests/test_whole_path.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from catkinspread.deployment import TOKEN_MAX, StateKind, compute_token
+from catkinspread.deployment import SHORT_TOKEN_MAX, StateKind, compute_token
 from catkinspread.platform.packets import FLAG_RST as RST
 from catkinspread.platform.stand_ins import StoreMode
 from catkinspread.platform.tests.corpus import ENTRIES, VALID
@@ -114,11 +114,14 @@
 
     async def scenario(deployment: Deployment) -> None:
         caller = deployment.caller
-        flows: dict[int, int] = {}  # Port of a flow by the token of its upstream.
-        while len(flows) < len(UPSTREAMS):
+        flows: dict[int, int] = {}  # Port of a flow by its token field.
+        upstreams: dict[int, int] = {}  # Token field of a flow by its upstream.
+        while len(upstreams) < len(UPSTREAMS):
             port, head = await caller.open(ADDRESS)
-            flows[head[3] & TOKEN_MAX] = port
-        dead, live = sorted(flows, key=lambda token: token != compute_token("i-0a"))
+            flows[head[3]] = port
+            upstreams[head[3] & SHORT_TOKEN_MAX] = head[3]
+        dead = upstreams.pop(compute_token("i-0a") & SHORT_TOKEN_MAX)
+        (live,) = upstreams.values()
         deployment.upstreams[0].crash()
         head: tuple[int, ...] = (0,) * 11
         with anyio.fail_after(START_TIMEOUT_S):
--- a/src/catkinspread/runtime/flow_messages.py
+++ b/src/catkinspread/runtime/flow_messages.py
@@ -23,25 +23,41 @@
     )
 
 
-def build_location(key: FlowKey, sequence: int, token: int, age_ms: int) -> FlowLocation:
+def build_location(
+    key: FlowKey, sequence: int, token: int, age_ms: int, is_contested: bool = True
+) -> FlowLocation:
     """Returns the message that tells where a flow is open; see `FlowLocation`."""
     address = key.address
     return FlowLocation(
-        key.caller_ip, key.caller_port, address.ip, address.port, sequence, token, age_ms
+        key.caller_ip,
+        key.caller_port,
+        address.ip,
+        address.port,
+        sequence,
+        token,
+        age_ms,
+        is_contested,
     )
 
 
 def apply_announcement(
-    forwarder: Forwarder, announcement: FlowAnnouncement, now_ms: int
+    forwarder: Forwarder, announcement: FlowAnnouncement, now_ms: int, uptime_ms: int
 ) -> FlowLocation | None:
     """Applies the announcement of another instance.
 
+    Args:
+        forwarder: Knows the flows of this instance.
+        announcement: The announcement.
+        now_ms: Current time.
+        uptime_ms: Time for which this process has kept flows, in ms.
+
     Returns:
         The answer if the other instance needs one; None otherwise.
     """
     key, sequence = _build_key(announcement), announcement.sequence
     upstream = forwarder.adoption.find_open_flow(key, sequence)
     if upstream is None:
+        upstream = forwarder.adoption.find_only_attempt(key, sequence)
         forwarder.adoption.record_opened_elsewhere(
             key,
             sequence,
@@ -52,8 +68,9 @@
         )
     if not announcement.needs_answer:
         return None
-    token = upstream.token if upstream else UNKNOWN_UPSTREAM
-    return build_location(key, sequence, token, age_ms=0)
+    if upstream is None:
+        return build_location(key, sequence, UNKNOWN_UPSTREAM, age_ms=uptime_ms)
+    return build_location(key, sequence, upstream.token, age_ms=0)
 
 
 def apply_location(
@@ -62,10 +79,15 @@
     """Applies where another instance knows a flow to be open, or that it does not know it."""
     key = _build_key(location)
     if location.token == UNKNOWN_UPSTREAM:
-        forwarder.adoption.record_flow_unknown(key, sender_host, now_ms)
+        forwarder.adoption.record_flow_unknown(key, sender_host, now_ms, location.age_ms)
     else:
         forwarder.adoption.record_flow_upstream(
-            key, location.sequence, location.token, now_ms, location.age_ms
+            key,
+            location.sequence,
+            location.token,
+            now_ms,
+            location.age_ms,
+            location.is_contested,
         )
 
 
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -377,7 +377,8 @@
     def _apply_flow_announcement(
         self, announcement: FlowAnnouncement, now_ms: int
     ) -> FlowLocation | None:
-        return apply_announcement(self._forwarder, announcement, now_ms)
+        uptime_ms = now_ms - self._member.started_ms
+        return apply_announcement(self._forwarder, announcement, now_ms, uptime_ms)
 
     def _apply_flow_location(self, answer: FlowLocation, sender_host: str, now_ms: int) -> None:
         apply_location(self._forwarder, answer, sender_host, now_ms)
--- a/src/catkinspread/runtime/tests/restart_site.py
+++ b/src/catkinspread/runtime/tests/restart_site.py
@@ -1,4 +1,4 @@
-"""A data centre in virtual time whose instances stop and start while flows are open.
+"""Data centres in virtual time whose instances stop and start while flows are open.
 
 Routers, callers, upstreams and the links between them are simulated. An instance is a forwarder with
 its announcements; it loses its flows when it starts again. Events are handled one after the other,
@@ -35,6 +35,7 @@
 CALLER_LINK_MS = 15
 UPSTREAM_LINK_MS = 1
 PEER_LINK_MS = 1
+REMOTE_PEER_LINK_MS = 6
 TICK_MS = 20
 WORK_MS = (5, 120)
 # Some answers to opening packets take longer than the time-out of the instances.
@@ -75,12 +76,15 @@
 
     Args:
         name: Its name, also its address.
-        site: The data centre.
+        site: The deployment.
+        data_centre: Data centre that it runs in.
     """
 
-    def __init__(self, name: str, site: "RestartSite") -> None:
+    def __init__(self, name: str, site: "RestartSite", data_centre: str = "east") -> None:
         self.name = name
         self.site = site
+        self.data_centre = data_centre
+        self.started_ms = 0
         self.is_in_rotation = False
         self.unreachable_upstreams: set[str] = set()
         self.harness: ForwarderHarness | None = None
@@ -89,7 +93,9 @@
     def start(self) -> None:
         """Starts the process, which knows no flows."""
         rng = random.Random(self.site.rng.random())
-        directory = PeerDirectory(Member(self.name, "east", self.name, 1), rng)
+        self.started_ms = self.site.clock.now_ms()
+        member = Member(self.name, self.data_centre, self.name, self.started_ms)
+        directory = PeerDirectory(member, rng)
         self.directory = directory
         for other in self.site.instances:
             if other is not self:
@@ -117,7 +123,7 @@
 
     def _learn(self, other: "SimulatedInstance", is_leaving: bool) -> None:
         if other is not self and self.directory is not None:
-            member = Member(other.name, "east", other.name, 1)
+            member = Member(other.name, other.data_centre, other.name, other.started_ms)
             status = MemberStatus(member, None, True, is_leaving, 0)
             self.directory.apply_message(Hello(status, 0), self.site.clock.now_ms())
 
@@ -147,7 +153,9 @@
         for other in self.site.instances:
             if other.name in hosts and self.site.rng.random() >= self.site.message_loss_share:
                 self.site.messages += 1
-                self.site.call_after(PEER_LINK_MS, other.receive_report, report, self.name)
+                is_remote = other.data_centre != self.data_centre
+                link_ms = REMOTE_PEER_LINK_MS if is_remote else PEER_LINK_MS
+                self.site.call_after(link_ms, other.receive_report, report, self.name)
 
     def receive_report(self, report: FlowAnnouncement | FlowLocation, sender: str) -> None:
         """Takes a message of another instance."""
@@ -157,7 +165,7 @@
         if isinstance(report, FlowLocation):
             apply_location(forwarder, report, sender, now_ms)
             return
-        answer = apply_announcement(forwarder, report, now_ms)
+        answer = apply_announcement(forwarder, report, now_ms, now_ms - self.started_ms)
         if answer is not None:
             self.send_report(answer, [sender])
 
@@ -438,11 +446,18 @@
         """Returns the number of open flows that were reset by one that does not hold them."""
         return sum(caller.was_open for caller in self.callers.values())
 
-    def build(self, instances: int, upstreams: int) -> None:
-        """Starts instances, and upstreams in two data centres."""
+    def build(self, instances: int, upstreams: int, remote_instances: int = 0) -> None:
+        """Starts instances, and upstreams in two data centres.
+
+        Instances of the data centre in which the callers are not get packets only while none of the
+        other one is in rotation.
+        """
         for number in range(upstreams):
             self.put_upstream(f"u-{number}", "east" if number % 3 else "west")
-        self.instances = [SimulatedInstance(f"edge-{n}", self) for n in range(instances)]
+        self.instances = [
+            *(SimulatedInstance(f"edge-{n}", self) for n in range(instances)),
+            *(SimulatedInstance(f"far-{n}", self, "west") for n in range(remote_instances)),
+        ]
         for instance in self.instances:
             instance.start()
             instance.is_in_rotation = True
@@ -501,9 +516,9 @@
         """Hands a packet to the instance that the routers choose."""
         if self.packet_loss_share and self.rng.random() < self.packet_loss_share:
             return
-        ready = [found for found in self.instances if found.is_in_rotation]
-        if 2 * len(ready) < len(self.instances):
-            ready = self.instances
+        ready = self._list_used_instances()
+        if not ready:
+            return
         by_name = {found.name: found for found in ready}
         text = repr(packet.key)
         if self._is_steady:
@@ -511,6 +526,15 @@
         else:
             ready[hash_text(text) % len(ready)].receive(packet)
 
+    def _list_used_instances(self) -> list[SimulatedInstance]:
+        """Returns the instances that the routers use, all of a data centre if most have failed."""
+        for data_centre in ("east", "west"):
+            found = [one for one in self.instances if one.data_centre == data_centre]
+            ready = [one for one in found if one.is_in_rotation]
+            if ready:
+                return ready if 2 * len(ready) >= len(found) else found
+        return []
+
     def deliver_handshake(self, key: FlowKey, upstream: str, sequence: int, token: int) -> None:
         """Hands the answer to an opening packet to its caller."""
         self.callers[key].take_handshake(upstream, sequence, token)
--- a/src/catkinspread/runtime/tests/test_restarts.py
+++ b/src/catkinspread/runtime/tests/test_restarts.py
@@ -1,5 +1,7 @@
 """Flows that stay open while instances stop and start."""
 
+from collections.abc import Callable
+
 import pytest
 
 from catkinspread.runtime.tests.restart_site import (
@@ -7,6 +9,7 @@
     UPSTREAM_LINK_MS,
     WORK_MS,
     RestartSite,
+    SimulatedInstance,
     TokenHabit,
 )
 
@@ -46,6 +49,29 @@
     return site
 
 
+def _play_loss(seed: int, is_lost: Callable[[SimulatedInstance], bool]) -> RestartSite:
+    """Kills instances at once, three times, while callers open flows and pause.
+
+    Upstreams repeat their answers, so that callers return the token of one that holds no flow.
+    """
+    site = RestartSite(seed)
+    site.build(instances=2, upstreams=9, remote_instances=2)
+    _slow_answers(site, 0)
+    _repeat_answers(site, 0)
+    losses = 3
+    site.open_flows((losses + 2) * GAP_MS // INTERVAL_MS, INTERVAL_MS, HABITS)
+    site.run(GAP_MS)
+    for _ in range(losses):
+        for instance in site.instances:
+            if is_lost(instance):
+                site.kill_and_start(instance)
+        site.run(GAP_MS)
+    site.run(SETTLE_MS)
+    for instance in site.instances:
+        site.count_process(instance.harness)
+    return site
+
+
 def _release(site: RestartSite, number: int) -> None:
     site.put_upstream(f"v-{number}", "east" if number % 3 else "west")
     site.put_upstream(f"u-{number % 9}", "east" if number % 9 % 3 else "west", is_draining=True)
@@ -169,3 +195,23 @@
     """Guards against contested flows that only the killed instance could tell from others."""
     site = _play(2, False, False, 4, "releases", "evacuations")
     assert site.outcomes["reset_by_other"] == 0
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_kill_of_all_instances_of_a_data_centre_resets_no_open_flow(seed: int) -> None:
+    """Guards against contested flows that only one data centre knew, whose instances were all killed.
+
+    Instances of another data centre took the callers meanwhile, and followed the tokens of late
+    answers. So did the restarted ones.
+    """
+    site = _play_loss(seed, lambda instance: instance.data_centre == "east")
+    assert site.count_reset_open_flows() == 0
+    assert site.counts["corrected"] > 0
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_kill_of_all_instances_resets_no_open_flow(seed: int) -> None:
+    """Guards against a token of a late answer that is followed because nobody knows the flow."""
+    site = _play_loss(seed, lambda instance: True)
+    assert site.count_reset_open_flows() == 0
+    assert site.counts["dropped_unknown_flow"] > 0
