--- a/src/catkinspread/explain/refusals.py
+++ b/src/catkinspread/explain/refusals.py
@@ -20,6 +20,7 @@
     "outdated_state": "the process had been paused, so that a refusal could be false",
     "earlier_flow": "the packet belongs to an earlier flow of the same ports",
     "unknown_token": "the flow is unknown and no upstream has the token of the packet",
+    "unknown_flow": "no instance that answered knew the flow, and its token was old",
     "too_many_held": "too many packets waited for the answers of other instances",
 }
 _ROOM_REASONS = ("no_room", "too_late")
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -505,7 +505,8 @@
         """Handles an acknowledgement of data that the upstream sent."""
         self.reachability.record_answer(flow.upstream.record.name, now_ms)
         if flow.pending_since_ms is not None:
-            self._restarts.record_answer(flow, packet, now_ms)
+            latency_ms = self._handshakes.compute_usual_ms(flow.upstream.record.data_centre)
+            self._restarts.record_answer(flow, packet, latency_ms, now_ms)
             self._record_answer(flow, now_ms)
         flow.acknowledged = packet.acknowledged
         flow.is_answered = True
--- a/src/catkinspread/forwarding/restarts.py
+++ b/src/catkinspread/forwarding/restarts.py
@@ -2,13 +2,15 @@
 
 An upstream that starts again under its name is cold and says so in its record. While the source does
 not answer, nobody can read that record. All that an instance sees is that opening packets were not
-answered for some time and that later ones are. A lost packet, a pause of the upstream and a restart
-look alike, and a restarted upstream bears few flows.
+answered for some time and that later ones are. A lost packet, an overload or a pause of the upstream
+and a restart look alike, and a restarted upstream bears few flows.
 
 An upstream that left an opening packet unanswered is silent until one of these tells more:
 
 * The source has answered since. Then the record tells a restart, and nothing is assumed.
-* The upstream answers on a flow that it held before the silence. Then its process still runs.
+* It answers on a flow that it held before, here or at another instance. Then its process still runs.
+* It accepts a connection at once. Then it is busy, or the packet was lost: a process that has ended
+  refuses connections until its successor starts.
 * It answers a later opening packet, and the source has not answered since. Then it counts as cold for
   the time that its service takes to warm up.
 
@@ -17,6 +19,7 @@
 is found is told to the others.
 """
 
+import collections
 import enum
 from collections.abc import Callable
 
@@ -27,17 +30,18 @@
 from catkinspread.forwarding.packets import CallerPacket
 
 # Time for which the answer of the source is awaited before the others are told of a silence. Within it
-# a feeder has asked the source and told its followers with the next status.
-SOURCE_ANSWER_WAIT_MS = 400
-# Time after the first unanswered packet from which an answer shows that the process still runs. An
-# answer of a process that has ended reaches its caller, and the acknowledgement this instance, earlier.
-ANSWER_DELAY_MAX_MS = 150
-# A flow counts as opened before a silence that another instance told if it is older by this time, since
-# the message was under way meanwhile.
-MESSAGE_DELAY_MAX_MS = 50
-# Shortest time between the end of a process and the first packet that another one answers. A packet
-# that was sent sooner after an unanswered one and was answered shows that the first one was lost.
+# a feeder asks the source and tells its status.
+SOURCE_ANSWER_WAIT_MS = 150
+# Two messages about one silence may differ by this time, since they were under way.
+MESSAGE_DELAY_MAX_MS = 20
+# Shortest time between the last packet that a process answers and the first one that its successor
+# answers. A packet between two answered ones that were sent closer to each other was lost.
 RESTART_MIN_MS = 100
+# Share of the upstreams of a service that may be silent or taken for cold. If there are more, the
+# service is overloaded or the links are bad, and limiting them all would refuse most flows.
+SUSPECTED_SHARE_MAX = 0.5
+# Answers of an upstream that are kept to show that its process ran at a time.
+ANSWERS_KEPT = 16
 # Rate of the flows that find out whether a silent upstream answers, where the service allows none to a
 # cold one, in flows/s over all instances.
 PROBE_RATE_MIN_PER_S = 1.0
@@ -70,23 +74,83 @@
     cold_until_ms: int = 0
 
 
+class _ProcessSpan(msgspec.Struct, frozen=True):
+    """Time in which the process of an upstream has run.
+
+    Attributes:
+        since_ms: When a flow was opened that it held.
+        until_ms: When it answered on that flow, at the earliest.
+    """
+
+    since_ms: int
+    until_ms: int
+
+
+class _Answers:
+    """What an upstream has answered.
+
+    Attributes:
+        sent_at_ms: When the latest opening packet was sent that it answered, and the one before.
+        spans: Times in which its process has run, latest last.
+    """
+
+    __slots__ = ("sent_at_ms", "spans")
+
+    def __init__(self) -> None:
+        self.sent_at_ms = (0, 0)
+        self.spans: collections.deque[_ProcessSpan] = collections.deque(maxlen=ANSWERS_KEPT)
+
+    def record_opened(self, sent_at_ms: int) -> None:
+        """Records that an opening packet was answered."""
+        latest_ms, earlier_ms = self.sent_at_ms
+        if sent_at_ms > latest_ms:
+            self.sent_at_ms = (sent_at_ms, latest_ms)
+        elif sent_at_ms > earlier_ms:
+            self.sent_at_ms = (latest_ms, sent_at_ms)
+
+    def is_continuous_at(self, at_ms: int) -> bool:
+        """Whether the upstream answered packets shortly before and after a time."""
+        latest_ms, earlier_ms = self.sent_at_ms
+        return earlier_ms <= at_ms <= latest_ms and latest_ms - earlier_ms < RESTART_MIN_MS
+
+    def is_running_at(self, at_ms: int, uncertainty_ms: int = 0) -> bool:
+        """Whether a process is known to have run at a time and shortly before it."""
+        return any(
+            span.since_ms < at_ms - uncertainty_ms and at_ms < span.until_ms for span in self.spans
+        )
+
+
+class _SettledSilence(msgspec.Struct, frozen=True):
+    """Latest silence of an upstream of which the end is known.
+
+    Attributes:
+        since_ms: When it began.
+        is_running: Whether the process ran all the time; it may have started again otherwise.
+    """
+
+    since_ms: int
+    is_running: bool
+
+
 class _Silence:
     """Silence of an upstream.
 
     Attributes:
         upstream: The upstream.
         since_ms: When the first packet was sent that it did not answer.
+        last_sent_at_ms: When the last one was sent.
         noticed_at_ms: When this instance learned of it.
         is_told: Whether the others know of it.
     """
 
-    __slots__ = ("is_told", "noticed_at_ms", "since_ms", "upstream")
+    __slots__ = ("is_told", "last_sent_at_ms", "noticed_at_ms", "since_ms", "upstream")
 
     def __init__(
         self, upstream: KnownUpstream, since_ms: int, noticed_at_ms: int, is_told: bool
     ) -> None:
         self.upstream = upstream
         self.since_ms = since_ms
+        self.last_sent_at_ms = since_ms
         self.noticed_at_ms = noticed_at_ms
         self.is_told = is_told
 
@@ -98,14 +162,18 @@
         state: State of the deployment.
         has_source_answered: Returns whether the source is known to have answered at a time or later.
         request_source_check: Asks the source for an answer soon, directly or through the feeder.
+        request_connection_check: Checks whether an upstream accepts a connection; the result is passed
+            to `record_connection_check`.
         tell: Tells other instances what was found out.
     """
 
     __slots__ = (
-        "_answered_sent_at_ms",
+        "_answers",
         "_cold_until_ms",
         "_has_source_answered",
+        "_request_connection_check",
         "_request_source_check",
+        "_settled",
         "_silences",
         "_state",
         "_tell",
@@ -117,14 +185,17 @@
         has_source_answered: Callable[[int], bool] = lambda since_ms: True,
         request_source_check: Callable[[], None] = lambda: None,
         tell: Callable[[RestartReport], None] = lambda report: None,
+        request_connection_check: Callable[[KnownUpstream], None] = lambda upstream: None,
     ) -> None:
         self._state = state
         self._has_source_answered = has_source_answered
         self._request_source_check = request_source_check
         self._tell = tell
+        self._request_connection_check = request_connection_check
         self._silences: dict[str, _Silence] = {}
-        # When the latest opening packet was sent that each upstream has answered, by name.
-        self._answered_sent_at_ms: dict[str, int] = {}
+        self._answers: dict[str, _Answers] = collections.defaultdict(_Answers)
+        # By name of the upstream. Messages about these silences may still be under way.
+        self._settled: dict[str, _SettledSilence] = {}
         # Until when upstreams count as cold because they may have started again, by name.
         self._cold_until_ms: dict[str, int] = {}
 
@@ -141,12 +212,17 @@
 
     def is_cold(self, upstream: KnownUpstream, now_ms: int) -> bool:
         """Whether an upstream is cold, as its record says or because it may have started again."""
-        return now_ms < max(upstream.cold_until_ms, self._cold_until_ms.get(upstream.name, 0))
+        if now_ms < upstream.cold_until_ms:
+            return True
+        assumed_until_ms = self._cold_until_ms.get(upstream.name, 0)
+        return now_ms < assumed_until_ms and not self._are_most_suspected(upstream.record.service)
 
     def is_silent(self, upstream: KnownUpstream) -> bool:
         """Whether an upstream gets new flows only at the rate of a cold one, to see if it answers."""
         silence = self._silences.get(upstream.name)
-        return silence is not None and not self._has_source_answered(silence.since_ms)
+        if silence is None or self._has_source_answered(silence.since_ms):
+            return False
+        return not self._are_most_suspected(upstream.record.service)
 
     def get_probe_rate_per_s(self, upstream: KnownUpstream) -> float:
         """Returns the rate of new flows to a silent upstream, in flows/s over all instances."""
@@ -155,12 +231,30 @@
 
     def record_unanswered(self, upstream: KnownUpstream, sent_at_ms: int, now_ms: int) -> None:
         """Records that an opening packet was not answered in time."""
-        is_answered = self._answered_sent_at_ms.get(upstream.name, 0) > sent_at_ms
-        if is_answered or upstream.name in self._silences:
+        name = upstream.name
+        answers = self._answers[name]
+        if answers.is_continuous_at(sent_at_ms) or answers.is_running_at(sent_at_ms):
+            return
+        silence = self._silences.get(name)
+        if silence is not None:
+            silence.last_sent_at_ms = max(silence.last_sent_at_ms, sent_at_ms)
             return
-        self._silences[upstream.name] = _Silence(upstream, sent_at_ms, now_ms, is_told=False)
+        self._silences[name] = _Silence(upstream, sent_at_ms, now_ms, is_told=False)
         if not self._has_source_answered(sent_at_ms):
             self._request_source_check()
+            self._request_connection_check(upstream)
+
+    def record_connection_check(self, name: str, is_accepted: bool | None, now_ms: int) -> None:
+        """Records the result of a connection check.
+
+        Args:
+            name: Name of the upstream.
+            is_accepted: Whether the upstream accepted the connection; None if that is not known.
+            now_ms: Current time.
+        """
+        silence = self._silences.get(name)
+        if silence is not None and is_accepted:
+            self._end_silence(silence, now_ms)
 
     def record_opened(self, upstream: KnownUpstream, sent_at_ms: int, now_ms: int) -> None:
         """Records that an opening packet was answered.
@@ -170,51 +264,56 @@
             sent_at_ms: When the packet was sent.
             now_ms: Current time.
         """
-        answered_sent_at_ms = self._answered_sent_at_ms.get(upstream.name, 0)
-        self._answered_sent_at_ms[upstream.name] = max(answered_sent_at_ms, sent_at_ms)
+        answers = self._answers[upstream.name]
+        answers.record_opened(sent_at_ms)
         silence = self._silences.get(upstream.name)
         if silence is None or sent_at_ms < silence.since_ms:
             return
-        if sent_at_ms - silence.since_ms < RESTART_MIN_MS:
+        if sent_at_ms == silence.since_ms or answers.is_continuous_at(silence.since_ms):
             # The packet was lost, or its own answer was late.
-            self._record_running(silence)
-            return
-        del self._silences[upstream.name]
-        if self._has_source_answered(silence.since_ms):
-            return
-        limits = self._state.find_service_limits(upstream.record.service)
-        cold_until_ms = now_ms + limits.cold_start_ms
-        self._cold_until_ms[upstream.name] = cold_until_ms
-        self._tell(RestartReport(upstream, RestartStage.ANSWERED, silence.since_ms, cold_until_ms))
+            self._end_silence(silence, sent_at_ms)
+        else:
+            self._record_answered_again(silence, now_ms)
 
-    def record_answer(self, flow: Flow, packet: CallerPacket, now_ms: int) -> None:
+    def record_answer(self, flow: Flow, packet: CallerPacket, latency_ms: int, now_ms: int) -> None:
         """Records that a caller acknowledged the answer to a request.
 
         Args:
             flow: The flow, before the answer is recorded there.
             packet: Packet of the caller.
+            latency_ms: Longest usual time from the upstream by the caller to this instance.
             now_ms: Current time.
         """
-        silence = self._silences.get(flow.upstream.name)
-        if silence is not None and _shows_running(flow, packet, silence.since_ms, now_ms):
-            self._record_running(silence)
+        name = flow.upstream.name
+        until_ms = _compute_answered_at_ms(flow, packet, latency_ms, now_ms)
+        self._answers[name].spans.append(_ProcessSpan(flow.created_at_ms, until_ms))
+        silence = self._silences.get(name)
+        if silence is not None and flow.created_at_ms < silence.since_ms < until_ms:
+            self._end_silence(silence, until_ms)
+        settled = self._settled.get(name)
+        if settled is None or settled.is_running or name not in self._cold_until_ms:
+            return
+        if flow.created_at_ms < settled.since_ms - MESSAGE_DELAY_MAX_MS < until_ms:
+            self._record_running(flow.upstream, settled.since_ms)
 
     def apply_report(self, report: RestartReport, now_ms: int) -> None:
         """Applies what another instance has found out, and tells it further if it is new here."""
-        name = report.upstream.name
+        name, since_ms = report.upstream.name, report.silent_since_ms
         if report.stage is RestartStage.RUNNING:
-            is_known = self._silences.pop(name, None) is not None
-            is_known |= self._cold_until_ms.pop(name, 0) > now_ms
-            if is_known:
-                self._tell(report)
+            self._apply_running(report)
             return
-        if self._has_source_answered(report.silent_since_ms):
+        settled = self._settled.get(name)
+        if settled is not None and since_ms <= settled.since_ms + MESSAGE_DELAY_MAX_MS:
             return
-        if report.stage is RestartStage.SILENT:
-            self._apply_silence(report, now_ms)
+        if self._answers[name].is_running_at(since_ms, MESSAGE_DELAY_MAX_MS):
+            self._record_running(report.upstream, since_ms)
+        elif self._has_source_answered(since_ms):
             return
-        self._silences.pop(name, None)
-        if report.cold_until_ms > self._cold_until_ms.get(name, 0) + MESSAGE_DELAY_MAX_MS:
+        elif report.stage is RestartStage.SILENT:
+            self._apply_silence(report, now_ms)
+        else:
+            self._settled[name] = _SettledSilence(since_ms, is_running=False)
+            self._silences.pop(name, None)
             self._cold_until_ms[name] = report.cold_until_ms
             self._tell(report)
 
@@ -234,36 +333,80 @@
             if now_ms >= cold_until_ms:
                 del self._cold_until_ms[name]
 
+    def _are_most_suspected(self, service: str) -> bool:
+        """Whether more upstreams of a service are silent or taken for cold than can have restarted."""
+        eligible = self._state.list_eligible_upstreams(service)
+        suspected = sum(
+            upstream.name in self._silences or upstream.name in self._cold_until_ms
+            for upstream in eligible
+        )
+        return suspected > max(1, SUSPECTED_SHARE_MAX * len(eligible))
+
     def _forget(self, name: str) -> None:
         """Drops all data about an upstream that is gone."""
         del self._silences[name]
-        self._answered_sent_at_ms.pop(name, None)
+        self._answers.pop(name, None)
+        self._settled.pop(name, None)
+
+    def _record_answered_again(self, silence: _Silence, now_ms: int) -> None:
+        """Handles the first answer after a silence."""
+        upstream = silence.upstream
+        del self._silences[upstream.name]
+        if self._has_source_answered(silence.since_ms):
+            return
+        limits = self._state.find_service_limits(upstream.record.service)
+        cold_until_ms = now_ms + limits.cold_start_ms
+        self._settled[upstream.name] = _SettledSilence(silence.since_ms, is_running=False)
+        self._cold_until_ms[upstream.name] = cold_until_ms
+        self._tell(RestartReport(upstream, RestartStage.ANSWERED, silence.since_ms, cold_until_ms))
+
+    def _end_silence(self, silence: _Silence, running_until_ms: int) -> None:
+        """Handles that the process ran during a silence, until a given time at least."""
+        name = silence.upstream.name
+        del self._silences[name]
+        self._settled[name] = _SettledSilence(silence.since_ms, is_running=True)
+        if silence.is_told:
+            self._tell(RestartReport(silence.upstream, RestartStage.RUNNING, silence.since_ms))
+        if silence.last_sent_at_ms > running_until_ms:
+            since_ms = silence.last_sent_at_ms
+            self._silences[name] = _Silence(silence.upstream, since_ms, since_ms, is_told=False)
+
+    def _record_running(self, upstream: KnownUpstream, since_ms: int) -> None:
+        """Ends what is assumed of an upstream whose process ran when a silence began."""
+        silence = self._silences.get(upstream.name)
+        if silence is not None and silence.since_ms <= since_ms + MESSAGE_DELAY_MAX_MS:
+            del self._silences[upstream.name]
+        self._cold_until_ms.pop(upstream.name, None)
+        self._settled[upstream.name] = _SettledSilence(since_ms, is_running=True)
+        self._tell(RestartReport(upstream, RestartStage.RUNNING, since_ms))
+
+    def _apply_running(self, report: RestartReport) -> None:
+        name, since_ms = report.upstream.name, report.silent_since_ms
+        settled = self._settled.get(name)
+        if settled is not None:
+            margin_ms = MESSAGE_DELAY_MAX_MS if settled.is_running else -MESSAGE_DELAY_MAX_MS
+            if since_ms < settled.since_ms + margin_ms:
+                return
+        if name in self._silences or name in self._cold_until_ms:
+            self._record_running(report.upstream, since_ms)
 
     def _apply_silence(self, report: RestartReport, now_ms: int) -> None:
         name = report.upstream.name
         silence = self._silences.get(name)
         if silence is None:
-            since_ms = report.silent_since_ms - MESSAGE_DELAY_MAX_MS
+            since_ms = report.silent_since_ms
             self._silences[name] = _Silence(report.upstream, since_ms, now_ms, is_told=True)
             self._tell(report)
             return
         silence.is_told = True
 
-    def _record_running(self, silence: _Silence) -> None:
-        del self._silences[silence.upstream.name]
-        if silence.is_told:
-            self._tell(RestartReport(silence.upstream, RestartStage.RUNNING, silence.since_ms))
-
 
-def _shows_running(flow: Flow, packet: CallerPacket, since_ms: int, now_ms: int) -> bool:
-    """Whether the answer to a request shows that the process runs that ran before a silence.
+def _compute_answered_at_ms(flow: Flow, packet: CallerPacket, latency_ms: int, now_ms: int) -> int:
+    """Returns when the upstream sent the answer that a caller acknowledges, at the earliest.
 
-    A restarted process resets the flows that it does not hold. But callers may acknowledge an answer
-    from before with their next request or their close, long after they received it.
+    Callers may acknowledge an answer with their next request or their close, long after they received
+    it; then only the time of the request before is known.
     """
-    if flow.created_at_ms >= since_ms or flow.pending_since_ms is None:
-        return False
-    if flow.pending_since_ms > since_ms:
-        return True
+    sent_at_ms = now_ms if flow.pending_since_ms is None else flow.pending_since_ms
     is_immediate = not packet.payload_size_bytes and (not packet.is_close or not flow.is_answered)
-    return is_immediate and now_ms - since_ms >= ANSWER_DELAY_MAX_MS
+    return max(sent_at_ms, now_ms - latency_ms) if is_immediate else sent_at_ms
--- a/src/catkinspread/forwarding/tests/test_restarts.py
+++ b/src/catkinspread/forwarding/tests/test_restarts.py
@@ -10,7 +10,6 @@
 from catkinspread.deployment import COLD_START_DEFAULT_MS, KnownUpstream
 from catkinspread.forwarding import RestartReport, RestartStage, SelectionTier
 from catkinspread.forwarding.restarts import (
-    ANSWER_DELAY_MAX_MS,
     MESSAGE_DELAY_MAX_MS,
     RESTART_MIN_MS,
     SOURCE_ANSWER_WAIT_MS,
@@ -109,23 +108,37 @@
     assert not harness.restarts.is_cold(upstream, harness.now_ms)
 
 
-@pytest.mark.parametrize(("delay_ms", "is_cold"), [(0, False), (RESTART_MIN_MS, True)])
-def test_lost_packet_is_no_restart(delay_ms: int, is_cold: bool) -> None:
+@pytest.mark.parametrize(
+    ("before_ms", "after_ms", "is_cold"),
+    [
+        (RESTART_MIN_MS, 0, False),
+        (40, RESTART_MIN_MS - 41, False),
+        (40, RESTART_MIN_MS - 40, True),
+        (RESTART_MIN_MS, 10, True),
+    ],
+)
+@pytest.mark.parametrize("is_noticed_first", [True, False])
+def test_lost_packet_is_no_restart(
+    before_ms: int, after_ms: int, is_cold: bool, is_noticed_first: bool
+) -> None:
     """Guards against an upstream that counts as cold although it answered all the while.
 
-    Another packet, sent shortly after the lost one, was answered. The answer to the lost one itself
-    may also come later.
+    Packets that were sent shortly before and after the lost one were answered, or the answer to the
+    lost one itself came late. An upstream that was away for longer may have started again.
     """
     harness = _build()
     upstream = _find(harness, "a")
     sent_at_ms = harness.now_ms
-    harness.restarts.record_unanswered(upstream, sent_at_ms, sent_at_ms + 50)
-    harness.clock.advance(500)
-    harness.restarts.record_opened(upstream, sent_at_ms + delay_ms, harness.now_ms)
-    assert harness.restarts.is_cold(upstream, harness.now_ms) is is_cold
-    harness.restarts.record_opened(upstream, harness.now_ms, harness.now_ms)
-    harness.restarts.record_unanswered(upstream, sent_at_ms, harness.now_ms)
-    assert not harness.restarts.is_silent(upstream)
+    harness.restarts.record_opened(upstream, sent_at_ms - before_ms, sent_at_ms)
+    harness.clock.advance(300)
+    if is_noticed_first:
+        harness.restarts.record_unanswered(upstream, sent_at_ms, harness.now_ms)
+    harness.restarts.record_opened(upstream, sent_at_ms + after_ms, harness.now_ms)
+    if not is_noticed_first and after_ms:
+        harness.restarts.record_unanswered(upstream, sent_at_ms, harness.now_ms)
+        assert harness.restarts.is_silent(upstream) is is_cold
+    else:
+        assert harness.restarts.is_cold(upstream, harness.now_ms) is (is_cold and is_noticed_first)
 
 
 def _open_and_request(harness: ForwarderHarness, port: int) -> KnownUpstream:
@@ -138,7 +151,7 @@
 def _record_silence(harness: ForwarderHarness, upstream: KnownUpstream) -> None:
     harness.clock.advance(10)
     harness.restarts.record_unanswered(upstream, harness.now_ms, harness.now_ms)
-    harness.clock.advance(ANSWER_DELAY_MAX_MS)
+    harness.clock.advance(SILENCE_MS)
 
 
 def test_answer_on_a_flow_from_before_shows_that_the_process_runs() -> None:
@@ -228,7 +241,7 @@
     harness.clock.advance(MESSAGE_DELAY_MAX_MS + 10)
     silent = RestartReport(upstream, RestartStage.SILENT, harness.now_ms)
     harness.restarts.apply_report(silent, harness.now_ms)
-    harness.clock.advance(ANSWER_DELAY_MAX_MS)
+    harness.clock.advance(SILENCE_MS)
     harness.send(build_packet(1, sequence=SEQUENCE + 11, acknowledged=101))
     assert [report.stage for report in harness.reports] == [
         RestartStage.SILENT,
@@ -244,6 +257,61 @@
     assert not other.restarts.is_cold(_find(other, upstream.name), other.now_ms)
 
 
+def test_earlier_answer_refutes_the_silence_that_another_instance_tells() -> None:
+    """Guards against upstreams that all instances avoid because they are busy.
+
+    A busy upstream leaves opening packets unanswered and works on the flows that it has.
+    """
+    harness = _build()
+    upstream = _open_and_request(harness, 1)
+    harness.clock.advance(MESSAGE_DELAY_MAX_MS + 10)
+    silent_since_ms = harness.now_ms
+    harness.clock.advance(100)
+    harness.send(build_packet(1, sequence=SEQUENCE + 11, acknowledged=101))
+    harness.clock.advance(100)
+    for stage in (RestartStage.SILENT, RestartStage.ANSWERED):
+        report = RestartReport(upstream, stage, silent_since_ms, harness.now_ms + 2_000)
+        harness.restarts.apply_report(report, harness.now_ms)
+    assert not harness.restarts.is_silent(upstream)
+    assert not harness.restarts.is_cold(upstream, harness.now_ms)
+    assert [report.stage for report in harness.reports] == [RestartStage.RUNNING]
+
+
+def test_message_that_is_late_does_not_start_a_silence_again() -> None:
+    """Guards against instances that tell each other an old silence for ever."""
+    harness = _build()
+    upstream = _find(harness, "a")
+    since_ms = harness.now_ms
+    stages = (RestartStage.SILENT, RestartStage.ANSWERED, RestartStage.SILENT)
+    for stage in (*stages, RestartStage.RUNNING, *stages):
+        report = RestartReport(upstream, stage, since_ms, since_ms + 2_000)
+        harness.restarts.apply_report(report, harness.now_ms)
+        harness.clock.advance(10)
+    assert not harness.restarts.is_silent(upstream)
+    assert not harness.restarts.is_cold(upstream, harness.now_ms)
+    assert len(harness.reports) == 3
+
+
+def test_upstream_that_accepts_a_connection_is_not_silent() -> None:
+    """Guards against upstreams that are avoided because their queues are full."""
+    harness = _build()
+    upstream = _find(harness, "a")
+    harness.restarts.record_unanswered(upstream, harness.now_ms, harness.now_ms + 50)
+    for is_accepted, is_silent in ((None, True), (False, True), (True, False)):
+        harness.restarts.record_connection_check("a", is_accepted, harness.now_ms + 60)
+        assert harness.restarts.is_silent(upstream) is is_silent
+
+
+def test_most_upstreams_of_a_service_are_never_limited_at_once() -> None:
+    """Guards against a service that refuses most flows because its upstreams are overloaded."""
+    names = ("a", "b", "c", "d")
+    harness = _build(*names)
+    for count, name in enumerate(names, 1):
+        harness.restarts.record_unanswered(_find(harness, name), harness.now_ms, harness.now_ms)
+        limited = [found for found in names if harness.restarts.is_silent(_find(harness, found))]
+        assert len(limited) == (count if count <= len(names) / 2 else 0)
+
+
 class _Deployment:
     """Instances that share upstreams and tell each other; the source does not answer.
 
--- a/src/catkinspread/peers/exchange.py
+++ b/src/catkinspread/peers/exchange.py
@@ -62,7 +62,8 @@
             its arrival.
         on_restart_message: Called with each message about an upstream that may have started again
             and the time of its arrival.
-        on_source_check_request: Called when another instance asks whether the source answers.
+        on_source_check_request: Called with the address of an instance that asks whether the source
+            answers.
         on_flow_announcement: Called with each announcement of a flow and the time of its arrival;
             returns the answer to it, None if there is none.
         on_flow_location: Called with each location of a flow, the address of its sender and the time
@@ -110,7 +111,7 @@
         on_load_report: Callable[[LoadReport, int], None],
         on_unreachable_report: Callable[[UnreachableReport, int], None],
         on_restart_message: Callable[[RestartMessage, int], None],
-        on_source_check_request: Callable[[], None],
+        on_source_check_request: Callable[[str], None],
         on_flow_announcement: Callable[[FlowAnnouncement, int], FlowLocation | None],
         on_flow_location: Callable[[FlowLocation, str, int], None],
         on_room_summary: Callable[[RoomSummary, int], None],
@@ -185,6 +186,10 @@
         members = self._directory.sample_members(now_ms)
         self._send(Hello(hello.status, hello.digest, members), self._choose_gossip_hosts())
 
+    def send_status(self, hosts: list[str]) -> None:
+        """Sends the status to addresses of other instances."""
+        self._send(Hello(self._read_status(), self._directory.digest), hosts)
+
     def contact(self, hosts: list[str]) -> None:
         """Sends the status and a sample of the members to addresses of other instances."""
         members = self._directory.sample_members(self._clock.now_ms())
@@ -248,7 +253,7 @@
             self._on_restart_message(message, now_ms)
             return
         if isinstance(message, SourceCheckRequest):
-            self._on_source_check_request()
+            self._on_source_check_request(sender.host)
             return
         if isinstance(message, FlowAnnouncement):
             answer = self._on_flow_announcement(message, now_ms)
--- a/src/catkinspread/peers/messages.py
+++ b/src/catkinspread/peers/messages.py
@@ -180,7 +180,7 @@
 
 
 class SourceCheckRequest(msgspec.Struct, frozen=True, array_like=True, tag="check"):
-    """Asks a feeder whether the source answers now; the next statuses of the feeder tell.
+    """Asks a feeder whether the source answers now; it sends its status once the source has answered.
 
     Attributes:
         sender: Name of the asking instance.
--- a/src/catkinspread/peers/shared_source.py
+++ b/src/catkinspread/peers/shared_source.py
@@ -148,11 +148,15 @@
             self._check_requested.set()
 
     async def run_checks(
-        self, *, task_status: anyio.abc.TaskStatus = anyio.TASK_STATUS_IGNORED
+        self,
+        on_answer: Callable[[], None],
+        *,
+        task_status: anyio.abc.TaskStatus = anyio.TASK_STATUS_IGNORED,
     ) -> None:
         """Runs the requested checks until cancelled.
 
         Args:
+            on_answer: Called after each check that the source has answered.
             task_status: Notified at the start.
         """
         task_status.started()
@@ -166,6 +170,7 @@
                 call = self._source.wait_for_changes(kind, position, 0)
                 with contextlib.suppress(SourceUnavailable, HistoryLost):
                     await self._read_source(kind, call)
+                    on_answer()
             await anyio.sleep(CHECK_INTERVAL_MS / _MS_PER_S)
 
     def has_answered_since(self, since_ms: int) -> bool:
--- a/src/catkinspread/runtime/instance.py
+++ b/src/catkinspread/runtime/instance.py
@@ -272,7 +272,11 @@
                 str(metrics),
             ),
             Part("upstream_checks", self._upstream_monitor.run_checks),
-            Part("source_checks", shared.run_checks),
+            Part(
+                "source_checks",
+                functools.partial(shared.run_checks, self._restarts.tell_source_answer),
+            ),
+            Part("restart_checks", self._restarts.run_checks),
             Part("traffic_log", functools.partial(self._log_traffic, store)),
             Part("periodic_tasks", tasks.run),
             *(
@@ -388,8 +392,8 @@
     def _apply_restart_message(self, message: RestartMessage, now_ms: int) -> None:
         self._restarts.apply_message(message, now_ms)
 
-    def _request_source_check(self) -> None:
-        self._restarts.request_source_check()
+    def _request_source_check(self, host: str) -> None:
+        self._restarts.request_source_check(host)
 
     def _apply_flow_announcement(
         self, announcement: FlowAnnouncement, now_ms: int
--- a/src/catkinspread/runtime/restart_reports.py
+++ b/src/catkinspread/runtime/restart_reports.py
@@ -1,9 +1,12 @@
 """Messages about upstreams that may have started again without the source telling it."""
 
+import anyio
+import anyio.abc
+
 from catkinspread.clock import Clock
-from catkinspread.deployment import DeploymentState
+from catkinspread.deployment import DeploymentState, KnownUpstream
 from catkinspread.eventlog import EventLog
-from catkinspread.forwarding import RestartReport, RestartStage, RestartTracker
+from catkinspread.forwarding import RestartReport, RestartStage, RestartTracker, UpstreamCheck
 from catkinspread.peers import (
     PeerDirectory,
     PeerExchange,
@@ -11,6 +14,7 @@
     SharedSource,
     SourceCheckRequest,
 )
+from catkinspread.runtime.upstream_checks import UpstreamChecker
 
 # Recipients of a message. Each of them tells it further once if it is new to it, so it reaches all
 # instances in a few steps, whatever their number.
@@ -34,6 +38,7 @@
     """
 
     __slots__ = (
+        "_checker",
         "_clock",
         "_directory",
         "_events",
@@ -41,6 +46,7 @@
         "_instance",
         "_source",
         "_state",
+        "_waiting_hosts",
         "sent_count",
         "tracker",
     )
@@ -61,20 +67,47 @@
         self._events = events
         self._clock = clock
         self._source: SharedSource | None = None
+        self._waiting_hosts: set[str] = set()
         self.sent_count = 0
         self.tracker = RestartTracker(
-            state, self._has_source_answered, self._request_source_check, self._tell
+            state,
+            self._has_source_answered,
+            self._request_source_check,
+            self._tell,
+            self._request_connection_check,
         )
+        self._checker = UpstreamChecker(self.tracker.record_connection_check, clock)
+
+    async def run_checks(
+        self, *, task_status: anyio.abc.TaskStatus = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Runs the requested connection checks until cancelled.
+
+        Args:
+            task_status: Notified at the start.
+        """
+        task_status.started()
+        await self._checker.run()
 
     def set_source(self, source: SharedSource) -> None:
         """Sets the source that the state is read from, which is opened later."""
         self._source = source
 
-    def request_source_check(self) -> None:
-        """Handles the request of another instance."""
+    def request_source_check(self, host: str) -> None:
+        """Handles the request of another instance.
+
+        Args:
+            host: Its address, which gets the status of this instance once the source has answered.
+        """
         if self._source is not None:
+            self._waiting_hosts.add(host)
             self._source.request_check()
 
+    def tell_source_answer(self) -> None:
+        """Sends the status to the instances that have asked whether the source answers."""
+        self._exchange.send_status(sorted(self._waiting_hosts))
+        self._waiting_hosts.clear()
+
     def apply_message(self, message: RestartMessage, now_ms: int) -> None:
         """Applies the message of another instance; one about an unknown upstream is ignored."""
         upstream = self._state.find_upstream_by_token(message.token)
@@ -102,6 +135,12 @@
         else:
             self._exchange.send_report(SourceCheckRequest(self._instance), [feeder.host])
 
+    def _request_connection_check(self, upstream: KnownUpstream) -> None:
+        for control in self._state.list_eligible_upstreams(upstream.record.service):
+            if control is not upstream:
+                self._checker.request(UpstreamCheck(upstream, control))
+                return
+
     def _tell(self, report: RestartReport) -> None:
         now_ms = self._clock.now_ms()
         message = RestartMessage(
--- a/src/catkinspread/runtime/tests/test_restart_reports.py
+++ b/src/catkinspread/runtime/tests/test_restart_reports.py
@@ -35,6 +35,10 @@
 class _RecordingExchange:
     def __init__(self) -> None:
         self.sent: list[tuple[PeerMessage, list[str]]] = []
+        self.status_hosts: list[str] = []
+
+    def send_status(self, hosts: list[str]) -> None:
+        self.status_hosts.extend(hosts)
 
     def send_report(self, report: PeerMessage, hosts: list[str]) -> None:
         self.sent.append((report, hosts))
@@ -92,14 +96,16 @@
 
     async def check() -> None:
         async with anyio.create_task_group() as group:
-            group.start_soon(reading.shared.run_checks)
-            for _ in range(10):
-                reporting.reporter.request_source_check()
+            on_answer = reporting.reporter.tell_source_answer
+            group.start_soon(reading.shared.run_checks, on_answer)
+            for number in range(10):
+                reporting.reporter.request_source_check(f"10.0.0.{number}")
             await anyio.wait_all_tasks_blocked()
             group.cancel_scope.cancel()
 
     anyio.run(check)
     assert waits_ms == [0]
+    assert len(reporting.exchange.status_hosts) == 10
     assert reading.shared.has_answered_since(reading.clock.now_ms())
 
 
