--- a/src/catkinspread/forwarding/flow_adoption.py
+++ b/src/catkinspread/forwarding/flow_adoption.py
@@ -316,6 +316,29 @@
         else:
             self._handle_flow_packet(packet, flow, now_ms)
 
+    def check_attempt_token(self, packet: CallerPacket, flow: Flow, is_leaving: bool) -> None:
+        """Tells others an open flow that they could not find by the token that its caller returns.
+
+        Either its caller has received the answer of another upstream, or this instance leaves and has
+        handed over its flows before this one was answered.
+
+        Args:
+            packet: Packet of the flow with the token of an attempt.
+            flow: The flow.
+            is_leaving: Whether this instance leaves.
+        """
+        if flow.is_contested or flow.is_handed_over:
+            return
+        if not names_upstream(packet.token, flow.upstream):
+            flow.is_contested = True
+            self._peers.remember(flow.key, packet.sequence, flow.upstream, age_ms=0)
+        elif is_leaving and flow.is_answered:
+            flow.is_handed_over = True
+            handed_over = HandedOverFlow(
+                flow.key, packet.sequence, flow.upstream, 0, is_open_here=True, is_contested=False
+            )
+            self._peers.hand_over([handed_over])
+
     def _hold(self, packet: CallerPacket, now_ms: int) -> None:
         if not self._held.add(packet):
             self._drop(packet, RejectionReason.TOO_MANY_HELD, now_ms)
--- a/src/catkinspread/forwarding/forwarder.py
+++ b/src/catkinspread/forwarding/forwarder.py
@@ -26,7 +26,6 @@
     encode_flow_token,
     find_upstream,
     is_attempt_token,
-    names_upstream,
 )
 from catkinspread.forwarding.flows import Attempt, Flow, FlowTable
 from catkinspread.forwarding.handshake_timeouts import HandshakeTimeouts
@@ -37,7 +36,6 @@
 from catkinspread.forwarding.packets import (
     CallerPacket,
     FlowPeers,
-    HandedOverFlow,
     NoFlowPeers,
     PacketOutput,
     RejectionReason,
@@ -438,7 +436,7 @@
         if is_sequence_after(packet.acknowledged, flow.acknowledged):
             self._process_acknowledgement(packet, flow, now_ms)
         if is_attempt_token(packet.token):
-            self._check_attempt_token(packet, flow)
+            self.adoption.check_attempt_token(packet, flow, self._is_leaving)
         if packet.payload_size_bytes and self._process_data(packet, flow, now_ms):
             self.counts["reset"] += 1
             return
@@ -447,24 +445,6 @@
         token = encode_flow_token(flow.upstream, _OPEN, now_ms)
         self._output.forward(packet, flow.upstream, token)
 
-    def _check_attempt_token(self, packet: CallerPacket, flow: Flow) -> None:
-        """Tells others an open flow that they could not find by the token that its caller returns.
-
-        Either its caller has received the answer of another upstream, or this instance leaves and has
-        handed over its flows before this one was answered.
-        """
-        if flow.is_contested or flow.is_handed_over:
-            return
-        if not names_upstream(packet.token, flow.upstream):
-            flow.is_contested = True
-            self._peers.remember(flow.key, packet.sequence, flow.upstream, age_ms=0)
-        elif self._is_leaving and flow.is_answered:
-            flow.is_handed_over = True
-            handed_over = HandedOverFlow(
-                flow.key, packet.sequence, flow.upstream, 0, is_open_here=True, is_contested=False
-            )
-            self._peers.hand_over([handed_over])
-
     def _establish(self, packet: CallerPacket, flow: Flow, now_ms: int) -> None:
         """Assigns a flow to the upstream whose answer the caller received first."""
         attempt = flow.find_attempt(packet.token)
--- a/src/catkinspread/forwarding/restarts.py
+++ b/src/catkinspread/forwarding/restarts.py
@@ -28,20 +28,22 @@
 from catkinspread.deployment import DeploymentState, KnownUpstream
 from catkinspread.forwarding.flows import Flow
 from catkinspread.forwarding.packets import CallerPacket
+from catkinspread.forwarding.upstream_answers import (
+    ProcessSpan,
+    UpstreamAnswers,
+    compute_answered_at_ms,
+)
 
 # Time for which the answer of the source is awaited before the others are told of a silence. Within it
 # a feeder asks the source and tells its status.
 SOURCE_ANSWER_WAIT_MS = 150
 # Two messages about one silence may differ by this time, since they were under way.
 MESSAGE_DELAY_MAX_MS = 20
-# Shortest time between the last packet that a process answers and the first one that its successor
-# answers. A packet between two answered ones that were sent closer to each other was lost.
-RESTART_MIN_MS = 100
 # Share of the upstreams of a service that may be silent or taken for cold. If there are more, the
 # service is overloaded or the links are bad, and limiting them all would refuse most flows.
 SUSPECTED_SHARE_MAX = 0.5
-# Answers of an upstream that are kept to show that its process ran at a time.
-ANSWERS_KEPT = 16
+# Upstreams whose answers are kept before any are dropped.
+FORGET_COUNT_MIN = 64
 # Rate of the flows that find out whether a silent upstream answers, where the service allows none to a
 # cold one, in flows/s over all instances.
 PROBE_RATE_MIN_PER_S = 1.0
@@ -74,52 +76,6 @@
     cold_until_ms: int = 0
 
 
-class _ProcessSpan(msgspec.Struct, frozen=True):
-    """Time in which the process of an upstream has run.
-
-    Attributes:
-        since_ms: When a flow was opened that it held.
-        until_ms: When it answered on that flow, at the earliest.
-    """
-
-    since_ms: int
-    until_ms: int
-
-
-class _Answers:
-    """What an upstream has answered.
-
-    Attributes:
-        sent_at_ms: When the latest opening packet was sent that it answered, and the one before.
-        spans: Times in which its process has run, latest last.
-    """
-
-    __slots__ = ("sent_at_ms", "spans")
-
-    def __init__(self) -> None:
-        self.sent_at_ms = (0, 0)
-        self.spans: collections.deque[_ProcessSpan] = collections.deque(maxlen=ANSWERS_KEPT)
-
-    def record_opened(self, sent_at_ms: int) -> None:
-        """Records that an opening packet was answered."""
-        latest_ms, earlier_ms = self.sent_at_ms
-        if sent_at_ms > latest_ms:
-            self.sent_at_ms = (sent_at_ms, latest_ms)
-        elif sent_at_ms > earlier_ms:
-            self.sent_at_ms = (latest_ms, sent_at_ms)
-
-    def is_continuous_at(self, at_ms: int) -> bool:
-        """Whether the upstream answered packets shortly before and after a time."""
-        latest_ms, earlier_ms = self.sent_at_ms
-        return earlier_ms <= at_ms <= latest_ms and latest_ms - earlier_ms < RESTART_MIN_MS
-
-    def is_running_at(self, at_ms: int, uncertainty_ms: int = 0) -> bool:
-        """Whether a process is known to have run at a time and shortly before it."""
-        return any(
-            span.since_ms < at_ms - uncertainty_ms and at_ms < span.until_ms for span in self.spans
-        )
-
-
 class _SettledSilence(msgspec.Struct, frozen=True):
     """Latest silence of an upstream of which the end is known.
 
@@ -170,6 +126,7 @@
     __slots__ = (
         "_answers",
         "_cold_until_ms",
+        "_forget_at_count",
         "_has_source_answered",
         "_request_connection_check",
         "_request_source_check",
@@ -193,7 +150,9 @@
         self._tell = tell
         self._request_connection_check = request_connection_check
         self._silences: dict[str, _Silence] = {}
-        self._answers: dict[str, _Answers] = collections.defaultdict(_Answers)
+        self._answers: dict[str, UpstreamAnswers] = collections.defaultdict(UpstreamAnswers)
+        # Number of upstreams with answers at which those of unknown ones are dropped.
+        self._forget_at_count = FORGET_COUNT_MIN
         # By name of the upstream. Messages about these silences may still be under way.
         self._settled: dict[str, _SettledSilence] = {}
         # Until when upstreams count as cold because they may have started again, by name.
@@ -285,8 +244,8 @@
             now_ms: Current time.
         """
         name = flow.upstream.name
-        until_ms = _compute_answered_at_ms(flow, packet, latency_ms, now_ms)
-        self._answers[name].spans.append(_ProcessSpan(flow.created_at_ms, until_ms))
+        until_ms = compute_answered_at_ms(flow, packet, latency_ms, now_ms)
+        self._answers[name].spans.append(ProcessSpan(flow.created_at_ms, until_ms))
         silence = self._silences.get(name)
         if silence is not None and flow.created_at_ms < silence.since_ms < until_ms:
             self._end_silence(silence, until_ms)
@@ -321,7 +280,7 @@
         """Tells the others of silences that the source has not explained, and drops the rest."""
         for name, silence in list(self._silences.items()):
             if self._state.find_upstream(name) is not silence.upstream:
-                self._forget(name)
+                del self._silences[name]
             elif self._has_source_answered(silence.since_ms):
                 # The record tells a restart from now on.
                 if now_ms - silence.noticed_at_ms >= SOURCE_ANSWER_WAIT_MS:
@@ -332,6 +291,16 @@
         for name, cold_until_ms in list(self._cold_until_ms.items()):
             if now_ms >= cold_until_ms:
                 del self._cold_until_ms[name]
+        if len(self._answers) > self._forget_at_count:
+            self._forget_unknown()
+
+    def _forget_unknown(self) -> None:
+        """Drops the data about upstreams that the state no longer knows."""
+        for name in list(self._answers):
+            if self._state.find_upstream(name) is None:
+                del self._answers[name]
+                self._settled.pop(name, None)
+        self._forget_at_count = 2 * len(self._answers) + FORGET_COUNT_MIN
 
     def _are_most_suspected(self, service: str) -> bool:
         """Whether more upstreams of a service are silent or taken for cold than can have restarted."""
@@ -342,12 +311,6 @@
         )
         return suspected > max(1, SUSPECTED_SHARE_MAX * len(eligible))
 
-    def _forget(self, name: str) -> None:
-        """Drops all data about an upstream that is gone."""
-        del self._silences[name]
-        self._answers.pop(name, None)
-        self._settled.pop(name, None)
-
     def _record_answered_again(self, silence: _Silence, now_ms: int) -> None:
         """Handles the first answer after a silence."""
         upstream = silence.upstream
@@ -399,14 +362,3 @@
             self._tell(report)
             return
         silence.is_told = True
-
-
-def _compute_answered_at_ms(flow: Flow, packet: CallerPacket, latency_ms: int, now_ms: int) -> int:
-    """Returns when the upstream sent the answer that a caller acknowledges, at the earliest.
-
-    Callers may acknowledge an answer with their next request or their close, long after they received
-    it; then only the time of the request before is known.
-    """
-    sent_at_ms = now_ms if flow.pending_since_ms is None else flow.pending_since_ms
-    is_immediate = not packet.payload_size_bytes and (not packet.is_close or not flow.is_answered)
-    return max(sent_at_ms, now_ms - latency_ms) if is_immediate else sent_at_ms
--- a/src/catkinspread/forwarding/tests/test_restarts.py
+++ b/src/catkinspread/forwarding/tests/test_restarts.py
@@ -10,8 +10,8 @@
 from catkinspread.deployment import COLD_START_DEFAULT_MS, KnownUpstream
 from catkinspread.forwarding import RestartReport, RestartStage, SelectionTier
 from catkinspread.forwarding.restarts import (
+    FORGET_COUNT_MIN,
     MESSAGE_DELAY_MAX_MS,
-    RESTART_MIN_MS,
     SOURCE_ANSWER_WAIT_MS,
 )
 from catkinspread.forwarding.tests.builders import (
@@ -24,6 +24,7 @@
     build_packet,
     build_upstream,
 )
+from catkinspread.forwarding.upstream_answers import RESTART_MIN_MS
 
 COLD_RATE_PER_S = 4.0
 # Requests that a cold upstream may get in one second, over all instances.
@@ -312,6 +313,16 @@
         assert len(limited) == (count if count <= len(names) / 2 else 0)
 
 
+def test_answers_of_upstreams_that_are_gone_are_dropped() -> None:
+    """Guards against memory that grows with each release of the upstreams."""
+    harness = _build()
+    for number in range(10 * FORGET_COUNT_MIN):
+        gone = KnownUpstream(build_upstream(f"gone-{number}"), START_MS)
+        harness.restarts.record_opened(gone, harness.now_ms, harness.now_ms)
+        harness.restarts.update(harness.now_ms)
+    assert len(harness.restarts._answers) <= FORGET_COUNT_MIN + 1
+
+
 class _Deployment:
     """Instances that share upstreams and tell each other; the source does not answer.
 
