--- a/src/catkinspread/forwarding/restarts.py
+++ b/src/catkinspread/forwarding/restarts.py
@@ -42,6 +42,8 @@
 # Share of the upstreams of a service that may be silent or taken for cold. If there are more, the
 # service is overloaded or the links are bad, and limiting them all would refuse most flows.
 SUSPECTED_SHARE_MAX = 0.5
+# Silences of an upstream of which the end is kept. Each instance may notice one of its own.
+SETTLED_KEPT = 8
 # Upstreams whose answers are kept before any are dropped.
 FORGET_COUNT_MIN = 64
 # Rate of the flows that find out whether a silent upstream answers, where the service allows none to a
@@ -77,16 +79,30 @@
 
 
 class _SettledSilence(msgspec.Struct, frozen=True):
-    """Latest silence of an upstream of which the end is known.
+    """A silence of an upstream of which the end is known.
 
     Attributes:
         since_ms: When it began.
-        is_running: Whether the process ran all the time; it may have started again otherwise.
+        is_running: Whether the process ran when it began, and at its end; it may have started again
+            otherwise.
     """
 
     since_ms: int
     is_running: bool
 
+    def is_same(self, since_ms: int) -> bool:
+        """Whether a message about a silence since a time is about this one."""
+        return abs(since_ms - self.since_ms) <= MESSAGE_DELAY_MAX_MS
+
+    def covers(self, since_ms: int) -> bool:
+        """Whether a silence since a time needs no further attention.
+
+        A process that ran at one time may have started again after an earlier silence.
+        """
+        if self.is_running:
+            return self.is_same(since_ms)
+        return since_ms <= self.since_ms + MESSAGE_DELAY_MAX_MS
+
 
 class _Silence:
     """Silence of an upstream.
@@ -97,9 +113,18 @@
         last_sent_at_ms: When the last one was sent.
         noticed_at_ms: When this instance learned of it.
         is_told: Whether the others know of it.
+        checked_since_ms: When it began, as far as was known when a connection was tried; None if none
+            was.
     """
 
-    __slots__ = ("is_told", "last_sent_at_ms", "noticed_at_ms", "since_ms", "upstream")
+    __slots__ = (
+        "checked_since_ms",
+        "is_told",
+        "last_sent_at_ms",
+        "noticed_at_ms",
+        "since_ms",
+        "upstream",
+    )
 
     def __init__(
         self, upstream: KnownUpstream, since_ms: int, noticed_at_ms: int, is_told: bool
@@ -109,6 +134,7 @@
         self.last_sent_at_ms = since_ms
         self.noticed_at_ms = noticed_at_ms
         self.is_told = is_told
+        self.checked_since_ms: int | None = None
 
 
 class RestartTracker:
@@ -154,7 +180,9 @@
         # Number of upstreams with answers at which those of unknown ones are dropped.
         self._forget_at_count = FORGET_COUNT_MIN
         # By name of the upstream. Messages about these silences may still be under way.
-        self._settled: dict[str, _SettledSilence] = {}
+        self._settled: dict[str, collections.deque[_SettledSilence]] = collections.defaultdict(
+            lambda: collections.deque(maxlen=SETTLED_KEPT)
+        )
         # Until when upstreams count as cold because they may have started again, by name.
         self._cold_until_ms: dict[str, int] = {}
 
@@ -198,21 +226,24 @@
         if silence is not None:
             silence.last_sent_at_ms = max(silence.last_sent_at_ms, sent_at_ms)
             return
-        self._silences[name] = _Silence(upstream, sent_at_ms, now_ms, is_told=False)
+        silence = self._silences[name] = _Silence(upstream, sent_at_ms, now_ms, is_told=False)
         if not self._has_source_answered(sent_at_ms):
+            silence.checked_since_ms = sent_at_ms
             self._request_source_check()
             self._request_connection_check(upstream)
 
     def record_connection_check(self, name: str, is_accepted: bool | None, now_ms: int) -> None:
         """Records the result of a connection check.
 
+        It tells nothing about a silence that had begun earlier at another instance.
+
         Args:
             name: Name of the upstream.
             is_accepted: Whether the upstream accepted the connection; None if that is not known.
             now_ms: Current time.
         """
         silence = self._silences.get(name)
-        if silence is not None and is_accepted:
+        if silence is not None and is_accepted and silence.checked_since_ms == silence.since_ms:
             self._end_silence(silence, now_ms)
 
     def record_opened(self, upstream: KnownUpstream, sent_at_ms: int, now_ms: int) -> None:
@@ -249,11 +280,12 @@
         silence = self._silences.get(name)
         if silence is not None and flow.created_at_ms < silence.since_ms < until_ms:
             self._end_silence(silence, until_ms)
-        settled = self._settled.get(name)
-        if settled is None or settled.is_running or name not in self._cold_until_ms:
+        if name not in self._cold_until_ms:
             return
-        if flow.created_at_ms < settled.since_ms - MESSAGE_DELAY_MAX_MS < until_ms:
-            self._record_running(flow.upstream, settled.since_ms)
+        for settled in list(self._settled[name]):
+            at_ms = settled.since_ms - MESSAGE_DELAY_MAX_MS
+            if not settled.is_running and flow.created_at_ms < at_ms < until_ms:
+                self._record_running(flow.upstream, settled.since_ms)
 
     def apply_report(self, report: RestartReport, now_ms: int) -> None:
         """Applies what another instance has found out, and tells it further if it is new here."""
@@ -261,8 +293,7 @@
         if report.stage is RestartStage.RUNNING:
             self._apply_running(report)
             return
-        settled = self._settled.get(name)
-        if settled is not None and since_ms <= settled.since_ms + MESSAGE_DELAY_MAX_MS:
+        if any(settled.covers(since_ms) for settled in self._settled[name]):
             return
         if self._answers[name].is_running_at(since_ms, MESSAGE_DELAY_MAX_MS):
             self._record_running(report.upstream, since_ms)
@@ -271,7 +302,7 @@
         elif report.stage is RestartStage.SILENT:
             self._apply_silence(report, now_ms)
         else:
-            self._settled[name] = _SettledSilence(since_ms, is_running=False)
+            self._settled[name].append(_SettledSilence(since_ms, is_running=False))
             self._silences.pop(name, None)
             self._cold_until_ms[name] = report.cold_until_ms
             self._tell(report)
@@ -319,7 +350,7 @@
             return
         limits = self._state.find_service_limits(upstream.record.service)
         cold_until_ms = now_ms + limits.cold_start_ms
-        self._settled[upstream.name] = _SettledSilence(silence.since_ms, is_running=False)
+        self._settled[upstream.name].append(_SettledSilence(silence.since_ms, is_running=False))
         self._cold_until_ms[upstream.name] = cold_until_ms
         self._tell(RestartReport(upstream, RestartStage.ANSWERED, silence.since_ms, cold_until_ms))
 
@@ -327,7 +358,7 @@
         """Handles that the process ran during a silence, until a given time at least."""
         name = silence.upstream.name
         del self._silences[name]
-        self._settled[name] = _SettledSilence(silence.since_ms, is_running=True)
+        self._settled[name].append(_SettledSilence(silence.since_ms, is_running=True))
         if silence.is_told:
             self._tell(RestartReport(silence.upstream, RestartStage.RUNNING, silence.since_ms))
         if silence.last_sent_at_ms > running_until_ms:
@@ -335,22 +366,30 @@
             self._silences[name] = _Silence(silence.upstream, since_ms, since_ms, is_told=False)
 
     def _record_running(self, upstream: KnownUpstream, since_ms: int) -> None:
-        """Ends what is assumed of an upstream whose process ran when a silence began."""
-        silence = self._silences.get(upstream.name)
-        if silence is not None and silence.since_ms <= since_ms + MESSAGE_DELAY_MAX_MS:
-            del self._silences[upstream.name]
-        self._cold_until_ms.pop(upstream.name, None)
-        self._settled[upstream.name] = _SettledSilence(since_ms, is_running=True)
+        """Ends what is assumed because of a silence during which the process ran."""
+        name = upstream.name
+        silence = self._silences.get(name)
+        if silence is not None and abs(silence.since_ms - since_ms) <= MESSAGE_DELAY_MAX_MS:
+            del self._silences[name]
+        settled = self._settled[name]
+        for earlier in [found for found in settled if found.is_same(since_ms)]:
+            settled.remove(earlier)
+            if not earlier.is_running:
+                self._cold_until_ms.pop(name, None)
+        settled.append(_SettledSilence(since_ms, is_running=True))
         self._tell(RestartReport(upstream, RestartStage.RUNNING, since_ms))
 
     def _apply_running(self, report: RestartReport) -> None:
+        """Applies that the process ran; a message that is not about a known silence is ignored."""
         name, since_ms = report.upstream.name, report.silent_since_ms
-        settled = self._settled.get(name)
-        if settled is not None:
-            margin_ms = MESSAGE_DELAY_MAX_MS if settled.is_running else -MESSAGE_DELAY_MAX_MS
-            if since_ms < settled.since_ms + margin_ms:
-                return
-        if name in self._silences or name in self._cold_until_ms:
+        same = [settled for settled in self._settled[name] if settled.is_same(since_ms)]
+        if any(settled.is_running for settled in same):
+            return
+        silence = self._silences.get(name)
+        is_silence = silence is not None and (
+            abs(silence.since_ms - since_ms) <= MESSAGE_DELAY_MAX_MS
+        )
+        if same or is_silence:
             self._record_running(report.upstream, since_ms)
 
     def _apply_silence(self, report: RestartReport, now_ms: int) -> None:
@@ -361,4 +400,5 @@
             self._silences[name] = _Silence(report.upstream, since_ms, now_ms, is_told=True)
             self._tell(report)
             return
+        silence.since_ms = min(silence.since_ms, report.silent_since_ms)
         silence.is_told = True
--- a/src/catkinspread/forwarding/tests/test_restarts.py
+++ b/src/catkinspread/forwarding/tests/test_restarts.py
@@ -303,6 +303,30 @@
         assert harness.restarts.is_silent(upstream) is is_silent
 
 
+def test_connection_after_an_earlier_silence_does_not_show_that_the_process_ran() -> None:
+    """Guards against a cold upstream at full load because one instance noticed its absence late.
+
+    Another instance had noticed it before. The connection is accepted by the new process.
+    """
+    for is_told_first in (True, False):
+        harness = _build("a", "b", "c", "d")
+        upstream = _find(harness, "a")
+        earlier = RestartReport(upstream, RestartStage.SILENT, START_MS)
+        harness.clock.advance(400)
+        harness.restarts.record_unanswered(upstream, START_MS + 350, harness.now_ms)
+        if is_told_first:
+            harness.restarts.apply_report(earlier, harness.now_ms)
+        harness.restarts.record_connection_check("a", True, harness.now_ms)
+        harness.restarts.apply_report(earlier, harness.now_ms)
+        assert harness.restarts.is_silent(upstream)
+        until_ms = harness.now_ms + 2_000
+        answered = RestartReport(upstream, RestartStage.ANSWERED, START_MS, until_ms)
+        harness.restarts.apply_report(answered, harness.now_ms)
+        late = RestartReport(upstream, RestartStage.RUNNING, START_MS + 350)
+        harness.restarts.apply_report(late, harness.now_ms)
+        assert harness.restarts.is_cold(upstream, harness.now_ms)
+
+
 def test_most_upstreams_of_a_service_are_never_limited_at_once() -> None:
     """Guards against a service that refuses most flows because its upstreams are overloaded."""
     names = ("a", "b", "c", "d")
