--- a/src/catkinspread/forwarding/flow_adoption.py
+++ b/src/catkinspread/forwarding/flow_adoption.py
@@ -56,11 +56,12 @@
     REMEMBERED = "remembered"
     # The answer of another instance.
     TOLD = "told"
-    # The token of a recent attempt; all others that were asked had answered that they do not know.
+    # The token of an attempt that is recent, or whose flow cannot be contested; all others that were
+    # asked had answered that they do not know the flow.
     KNOWN_TO_NONE = "known_to_none"
-    # The token of a recent attempt; some of the others had not answered in time.
+    # The same; some of the others had not answered in time.
     ANSWERS_MISSING = "answers_missing"
-    # The token of a recent attempt; there was nobody to ask, or the rate limit did not allow it.
+    # The same; there was nobody to ask, or the rate limit did not allow it.
     NOT_ASKED = "not_asked"
 
 
