--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -146,13 +146,17 @@
 
     def _note(self, kind, found, removed):
         body = json.dumps({"object": found, "removed": removed})
-        now = time.monotonic()
-        self.events.append((self.revision, kind, body, now))
-        while now - self.events[0][3] > HISTORY_S:
-            self.floor = self.events.pop(0)[0]
+        self.events.append((self.revision, kind, body, time.monotonic()))
+        self._forget()
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def _forget(self):
+        """Drops the changes that are older than the history reaches."""
+        now = time.monotonic()
+        while self.events and now - self.events[0][3] > HISTORY_S:
+            self.floor = self.events.pop(0)[0]
+
     def _find_events(self, kind, since):
         first = len(self.events)
         while first and self.events[first - 1][0] > since:
@@ -203,6 +207,7 @@
 
     async def _watch(self, kind, since, wait_ms):
         end = time.monotonic() + min(30_000, wait_ms) / 1_000
+        self._forget()
         if since < self.floor:
             return 410, b"{}"
         while not (found := self._find_events(kind, since)):
@@ -374,8 +379,27 @@
             flow.opened_at, flow.by = now, sender
             flow.was_cold = now < self.cold_until
             self.lab.on_opening(self, ends, now, sender)
+            if self.lab.repeats_answers:
+                self.lab.spawn(self._repeat_answer(ends, flow))
         flow.echo = packet.echo
-        self._send(packet, SYN | ACK, flow.seq, flow.expected, flow.echo)
+        self._answer_opening(ends, flow)
+
+    def _answer_opening(self, ends, flow):
+        if self.lab.loses_answer(self, ends):
+            self.lab.record.write(f"the SYN+ACK of {self.name} on flow {ends} is lost")
+            return
+        self._send(flow.packet, SYN | ACK, flow.seq, flow.expected, flow.echo)
+
+    async def _repeat_answer(self, ends, flow):
+        """Sends the SYN+ACK again while it is not acknowledged, as any packet that is missing."""
+        wait_s = 0.2
+        for _ in range(8):
+            await asyncio.sleep(wait_s)
+            if self.flows.get(ends) is not flow or flow.is_open:
+                return
+            self._answer_opening(ends, flow)
+            wait_s = min(1.6, 2 * wait_s)
+        self.flows.pop(ends, None)
 
     def _take(self, ends, flow, packet, sender):
         if not flow.is_open:
@@ -557,8 +581,8 @@
         address = (node.host, DATAGRAM_PORT)
         loop.call_later(CLIENT_DELAY_S, self.transport.sendto, packet.encode(), address)
 
-    async def open_flow(self, route):
-        """Opens a flow; returns None if that failed."""
+    async def open_flow(self, route, resets=None):
+        """Opens a flow; returns None if that failed, and adds who has reset it to `resets`."""
         self.port = 1_024 + (self.port - 1_023) % 60_000
         ends = (number(self.host), self.port, number(route[0]), route[1])
         flow = ClientFlow(ends)
@@ -573,6 +597,8 @@
                 break
         if flow.is_open and not flow.reset_by:
             return flow
+        if resets is not None and flow.reset_by:
+            resets.append(flow.reset_by)
         self.close(flow)
         return None
 
@@ -688,6 +714,10 @@
 
     def __init__(self, lab, name, zone, host):
         self.lab, self.name, self.zone, self.host = lab, name, zone, host
+        # Where it reaches the store.
+        self.store_host = lab.store_host
+        # Addresses of its seeds; None for the first three machines.
+        self.seeds = None
         self.in_rotation = False
         self.misses = 0
         self.process = None
@@ -695,7 +725,8 @@
 
     async def start(self, bootstrap=False):
         template = (ROOT / "src/catkinspread/platform/settings.ini").read_text()
-        seeds = ",".join(f"{node.host}:{CONTROL_PORT}" for node in self.lab.nodes[:3])
+        hosts = [node.host for node in self.lab.nodes[:3]] if self.seeds is None else self.seeds
+        seeds = ",".join(f"{host}:{CONTROL_PORT}" for host in hosts)
         values = {
             "node_name": self.name,
             "zone": self.zone,
@@ -706,7 +737,7 @@
             "bounds.grace_s": "6",
             "bounds.flow_max_s": "60",
             "seeds": seeds,
-            "platform.address": f"{self.lab.store_host}:{STORE_PORT}",
+            "platform.address": f"{self.store_host}:{STORE_PORT}",
             "heartbeat_ms": str(round(HEARTBEAT_S * 1_000)),
         }
         for key, value in values.items():
@@ -753,6 +784,50 @@
         return 0.0
 
 
+class Link:
+    """A link of limited bandwidth that the answers of the store take to one machine.
+
+    All connections of the machine share it. Calls to the store pass without a limit.
+    """
+
+    def __init__(self, lab, host, mbit_per_s):
+        self.lab, self.host = lab, host
+        self._bytes_per_s = mbit_per_s * 125_000
+        self._free_at = 0.0
+
+    async def start(self):
+        server = await asyncio.start_server(self._serve, self.host, STORE_PORT)
+        self.lab.spawn(server.serve_forever())
+
+    async def _serve(self, reader, writer):
+        try:
+            to_store = await asyncio.open_connection(self.lab.store_host, STORE_PORT)
+            calls = asyncio.ensure_future(self._pass(reader, to_store[1], False))
+            try:
+                await self._pass(to_store[0], writer, True)
+            finally:
+                calls.cancel()
+                to_store[1].close()
+        except (asyncio.CancelledError, ConnectionError, OSError):
+            pass
+        finally:
+            writer.close()
+
+    async def _pass(self, source, sink, is_limited):
+        try:
+            while data := await source.read(8_192):
+                if is_limited:
+                    now = time.monotonic()
+                    self._free_at = max(now, self._free_at) + len(data) / self._bytes_per_s
+                    await asyncio.sleep(self._free_at - now)
+                sink.write(data)
+                await sink.drain()
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            sink.close()
+
+
 class Lab:
     """A small deployment."""
 
@@ -787,6 +862,8 @@
         self.tasks = []
         self.background = set()
         self.version = 0
+        # Whether targets send a SYN+ACK again that is not acknowledged.
+        self.repeats_answers = False
 
     def put_configuration(self, routes, services, timeouts=None):
         """Writes a configuration.
@@ -864,6 +941,10 @@
         self.background.add(task)
         task.add_done_callback(self.background.discard)
 
+    def loses_answer(self, target, ends):
+        """Whether the datagram with the SYN+ACK of a target is lost."""
+        return False
+
     def on_opening(self, target, ends, now, sender):
         """Called when a target takes an opening packet."""
 
