peers: hold the last value of each record, not its history

Cause: StateCache kept the last 256 batches of changes of each kind for readers that lag behind, and a batch of the configuration holds a complete one. A reader is sent only the last change of each record, so nothing but the last value is ever of use.

Change: ChangeIndex holds the name and the revision of the last change of each record; values are taken from the records. Names without a record are limited to 1,024, after which a reader that is further behind lists again. A reader may now lag behind any number of changes.

--- a/src/catkinspread/peers/state_cache.py
+++ b/src/catkinspread/peers/state_cache.py
@@ -1,7 +1,5 @@
 """In-memory cache of the deployment records, from which a feeder serves other instances."""
 
-import collections
-
 import anyio
 import msgspec
 
@@ -16,22 +14,23 @@
     StateRecord,
     UpstreamRecord,
 )
+from catkinspread.peers.change_index import ChangeIndex
 from catkinspread.peers.restored_listing import merge_restored_listing
 
-# Batches of changes kept for instances that lag behind.
-HISTORY_BATCHES = 256
 # Removed upstreams that are remembered; a restored source lists those that left in the seconds since
 # it was copied.
 REMOVED_MAX = 1_024
 
 
 class _CachedKind:
-    """Records and recent changes of one kind.
+    """Records of one kind, and which of them have changed since they were listed.
 
-    Changes of the era of `position` after `oldest_revision` are in the history; older ones have been
-    discarded.
+    The values of earlier changes are not kept: a reader that lags behind gets the last value of each
+    record that has changed.
 
     Attributes:
+        changes: Names and revisions of the changes, of the era of `position`.
+        unreadable: Names in `changes` whose last change cannot be read.
         restored_at_ms: When the first incomplete listing was read; None while the records are
             complete.
         removed: Last records of upstreams that were removed, oldest first.
@@ -39,12 +38,12 @@
 
     __slots__ = (
         "changed",
-        "history",
-        "oldest_revision",
+        "changes",
         "position",
         "records",
         "removed",
         "restored_at_ms",
+        "unreadable",
     )
 
     def __init__(self) -> None:
@@ -52,8 +51,8 @@
         self.removed: dict[str, UpstreamRecord] = {}
         self.restored_at_ms: int | None = None
         self.position: SourcePosition | None = None
-        self.oldest_revision = 0
-        self.history: collections.deque[StateChanges] = collections.deque(maxlen=HISTORY_BATCHES)
+        self.changes = ChangeIndex()
+        self.unreadable: set[str] = set()
         self.changed = anyio.Event()
 
     def update_completeness(self, listing: StateChanges, now_ms: int, settling_ms: int) -> None:
@@ -85,22 +84,31 @@
         if len(self.removed) > REMOVED_MAX:
             del self.removed[next(iter(self.removed))]
 
+    def apply_change(self, change: StateChange, revision: int) -> None:
+        """Applies a change that was read up to a revision."""
+        if change.is_unreadable:
+            self.unreadable.add(change.name)
+        else:
+            self.unreadable.discard(change.name)
+            if change.record is None:
+                self.remove_record(change.name)
+            else:
+                self.put_record(change.name, change.record)
+        has_record = change.is_unreadable or change.name in self.records
+        self.changes.record_change(change.name, revision, has_record)
 
-def _coalesce(batches: list[StateChanges]) -> tuple[StateChange, ...]:
-    """Returns the last change of each record, in the order of these changes.
+    def list_changes(self, revision: int) -> tuple[StateChange, ...]:
+        """Returns the last change of each record after a revision, in the order of the changes."""
+        return tuple(self._build_change(name) for name in self.changes.list_changed(revision))
 
-    Intermediate versions of a record that changes in quick succession would only waste bandwidth.
-    """
-    latest: dict[str, StateChange] = {}
-    for batch in batches:
-        for change in batch.changes:
-            latest.pop(change.name, None)
-            latest[change.name] = change
-    return tuple(latest.values())
+    def _build_change(self, name: str) -> StateChange:
+        if name in self.unreadable:
+            return StateChange(name, None, is_unreadable=True)
+        return StateChange(name, self.records.get(name))
 
 
 class StateCache:
-    """Holds the records at the positions of the source, and their recent changes.
+    """Holds the records at the positions of the source, and which of them have changed.
 
     For some time after the source was restored from a copy, its listings are merged with the records
     known before and count as incomplete, so that neither this instance nor one that starts from its
@@ -134,12 +142,10 @@
 
         The revision is 0 for a kind without changes since its last listing.
         """
-        return tuple(
-            cached.history[-1].revision if cached.history else 0 for cached in self._cached.values()
-        )
+        return tuple(cached.changes.latest_revision for cached in self._cached.values())
 
     def put_listing(self, kind: StateKind, listing: StateChanges, now_ms: int) -> StateChanges:
-        """Replaces all records of a kind and discards its history.
+        """Replaces all records of a kind and forgets which have changed before.
 
         A record that cannot be read keeps its previous value.
 
@@ -154,8 +160,8 @@
             changes = merge_restored_listing(kind, listing, cached.records, cached.removed)
         self._replace_records(cached, changes, is_complete)
         cached.position = listing.position
-        cached.oldest_revision = listing.revision
-        cached.history.clear()
+        cached.changes.reset(listing.revision)
+        cached.unreadable.clear()
         self._notify_waiters(cached)
         return msgspec.structs.replace(listing, changes=changes, is_complete=is_complete)
 
@@ -181,17 +187,9 @@
         """Applies changes that follow the cached position, in the same era."""
         cached = self._cached[kind]
         for change in changes.changes:
-            if change.is_unreadable:
-                continue
-            if change.record is None:
-                cached.remove_record(change.name)
-            else:
-                cached.put_record(change.name, change.record)
+            cached.apply_change(change, changes.revision)
         cached.position = max(cached.position or changes.position, changes.position)
         if changes.changes:
-            if len(cached.history) == HISTORY_BATCHES:
-                cached.oldest_revision = cached.history[0].revision
-            cached.history.append(changes)
             self._notify_waiters(cached)
 
     def list_records(self, kind: StateKind) -> StateChanges | None:
@@ -229,20 +227,20 @@
         if cached.position is None or self._is_history_lost(cached, position):
             raise HistoryLost(
                 f"changes of {kind.value} after {position} are not cached "
-                f"(cache at {cached.position}, with changes after {cached.oldest_revision})"
+                f"(cache at {cached.position}, with changes after {cached.changes.oldest_revision})"
             )
-        found = [batch for batch in cached.history if batch.revision > position.revision]
         latest = max(position, cached.position)
-        return StateChanges(_coalesce(found), latest.revision, latest.era)
+        changes = cached.list_changes(position.revision)
+        return StateChanges(changes, latest.revision, latest.era)
 
     def _is_history_lost(self, cached: _CachedKind, position: SourcePosition) -> bool:
         is_other_era = cached.position is not None and cached.position.era != position.era
-        return is_other_era or position.revision < cached.oldest_revision
+        return is_other_era or position.revision < cached.changes.oldest_revision
 
     def _has_newer(self, cached: _CachedKind, position: SourcePosition) -> bool:
         if self._is_history_lost(cached, position):
             return True
-        return bool(cached.history) and cached.history[-1].position > position
+        return cached.changes.latest_revision > position.revision
 
     def _notify_waiters(self, cached: _CachedKind) -> None:
         cached.changed.set()
