platform: decode at most two versions of a configuration at a time

Cause: one answer to a watch may hold every version of a storm of changes, and all of them were decoded before the first was applied.

Change: an older version directly before a newer one of the same answer is dropped while the answer is read. A newer version before an older one stays, as before.

--- a/src/catkinspread/platform/answers.py
+++ b/src/catkinspread/platform/answers.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from catkinspread.deployment import StateChange, StateKind
+from catkinspread.deployment import RoutingConfiguration, StateChange, StateKind, StateRecord
 from catkinspread.deployment.bounds import Count, Name
 from catkinspread.platform.objects import ObjectShapeError, decode_record
 
@@ -233,8 +233,23 @@
         except ObjectShapeError as error:
             self._refuse(meta.name, meta.revision, str(error))
             return
+        self._drop_superseded(meta.name, record)
         self._changes.append(StateChange(meta.name, record))
 
+    def _drop_superseded(self, name: str, record: StateRecord | None) -> None:
+        """Drops the version of the configuration before a newer one.
+
+        An answer may hold all versions of a storm of changes. Each takes many times its size in the
+        answer once it is decoded, so two are held at a time.
+        """
+        if not self._changes or not isinstance(record, RoutingConfiguration):
+            return
+        last = self._changes[-1]
+        if last.name != name or not isinstance(last.record, RoutingConfiguration):
+            return
+        if record.is_newer_than(last.record):
+            self._changes.pop()
+
     def read_separated_event(self, event: bytes) -> Steps[None]:
         """Reads an event that the scanner has separated."""
         yield
