peers: hold back reports of upstreams that the store executes late

Cause: a report whose answer is lost may be executed seconds later, after newer ones, with a higher revision. Every record that was read was applied, whatever its number; a check for contradictions stood in DeploymentState alone, so that a feeder served what it did not believe.

Change: ReportOrder decides whether a report is applied, held back or refused, and StateCache, through which all that is read passes, asks it. An older report is held back: the last one stays in use, and the upstream is cold for as long as either says. It is applied if the source answers for 6 s and nobody corrects the entry, so an upstream whose clock or number went back is not lost.

--- a/src/catkinspread/deployment/__init__.py
+++ b/src/catkinspread/deployment/__init__.py
@@ -11,6 +11,7 @@
     StateKind,
     UpstreamRecord,
 )
+from catkinspread.deployment.report_order import LATE_WRITE_MAX_MS, ReportOrder, Verdict
 from catkinspread.deployment.source import (
     HistoryLost,
     SourcePosition,
@@ -42,6 +43,7 @@
 
 __all__ = [
     "COLD_START_DEFAULT_MS",
+    "LATE_WRITE_MAX_MS",
     "MISSING_GRACE_MS",
     "SHORT_TOKEN_BITS",
     "SHORT_TOKEN_MAX",
@@ -51,6 +53,7 @@
     "DeploymentState",
     "HistoryLost",
     "KnownUpstream",
+    "ReportOrder",
     "RequestKind",
     "Route",
     "RoutingConfiguration",
@@ -69,5 +72,6 @@
     "Synchroniser",
     "SynchroniserSettings",
     "UpstreamRecord",
+    "Verdict",
     "compute_token",
 ]
--- a/src/catkinspread/deployment/records.py
+++ b/src/catkinspread/deployment/records.py
@@ -187,7 +187,8 @@
     def is_older_than(self, other: "UpstreamRecord") -> bool:
         """Whether the upstream wrote this record before another one of the same name.
 
-        Clocks that were set back between two starts make the result wrong.
+        Clocks that were set back between two starts make the result wrong; `ReportOrder` decides
+        what follows from it.
         """
         return (self.born_ms, self.report_number) < (other.born_ms, other.report_number)
 
--- a/src/catkinspread/deployment/source.py
+++ b/src/catkinspread/deployment/source.py
@@ -46,11 +46,14 @@
         name: Name of the record.
         record: Current value of the record; None if it was removed, cannot be read or is not used.
         is_unreadable: Whether the source holds a record that cannot be read.
+        is_held: Whether the record is older than the last one of the same upstream, which stays in
+            use; see `ReportOrder`.
     """
 
     name: Name
     record: StateRecord | None
     is_unreadable: bool = False
+    is_held: bool = False
 
 
 class StateChanges(msgspec.Struct, frozen=True):
--- a/src/catkinspread/deployment/state.py
+++ b/src/catkinspread/deployment/state.py
@@ -19,8 +19,9 @@
 A record that cannot be read was not written by the upstream, whose process goes on. It stays in use
 as its last record says. An upstream that is alive writes again within a heartbeat interval; one whose
 record stays unreadable for MISSING_GRACE_MS counts as missing from then on, but does not become
-removed or gone. The same holds for a record that contradicts the last one of the same process: a
-process does not change its service or its address.
+removed or gone.
+
+Whether a record is applied at all is decided where it is read, by `ReportOrder`.
 """
 
 import msgspec
@@ -229,10 +230,7 @@
         return ApplyOutcome(True, f"version {configuration.version}")
 
     def put_upstream(self, record: UpstreamRecord, now_ms: int) -> ApplyOutcome:
-        """Adds an upstream or applies a newer record of it.
-
-        A record that contradicts the last one of the same process counts as unreadable.
-        """
+        """Adds an upstream or applies a newer record of it."""
         known = self._upstreams.get(record.name)
         if known is None:
             known = KnownUpstream(record, now_ms)
@@ -240,8 +238,6 @@
             self._tokens.add(known)
             self._eligible_by_service.clear()
             return ApplyOutcome(True, "new")
-        if record.contradicts(known.record):
-            return self._mark_unusable(known, now_ms, "contradicted")
         is_in_use = known.missing_since_ms is None and known.unreadable_since_ms is None
         if known.record == record and is_in_use:
             return _UNCHANGED
@@ -271,13 +267,29 @@
     def mark_upstream_unreadable(self, name: str, now_ms: int) -> ApplyOutcome:
         """Notes that the record of an upstream cannot be read; its last record stays in use."""
         known = self._upstreams.get(name)
-        return _UNCHANGED if known is None else self._mark_unusable(known, now_ms, "unreadable")
-
-    def _mark_unusable(self, known: KnownUpstream, now_ms: int, detail: str) -> ApplyOutcome:
+        if known is None:
+            return _UNCHANGED
         if known.missing_since_ms is not None or known.unreadable_since_ms is not None:
             return _UNCHANGED
         known.unreadable_since_ms = now_ms
-        return ApplyOutcome(True, detail)
+        return ApplyOutcome(True, "unreadable")
+
+    def note_held_report(self, record: UpstreamRecord, now_ms: int) -> ApplyOutcome:
+        """Notes a report that is held back; the last record of the upstream stays in use.
+
+        The upstream counts as cold for as long as either of them says, because the held report may
+        be the true one.
+        """
+        known = self._upstreams.get(record.name)
+        if known is None:
+            return _UNCHANGED
+        known.cold_until_ms = max(known.cold_until_ms, now_ms + record.cold_remaining_ms)
+        last = known.record
+        return ApplyOutcome(
+            True,
+            f"report {record.report_number} of start {record.born_ms} held back, last is "
+            f"{last.report_number} of start {last.born_ms}",
+        )
 
     def set_evacuated(self, data_centre: str, is_evacuated: bool) -> ApplyOutcome:
         """Sets whether a data centre is evacuated, so that its upstreams get no new flows."""
--- a/src/catkinspread/deployment/synchroniser.py
+++ b/src/catkinspread/deployment/synchroniser.py
@@ -194,7 +194,7 @@
         listed = {
             change.name
             for change in listing.changes
-            if change.record is not None or change.is_unreadable
+            if (change.record is not None and not change.is_held) or change.is_unreadable
         }
         if kind is StateKind.UPSTREAMS:
             for known in self._state.list_upstreams():
@@ -240,6 +240,8 @@
         if isinstance(record, RoutingConfiguration):
             return self._apply_configuration(record, now_ms)
         if isinstance(record, UpstreamRecord):
+            if change.is_held:
+                return self._state.note_held_report(record, now_ms)
             return self._state.put_upstream(record, now_ms)
         if kind is StateKind.UPSTREAMS:
             return self._state.mark_upstream_missing(change.name, now_ms)
--- a/src/catkinspread/deployment/tests/test_state.py
+++ b/src/catkinspread/deployment/tests/test_state.py
@@ -1,6 +1,5 @@
 """Updates of the deployment state, and its behaviour during outages of the source."""
 
-import msgspec
 import pytest
 
 from catkinspread.clock import ManualClock
@@ -230,15 +229,3 @@
     assert state.put_upstream(_build_upstream(), NOW_MS + 1_000).is_changed
     state.expire_upstreams(NOW_MS + 70_000, NOW_MS)
     assert state.list_upstreams()[0].missing_since_ms is None
-
-
-@pytest.mark.parametrize("change", [{"service": "desk"}, {"host": "10.0.0.8"}, {"port": 81}])
-def test_record_that_contradicts_its_process_moves_nothing(change: dict[str, object]) -> None:
-    """Guards against flows that run at another service because of another writer's record."""
-    state = _build_state(_build_upstream())
-    state.put_upstream(msgspec.structs.replace(_build_upstream(), **change), NOW_MS)
-    assert state.list_upstreams()[0].record == _build_upstream()
-    assert _list_eligible_names(state) == ["i-1"]
-    restarted = msgspec.structs.replace(_build_upstream(), born_ms=2, **change)
-    state.put_upstream(restarted, NOW_MS)
-    assert state.list_upstreams()[0].record == restarted
--- a/src/catkinspread/peers/shared_source.py
+++ b/src/catkinspread/peers/shared_source.py
@@ -19,6 +19,7 @@
     SourceHealth,
     SourcePosition,
     SourceUnavailable,
+    StateChange,
     StateChanges,
     StateKind,
     StateSource,
@@ -61,6 +62,9 @@
 # interval between the checks of the other kinds, which do not call, whether the outage is over.
 OUTAGE_RETRY_INTERVAL_MS = 4_000
 OUTAGE_POLL_INTERVAL_MS = 1_000
+# Shortest wait of a long poll while a report is held back. A feeder tells only with its status that the
+# source has answered it, so the polls until then must not follow each other without a pause.
+HELD_POLL_WAIT_MIN_MS = 300
 # Shortest interval between two checks of the source that other parts request.
 CHECK_INTERVAL_MS = 200
 _MS_PER_S = 1_000
@@ -281,7 +285,7 @@
             self._events.write("catch_up_failed", self._clock.now_ms(), reason=str(error))
             is_lost = isinstance(error, HistoryLost)
             return await self._list_again(kind) if is_lost else listing
-        self._cache.put_changes(kind, changes)
+        changes = self._cache_changes(kind, changes)
         return msgspec.structs.replace(
             changes, changes=listing.changes + changes.changes, is_complete=listing.is_complete
         )
@@ -321,13 +325,56 @@
         """Returns the changes after a position, all of its era; see `StateSource`."""
         if position.era < self._cache.era:
             raise HistoryLost(f"{position} is of an earlier era than {self._cache.era}")
+        released = self._release_held(kind)
+        if released:
+            return StateChanges(released, position.revision, position.era)
+        timeout_ms = self._limit_to_next_release(kind, timeout_ms)
         feeder = self._feeder
         changes = await self._poll_feeder_or_source(feeder, kind, position, timeout_ms)
         if changes is None:
             return StateChanges((), position.revision, position.era)
         self._check_era(kind, position, changes, feeder)
-        self._cache.put_changes(kind, changes)
-        return changes
+        return self._cache_changes(kind, changes)
+
+    def _cache_changes(self, kind: StateKind, changes: StateChanges) -> StateChanges:
+        """Returns the changes as they are to be applied to the state."""
+        now_ms = self._clock.now_ms()
+        applied = self._cache.put_changes(kind, changes, now_ms)
+        self._log_refused(kind, changes, applied, now_ms)
+        return applied
+
+    def _log_refused(
+        self, kind: StateKind, read: StateChanges, applied: StateChanges, now_ms: int
+    ) -> None:
+        """Logs the reports that the last process of their upstream cannot have written."""
+        names = _list_unreadable(applied).difference(_list_unreadable(read))
+        if names:
+            self._events.write(
+                "reports_refused",
+                now_ms,
+                kind=kind.value,
+                names=sorted(names),
+                revision=read.revision,
+            )
+
+    def _release_held(self, kind: StateKind) -> tuple[StateChange, ...]:
+        """Returns the reports that no upstream has corrected while the source answered."""
+        now_ms = self._clock.now_ms()
+        span = self.find_answered_span()
+        if span is None:
+            self._cache.restart_holding(kind, now_ms)
+            return ()
+        released = self._cache.release_held(kind, span.until_ms, now_ms)
+        if released:
+            names = [change.name for change in released]
+            self._events.write_always("held_reports_applied", now_ms, names=names)
+        return released
+
+    def _limit_to_next_release(self, kind: StateKind, timeout_ms: int) -> int:
+        release_ms = self._cache.find_release_ms(kind)
+        if release_ms is None:
+            return timeout_ms
+        return min(timeout_ms, max(HELD_POLL_WAIT_MIN_MS, release_ms - self._clock.now_ms()))
 
     async def _poll_feeder_or_source(
         self, feeder: Member | None, kind: StateKind, position: SourcePosition, timeout_ms: int
@@ -431,6 +478,7 @@
         self._require_current_era(kind, listing, peer)
         now_ms = self._clock.now_ms()
         cached = self._cache.put_listing(kind, listing, now_ms)
+        self._log_refused(kind, listing, cached, now_ms)
         if not cached.is_complete:
             self._log_merged(kind, listing, cached, now_ms)
         return cached
@@ -531,3 +579,7 @@
     def _interrupt_calls(self) -> None:
         self._interrupted.set()
         self._interrupted = anyio.Event()
+
+
+def _list_unreadable(changes: StateChanges) -> set[str]:
+    return {change.name for change in changes.changes if change.is_unreadable}
--- a/src/catkinspread/peers/state_cache.py
+++ b/src/catkinspread/peers/state_cache.py
@@ -5,6 +5,7 @@
 
 from catkinspread.deployment import (
     HistoryLost,
+    ReportOrder,
     RoutingConfiguration,
     SourcePosition,
     SourceUnavailable,
@@ -13,6 +14,7 @@
     StateKind,
     StateRecord,
     UpstreamRecord,
+    Verdict,
 )
 from catkinspread.peers.change_index import ChangeIndex
 from catkinspread.peers.restored_listing import merge_restored_listing
@@ -34,6 +36,7 @@
         restored_at_ms: When the first incomplete listing was read; None while the records are
             complete.
         removed: Last records of upstreams that were removed, oldest first.
+        reports: Decides which reports of upstreams are applied.
     """
 
     __slots__ = (
@@ -42,6 +45,7 @@
         "position",
         "records",
         "removed",
+        "reports",
         "restored_at_ms",
         "unreadable",
     )
@@ -53,17 +57,24 @@
         self.position: SourcePosition | None = None
         self.changes = ChangeIndex()
         self.unreadable: set[str] = set()
+        self.reports = ReportOrder()
         self.changed = anyio.Event()
 
-    def update_completeness(self, listing: StateChanges, now_ms: int, settling_ms: int) -> None:
-        """Decides whether a new listing is complete or has to be merged with the records."""
+    def update_completeness(self, listing: StateChanges, now_ms: int, settling_ms: int) -> bool:
+        """Decides whether a new listing is complete or has to be merged with the records.
+
+        Returns:
+            Whether it is the first complete one after a restoration.
+        """
         is_restored = self.position is not None and listing.era > self.position.era
         if is_restored or (self.restored_at_ms is None and not listing.is_complete):
             self.restored_at_ms = now_ms
-            return
+            return False
         since_ms = self.restored_at_ms
         if since_ms is not None and listing.is_complete and now_ms - since_ms >= settling_ms:
             self.restored_at_ms = None
+            return True
+        return False
 
     def put_record(self, name: str, record: StateRecord) -> None:
         """Adds or replaces a record; a configuration is replaced only by a newer one."""
@@ -84,27 +95,76 @@
         if len(self.removed) > REMOVED_MAX:
             del self.removed[next(iter(self.removed))]
 
-    def apply_change(self, change: StateChange, revision: int) -> None:
-        """Applies a change that was read up to a revision."""
+    def apply_change(
+        self, change: StateChange, now_ms: int, *, is_settled: bool = False
+    ) -> StateChange:
+        """Applies a change.
+
+        Args:
+            change: The change, as it was read.
+            now_ms: Current time.
+            is_settled: Whether no earlier write can be executed any more, so that nothing is held
+                back.
+
+        Returns:
+            The change as it is to be applied to the state.
+        """
+        name, record = change.name, change.record
+        if isinstance(record, UpstreamRecord):
+            change = self._judge_report(change, record, now_ms, is_settled)
+        self.unreadable.discard(name)
+        if change.is_held:
+            return change
         if change.is_unreadable:
-            self.unreadable.add(change.name)
+            self.unreadable.add(name)
+            self.reports.discard_held(name)
+        elif change.record is None:
+            self.remove_record(name)
+            self.reports.discard_held(name)
         else:
-            self.unreadable.discard(change.name)
-            if change.record is None:
-                self.remove_record(change.name)
-            else:
-                self.put_record(change.name, change.record)
-        has_record = change.is_unreadable or change.name in self.records
-        self.changes.record_change(change.name, revision, has_record)
+            self.put_record(name, change.record)
+        return change
+
+    def _judge_report(
+        self, change: StateChange, record: UpstreamRecord, now_ms: int, is_settled: bool
+    ) -> StateChange:
+        """Returns a report as it is to be applied; one that is refused counts as unreadable."""
+        name = record.name
+        last = self._find_last_report(name)
+        verdict = self.reports.judge(record, last, now_ms)
+        if verdict is Verdict.REFUSED:
+            return StateChange(name, None, is_unreadable=True)
+        is_held_by_peer = change.is_held and record != last
+        if is_held_by_peer or (verdict is Verdict.HELD and not is_settled):
+            self.reports.hold(record, now_ms)
+            return StateChange(name, record, is_held=True)
+        self.reports.record_applied(record, last, now_ms)
+        return StateChange(name, record)
+
+    def _find_last_report(self, name: str) -> UpstreamRecord | None:
+        record = self.records.get(name) or self.removed.get(name)
+        return record if isinstance(record, UpstreamRecord) else None
+
+    def record_change(self, name: str, revision: int) -> None:
+        """Notes for readers that a record has changed or is held back."""
+        has_record = name in self.unreadable or name in self.records
+        self.changes.record_change(name, revision, has_record)
 
     def list_changes(self, revision: int) -> tuple[StateChange, ...]:
         """Returns the last change of each record after a revision, in the order of the changes."""
-        return tuple(self._build_change(name) for name in self.changes.list_changed(revision))
+        changes: list[StateChange] = []
+        for name in self.changes.list_changed(revision):
+            changes.extend(self._build_changes(name))
+        return tuple(changes)
 
-    def _build_change(self, name: str) -> StateChange:
+    def _build_changes(self, name: str) -> list[StateChange]:
         if name in self.unreadable:
-            return StateChange(name, None, is_unreadable=True)
-        return StateChange(name, self.records.get(name))
+            return [StateChange(name, None, is_unreadable=True)]
+        changes = [StateChange(name, self.records.get(name))]
+        held = self.reports.find_held(name)
+        if held is not None:
+            changes.append(StateChange(name, held, is_held=True))
+        return changes
 
 
 class StateCache:
@@ -114,6 +174,9 @@
     known before and count as incomplete, so that neither this instance nor one that starts from its
     records goes back to the state of the copy. A configuration is replaced only by a newer one.
 
+    All that an instance reads passes through here, whether it comes from the source, from a feeder or
+    from a peer. So this is the one place at which a report of an upstream is applied or held back.
+
     Args:
         settling_ms: Time after a restoration until listings count as complete again, in ms.
 
@@ -150,22 +213,24 @@
         A record that cannot be read keeps its previous value.
 
         Returns:
-            The listing, merged with the records known before if it is incomplete.
+            The listing as it is to be applied: merged with the records known before if it is
+            incomplete, and with the last record of each upstream whose report is held back.
         """
         cached = self._cached[kind]
-        cached.update_completeness(listing, now_ms, self._settling_ms)
+        is_settled = cached.update_completeness(listing, now_ms, self._settling_ms)
         is_complete = cached.restored_at_ms is None
         changes = listing.changes
         if not is_complete:
             changes = merge_restored_listing(kind, listing, cached.records, cached.removed)
-        self._replace_records(cached, changes, is_complete)
+        self._drop_unlisted(cached, changes, is_complete)
+        changes = self._apply_listed(cached, changes, now_ms, is_settled)
         cached.position = listing.position
         cached.changes.reset(listing.revision)
         cached.unreadable.clear()
         self._notify_waiters(cached)
         return msgspec.structs.replace(listing, changes=changes, is_complete=is_complete)
 
-    def _replace_records(
+    def _drop_unlisted(
         self, cached: _CachedKind, changes: tuple[StateChange, ...], is_complete: bool
     ) -> None:
         listed = {
@@ -179,27 +244,81 @@
             else:
                 # It was not removed: the copy may be older than the record.
                 del cached.records[name]
+
+    def _apply_listed(
+        self,
+        cached: _CachedKind,
+        changes: tuple[StateChange, ...],
+        now_ms: int,
+        is_settled: bool,
+    ) -> tuple[StateChange, ...]:
+        applied: list[StateChange] = []
         for change in changes:
-            if change.record is not None:
-                cached.put_record(change.name, change.record)
+            if change.record is None:
+                applied.append(change)
+                continue
+            result = cached.apply_change(change, now_ms, is_settled=is_settled)
+            last = cached.records.get(change.name)
+            if result.is_held and last is not None:
+                applied.append(StateChange(change.name, last))
+            applied.append(result)
+        cached.reports.keep_held({change.name for change in applied if change.is_held})
+        return tuple(applied)
+
+    def put_changes(self, kind: StateKind, changes: StateChanges, now_ms: int) -> StateChanges:
+        """Applies changes that follow the cached position, in the same era.
 
-    def put_changes(self, kind: StateKind, changes: StateChanges) -> None:
-        """Applies changes that follow the cached position, in the same era."""
+        Returns:
+            The changes as they are to be applied to the state.
+        """
         cached = self._cached[kind]
+        applied = []
         for change in changes.changes:
-            cached.apply_change(change, changes.revision)
+            applied.append(cached.apply_change(change, now_ms))
+            cached.record_change(change.name, changes.revision)
         cached.position = max(cached.position or changes.position, changes.position)
         if changes.changes:
             self._notify_waiters(cached)
+        return msgspec.structs.replace(changes, changes=tuple(applied))
+
+    def restart_holding(self, kind: StateKind, now_ms: int) -> None:
+        """Holds all held reports for the full time, because upstreams cannot write at present."""
+        self._cached[kind].reports.restart_holding(now_ms)
+
+    def release_held(
+        self, kind: StateKind, answered_at_ms: int, now_ms: int
+    ) -> tuple[StateChange, ...]:
+        """Applies the reports that were held back long enough, and returns them as changes.
+
+        Readers hold the same reports and release them themselves, so the position stays.
+
+        Args:
+            kind: Kind of the records.
+            answered_at_ms: When the source last answered. What it held later is not known.
+            now_ms: Current time.
+        """
+        cached = self._cached[kind]
+        released = []
+        for record in cached.reports.list_due(answered_at_ms):
+            change = StateChange(record.name, record)
+            released.append(cached.apply_change(change, now_ms, is_settled=True))
+        return tuple(released)
+
+    def find_release_ms(self, kind: StateKind) -> int | None:
+        """Returns when the next held report is to be released; None if there is none."""
+        return self._cached[kind].reports.find_next_due_ms()
 
     def list_records(self, kind: StateKind) -> StateChanges | None:
         """Returns all records of a kind; None if they have not been read yet."""
         cached = self._cached[kind]
         if cached.position is None:
             return None
-        changes = tuple(StateChange(name, record) for name, record in cached.records.items())
+        changes = [StateChange(name, record) for name, record in cached.records.items()]
+        changes += [
+            StateChange(record.name, record, is_held=True) for record in cached.reports.list_held()
+        ]
         return StateChanges(
-            changes,
+            tuple(changes),
             cached.position.revision,
             cached.position.era,
             is_complete=cached.restored_at_ms is None,
--- a/src/catkinspread/peers/tests/test_restorations.py
+++ b/src/catkinspread/peers/tests/test_restorations.py
@@ -40,7 +40,7 @@
 Records = dict[StateKind, dict[str, StateRecord]]
 
 
-class _Store:
+class Store:
     """A source with a history that can come back from a copy."""
 
     def __init__(self) -> None:
@@ -86,7 +86,7 @@
         return StateChanges(changes, self.revision, self.era)
 
 
-class _Peer:
+class Peer:
     """Reads the cache of an instance."""
 
     def __init__(self, cache: StateCache) -> None:
@@ -116,7 +116,7 @@
         self._feeder = feeder
 
 
-def _build_member(name: str) -> Member:
+def build_member(name: str) -> Member:
     return Member(name, "east", f"10.0.0.{INSTANCES.index(name) + 1}", 1)
 
 
@@ -127,11 +127,11 @@
         self._clock = fleet.clock
         self._call = fleet.call
         events = EventLog(name, NullSink(), self._clock)
-        self.directory = PeerDirectory(_build_member(name), random.Random(1))
+        self.directory = PeerDirectory(build_member(name), random.Random(1))
         self.cache = StateCache(SETTLING_MS)
         self.source = _ImmediateSource(
             fleet.store,
-            lambda member: _Peer(fleet.instances[member.name].cache),
+            lambda member: Peer(fleet.instances[member.name].cache),
             self.directory,
             self.cache,
             SourceHealth(),
@@ -191,7 +191,7 @@
         # All calls run in one event loop, to which events are bound.
         self.call = self._resources.enter_context(start_blocking_portal()).call
         self.clock = ManualClock(NOW_MS)
-        self.store = _Store()
+        self.store = Store()
         self._version = 0
         self._evacuated: set[str] = set()
         self._upstreams: dict[str, UpstreamRecord] = {}
@@ -285,7 +285,7 @@
     )
     def follow(self, name: str, feeder: str | None) -> None:
         if feeder != name:
-            self.instances[name].source.follow(_build_member(feeder) if feeder else None)
+            self.instances[name].source.follow(build_member(feeder) if feeder else None)
 
     @rule(name=strategies.sampled_from(INSTANCES))
     def read(self, name: str) -> None:
@@ -301,7 +301,7 @@
         instance = _Instance(name, self)
         for other, peer in self.instances.items():
             if other != name and peer.cache.is_complete:
-                status = MemberStatus(_build_member(other), 100, True, False, peer.cache.era)
+                status = MemberStatus(build_member(other), 100, True, False, peer.cache.era)
                 instance.directory.apply_message(Hello(status, 0), self.clock.now_ms())
         self.instances[name] = instance
 
--- a/src/catkinspread/peers/tests/test_restored_listing.py
+++ b/src/catkinspread/peers/tests/test_restored_listing.py
@@ -51,7 +51,7 @@
     def read(self, *records: UpstreamRecord | None) -> None:
         """Applies changes of the upstream i-1; None removes it."""
         changes = StateChanges(tuple(StateChange("i-1", record) for record in records), 9, 1)
-        self.cache.put_changes(StateKind.UPSTREAMS, changes)
+        self.cache.put_changes(StateKind.UPSTREAMS, changes, NOW_MS)
         self.applier.apply_changes(StateKind.UPSTREAMS, changes, NOW_MS)
 
     def list(self, listing: StateChanges, now_ms: int) -> None:
--- a/src/catkinspread/peers/tests/test_shared_source.py
+++ b/src/catkinspread/peers/tests/test_shared_source.py
@@ -336,8 +336,8 @@
     """Guards against an instance that misses a change when it switches to a feeder."""
     cache = StateCache(SETTLING_MS)
     cache.put_listing(KIND, StateChanges((StateChange("east", "east"),), 10), NOW_MS)
-    cache.put_changes(KIND, StateChanges((StateChange("west", "west"),), 12))
-    cache.put_changes(KIND, StateChanges((StateChange("east", None),), 15))
+    cache.put_changes(KIND, StateChanges((StateChange("west", "west"),), 12), NOW_MS)
+    cache.put_changes(KIND, StateChanges((StateChange("east", None),), 15), NOW_MS)
 
     async def read() -> tuple[StateChanges, bool]:
         changes = await cache.wait_for_changes(KIND, SourcePosition(0, 10), 10)
@@ -362,7 +362,9 @@
     cache.put_listing(KIND, StateChanges((), 10), NOW_MS)
     for revision in range(11, 40):
         name = "east" if revision % 2 else "west"
-        cache.put_changes(KIND, StateChanges((StateChange(name, f"v{revision}"),), revision))
+        cache.put_changes(
+            KIND, StateChanges((StateChange(name, f"v{revision}"),), revision), NOW_MS
+        )
     changes = anyio.run(cache.wait_for_changes, KIND, SourcePosition(0, 10), 10)
     assert [change.record for change in changes.changes] == ["v38", "v39"]
     assert changes.revision == 39
@@ -373,7 +375,7 @@
     cache = StateCache(SETTLING_MS)
     cache.put_listing(KIND, StateChanges((StateChange("east", "east"),), 10), NOW_MS)
     unreadable = StateChanges((StateChange("east", None, is_unreadable=True),), 11)
-    cache.put_changes(KIND, unreadable)
+    cache.put_changes(KIND, unreadable, NOW_MS)
     assert cache.list_records(KIND).changes == (StateChange("east", "east"),)
     cache.put_listing(KIND, unreadable, NOW_MS)
     assert cache.list_records(KIND).changes == (StateChange("east", "east"),)
@@ -386,7 +388,7 @@
     older = StateChange("main", RoutingConfiguration(10, (), (), 1))
     cache.put_listing(kind, StateChanges((newest,), 15, 1), NOW_MS)
     cache.put_listing(kind, StateChanges((older,), 8, 2), NOW_MS)
-    cache.put_changes(kind, StateChanges((older,), 9, 2))
+    cache.put_changes(kind, StateChanges((older,), 9, 2), NOW_MS)
     assert cache.list_records(kind) == StateChanges((newest,), 9, 2, is_complete=False)
     cache.put_listing(kind, StateChanges((), 10, 2), NOW_MS + SETTLING_MS)
     assert cache.list_records(kind) == StateChanges((newest,), 10, 2)
--- a/src/catkinspread/peers/tests/test_state_cache.py
+++ b/src/catkinspread/peers/tests/test_state_cache.py
@@ -53,17 +53,17 @@
 
 def _change_configuration(cache: StateCache, version: int) -> None:
     change = StateChange("main", _build_configuration(version))
-    cache.put_changes(StateKind.CONFIGURATION, StateChanges((change,), version))
+    cache.put_changes(StateKind.CONFIGURATION, StateChanges((change,), version), NOW_MS)
 
 
 def _change_upstream(cache: StateCache, number: int) -> None:
     change = StateChange("i-1", _build_upstream(number, "i-1"))
-    cache.put_changes(KIND, StateChanges((change,), number))
+    cache.put_changes(KIND, StateChanges((change,), number), NOW_MS)
 
 
 def _change_evacuation(cache: StateCache, number: int) -> None:
     change = StateChange("east", "east" if number % 2 else None)
-    cache.put_changes(StateKind.EVACUATIONS, StateChanges((change,), number))
+    cache.put_changes(StateKind.EVACUATIONS, StateChanges((change,), number), NOW_MS)
 
 
 @pytest.mark.parametrize(
@@ -119,7 +119,7 @@
     cache.put_listing(KIND, StateChanges(listed, 10), NOW_MS)
     for number in range(REMOVALS_MAX + 1):
         removal = StateChange(f"i-{number}", None)
-        cache.put_changes(KIND, StateChanges((removal,), 11 + number))
+        cache.put_changes(KIND, StateChanges((removal,), 11 + number), NOW_MS)
     with pytest.raises(HistoryLost):
         anyio.run(cache.wait_for_changes, KIND, SourcePosition(0, 10), 10)
     changes = anyio.run(cache.wait_for_changes, KIND, SourcePosition(0, 11), 10)
@@ -133,6 +133,6 @@
     cache.put_listing(KIND, StateChanges((StateChange("i-1", upstream),), 10), NOW_MS)
     unreadable = StateChange("i-1", None, is_unreadable=True)
     for revision, change in ((11, unreadable), (12, StateChange("i-1", upstream))):
-        cache.put_changes(KIND, StateChanges((change,), revision))
+        cache.put_changes(KIND, StateChanges((change,), revision), NOW_MS)
         changes = anyio.run(cache.wait_for_changes, KIND, SourcePosition(0, 10), 10)
         assert changes.changes == (change,)
