deployment: drop old starts of upstreams without copying all of them

Cause: each new start copied the whole table of recent starts to drop those that are too old, which is quadratic in the number of upstreams when an instance lists them. The check for reports to release also looked up the age of the source at each poll.

Change: only the oldest starts are looked at, and polls without a held report skip the check. No change of behaviour.

--- a/src/catkinspread/deployment/report_order.py
+++ b/src/catkinspread/deployment/report_order.py
@@ -73,12 +73,7 @@
         # Starts seen within LATE_WRITE_MAX_MS, oldest first; older ones are dropped by the way.
         self._starts: dict[str, _Start] = {}
 
-    def judge(
-        self,
-        record: UpstreamRecord,
-        last: UpstreamRecord | None,
-        now_ms: int,
-    ) -> Verdict:
+    def judge(self, record: UpstreamRecord, last: UpstreamRecord | None, now_ms: int) -> Verdict:
         """Decides what becomes of a report that the source holds.
 
         Args:
@@ -121,8 +116,9 @@
         self._drop_old_starts(now_ms)
 
     def _drop_old_starts(self, now_ms: int) -> None:
-        for name, start in list(self._starts.items()):
-            if now_ms - start.seen_at_ms < LATE_WRITE_MAX_MS:
+        while self._starts:
+            name, oldest = next(iter(self._starts.items()))
+            if now_ms - oldest.seen_at_ms < LATE_WRITE_MAX_MS:
                 return
             del self._starts[name]
 
--- a/src/catkinspread/peers/shared_source.py
+++ b/src/catkinspread/peers/shared_source.py
@@ -359,6 +359,8 @@
 
     def _release_held(self, kind: StateKind) -> tuple[StateChange, ...]:
         """Returns the reports that no upstream has corrected while the source answered."""
+        if self._cache.find_release_ms(kind) is None:
+            return ()
         now_ms = self._clock.now_ms()
         span = self.find_answered_span()
         if span is None:
