--- a/src/catkinspread/peers/tests/test_late_reports.py
+++ b/src/catkinspread/peers/tests/test_late_reports.py
@@ -64,7 +64,6 @@
     ) -> None:
         self._call = call
         self._clock = clock
-        self._feeder = feeder
         self.health = SourceHealth()
         self.cache = StateCache(SETTLING_MS)
         self.state = DeploymentState(flow_lifetime_max_ms=60_000)
